Lay out the workspace and the types shared by its crates

Six crates: decisions (coordination), messages (wire), platform client, stand-ins, daemon, tool. The shared types (records, table transactions, messages between hosts, request ids) and the interfaces to the outside come first, so that the parts can grow side by side.

--- /dev/null
+++ b/crates/coordination/src/request.rs
@@ -0,0 +1,74 @@
+//! Identity and class of a request.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies one request across hosts, retries and attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Id(pub [u8; 16]);
+
+impl Id {
+    /// Derives the id of a request that carries an idempotency key.
+    pub fn keyed(workspace: &str, key: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key("laburnumcove request id v1");
+        hasher.update(&(workspace.len() as u64).to_le_bytes());
+        hasher.update(workspace.as_bytes());
+        hasher.update(key.as_bytes());
+        Self::truncate(hasher.finalize())
+    }
+
+    /// Derives the id of a request without a key from the holder that accepted it.
+    pub fn numbered(holder: &str, number: u64) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key("laburnumcove numbered request id v1");
+        hasher.update(&number.to_le_bytes());
+        hasher.update(holder.as_bytes());
+        Self::truncate(hasher.finalize())
+    }
+
+    fn truncate(hash: blake3::Hash) -> Self {
+        let mut id = [0; 16];
+        id.copy_from_slice(&hash.as_bytes()[..16]);
+        Self(id)
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl From<Id> for String {
+    fn from(id: Id) -> Self {
+        id.to_string()
+    }
+}
+
+/// The text is not 32 hexadecimal digits.
+#[derive(Debug, thiserror::Error)]
+#[error("expected 32 hexadecimal digits")]
+pub struct Malformed;
+
+impl TryFrom<String> for Id {
+    type Error = Malformed;
+
+    fn try_from(text: String) -> Result<Self, Malformed> {
+        let mut id = [0; 16];
+        hex::decode_to_slice(&text, &mut id).map_err(|_| Malformed)?;
+        Ok(Self(id))
+    }
+}
+
+/// Scheduling class of a request, most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Short interactive work, such as a status check.
+    Urgent,
+    /// Ordinary work.
+    Normal,
+    /// Long work that may wait but must finish, such as a case review.
+    Long,
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Under construction.
+
+fn main() {}
