--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod credential;
 pub mod message;
 pub mod record;
 pub mod request;
+pub mod schema;
 pub mod table;
--- /dev/null
+++ b/crates/coordination/src/schema.rs
@@ -0,0 +1,532 @@
+//! Schema versions of records: translation from the old form, merging of writes, typed reads.
+//!
+//! A record of version 1 reads as if it had been written in version 2. A write keeps every field
+//! that it doesn't name, so that a writer of the old version drops nothing that the new one added.
+
+use std::{ops::RangeInclusive, sync::Arc};
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::record::{self, Fault, Kind};
+
+/// Fields of a record as they stand in the table.
+pub type Document = Map<String, Value>;
+
+/// Oldest version that is honoured.
+pub const OLDEST: u64 = 1;
+
+/// Newest version, the one that readers see.
+pub const NEWEST: u64 = 2;
+
+/// Greatest length of a record's JSON text, in bytes.
+pub const MAX_BYTES: usize = 1 << 20;
+
+/// Greatest length of a name, in bytes.
+pub const MAX_NAME: usize = 63;
+
+/// Greatest number of tokens in one figure; every JSON reader holds it exactly.
+pub const MAX_TOKENS: u64 = 1 << 53;
+
+/// Id under which the prepaid amount of a version 1 budget counts as a top-up.
+pub const PREPAID: &str = "prepaid";
+
+const MAX_QUOTED_CHARS: usize = 40;
+
+/// A field of version 1 and the field of version 2 that took its place.
+struct Rename {
+    kind: Kind,
+    old: &'static str,
+    new: &'static str,
+    /// Path under which version 2 reports a fault in the value.
+    path: &'static str,
+    required: bool,
+    form: Form,
+}
+
+/// How the value of a version 1 field becomes part of a version 2 field.
+#[derive(Clone, Copy)]
+enum Form {
+    /// The value as it is.
+    Same,
+    /// First element of a list.
+    First,
+    /// First element of a list of models.
+    FirstModel,
+    /// Name of a model.
+    Model,
+    /// Top-up with the id [`PREPAID`].
+    TopUp,
+}
+
+const RENAMES: [Rename; 8] = [
+    Rename {
+        kind: Kind::Workspace,
+        old: "token_hash",
+        new: "token_hashes",
+        path: "token_hashes[0]",
+        required: true,
+        form: Form::First,
+    },
+    Rename {
+        kind: Kind::Workspace,
+        old: "budget",
+        new: "budgets",
+        path: "budgets[0]",
+        required: true,
+        form: Form::First,
+    },
+    Rename {
+        kind: Kind::Budget,
+        old: "prepaid",
+        new: "top_ups",
+        path: "top_ups.prepaid",
+        required: true,
+        form: Form::TopUp,
+    },
+    Rename {
+        kind: Kind::Backend,
+        old: "url",
+        new: "address",
+        path: "address",
+        required: true,
+        form: Form::Same,
+    },
+    Rename {
+        kind: Kind::Backend,
+        old: "model",
+        new: "models",
+        path: "models[0].name",
+        required: false,
+        form: Form::FirstModel,
+    },
+    Rename {
+        kind: Kind::Route,
+        old: "repeatable",
+        new: "idempotent",
+        path: "idempotent",
+        required: true,
+        form: Form::Same,
+    },
+    Rename {
+        kind: Kind::Route,
+        old: "model",
+        new: "model",
+        path: "model.name",
+        required: false,
+        form: Form::Model,
+    },
+    Rename {
+        kind: Kind::Operator,
+        old: "token_hash",
+        new: "token_hashes",
+        path: "token_hashes[0]",
+        required: true,
+        form: Form::First,
+    },
+];
+
+/// Reads the JSON object of the record `key`.
+///
+/// # Errors
+///
+/// Returns a fault where the text is too long or is not a JSON object.
+pub fn read(key: &str, json: &str) -> Result<Document, Fault> {
+    if json.len() > MAX_BYTES {
+        let reason = format!("expected at most {MAX_BYTES} bytes, got {}", json.len());
+        return Err(Fault::new(key, "document", reason));
+    }
+    match serde_json::from_str(json) {
+        Ok(Value::Object(document)) => Ok(document),
+        Ok(other) => Err(Fault::expected(key, "document", "a JSON object", &other)),
+        Err(err) => Err(Fault::new(key, "document", format!("expected JSON, got {err}"))),
+    }
+}
+
+/// Returns the version of a document.
+///
+/// # Errors
+///
+/// Returns a fault where the version is missing or not honoured.
+pub fn version(key: &str, document: &Document) -> Result<u64, Fault> {
+    Fields::new(key, document).number("version", OLDEST..=NEWEST, None)
+}
+
+/// Returns the document in the form of the newest version.
+///
+/// # Errors
+///
+/// Returns a fault where a field of version 1 is missing or its version is not honoured.
+pub fn upgrade(key: &str, kind: Kind, document: Document) -> Result<Document, Fault> {
+    if version(key, &document)? == NEWEST {
+        return Ok(document);
+    }
+    require(key, kind, &document)?;
+    let mut upgraded = Document::new();
+    translate(key, kind, document, &mut upgraded)?;
+    if kind == Kind::Budget {
+        upgraded.entry("ledger").or_insert_with(|| Value::from("old"));
+    }
+    Ok(upgraded)
+}
+
+/// Returns the name that version 1 gives to the field at a path of version 2.
+pub fn old_path(kind: Kind, path: &str) -> &str {
+    RENAMES
+        .iter()
+        .find(|rename| rename.kind == kind && rename.path == path)
+        .map_or(path, |rename| rename.old)
+}
+
+/// Returns what is to be written when `new` is applied over `old`.
+///
+/// Fields that `new` doesn't name stay, a null removes a field, and top-ups are joined by id. The
+/// result has the greater of both versions.
+///
+/// # Errors
+///
+/// Returns a fault where either record, or what comes of both, is not valid, or where a top-up
+/// would be lowered.
+pub fn merge(old: &str, new: &str) -> Result<String, Fault> {
+    let (key, new) = addressed(new)?;
+    let old = read(&key, old)?;
+    let before = record::from_document(&key, old.clone())?;
+    let kind = before.kind();
+    let newest = version(&key, &old)?.max(version(&key, &new)?);
+    let merged =
+        if newest == OLDEST { overlay(old, new) } else { overlay_upgraded(&key, kind, old, new)? };
+    let after = record::from_document(&key, merged.clone())?;
+    after.succeeds(&before)?;
+    Ok(Value::Object(merged).to_string())
+}
+
+/// Returns the key and fields of a record that is not yet in the table.
+///
+/// # Errors
+///
+/// Returns a fault where kind or name is missing or malformed.
+pub fn addressed(json: &str) -> Result<(String, Document), Fault> {
+    let document = read("record", json)?;
+    let fields = Fields::new("record", &document);
+    let kind: Kind = fields.choice("kind", Kind::NAMES, None)?;
+    let name = fields.name("name")?;
+    Ok((record::key(kind, &name), document))
+}
+
+fn overlay_upgraded(
+    key: &str,
+    kind: Kind,
+    old: Document,
+    new: Document,
+) -> Result<Document, Fault> {
+    let mut base = upgrade(key, kind, old)?;
+    if version(key, &new)? == NEWEST {
+        return Ok(overlay(base, new));
+    }
+    translate(key, kind, new, &mut base)?;
+    Ok(base)
+}
+
+fn overlay(mut base: Document, new: Document) -> Document {
+    for (field, value) in new {
+        overlay_field(&mut base, field, value);
+    }
+    base
+}
+
+fn overlay_field(base: &mut Document, field: String, value: Value) {
+    if value.is_null() {
+        base.remove(&field);
+        return;
+    }
+    if field != "top_ups" {
+        base.insert(field, value);
+        return;
+    }
+    match (base.get_mut(&field), value) {
+        (Some(Value::Object(held)), Value::Object(added)) => held.extend(added),
+        (_, value) => {
+            base.insert(field, value);
+        }
+    }
+}
+
+fn require(key: &str, kind: Kind, document: &Document) -> Result<(), Fault> {
+    let missing = RENAMES.iter().find(|rename| {
+        rename.kind == kind
+            && rename.required
+            && !document.contains_key(rename.old)
+            && !document.contains_key(rename.new)
+    });
+    match missing {
+        Some(rename) => Err(Fault::new(key, rename.old, "missing")),
+        None => Ok(()),
+    }
+}
+
+/// Writes the fields of a version 1 document over `base`, in their version 2 form.
+fn translate(
+    key: &str,
+    kind: Kind,
+    mut document: Document,
+    base: &mut Document,
+) -> Result<(), Fault> {
+    let mut values = Vec::new();
+    for rename in RENAMES.iter().filter(|rename| rename.kind == kind) {
+        if let Some(value) = document.remove(rename.old) {
+            values.push((rename, value));
+        }
+    }
+    document.insert("version".to_owned(), Value::from(NEWEST));
+    *base = overlay(std::mem::take(base), document);
+    for (rename, value) in values {
+        translate_field(key, rename, value, base)?;
+    }
+    Ok(())
+}
+
+fn translate_field(
+    key: &str,
+    rename: &Rename,
+    value: Value,
+    base: &mut Document,
+) -> Result<(), Fault> {
+    let translated = match rename.form {
+        Form::Same => value,
+        Form::First => first(list(base, rename.new), value),
+        Form::FirstModel => first_model(key, rename.old, list(base, rename.new), value)?,
+        Form::Model => model(key, rename.old, base.get(rename.new), value)?,
+        Form::TopUp => {
+            let mut held = match base.remove(rename.new) {
+                Some(Value::Object(held)) => held,
+                _ => Document::new(),
+            };
+            held.insert(PREPAID.to_owned(), value);
+            Value::Object(held)
+        }
+    };
+    base.insert(rename.new.to_owned(), translated);
+    Ok(())
+}
+
+fn list(base: &mut Document, field: &str) -> Vec<Value> {
+    match base.remove(field) {
+        Some(Value::Array(values)) => values,
+        _ => Vec::new(),
+    }
+}
+
+fn first(mut values: Vec<Value>, value: Value) -> Value {
+    match values.iter().position(|held| *held == value) {
+        Some(at) => values.swap(0, at),
+        None if values.is_empty() => values.push(value),
+        None => values[0] = value,
+    }
+    Value::Array(values)
+}
+
+fn first_model(
+    key: &str,
+    field: &str,
+    mut models: Vec<Value>,
+    value: Value,
+) -> Result<Value, Fault> {
+    let model = model(key, field, models.first(), value)?;
+    match (model, models.is_empty()) {
+        (Value::Null, _) => models.clear(),
+        (model, true) => models.push(model),
+        (model, false) => models[0] = model,
+    }
+    Ok(Value::Array(models))
+}
+
+fn model(key: &str, field: &str, held: Option<&Value>, value: Value) -> Result<Value, Fault> {
+    let name = match value {
+        Value::Null => return Ok(Value::Null),
+        Value::String(name) if name.is_empty() => return Ok(Value::Null),
+        Value::String(name) => name,
+        other => return Err(Fault::expected(key, field, "the name of a model", &other)),
+    };
+    match held {
+        Some(held) if held.get("name").and_then(Value::as_str) == Some(&name) => Ok(held.clone()),
+        _ => Ok(serde_json::json!({ "name": name })),
+    }
+}
+
+/// Typed reads of a document's fields, each within its bounds.
+pub(crate) struct Fields<'a> {
+    key: &'a str,
+    document: &'a Document,
+}
+
+impl<'a> Fields<'a> {
+    /// Returns a reader of the fields of the record `key`.
+    pub(crate) fn new(key: &'a str, document: &'a Document) -> Self {
+        Self { key, document }
+    }
+
+    /// Returns a field, taking null for absent.
+    pub(crate) fn get(&self, field: &str) -> Option<&'a Value> {
+        self.document.get(field).filter(|value| !value.is_null())
+    }
+
+    /// Returns a fault that says what was expected of a field.
+    pub(crate) fn expected(&self, field: &str, expected: &str, got: &Value) -> Fault {
+        Fault::expected(self.key, field, expected, got)
+    }
+
+    /// Returns a fault in a field.
+    pub(crate) fn fault(&self, field: &str, reason: impl Into<String>) -> Fault {
+        Fault::new(self.key, field, reason)
+    }
+
+    fn required(&self, field: &str) -> Result<&'a Value, Fault> {
+        self.get(field).ok_or_else(|| self.fault(field, "missing"))
+    }
+
+    /// Returns a text field.
+    pub(crate) fn text(&self, field: &str, expected: &str) -> Result<&'a str, Fault> {
+        let value = self.required(field)?;
+        value.as_str().ok_or_else(|| self.expected(field, expected, value))
+    }
+
+    /// Returns a field that holds a name.
+    pub(crate) fn name(&self, field: &str) -> Result<Arc<str>, Fault> {
+        self.name_in(field, self.required(field)?)
+    }
+
+    fn name_in(&self, field: &str, value: &Value) -> Result<Arc<str>, Fault> {
+        match value.as_str() {
+            Some(text) if is_name(text) => Ok(Arc::from(text)),
+            _ => Err(self.expected(field, NAME, value)),
+        }
+    }
+
+    /// Returns a field that holds distinct names.
+    pub(crate) fn names(
+        &self,
+        field: &str,
+        count: RangeInclusive<usize>,
+    ) -> Result<Vec<Arc<str>>, Fault> {
+        let mut names = Vec::new();
+        for (path, value) in self.elements(field, count)? {
+            let name = self.name_in(&path, value)?;
+            names.push(name);
+        }
+        self.distinct(field, &names)?;
+        Ok(names)
+    }
+
+    /// Returns the elements of a list with their paths.
+    pub(crate) fn elements(
+        &self,
+        field: &str,
+        count: RangeInclusive<usize>,
+    ) -> Result<Vec<(String, &'a Value)>, Fault> {
+        let value = self.required(field)?;
+        let expected = format!("a list of {} to {}", count.start(), count.end());
+        let Value::Array(values) = value else {
+            return Err(self.expected(field, &expected, value));
+        };
+        if !count.contains(&values.len()) {
+            return Err(self.fault(field, format!("expected {expected}, got {}", values.len())));
+        }
+        let indexed = values.iter().enumerate();
+        Ok(indexed.map(|(at, value)| (format!("{field}[{at}]"), value)).collect())
+    }
+
+    /// Refuses a list in which an element stands twice.
+    pub(crate) fn distinct<T: Ord>(&self, field: &str, values: &[T]) -> Result<(), Fault> {
+        let mut sorted: Vec<&T> = values.iter().collect();
+        sorted.sort();
+        match sorted.windows(2).any(|pair| pair[0] == pair[1]) {
+            true => Err(self.fault(field, "expected distinct elements, got one twice")),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns a field that holds a whole number.
+    pub(crate) fn number(
+        &self,
+        field: &str,
+        range: RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> Result<u64, Fault> {
+        match (self.get(field), default) {
+            (None, Some(default)) => Ok(default),
+            _ => self.number_in(field, self.required(field)?, range),
+        }
+    }
+
+    /// Returns a whole number within its range.
+    pub(crate) fn number_in(
+        &self,
+        field: &str,
+        value: &Value,
+        range: RangeInclusive<u64>,
+    ) -> Result<u64, Fault> {
+        match value.as_u64().filter(|number| range.contains(number)) {
+            Some(number) => Ok(number),
+            None => {
+                let expected = format!("a whole number from {} to {}", range.start(), range.end());
+                Err(self.expected(field, &expected, value))
+            }
+        }
+    }
+
+    /// Returns a field that holds true or false.
+    pub(crate) fn flag(&self, field: &str, default: Option<bool>) -> Result<bool, Fault> {
+        match (self.get(field), default) {
+            (None, Some(default)) => Ok(default),
+            _ => {
+                let value = self.required(field)?;
+                value.as_bool().ok_or_else(|| self.expected(field, "true or false", value))
+            }
+        }
+    }
+
+    /// Returns a field that holds one of a closed set of words.
+    pub(crate) fn choice<T: DeserializeOwned>(
+        &self,
+        field: &str,
+        words: &str,
+        default: Option<T>,
+    ) -> Result<T, Fault> {
+        match (self.get(field), default) {
+            (None, Some(default)) => Ok(default),
+            _ => {
+                let value = self.required(field)?;
+                let choice = T::deserialize(value);
+                choice.map_err(|_| self.expected(field, words, value))
+            }
+        }
+    }
+}
+
+const NAME: &str = "a name of 1 to 63 of a-z, 0-9 and -, not starting with -";
+
+/// Returns whether a text is a well-formed name of a record.
+pub fn is_name(text: &str) -> bool {
+    let mut bytes = text.bytes();
+    let starts =
+        bytes.next().is_some_and(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit());
+    let rest = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    starts && text.len() <= MAX_NAME && bytes.all(rest)
+}
+
+/// Returns whether a text is a well-formed label: the id of a top-up, or part of a model's name.
+pub fn is_label(text: &str) -> bool {
+    let mut bytes = text.bytes();
+    let starts = bytes.next().is_some_and(|byte| byte.is_ascii_alphanumeric());
+    let rest = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    starts && text.len() <= MAX_NAME && bytes.all(rest)
+}
+
+/// Returns a value as a fault quotes it.
+pub(crate) fn quote(value: &Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(MAX_QUOTED_CHARS) {
+        Some((at, _)) => format!("{}…", &text[..at]),
+        None => text,
+    }
+}
