Read a host's settings from an INI file against a table of keys

Cause: a host had no settings. Ruled out: one hand-written match for each key, since page and code drift apart.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! Under construction.
+
+pub mod settings;
