--- /dev/null
+++ b/crates/coordination/src/host/action.rs
@@ -0,0 +1,198 @@
+//! What a host does.
+
+use std::sync::Arc;
+
+use super::event::{Caller, Operation, Run};
+use crate::{message::Message, request, request::Class, table::Op};
+
+/// An action of [`super::Host`], for the driver to carry out.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Starts a streamed answer.
+    Begin {
+        /// Caller.
+        caller: Caller,
+    },
+    /// Sends a token of a streamed answer.
+    Token {
+        /// Caller.
+        caller: Caller,
+        /// Offset of the token.
+        offset: u64,
+        /// Token.
+        token: Arc<str>,
+    },
+    /// Ends a streamed answer that is whole.
+    End {
+        /// Caller.
+        caller: Caller,
+        /// Tokens of the answer.
+        tokens: u64,
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+        /// Tokens charged.
+        charged: u64,
+    },
+    /// Sends a whole answer of a plain service, or a ticket.
+    Answer {
+        /// Caller.
+        caller: Caller,
+        /// HTTP status.
+        status: u16,
+        /// JSON body.
+        body: Arc<str>,
+    },
+    /// Ends a request with an error; no answer follows.
+    Fail {
+        /// Caller.
+        caller: Caller,
+        /// What went wrong.
+        problem: Problem,
+    },
+    /// Starts or resumes a stream at a back end.
+    Stream {
+        /// Run.
+        run: Run,
+        /// Base address of the back end.
+        address: Arc<str>,
+        /// What to ask for.
+        stream: Stream,
+    },
+    /// Calls a plain service.
+    Request {
+        /// Run.
+        run: Run,
+        /// Base address of the back end.
+        address: Arc<str>,
+        /// Name of the service.
+        service: Arc<str>,
+        /// Request.
+        request: request::Id,
+        /// JSON body.
+        body: Arc<str>,
+        /// Longest wait for the answer, in milliseconds.
+        timeout_ms: u64,
+    },
+    /// Drops the exchange of a run; reports that still come are ignored.
+    Abandon {
+        /// Run.
+        run: Run,
+    },
+    /// Cancels a stream at a back end; answered by [`super::Event::Usage`].
+    Cancel {
+        /// Base address of the back end.
+        address: Arc<str>,
+        /// Request.
+        request: request::Id,
+    },
+    /// Asks a back end what it holds of a request; answered by [`super::Event::Usage`].
+    Inquire {
+        /// Base address of the back end.
+        address: Arc<str>,
+        /// Request.
+        request: request::Id,
+    },
+    /// Sets the back ends whose load and cache changes are to be read.
+    Watch {
+        /// Names and base addresses.
+        backends: Vec<(Arc<str>, Arc<str>)>,
+    },
+    /// Runs an operation of the platform's table.
+    Table {
+        /// Operation.
+        operation: Operation,
+        /// What to do.
+        op: Op,
+    },
+    /// Sends a message by TCP.
+    Send {
+        /// Address of the peer port.
+        address: Arc<str>,
+        /// Message.
+        message: Message,
+    },
+    /// Sends a message by UDP.
+    Datagram {
+        /// Address of the peer port.
+        address: Arc<str>,
+        /// Message.
+        message: Message,
+    },
+    /// Records a step in the time line.
+    Note(Note),
+    /// The host has finished and handed over what it held.
+    Stopped,
+}
+
+/// A stream to start or resume.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    /// Request.
+    pub request: request::Id,
+    /// Attempt, counted from 1.
+    pub attempt: u32,
+    /// Model.
+    pub model: Arc<str>,
+    /// Adapter; empty for none.
+    pub adapter: Arc<str>,
+    /// Version; empty for any.
+    pub version: Arc<str>,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Greatest number of tokens to generate.
+    pub max_tokens: u64,
+    /// Priority.
+    pub class: Class,
+    /// Tokens already held.
+    pub offset: u64,
+}
+
+/// Why a request failed, as the caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code.
+    pub code: &'static str,
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// Explanation.
+    pub detail: Arc<str>,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Whether a failed request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It did not run and will not.
+    NotRun,
+    /// It may have run; it will not be run again.
+    Unknown,
+    /// It ran in part; an idempotent request may be repeated.
+    Incomplete,
+}
+
+impl Outcome {
+    /// Returns the name that callers see.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
+
+/// A step for the time line.
+#[derive(Debug, Clone)]
+pub struct Note {
+    /// Request, where the step belongs to one.
+    pub request: Option<request::Id>,
+    /// Step.
+    pub step: &'static str,
+    /// Host or back end at the other end; empty for none.
+    pub peer: Arc<str>,
+    /// Figures, as `key=value` pairs.
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/coordination/src/host/event.rs
@@ -0,0 +1,224 @@
+//! What a host hears.
+
+use std::sync::Arc;
+
+use crate::{
+    message::{Holder, Message},
+    request,
+    table::Outcome,
+};
+
+/// Numbers a caller's request at this host; never used twice by one process.
+pub type Caller = u64;
+
+/// Numbers an exchange with a back end at this host; never used twice by one process.
+pub type Run = u64;
+
+/// Numbers a table operation at this host; never used twice by one process.
+pub type Operation = u64;
+
+/// An event for [`super::Host`].
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A caller sent a whole request.
+    Call(Call),
+    /// A caller asks for a ticket.
+    Ticket {
+        /// Caller.
+        caller: Caller,
+        /// Bearer token as presented.
+        token: Arc<str>,
+    },
+    /// A caller closed its connection, or reads too slowly.
+    Left {
+        /// Caller.
+        caller: Caller,
+    },
+    /// A back end said something about a run.
+    Backend {
+        /// Run.
+        run: Run,
+        /// What it said.
+        report: Report,
+    },
+    /// A back end reported its load.
+    Load {
+        /// Back end.
+        backend: Arc<str>,
+        /// Load, or `None` where it did not answer.
+        load: Option<Load>,
+    },
+    /// A back end reported cache changes.
+    Cache {
+        /// Back end.
+        backend: Arc<str>,
+        /// Changes by number.
+        changes: Vec<CacheChange>,
+        /// Number up to which the back end has reported.
+        next: u64,
+    },
+    /// An operation of the table ended.
+    Table {
+        /// Operation.
+        operation: Operation,
+        /// What came of it.
+        outcome: Outcome,
+    },
+    /// The platform's host list was read.
+    Hosts(Vec<Listed>),
+    /// A host sent a message.
+    Message {
+        /// Holder that sent it.
+        from: Holder,
+        /// Address of its peer port.
+        address: Arc<str>,
+        /// Message.
+        message: Message,
+    },
+    /// A message to a host could not be sent.
+    Unreachable {
+        /// Address of the peer port.
+        address: Arc<str>,
+    },
+    /// A back end answered what it holds of a request.
+    Usage {
+        /// Request.
+        request: request::Id,
+        /// Tokens it used, prompt included; `None` where the back end knows nothing of it.
+        tokens: Option<u64>,
+    },
+    /// Time passed.
+    Tick,
+    /// The host is to stop: take no new work, finish the rest, hand over what it holds.
+    Drain,
+}
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Caller.
+    pub caller: Caller,
+    /// Bearer token as presented.
+    pub token: Arc<str>,
+    /// Service asked for.
+    pub service: Arc<str>,
+    /// Idempotency key or ticket.
+    pub key: Option<Arc<str>>,
+    /// Budget to charge; `None` for the workspace's default.
+    pub budget: Option<Arc<str>>,
+    /// Prompt of a model request.
+    pub prompt: Arc<str>,
+    /// Greatest number of tokens to generate; `None` for the route's.
+    pub max_tokens: Option<u64>,
+    /// Body as received.
+    pub body: Arc<str>,
+}
+
+/// What a back end said about a run.
+#[derive(Debug, Clone)]
+pub enum Report {
+    /// A line of a stream.
+    Piece {
+        /// Request named in the line.
+        request: Arc<str>,
+        /// Attempt named in the line.
+        attempt: u32,
+        /// Offset of the token.
+        offset: u64,
+        /// Token.
+        token: Arc<str>,
+    },
+    /// The end line of a stream.
+    End {
+        /// Request named in the line.
+        request: Arc<str>,
+        /// Attempt named in the line.
+        attempt: u32,
+        /// Tokens of the whole stream.
+        tokens: u64,
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+    },
+    /// A whole answer of a plain service.
+    Answer {
+        /// HTTP status.
+        status: u16,
+        /// Body.
+        body: Arc<str>,
+    },
+    /// Refused without running: the back end leaves, lacks the model, or is full.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When to ask again, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// The exchange ended without a whole answer.
+    Failed {
+        /// Not a byte of the request went out.
+        unsent: bool,
+        /// Cause, for logs.
+        cause: Arc<str>,
+    },
+}
+
+/// Why a back end refused a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It leaves.
+    Leaving,
+    /// It does not hold the model.
+    Model,
+    /// It has no room.
+    Full,
+}
+
+/// Load of a back end as it reported it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Age of the report, in milliseconds.
+    pub age_ms: u64,
+    /// It leaves.
+    pub leaving: bool,
+}
+
+/// A change of a back end's prefix cache.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheChange {
+    /// Number of the change at the back end.
+    pub number: u64,
+    /// Prefix hash.
+    pub prefix: Arc<str>,
+    /// It was added, not evicted.
+    pub cached: bool,
+}
+
+/// A host in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Host.
+    pub host: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// State.
+    pub state: Listing,
+    /// Last incarnation that is gone, where the list gives it.
+    pub incarnation: Option<u64>,
+}
+
+/// State of a host or back end in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// In service.
+    Live,
+    /// Being taken out of service.
+    Leaving,
+    /// Gone for good.
+    Gone,
+}
--- /dev/null
+++ b/crates/daemon/src/backend.rs
@@ -0,0 +1,422 @@
+//! Client of back ends: streams of model engines and calls of plain services.
+//!
+//! Each exchange runs in a thread of its own and reports to the core.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, BufRead as _, BufReader, Read as _},
+    net::{SocketAddr, TcpStream},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use coordination::{
+    host::{
+        action::Stream,
+        event::{Event, Refusal, Report, Run},
+    },
+    request,
+};
+use crossbeam::channel::{Receiver, Sender};
+use oxhttp::{
+    Client,
+    model::{Body, Method, Request, Response, StatusCode, header},
+};
+use serde::Deserialize;
+
+use crate::driver::Inbound;
+
+/// Name under which this service is found.
+pub const NAME: &str = "backend";
+
+/// Longest line of a stream, in bytes.
+const MAX_LINE_BYTES: u64 = 64 * 1024;
+
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024;
+
+/// Longest wait for a connection, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
+
+/// Longest wait for the answer to a short question, in milliseconds.
+const INQUIRE_MS: u64 = 2_000;
+
+/// Stack of an exchange's thread, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// What the service is asked to do.
+#[derive(Debug)]
+pub enum Job {
+    /// Starts or resumes a stream.
+    Stream {
+        /// Run.
+        run: Run,
+        /// Base address.
+        address: Arc<str>,
+        /// What to ask for.
+        stream: Stream,
+    },
+    /// Calls a plain service.
+    Request {
+        /// Run.
+        run: Run,
+        /// Base address.
+        address: Arc<str>,
+        /// Name of the service.
+        service: Arc<str>,
+        /// Request.
+        request: request::Id,
+        /// JSON body.
+        body: Arc<str>,
+        /// Longest wait for the answer.
+        timeout: Duration,
+    },
+    /// Drops a run.
+    Abandon {
+        /// Run.
+        run: Run,
+    },
+    /// Cancels a stream and asks for its usage.
+    Cancel {
+        /// Base address.
+        address: Arc<str>,
+        /// Request.
+        request: request::Id,
+    },
+    /// Asks for the usage of a stream.
+    Inquire {
+        /// Base address.
+        address: Arc<str>,
+        /// Request.
+        request: request::Id,
+    },
+}
+
+/// Limits of the service.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Exchanges that run at once.
+    pub exchanges: usize,
+    /// Longest silence of a stream.
+    pub stall: Duration,
+}
+
+#[derive(Debug, Deserialize)]
+struct Line {
+    request: Arc<str>,
+    attempt: u32,
+    #[serde(default)]
+    offset: u64,
+    #[serde(default)]
+    token: Option<Arc<str>>,
+    #[serde(default)]
+    end: bool,
+    #[serde(default)]
+    tokens: u64,
+    #[serde(default)]
+    prompt_tokens: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Usage {
+    tokens: u64,
+    prompt_tokens: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    core: Sender<Inbound>,
+    live: Mutex<BTreeMap<Run, Arc<AtomicBool>>>,
+    running: AtomicUsize,
+    limits: Limits,
+}
+
+/// Takes jobs until the channel closes.
+///
+/// # Errors
+///
+/// Never returns an error; a failed exchange is reported to the core.
+pub fn run(jobs: &Receiver<Job>, core: Sender<Inbound>, limits: Limits) -> eyre::Result<()> {
+    let shared = Arc::new(Shared {
+        core,
+        live: Mutex::default(),
+        running: AtomicUsize::new(0),
+        limits,
+    });
+    for job in jobs {
+        match job {
+            Job::Abandon { run } => shared.abandon(run),
+            job => shared.start(job),
+        }
+    }
+    Ok(())
+}
+
+impl Shared {
+    fn abandon(&self, run: Run) {
+        let live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(abandoned) = live.get(&run) {
+            abandoned.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn start(self: &Arc<Self>, job: Job) {
+        let run = job.run();
+        if self.running.fetch_add(1, Ordering::Relaxed) >= self.limits.exchanges {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+            return self.report_unstarted(run, "too many exchanges");
+        }
+        let abandoned = Arc::new(AtomicBool::new(false));
+        if let Some(run) = run {
+            let mut live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+            live.insert(run, abandoned.clone());
+        }
+        let shared = self.clone();
+        let thread = thread::Builder::new().name("exchange".into()).stack_size(STACK_BYTES);
+        let started = thread.spawn(move || {
+            shared.perform(job, &abandoned);
+            shared.finish(run);
+        });
+        if started.is_err() {
+            self.finish(run);
+            self.report_unstarted(run, "no thread");
+        }
+    }
+
+    fn finish(&self, run: Option<Run>) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        let Some(run) = run else { return };
+        self.live.lock().unwrap_or_else(PoisonError::into_inner).remove(&run);
+    }
+
+    fn report_unstarted(&self, run: Option<Run>, cause: &str) {
+        let Some(run) = run else { return };
+        self.report(run, Report::Failed { unsent: true, cause: cause.into() });
+    }
+
+    fn report(&self, run: Run, report: Report) {
+        self.send(Event::Backend { run, report });
+    }
+
+    fn send(&self, event: Event) {
+        // The core goes first only when the process ends.
+        let _ = self.core.send(Inbound::Event(event));
+    }
+
+    fn perform(&self, job: Job, abandoned: &AtomicBool) {
+        match job {
+            Job::Stream { run, address, stream } => {
+                let report = self.stream(run, &address, &stream, abandoned);
+                if let Some(report) = report {
+                    self.report(run, report);
+                }
+            }
+            Job::Request { run, address, service, request, body, timeout } => {
+                let report = call(&address, &service, request, &body, timeout);
+                self.report(run, report);
+            }
+            Job::Cancel { address, request } => self.usage(Method::DELETE, &address, request),
+            Job::Inquire { address, request } => self.usage(Method::GET, &address, request),
+            Job::Abandon { .. } => {}
+        }
+    }
+
+    fn usage(&self, method: Method, address: &str, request: request::Id) {
+        let tokens = usage(method, address, request);
+        self.send(Event::Usage { request, tokens });
+    }
+
+    /// Carries a stream; returns its last report, or `None` once it was abandoned.
+    fn stream(
+        &self,
+        run: Run,
+        address: &str,
+        stream: &Stream,
+        abandoned: &AtomicBool,
+    ) -> Option<Report> {
+        let response = match open_stream(address, stream, self.limits.stall) {
+            Ok(response) => response,
+            Err(failure) => return Some(failure),
+        };
+        let mut lines = BufReader::new(response.into_body());
+        let mut text = String::new();
+        loop {
+            text.clear();
+            let read = (&mut lines).take(MAX_LINE_BYTES).read_line(&mut text);
+            if abandoned.load(Ordering::Relaxed) {
+                return None;
+            }
+            match read {
+                Ok(0) => return Some(failed("stream ended without its end line")),
+                Ok(_) => {}
+                Err(error) => return Some(failed(error.to_string())),
+            }
+            let report = match parse(&text) {
+                Ok(report) => report,
+                Err(failure) => return Some(failure),
+            };
+            if matches!(report, Report::End { .. }) {
+                return Some(report);
+            }
+            self.report(run, report);
+        }
+    }
+}
+
+impl Job {
+    fn run(&self) -> Option<Run> {
+        match self {
+            Self::Stream { run, .. } | Self::Request { run, .. } | Self::Abandon { run } => {
+                Some(*run)
+            }
+            Self::Cancel { .. } | Self::Inquire { .. } => None,
+        }
+    }
+}
+
+fn failed(cause: impl Into<Arc<str>>) -> Report {
+    Report::Failed { unsent: false, cause: cause.into() }
+}
+
+fn parse(text: &str) -> Result<Report, Report> {
+    if !text.ends_with('\n') {
+        return Err(failed("line cut"));
+    }
+    let line: Line = serde_json::from_str(text).map_err(|error| failed(error.to_string()))?;
+    let Line { request, attempt, .. } = line;
+    if line.end {
+        let Line { tokens, prompt_tokens, .. } = line;
+        return Ok(Report::End { request, attempt, tokens, prompt_tokens });
+    }
+    let token = line.token.ok_or_else(|| failed("line without a token"))?;
+    Ok(Report::Piece { request, attempt, offset: line.offset, token })
+}
+
+fn open_stream(address: &str, stream: &Stream, stall: Duration) -> Result<Response<Body>, Report> {
+    probe(address)?;
+    let body = serde_json::json!({
+        "attempt": stream.attempt,
+        "model": stream.model,
+        "adapter": stream.adapter,
+        "version": stream.version,
+        "prompt": stream.prompt,
+        "max_tokens": stream.max_tokens,
+        "priority": stream.class,
+        "offset": stream.offset,
+    });
+    let uri = format!("{address}/streams/{}", stream.request);
+    let request = build(Method::POST, &uri).body(Body::from(body.to_string()));
+    let request = request.map_err(|error| unsent(error.to_string()))?;
+    let response = client(stall).request(request).map_err(|error| failed(error.to_string()))?;
+    match response.status() {
+        StatusCode::OK if is_chunked(&response) => Ok(response),
+        StatusCode::OK => Err(failed("answer without chunks")),
+        status => Err(refused(status, &response)),
+    }
+}
+
+fn is_chunked(response: &Response<Body>) -> bool {
+    response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
+fn refused(status: StatusCode, response: &Response<Body>) -> Report {
+    let retry_after_ms = response
+        .headers()
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse::<u64>().ok())
+        .map(|seconds| seconds.saturating_mul(1_000));
+    let reason = match status {
+        StatusCode::CONFLICT => Refusal::Leaving,
+        StatusCode::NOT_FOUND => Refusal::Model,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Refusal::Full,
+        status => return failed(format!("status {status}")),
+    };
+    Report::Refused { reason, retry_after_ms }
+}
+
+fn call(
+    address: &str,
+    service: &str,
+    request: request::Id,
+    body: &str,
+    timeout: Duration,
+) -> Report {
+    if let Err(report) = probe(address) {
+        return report;
+    }
+    let uri = format!("{address}/call/{service}");
+    let id = request.to_string();
+    let message = build(Method::POST, &uri)
+        .header("x-request-id", &id)
+        .header("idempotency-key", &id)
+        .body(Body::from(body.to_owned()));
+    let message = match message {
+        Ok(message) => message,
+        Err(error) => return unsent(error.to_string()),
+    };
+    match client(timeout).request(message) {
+        Ok(response) => answer(response),
+        Err(error) => failed(error.to_string()),
+    }
+}
+
+fn answer(response: Response<Body>) -> Report {
+    let status = response.status().as_u16();
+    let framed = response.headers().contains_key(header::CONTENT_LENGTH) || is_chunked(&response);
+    if !framed {
+        return failed("answer with neither length nor chunks");
+    }
+    let mut body = String::new();
+    let read = response.into_body().take(MAX_ANSWER_BYTES + 1).read_to_string(&mut body);
+    match read {
+        Ok(bytes) if bytes as u64 > MAX_ANSWER_BYTES => failed("answer too large"),
+        Ok(_) => Report::Answer { status, body: body.into() },
+        Err(error) => failed(error.to_string()),
+    }
+}
+
+fn usage(method: Method, address: &str, request: request::Id) -> Option<u64> {
+    let uri = format!("{address}/streams/{request}");
+    let message = build(method, &uri).body(Body::empty()).ok()?;
+    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = response.into_body().to_vec().ok()?;
+    let usage: Usage = serde_json::from_slice(&body).ok()?;
+    Some(usage.tokens.saturating_add(usage.prompt_tokens))
+}
+
+fn unsent(cause: impl Into<Arc<str>>) -> Report {
+    Report::Failed { unsent: true, cause: cause.into() }
+}
+
+/// Proves by a connection of its own that the back end can be reached; a failure proves that
+/// nothing of the request went out.
+fn probe(address: &str) -> Result<(), Report> {
+    connect(address).map(drop).map_err(|error| unsent(error.to_string()))
+}
+
+fn connect(address: &str) -> io::Result<TcpStream> {
+    let authority = address.strip_prefix("http://").unwrap_or(address);
+    let authority: SocketAddr = authority
+        .parse()
+        .map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "not an ip:port address"))?;
+    TcpStream::connect_timeout(&authority, Duration::from_millis(CONNECT_MS))
+}
+
+fn client(timeout: Duration) -> Client {
+    Client::new().with_global_timeout(timeout)
+}
+
+fn build(method: Method, uri: &str) -> oxhttp::model::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(header::CONTENT_TYPE, "application/json")
+}
--- /dev/null
+++ b/crates/daemon/src/watch.rs
@@ -0,0 +1,140 @@
+//! Reads the load and the cache changes of back ends at an interval.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use coordination::host::event::{CacheChange, Event, Load};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use oxhttp::{
+    Client,
+    model::{Body, Request, StatusCode},
+};
+use serde::{Deserialize, de::DeserializeOwned};
+
+use crate::driver::Inbound;
+
+/// Name under which this service is found.
+pub const NAME: &str = "watch";
+
+/// Back ends that are read at once.
+const WORKERS: usize = 4;
+
+/// Longest wait for a report.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Names and base addresses of the back ends to read.
+pub type Backends = Vec<(Arc<str>, Arc<str>)>;
+
+#[derive(Debug, Deserialize)]
+struct LoadReport {
+    queued: u32,
+    running: u32,
+    slots: u32,
+    #[serde(default)]
+    age_ms: u64,
+    #[serde(default)]
+    leaving: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheReport {
+    events: Vec<CacheEvent>,
+    next: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheEvent {
+    seq: u64,
+    prefix: Arc<str>,
+    cached: bool,
+}
+
+type Cursors = Arc<Mutex<BTreeMap<Arc<str>, u64>>>;
+
+/// Reads the back ends last named on `backends` until that channel closes.
+///
+/// # Errors
+///
+/// Returns an error if a thread can't be started.
+pub fn run(
+    backends: &Receiver<Backends>,
+    core: &Sender<Inbound>,
+    interval: Duration,
+) -> eyre::Result<()> {
+    let (queue, work) = bounded::<(Arc<str>, Arc<str>)>(WORKERS);
+    let cursors = Cursors::default();
+    for _ in 0..WORKERS {
+        let (work, core, cursors) = (work.clone(), core.clone(), cursors.clone());
+        thread::Builder::new().name(NAME.into()).spawn(move || {
+            for (name, address) in work {
+                read(&name, &address, &core, &cursors);
+            }
+        })?;
+    }
+    let mut current = Backends::new();
+    loop {
+        match backends.recv_timeout(interval) {
+            Ok(changed) => current = changed,
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return Ok(()),
+        }
+        for backend in &current {
+            if queue.send(backend.clone()).is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn read(name: &Arc<str>, address: &str, core: &Sender<Inbound>, cursors: &Cursors) {
+    let load = get::<LoadReport>(&format!("{address}/load")).map(|report| Load {
+        queued: report.queued,
+        running: report.running,
+        slots: report.slots,
+        age_ms: report.age_ms,
+        leaving: report.leaving,
+    });
+    let answered = load.is_some();
+    // The core goes first only when the process ends.
+    let _ = core.send(Inbound::Event(Event::Load { backend: name.clone(), load }));
+    if answered {
+        read_cache(name, address, core, cursors);
+    }
+}
+
+fn read_cache(name: &Arc<str>, address: &str, core: &Sender<Inbound>, cursors: &Cursors) {
+    let after = lock(cursors).get(name).copied().unwrap_or(0);
+    let Some(report) = get::<CacheReport>(&format!("{address}/cache?after={after}")) else {
+        return;
+    };
+    lock(cursors).insert(name.clone(), report.next);
+    if report.events.is_empty() {
+        return;
+    }
+    let changes = report.events.into_iter().map(|event| CacheChange {
+        number: event.seq,
+        prefix: event.prefix,
+        cached: event.cached,
+    });
+    let event =
+        Event::Cache { backend: name.clone(), changes: changes.collect(), next: report.next };
+    let _ = core.send(Inbound::Event(event));
+}
+
+fn lock(cursors: &Cursors) -> std::sync::MutexGuard<'_, BTreeMap<Arc<str>, u64>> {
+    cursors.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn get<T: DeserializeOwned>(uri: &str) -> Option<T> {
+    let request = Request::builder().uri(uri).body(Body::empty()).ok()?;
+    let response = Client::new().with_global_timeout(TIMEOUT).request(request).ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = response.into_body().to_vec().ok()?;
+    serde_json::from_slice(&body).ok()
+}
