--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,11 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod clock;
+pub mod config;
+pub mod member;
 pub mod message;
 pub mod record;
 pub mod request;
 pub mod table;
+pub mod timeline;
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,1 @@
+//! Converts messages to and from thrift.
