Add the driver of a host, operators' answers and metrics

The driver is the only owner of the decisions: it feeds events in and carries actions out. Not wired yet; nothing was measured.

--- a/crates/coordination/src/host/action.rs
+++ b/crates/coordination/src/host/action.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::event::{Caller, Operation, Run};
-use crate::{message::Message, request, request::Class, table::Op};
+use crate::{message::Message, request, request::Class, table::Op, timeline::Entry};
 
 /// An action of [`super::Host`], for the driver to carry out.
 #[derive(Debug, Clone)]
@@ -119,7 +119,7 @@
         message: Message,
     },
     /// Records a step in the time line.
-    Note(Note),
+    Note(Entry),
     /// The host has finished and handed over what it held.
     Stopped,
 }
@@ -183,16 +183,3 @@
         }
     }
 }
-
-/// A step for the time line.
-#[derive(Debug, Clone)]
-pub struct Note {
-    /// Request, where the step belongs to one.
-    pub request: Option<request::Id>,
-    /// Step.
-    pub step: &'static str,
-    /// Host or back end at the other end; empty for none.
-    pub peer: Arc<str>,
-    /// Figures, as `key=value` pairs.
-    pub detail: String,
-}
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
+    member::Listed,
     message::{Holder, Message},
     request,
     table::Outcome,
@@ -198,27 +199,3 @@
     /// It was added, not evicted.
     pub cached: bool,
 }
-
-/// A host in the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Listed {
-    /// Host.
-    pub host: Arc<str>,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// State.
-    pub state: Listing,
-    /// Last incarnation that is gone, where the list gives it.
-    pub incarnation: Option<u64>,
-}
-
-/// State of a host or back end in the platform's list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Listing {
-    /// In service.
-    Live,
-    /// Being taken out of service.
-    Leaving,
-    /// Gone for good.
-    Gone,
-}
--- /dev/null
+++ b/crates/daemon/src/driver.rs
@@ -0,0 +1,319 @@
+//! Drives the decisions of this host: feeds events in and carries actions out.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use coordination::{
+    clock::{Hybrid, Stamp},
+    host::{
+        Host,
+        action::Action,
+        event::{Caller, Event},
+    },
+    message::Message,
+    timeline::{Entry, Ring},
+};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use tokio::sync::mpsc::error::TrySendError;
+use wire::{link, operator::Status};
+
+use crate::{
+    backend,
+    edge::{Part, Reply},
+    kernel::{Missing, Registry},
+    metrics::Metrics,
+    table, watch,
+};
+
+/// Name under which this service is found.
+pub const NAME: &str = "core";
+
+/// Events that wait for the core.
+pub const QUEUE: usize = 16_384;
+
+/// Longest time between two ticks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Something for the core.
+#[derive(Debug)]
+pub enum Inbound {
+    /// A request of a caller, with the way back.
+    Caller {
+        /// Caller.
+        caller: Caller,
+        /// Way back.
+        reply: Reply,
+        /// Event to handle.
+        event: Event,
+    },
+    /// An event.
+    Event(Event),
+    /// Something from other hosts.
+    Link(link::Inbound),
+    /// A question for the status.
+    Status(Sender<Status>),
+    /// A question whether a bearer token belongs to an operator.
+    Authorise {
+        /// Token as presented.
+        token: Arc<str>,
+        /// Takes the answer.
+        answer: Sender<bool>,
+    },
+}
+
+/// Timeline of this process, shared with the services that answer operators.
+#[derive(Debug)]
+pub struct Timeline {
+    inner: Mutex<(Hybrid, Ring)>,
+}
+
+impl Timeline {
+    /// Returns an empty timeline.
+    pub fn new(ring: Ring) -> Self {
+        Self { inner: Mutex::new((Hybrid::default(), ring)) }
+    }
+
+    /// Runs `read` over the ring.
+    pub fn read<T>(&self, read: impl FnOnce(&Ring) -> T) -> T {
+        read(&self.inner.lock().unwrap_or_else(PoisonError::into_inner).1)
+    }
+
+    fn tick(&self) -> Stamp {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).0.tick(wall_ms())
+    }
+
+    fn merge(&self, remote: Stamp) {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).0.merge(wall_ms(), remote);
+    }
+
+    fn push(&self, entry: Entry) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let stamp = inner.0.tick(wall_ms());
+        inner.1.push(stamp, entry);
+    }
+}
+
+/// Returns the wall time in milliseconds since the Unix epoch.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Where actions go.
+#[derive(Debug)]
+struct Ports {
+    backend: Sender<backend::Job>,
+    table: Sender<table::Job>,
+    watch: Sender<watch::Backends>,
+}
+
+/// Drives one host.
+#[derive(Debug)]
+pub struct Driver {
+    host: Host,
+    started: Instant,
+    inbox: Receiver<Inbound>,
+    ports: Ports,
+    link: link::Handle,
+    timeline: Arc<Timeline>,
+    metrics: Arc<Metrics>,
+    callers: BTreeMap<Caller, Reply>,
+    cause: Option<(Arc<str>, Stamp)>,
+}
+
+impl Driver {
+    /// Returns a driver for a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a service that it needs has not published its port.
+    pub fn open(
+        host: Host,
+        inbox: Receiver<Inbound>,
+        registry: &Registry,
+        link: link::Handle,
+        timeline: Arc<Timeline>,
+        metrics: Arc<Metrics>,
+    ) -> Result<Self, Missing> {
+        let ports = Ports {
+            backend: registry.find(backend::NAME)?,
+            table: registry.find(table::NAME)?,
+            watch: registry.find(watch::NAME)?,
+        };
+        let callers = BTreeMap::new();
+        let started = Instant::now();
+        Ok(Self { host, started, inbox, ports, link, timeline, metrics, callers, cause: None })
+    }
+
+    /// Runs until the host has stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if all senders are gone.
+    pub fn run(mut self) -> eyre::Result<()> {
+        let mut actions = Vec::new();
+        let mut next_tick = Instant::now();
+        loop {
+            match self.inbox.recv_deadline(next_tick) {
+                Ok(inbound) => self.take(inbound, &mut actions),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => eyre::bail!("step=receive inbox closed"),
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.feed(Event::Tick, &mut actions);
+                self.metrics.observe(&self.host, self.callers.len(), self.inbox.len());
+            }
+            let mut stopped = false;
+            for action in actions.drain(..) {
+                stopped |= matches!(action, Action::Stopped);
+                self.perform(action);
+            }
+            self.cause = None;
+            if stopped {
+                return Ok(());
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event, actions: &mut Vec<Action>) {
+        self.host.handle(self.started.elapsed(), event, actions);
+    }
+
+    fn take(&mut self, inbound: Inbound, actions: &mut Vec<Action>) {
+        match inbound {
+            Inbound::Caller { caller, reply, event } => {
+                self.callers.insert(caller, reply);
+                self.feed(event, actions);
+            }
+            Inbound::Event(event) => {
+                if let Event::Left { caller } = event {
+                    self.callers.remove(&caller);
+                }
+                self.feed(event, actions);
+            }
+            Inbound::Link(link::Inbound::Unreachable { address }) => {
+                self.feed(Event::Unreachable { address }, actions);
+            }
+            Inbound::Link(link::Inbound::Message(delivery)) => {
+                self.timeline.merge(delivery.stamp);
+                let host = delivery.from.split('.').next().unwrap_or_default();
+                self.cause = Some((host.into(), delivery.stamp));
+                let link::Delivery { from, address, message, .. } = delivery;
+                self.feed(Event::Message { from, address, message }, actions);
+            }
+            Inbound::Status(answer) => drop(answer.send(self.host.status(self.started.elapsed()))),
+            Inbound::Authorise { token, answer } => {
+                drop(answer.send(self.host.is_operator(&token)));
+            }
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Begin { caller } => self.reply(caller, Part::Begin),
+            Action::Token { caller, offset, token } => {
+                self.reply(caller, Part::Token { offset, token });
+            }
+            Action::End { caller, tokens, prompt_tokens, charged } => {
+                self.metrics.answered(charged);
+                self.reply(caller, Part::End { tokens, prompt_tokens, charged });
+            }
+            Action::Answer { caller, status, body } => {
+                self.reply(caller, Part::Answer { status, body });
+            }
+            Action::Fail { caller, problem } => {
+                self.metrics.refused(problem.code, problem.outcome.as_str());
+                self.reply(caller, Part::Fail(problem));
+            }
+            Action::Stream { run, address, stream } => {
+                self.exchange(backend::Job::Stream { run, address, stream });
+            }
+            Action::Request { run, address, service, request, body, timeout_ms } => {
+                let timeout = Duration::from_millis(timeout_ms);
+                let job = backend::Job::Request { run, address, service, request, body, timeout };
+                self.exchange(job);
+            }
+            Action::Abandon { run } => self.exchange(backend::Job::Abandon { run }),
+            Action::Cancel { address, request } => {
+                self.exchange(backend::Job::Cancel { address, request });
+            }
+            Action::Inquire { address, request } => {
+                self.exchange(backend::Job::Inquire { address, request });
+            }
+            Action::Watch { backends } => drop(self.ports.watch.send(backends)),
+            Action::Table { operation, op } => {
+                drop(self.ports.table.send(table::Job { operation, op }));
+            }
+            Action::Send { address, message } | Action::Datagram { address, message } => {
+                self.send(address, message);
+            }
+            Action::Note(entry) => self.note(entry),
+            Action::Stopped => {}
+        }
+    }
+
+    fn reply(&mut self, caller: Caller, part: Part) {
+        let last = !matches!(part, Part::Begin | Part::Token { .. });
+        let Some(reply) = self.callers.get(&caller) else { return };
+        let sent = reply.try_send(part);
+        if let Err(TrySendError::Full(_)) = sent {
+            tracing::warn!(event = "caller_too_slow", caller);
+        }
+        if last || sent.is_err() {
+            self.callers.remove(&caller);
+        }
+    }
+
+    fn exchange(&self, job: backend::Job) {
+        // The service's end is reported by the kernel.
+        let _ = self.ports.backend.send(job);
+    }
+
+    fn send(&self, to: Arc<str>, message: Message) {
+        let stamp = self.timeline.tick();
+        let request = request_of(&message);
+        self.link.send(link::Outbound { to, stamp, request, message });
+    }
+
+    fn note(&self, mut entry: Entry) {
+        if entry.cause.is_none()
+            && let Some((peer, stamp)) = &self.cause
+            && entry.peer == *peer
+        {
+            entry.cause = Some(*stamp);
+        }
+        tracing::info!(
+            event = %entry.step,
+            request = entry.request.map(tracing::field::display),
+            peer = &*entry.peer,
+            detail = &*entry.detail,
+        );
+        self.timeline.push(entry);
+    }
+}
+
+fn request_of(message: &Message) -> Option<coordination::request::Id> {
+    match message {
+        Message::Locate { request, .. }
+        | Message::Located { request, .. }
+        | Message::Claim { request, .. }
+        | Message::ClaimReply { request, .. } => Some(*request),
+        _ => None,
+    }
+}
+
+/// Asks the core and waits for its answer.
+pub fn ask<T>(
+    core: &Sender<Inbound>,
+    question: impl FnOnce(Sender<T>) -> Inbound,
+    timeout: Duration,
+) -> Option<T> {
+    let (answer, answered) = bounded(1);
+    core.send_timeout(question(answer), timeout).ok()?;
+    answered.recv_timeout(timeout).ok()
+}
