--- /dev/null
+++ b/crates/coordination/src/escrow.rs
@@ -0,0 +1,175 @@
+//! Rows that keep prepaid budgets in the platform's table.
+//!
+//! Figures are cumulative, so that a transaction whose answer was lost can be recognised. For each
+//! budget `settled + old_settled - refunded + open <= prepaid` holds after every commit, where
+//! `open` is what the holders were granted and neither returned nor settled.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{message::Holder, request, table::Row};
+
+/// Prefix of the rows of budgets.
+pub const ESCROW_PREFIX: &str = "escrow/";
+
+/// Prefix of the rows of grants.
+pub const GRANT_PREFIX: &str = "grant/";
+
+/// Prefix of the rows of holders.
+pub const HOLDER_PREFIX: &str = "holder/";
+
+/// Sums of a budget over all holders.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Escrow {
+    /// Tokens granted to holders.
+    pub granted: u64,
+    /// Tokens that holders gave back.
+    pub returned: u64,
+    /// Tokens charged in ledger segments.
+    pub settled: u64,
+    /// Tokens charged in rows of the old ledger.
+    pub old_settled: u64,
+    /// Tokens of charges that were found to be repeated.
+    pub refunded: u64,
+    /// Tokens of dead holders that can't be accounted for; they stay out of use.
+    pub stranded: u64,
+}
+
+impl Escrow {
+    /// Returns the tokens that holders were granted and neither returned nor settled.
+    pub fn open(&self) -> u64 {
+        self.granted.saturating_sub(self.returned + self.settled + self.old_settled)
+    }
+
+    /// Returns the tokens that may still be granted.
+    pub fn remaining(&self, prepaid: u64) -> u64 {
+        (prepaid + self.returned + self.refunded).saturating_sub(self.granted)
+    }
+}
+
+/// Movements between a budget and one holder, by the holder's own transactions.
+///
+/// Transfers between holders aren't in it: a row may show more settled than granted while another
+/// row shows less. The sum over a budget's rows is exact.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Grant {
+    /// Number of transactions.
+    pub number: u64,
+    /// Tokens granted.
+    pub granted: u64,
+    /// Tokens given back.
+    pub returned: u64,
+    /// Tokens charged, in either ledger.
+    pub settled: u64,
+    /// Tokens that can't be accounted for.
+    pub stranded: u64,
+}
+
+impl Grant {
+    /// Returns granted less returned and settled; below zero where transfers came in.
+    pub fn open(&self) -> i128 {
+        i128::from(self.granted) - i128::from(self.returned) - i128::from(self.settled)
+    }
+}
+
+/// State of a holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It may be granted tokens.
+    Open,
+    /// Its recovery has begun; it gets no further grant.
+    Sealed,
+    /// It holds nothing any more.
+    Closed,
+}
+
+/// A holder and where its journal is copied to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// State.
+    pub state: State,
+    /// Processes that keep a copy of its journal.
+    pub ensemble: Vec<Holder>,
+    /// Number of changes of the ensemble.
+    pub epoch: u64,
+    /// Number of the last ledger segment written.
+    pub segment: u64,
+}
+
+/// Returns the key of a budget's record.
+pub fn record_key(budget: &str) -> Arc<str> {
+    Arc::from(format!("config/budget/{budget}"))
+}
+
+/// Returns the key of a budget's sums.
+pub fn escrow_key(budget: &str) -> Arc<str> {
+    Arc::from(format!("{ESCROW_PREFIX}{budget}"))
+}
+
+/// Returns the key of a grant.
+pub fn grant_key(budget: &str, holder: &str) -> Arc<str> {
+    Arc::from(format!("{GRANT_PREFIX}{budget}/{holder}"))
+}
+
+/// Returns the key of a holder.
+pub fn holder_key(holder: &str) -> Arc<str> {
+    Arc::from(format!("{HOLDER_PREFIX}{holder}"))
+}
+
+/// Returns the key of a charge in the old ledger.
+pub fn charge_key(budget: &str, request: request::Id) -> Arc<str> {
+    Arc::from(format!("charge/{budget}/{request}"))
+}
+
+/// A row holds JSON that isn't of its type.
+#[derive(Debug, thiserror::Error)]
+#[error("row {key}: {source}")]
+pub struct Malformed {
+    /// Key of the row.
+    pub key: Arc<str>,
+    /// What is wrong with it.
+    pub source: serde_json::Error,
+}
+
+/// Reads a row; `None` where it is absent.
+///
+/// # Errors
+///
+/// Fails where the row's value isn't of this type.
+pub fn parse<T: DeserializeOwned>(row: &Row) -> Result<Option<T>, Malformed> {
+    let Some(value) = &row.value else {
+        return Ok(None);
+    };
+    match serde_json::from_str(value) {
+        Ok(value) => Ok(Some(value)),
+        Err(source) => Err(Malformed { key: row.key.clone(), source }),
+    }
+}
+
+/// Returns a row's JSON text.
+///
+/// # Panics
+///
+/// Never for the types of this crate, whose maps have string keys.
+pub fn render(value: &impl Serialize) -> Arc<str> {
+    Arc::from(serde_json::to_string(value).expect("string keys"))
+}
+
+/// Returns the tokens bought by a budget's record, and the format of its ledger.
+///
+/// # Errors
+///
+/// Fails where the record isn't a budget's.
+pub fn prepaid(row: &Row) -> Result<Option<u64>, Malformed> {
+    #[derive(Deserialize)]
+    struct Purchases {
+        #[serde(default)]
+        top_ups: std::collections::BTreeMap<Arc<str>, u64>,
+    }
+    let purchases: Option<Purchases> = parse(row)?;
+    Ok(purchases.map(|purchases| purchases.top_ups.values().sum()))
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,13 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod escrow;
+pub mod fold;
+pub mod holder;
+pub mod journal;
+pub mod ledger;
 pub mod message;
 pub mod record;
+pub mod recovery;
 pub mod request;
 pub mod table;
