--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,8 +9,14 @@
 pub mod clock;
 pub mod config;
 pub mod member;
+pub mod escrow;
+pub mod fold;
+pub mod holder;
+pub mod journal;
+pub mod ledger;
 pub mod message;
 pub mod record;
+pub mod recovery;
 pub mod request;
 pub mod table;
 pub mod timeline;
