Let a write mend a record that is not valid

Cause: merging refused any stored record that failed to parse, so that a broken record could only be deleted. The fields that the new write names now mend it; a record of a newer version is still refused.

--- a/crates/coordination/src/schema.rs
+++ b/crates/coordination/src/schema.rs
@@ -162,6 +162,10 @@
         return Ok(document);
     }
     require(key, kind, &document)?;
+    translate_whole(key, kind, document)
+}
+
+fn translate_whole(key: &str, kind: Kind, document: Document) -> Result<Document, Fault> {
     let mut upgraded = Document::new();
     translate(key, kind, document, &mut upgraded)?;
     if kind == Kind::Budget {
@@ -181,36 +185,56 @@
 /// Returns what is to be written when `new` is applied over `old`.
 ///
 /// Fields that `new` doesn't name stay, a null removes a field, and top-ups are joined by id. The
-/// result has the greater of both versions.
+/// result has the greater of both versions. An old record that is not valid is mended by the
+/// fields that `new` names.
 ///
 /// # Errors
 ///
-/// Returns a fault where either record, or what comes of both, is not valid, or where a top-up
-/// would be lowered.
+/// Returns a fault where `new`, or what comes of both, is not valid, where a top-up would be
+/// lowered, or where `old` has a version newer than [`NEWEST`].
 pub fn merge(old: &str, new: &str) -> Result<String, Fault> {
-    let (key, new) = addressed(new)?;
-    let old = read(&key, old)?;
-    let before = record::from_document(&key, old.clone())?;
-    let kind = before.kind();
-    let newest = version(&key, &old)?.max(version(&key, &new)?);
-    let merged =
-        if newest == OLDEST { overlay(old, new) } else { overlay_upgraded(&key, kind, old, new)? };
+    let (key, kind, new) = addressed(new)?;
+    let written = version(&key, &new)?;
+    let Ok(mut held) = read(&key, old) else {
+        record::from_document(&key, new.clone())?;
+        return Ok(Value::Object(new).to_string());
+    };
+    refuse_newer(&key, &held)?;
+    let before = record::from_document(&key, held.clone()).ok();
+    let newest = version(&key, &held).unwrap_or(written).max(written);
+    held.insert("version".to_owned(), Value::from(version(&key, &held).unwrap_or(written)));
+    let merged = match newest {
+        OLDEST => overlay(held, new),
+        _ => overlay_upgraded(&key, kind, held, new)?,
+    };
     let after = record::from_document(&key, merged.clone())?;
-    after.succeeds(&before)?;
+    if let Some(before) = before {
+        after.succeeds(&before)?;
+    }
     Ok(Value::Object(merged).to_string())
 }
 
-/// Returns the key and fields of a record that is not yet in the table.
+fn refuse_newer(key: &str, held: &Document) -> Result<(), Fault> {
+    match held.get("version").and_then(Value::as_u64) {
+        Some(version) if version > NEWEST => {
+            let reason = format!("the record has version {version}, newer than {NEWEST}");
+            Err(Fault::new(key, "version", reason))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Returns the key, kind and fields of a record that is not yet in the table.
 ///
 /// # Errors
 ///
 /// Returns a fault where kind or name is missing or malformed.
-pub fn addressed(json: &str) -> Result<(String, Document), Fault> {
+pub fn addressed(json: &str) -> Result<(String, Kind, Document), Fault> {
     let document = read("record", json)?;
     let fields = Fields::new("record", &document);
     let kind: Kind = fields.choice("kind", Kind::NAMES, None)?;
     let name = fields.name("name")?;
-    Ok((record::key(kind, &name), document))
+    Ok((record::key(kind, &name), kind, document))
 }
 
 fn overlay_upgraded(
@@ -219,7 +243,10 @@
     old: Document,
     new: Document,
 ) -> Result<Document, Fault> {
-    let mut base = upgrade(key, kind, old)?;
+    let mut base = match version(key, &old)? {
+        NEWEST => old,
+        _ => translate_whole(key, kind, old)?,
+    };
     if version(key, &new)? == NEWEST {
         return Ok(overlay(base, new));
     }
