--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,19 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod clock;
+pub mod config;
+pub mod member;
+pub mod escrow;
+pub mod fold;
+pub mod holder;
+pub mod journal;
+pub mod ledger;
+pub mod credential;
 pub mod message;
 pub mod record;
+pub mod recovery;
 pub mod request;
+pub mod schema;
 pub mod table;
+pub mod timeline;
