--- a/crates/coordination/src/host/action.rs
+++ b/crates/coordination/src/host/action.rs
@@ -5,7 +5,7 @@
 use super::event::{Caller, Operation, Run};
 use crate::{message::Message, request, request::Class, table::Op, timeline::Entry};
 
-/// An action of [`super::Host`], for the driver to carry out.
+/// An action of [`Host`](super::Host), for the driver to carry out.
 #[derive(Debug, Clone)]
 pub enum Action {
     /// Starts a streamed answer.
@@ -78,19 +78,19 @@
         /// Run.
         run: Run,
     },
-    /// Cancels a stream at a back end; answered by [`super::Event::Usage`].
+    /// Cancels a stream at a back end; answered by [`super::event::Event::Held`].
     Cancel {
         /// Base address of the back end.
         address: Arc<str>,
-        /// Request.
-        request: request::Id,
+        /// Stream.
+        stream: request::Id,
     },
-    /// Asks a back end what it holds of a request; answered by [`super::Event::Usage`].
+    /// Asks a back end what it holds of a request; answered by [`super::event::Event::Held`].
     Inquire {
         /// Base address of the back end.
         address: Arc<str>,
-        /// Request.
-        request: request::Id,
+        /// Stream.
+        stream: request::Id,
     },
     /// Sets the back ends whose load and cache changes are to be read.
     Watch {
@@ -127,8 +127,8 @@
 /// A stream to start or resume.
 #[derive(Debug, Clone)]
 pub struct Stream {
-    /// Request.
-    pub request: request::Id,
+    /// Stream.
+    pub stream: request::Id,
     /// Attempt, counted from 1.
     pub attempt: u32,
     /// Model.
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
+    answer::Usage,
     member::Listed,
     message::{Holder, Message},
     request,
@@ -81,12 +82,12 @@
         /// Address of the peer port.
         address: Arc<str>,
     },
-    /// A back end answered what it holds of a request.
-    Usage {
-        /// Request.
-        request: request::Id,
-        /// Tokens it used, prompt included; `None` where the back end knows nothing of it.
-        tokens: Option<u64>,
+    /// A back end was asked what it holds of a stream.
+    Held {
+        /// Stream.
+        stream: request::Id,
+        /// What it holds; `None` where it did not answer.
+        held: Option<Held>,
     },
     /// Time passed.
     Tick,
@@ -163,6 +164,15 @@
     },
 }
 
+/// What a back end holds of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// Nothing.
+    Nothing,
+    /// A stream that used this much so far.
+    Stream(Usage),
+}
+
 /// Why a back end refused a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -15,9 +15,10 @@
 };
 
 use coordination::{
+    answer::Usage,
     host::{
         action::Stream,
-        event::{Event, Refusal, Report, Run},
+        event::{Event, Held, Refusal, Report, Run},
     },
     request,
 };
@@ -84,15 +85,15 @@
     Cancel {
         /// Base address.
         address: Arc<str>,
-        /// Request.
-        request: request::Id,
+        /// Stream.
+        stream: request::Id,
     },
     /// Asks for the usage of a stream.
     Inquire {
         /// Base address.
         address: Arc<str>,
-        /// Request.
-        request: request::Id,
+        /// Stream.
+        stream: request::Id,
     },
 }
 
@@ -122,7 +123,7 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct Usage {
+struct Standing {
     tokens: u64,
     prompt_tokens: u64,
 }
@@ -219,15 +220,15 @@
                 let report = call(&address, &service, request, &body, timeout);
                 self.report(run, report);
             }
-            Job::Cancel { address, request } => self.usage(Method::DELETE, &address, request),
-            Job::Inquire { address, request } => self.usage(Method::GET, &address, request),
+            Job::Cancel { address, stream } => self.ask(Method::DELETE, &address, stream),
+            Job::Inquire { address, stream } => self.ask(Method::GET, &address, stream),
             Job::Abandon { .. } => {}
         }
     }
 
-    fn usage(&self, method: Method, address: &str, request: request::Id) {
-        let tokens = usage(method, address, request);
-        self.send(Event::Usage { request, tokens });
+    fn ask(&self, method: Method, address: &str, stream: request::Id) {
+        let held = held(method, address, stream);
+        self.send(Event::Held { stream, held });
     }
 
     /// Carries a stream; returns its last report, or `None` once it was abandoned.
@@ -308,7 +309,7 @@
         "priority": stream.class,
         "offset": stream.offset,
     });
-    let uri = format!("{address}/streams/{}", stream.request);
+    let uri = format!("{address}/streams/{}", stream.stream);
     let request = build(Method::POST, &uri).body(Body::from(body.to_string()));
     let request = request.map_err(|error| unsent(error.to_string()))?;
     let response = client(stall).request(request).map_err(|error| failed(error.to_string()))?;
@@ -380,16 +381,18 @@
     }
 }
 
-fn usage(method: Method, address: &str, request: request::Id) -> Option<u64> {
-    let uri = format!("{address}/streams/{request}");
+fn held(method: Method, address: &str, stream: request::Id) -> Option<Held> {
+    let uri = format!("{address}/streams/{stream}");
     let message = build(method, &uri).body(Body::empty()).ok()?;
     let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::NOT_FOUND => return Some(Held::Nothing),
+        _ => return None,
     }
     let body = response.into_body().to_vec().ok()?;
-    let usage: Usage = serde_json::from_slice(&body).ok()?;
-    Some(usage.tokens.saturating_add(usage.prompt_tokens))
+    let Standing { tokens, prompt_tokens } = serde_json::from_slice(&body).ok()?;
+    Some(Held::Stream(Usage { prompt_tokens, tokens }))
 }
 
 fn unsent(cause: impl Into<Arc<str>>) -> Report {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -239,11 +239,11 @@
                 self.exchange(job);
             }
             Action::Abandon { run } => self.exchange(backend::Job::Abandon { run }),
-            Action::Cancel { address, request } => {
-                self.exchange(backend::Job::Cancel { address, request });
+            Action::Cancel { address, stream } => {
+                self.exchange(backend::Job::Cancel { address, stream });
             }
-            Action::Inquire { address, request } => {
-                self.exchange(backend::Job::Inquire { address, request });
+            Action::Inquire { address, stream } => {
+                self.exchange(backend::Job::Inquire { address, stream });
             }
             Action::Watch { backends } => drop(self.ports.watch.send(backends)),
             Action::Table { operation, op } => {
