Add claims, tickets, answers and routing; add Entry::TicketFloor to message.rs

The decisions of at-most-once calls, whole answers and choice of a back end are plain objects: the time and an event in, actions out. Entry::TicketFloor is new in message.rs: an issuer forgets old claims, and a recoverer that finds no claim must not take that for proof that a forgotten one never ran.

--- /dev/null
+++ b/crates/coordination/src/claim/runner.rs
@@ -0,0 +1,561 @@
+//! Runner of calls: asks the issuer of a ticket, dispatches once, reports the outcome.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{Doubt, MAX_KEPT_BODY_BYTES, Outcome, Recovered};
+use crate::{
+    message::{ClaimOutcome, Holder, Message, Verdict},
+    request,
+    ticket::Ticket,
+};
+
+/// Time between two tries to reach an issuer.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between two tries to find a sealed journal.
+const RECOVER_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which an issuer that has not answered counts as unreachable.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between the first two reports of an outcome; doubles up to [`REPORT_INTERVAL_MAX`].
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Greatest time between two reports of an outcome.
+const REPORT_INTERVAL_MAX: Duration = Duration::from_secs(10);
+
+/// Time for which an outcome is kept that its issuer did not acknowledge.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3600);
+
+/// Greatest number of abandoned runs remembered.
+const MAX_ABANDONED: usize = 65_536;
+
+/// Names a caller that waits on this host.
+pub type Caller = u64;
+
+/// What is known of the issuer of a ticket when a call arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It is this holder, or answered lately.
+    Reachable,
+    /// It did not answer lately, which proves nothing.
+    Unreachable,
+    /// Its process has ended for certain.
+    Gone,
+}
+
+/// A call that carries a ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Caller that waits for the outcome.
+    pub caller: Caller,
+    /// Ticket, verified.
+    pub ticket: Ticket,
+    /// Digest of the service and body, see [`crate::ticket::digest`].
+    pub digest: [u8; 32],
+    /// Time at which the caller gets an outcome at the latest, if nothing was dispatched.
+    pub deadline: Duration,
+    /// What is known of the issuer.
+    pub reach: Reach,
+}
+
+/// How a dispatch ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Transport {
+    /// Not a byte of the call was written to a back end.
+    NotSent,
+    /// The whole answer came.
+    Answer {
+        /// HTTP status.
+        status: u16,
+        /// Body.
+        body: Arc<str>,
+    },
+    /// Some byte was written, and no whole answer came.
+    Broken,
+}
+
+/// What a runner is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunnerEvent {
+    /// A call arrived.
+    Call(Call),
+    /// A caller left.
+    Left(Caller),
+    /// An issuer decided; see [`Message::ClaimReply`].
+    Reply {
+        /// Holder that answered.
+        from: Holder,
+        /// Ticket number.
+        ticket: u64,
+        /// Run that asked.
+        request: request::Id,
+        /// Decision.
+        verdict: Verdict,
+    },
+    /// An issuer has an outcome; see [`Message::ClaimOutcomeAck`].
+    Acked {
+        /// Holder that answered.
+        from: Holder,
+        /// Ticket number.
+        ticket: u64,
+    },
+    /// A holder does not answer.
+    Unreachable(Holder),
+    /// The journal of a dead holder was sealed and read.
+    Recovered(Holder, Arc<Recovered>),
+    /// A dispatch ended.
+    Ended {
+        /// Run that was dispatched.
+        run: request::Id,
+        /// How it ended.
+        transport: Transport,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What a runner wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunnerAction {
+    /// Send a message to a holder; where that is the own holder, hand it over in the process.
+    Send(Holder, Message),
+    /// Send the caller's call to a back end, and report by [`RunnerEvent::Ended`]. Another back end
+    /// may be tried only while not a byte was written.
+    Dispatch {
+        /// Caller whose call it is.
+        caller: Caller,
+        /// Ticket.
+        ticket: Ticket,
+        /// Run.
+        run: request::Id,
+    },
+    /// Give a caller its outcome.
+    Reply(Caller, Outcome),
+    /// Find the sealed journal of a dead holder, and report it by [`RunnerEvent::Recovered`].
+    Recover(Holder),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Waits for the issuer.
+    Asking { give_up: Duration, busy: bool },
+    /// Waits for the issuer's sealed journal.
+    Recovering { give_up: Duration },
+    /// Was dispatched.
+    Running,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    run: request::Id,
+    digest: [u8; 32],
+    callers: Vec<Caller>,
+    deadline: Duration,
+    phase: Phase,
+    next: Duration,
+}
+
+/// An outcome on its way to the issuer.
+#[derive(Debug)]
+struct Report {
+    digest: [u8; 32],
+    outcome: Outcome,
+    kept: ClaimOutcome,
+    interval: Duration,
+    next: Duration,
+    expires: Duration,
+}
+
+/// A run that must not be dispatched any more.
+#[derive(Debug)]
+struct Abandoned {
+    ticket: Ticket,
+    digest: [u8; 32],
+}
+
+/// Runs calls with tickets that arrive at one host.
+#[derive(Debug)]
+pub struct Runner {
+    holder: Holder,
+    runs: u64,
+    calls: BTreeMap<Ticket, Waiting>,
+    callers: BTreeMap<Caller, Ticket>,
+    running: BTreeMap<request::Id, Ticket>,
+    reports: BTreeMap<Ticket, Report>,
+    abandoned: BTreeMap<request::Id, Abandoned>,
+    abandoned_order: VecDeque<request::Id>,
+    timers: BTreeSet<(Duration, Ticket)>,
+}
+
+impl Runner {
+    /// Opens a runner for a new holder.
+    pub fn open(holder: impl Into<Holder>) -> Self {
+        Self {
+            holder: holder.into(),
+            runs: 0,
+            calls: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            running: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            abandoned: BTreeMap::new(),
+            abandoned_order: VecDeque::new(),
+            timers: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the time at which [`RunnerEvent::Tick`] is due.
+    pub fn wake_at(&self) -> Option<Duration> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Returns the number of dispatched runs that have not ended.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Takes an event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: Duration, event: RunnerEvent, actions: &mut Vec<RunnerAction>) {
+        match event {
+            RunnerEvent::Call(call) => self.call(now, call, actions),
+            RunnerEvent::Left(caller) => self.leave(caller),
+            RunnerEvent::Reply { from, ticket, request, verdict } => {
+                let ticket = Ticket { holder: from, number: ticket };
+                self.reply(now, ticket, request, verdict, actions);
+            }
+            RunnerEvent::Acked { from, ticket } => {
+                self.reports.remove(&Ticket { holder: from, number: ticket });
+            }
+            RunnerEvent::Unreachable(holder) => self.unreachable(&holder, actions),
+            RunnerEvent::Recovered(holder, recovered) => {
+                self.recovered(&holder, &recovered, actions);
+            }
+            RunnerEvent::Ended { run, transport } => self.ended(now, run, transport, actions),
+            RunnerEvent::Tick => self.tick(now, actions),
+        }
+    }
+
+    fn call(&mut self, now: Duration, call: Call, actions: &mut Vec<RunnerAction>) {
+        if let Some(report) = self.reports.get(&call.ticket) {
+            let same = report.digest == call.digest;
+            let outcome = if same { report.outcome.clone() } else { Outcome::Mismatch };
+            actions.push(RunnerAction::Reply(call.caller, outcome));
+            return;
+        }
+        if let Some(waiting) = self.calls.get_mut(&call.ticket) {
+            if waiting.digest != call.digest {
+                actions.push(RunnerAction::Reply(call.caller, Outcome::Mismatch));
+                return;
+            }
+            waiting.callers.push(call.caller);
+            waiting.deadline = waiting.deadline.max(call.deadline);
+            self.callers.insert(call.caller, call.ticket);
+            return;
+        }
+        if call.reach == Reach::Unreachable {
+            let outcome = Outcome::Unknown(Doubt::IssuerUnreachable);
+            actions.push(RunnerAction::Reply(call.caller, outcome));
+            return;
+        }
+        self.begin(now, call, actions);
+    }
+
+    fn begin(&mut self, now: Duration, call: Call, actions: &mut Vec<RunnerAction>) {
+        self.runs += 1;
+        let run = request::Id::numbered(&format!("{} run", self.holder), self.runs);
+        let phase = match call.reach {
+            Reach::Gone => Phase::Recovering { give_up: call.deadline },
+            _ => Phase::Asking { give_up: call.deadline.min(now + ASK_TIMEOUT), busy: false },
+        };
+        let waiting = Waiting {
+            run,
+            digest: call.digest,
+            callers: vec![call.caller],
+            deadline: call.deadline,
+            phase,
+            next: now,
+        };
+        self.callers.insert(call.caller, call.ticket.clone());
+        self.calls.insert(call.ticket.clone(), waiting);
+        self.ask(now, &call.ticket, actions);
+    }
+
+    /// Asks whoever decides the ticket now, and sets the time of the next try.
+    fn ask(&mut self, now: Duration, ticket: &Ticket, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.calls.get_mut(ticket) else { return };
+        waiting.next = match waiting.phase {
+            Phase::Running => return,
+            Phase::Asking { give_up, .. } => {
+                let message = Message::Claim {
+                    ticket: ticket.number,
+                    digest: waiting.digest,
+                    request: waiting.run,
+                };
+                actions.push(RunnerAction::Send(ticket.holder.clone(), message));
+                give_up.min(now + ASK_INTERVAL)
+            }
+            Phase::Recovering { give_up } => {
+                actions.push(RunnerAction::Recover(ticket.holder.clone()));
+                give_up.min(now + RECOVER_INTERVAL)
+            }
+        };
+        self.timers.insert((waiting.next, ticket.clone()));
+    }
+
+    fn leave(&mut self, caller: Caller) {
+        let Some(ticket) = self.callers.remove(&caller) else { return };
+        let Some(waiting) = self.calls.get_mut(&ticket) else { return };
+        waiting.callers.retain(|waiter| *waiter != caller);
+        if waiting.callers.is_empty() && waiting.phase != Phase::Running {
+            self.abandon(&ticket);
+        }
+    }
+
+    /// Removes a call that was not dispatched; a verdict that still comes is turned down.
+    fn abandon(&mut self, ticket: &Ticket) -> Option<Waiting> {
+        let waiting = self.calls.remove(ticket)?;
+        let abandoned = Abandoned { ticket: ticket.clone(), digest: waiting.digest };
+        self.abandoned.insert(waiting.run, abandoned);
+        self.abandoned_order.push_back(waiting.run);
+        if self.abandoned_order.len() > MAX_ABANDONED
+            && let Some(oldest) = self.abandoned_order.pop_front()
+        {
+            self.abandoned.remove(&oldest);
+        }
+        Some(waiting)
+    }
+
+    fn reply(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        run: request::Id,
+        verdict: Verdict,
+        actions: &mut Vec<RunnerAction>,
+    ) {
+        if verdict == Verdict::Run && self.turn_down(now, &ticket, run, actions) {
+            return;
+        }
+        let Some(waiting) = self.calls.get_mut(&ticket) else { return };
+        if waiting.run != run || waiting.phase == Phase::Running {
+            return;
+        }
+        let outcome = match verdict {
+            Verdict::Run => return self.dispatch(&ticket, actions),
+            Verdict::Busy => {
+                waiting.phase = Phase::Asking { give_up: waiting.deadline, busy: true };
+                return;
+            }
+            Verdict::Done(outcome) => outcome.into(),
+            Verdict::Mismatch => Outcome::Mismatch,
+            Verdict::Invalid => Outcome::Unknown(Doubt::Expired),
+        };
+        self.finish(&ticket, &outcome, actions);
+    }
+
+    /// Answers a permission to run that came after its run was abandoned.
+    fn turn_down(
+        &mut self,
+        now: Duration,
+        ticket: &Ticket,
+        run: request::Id,
+        actions: &mut Vec<RunnerAction>,
+    ) -> bool {
+        let Some(abandoned) = self.abandoned.remove(&run) else { return false };
+        if abandoned.ticket != *ticket {
+            return true;
+        }
+        let digest = abandoned.digest;
+        self.finish(ticket, &Outcome::NotRun, actions);
+        self.report(now, ticket, digest, Outcome::NotRun, ClaimOutcome::NotRun, actions);
+        true
+    }
+
+    fn dispatch(&mut self, ticket: &Ticket, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.calls.get_mut(ticket) else { return };
+        let Some(&caller) = waiting.callers.first() else { return };
+        waiting.phase = Phase::Running;
+        self.running.insert(waiting.run, ticket.clone());
+        let action = RunnerAction::Dispatch { caller, ticket: ticket.clone(), run: waiting.run };
+        actions.push(action);
+    }
+
+    fn ended(
+        &mut self,
+        now: Duration,
+        run: request::Id,
+        transport: Transport,
+        actions: &mut Vec<RunnerAction>,
+    ) {
+        let Some(ticket) = self.running.remove(&run) else { return };
+        let Some(waiting) = self.calls.get(&ticket) else { return };
+        let digest = waiting.digest;
+        let (outcome, kept) = outcomes(transport);
+        self.finish(&ticket, &outcome, actions);
+        self.report(now, &ticket, digest, outcome, kept, actions);
+    }
+
+    /// Gives all callers of a ticket its outcome and forgets the call.
+    fn finish(&mut self, ticket: &Ticket, outcome: &Outcome, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.calls.remove(ticket) else { return };
+        self.answer(waiting, outcome, actions);
+    }
+
+    fn answer(&mut self, waiting: Waiting, outcome: &Outcome, actions: &mut Vec<RunnerAction>) {
+        for caller in waiting.callers {
+            self.callers.remove(&caller);
+            actions.push(RunnerAction::Reply(caller, outcome.clone()));
+        }
+    }
+
+    fn report(
+        &mut self,
+        now: Duration,
+        ticket: &Ticket,
+        digest: [u8; 32],
+        outcome: Outcome,
+        kept: ClaimOutcome,
+        actions: &mut Vec<RunnerAction>,
+    ) {
+        let report = Report {
+            digest,
+            outcome,
+            kept,
+            interval: REPORT_INTERVAL,
+            next: now + REPORT_INTERVAL,
+            expires: now + REPORT_LIFETIME,
+        };
+        send_report(ticket, &report, actions);
+        self.timers.insert((report.next, ticket.clone()));
+        self.reports.insert(ticket.clone(), report);
+    }
+
+    fn unreachable(&mut self, holder: &Holder, actions: &mut Vec<RunnerAction>) {
+        for ticket in self.undispatched(holder) {
+            self.give_up(&ticket, actions);
+        }
+    }
+
+    fn recovered(
+        &mut self,
+        holder: &Holder,
+        recovered: &Recovered,
+        actions: &mut Vec<RunnerAction>,
+    ) {
+        for ticket in self.undispatched(holder) {
+            let Some(waiting) = self.calls.remove(&ticket) else { continue };
+            let outcome = self.recovered_outcome(&ticket, &waiting, recovered);
+            self.answer(waiting, &outcome, actions);
+        }
+    }
+
+    /// Returns the outcome of a call by the issuer's sealed journal. A claim by a run that this
+    /// host did not dispatch, and now never will, has not run.
+    fn recovered_outcome(
+        &self,
+        ticket: &Ticket,
+        waiting: &Waiting,
+        recovered: &Recovered,
+    ) -> Outcome {
+        let outcome = recovered.outcome(ticket.number, &waiting.digest);
+        let Some(claim) = recovered.claims.get(&ticket.number) else { return outcome };
+        let own = claim.request == waiting.run || self.abandoned.contains_key(&claim.request);
+        match outcome {
+            Outcome::Unknown(Doubt::NoAnswer) if own && claim.outcome.is_none() => Outcome::NotRun,
+            other => other,
+        }
+    }
+
+    /// Returns the tickets of a holder whose calls wait for it.
+    fn undispatched(&self, holder: &Holder) -> Vec<Ticket> {
+        let first = Ticket { holder: holder.clone(), number: 0 };
+        let of_holder = self.calls.range(first..).take_while(|(t, _)| t.holder == *holder);
+        let waiting = of_holder.filter(|(_, waiting)| waiting.phase != Phase::Running);
+        waiting.map(|(ticket, _)| ticket.clone()).collect()
+    }
+
+    fn give_up(&mut self, ticket: &Ticket, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.abandon(ticket) else { return };
+        let doubt = match waiting.phase {
+            Phase::Asking { busy: true, .. } => Doubt::InFlight,
+            _ => Doubt::IssuerUnreachable,
+        };
+        self.answer(waiting, &Outcome::Unknown(doubt), actions);
+    }
+
+    fn tick(&mut self, now: Duration, actions: &mut Vec<RunnerAction>) {
+        while let Some((at, _)) = self.timers.first()
+            && *at <= now
+        {
+            let Some((at, ticket)) = self.timers.pop_first() else { return };
+            self.retry_call(now, at, &ticket, actions);
+            self.retry_report(now, at, &ticket, actions);
+        }
+    }
+
+    fn retry_call(
+        &mut self,
+        now: Duration,
+        at: Duration,
+        ticket: &Ticket,
+        actions: &mut Vec<RunnerAction>,
+    ) {
+        let Some(waiting) = self.calls.get(ticket) else { return };
+        if waiting.next != at {
+            return;
+        }
+        match waiting.phase {
+            Phase::Running => {}
+            Phase::Asking { give_up, .. } | Phase::Recovering { give_up } if now >= give_up => {
+                self.give_up(ticket, actions);
+            }
+            Phase::Asking { .. } | Phase::Recovering { .. } => self.ask(now, ticket, actions),
+        }
+    }
+
+    fn retry_report(
+        &mut self,
+        now: Duration,
+        at: Duration,
+        ticket: &Ticket,
+        actions: &mut Vec<RunnerAction>,
+    ) {
+        let Some(report) = self.reports.get_mut(ticket) else { return };
+        if report.next != at {
+            return;
+        }
+        if now >= report.expires {
+            self.reports.remove(ticket);
+            return;
+        }
+        report.interval = (report.interval * 2).min(REPORT_INTERVAL_MAX);
+        report.next = now + report.interval;
+        send_report(ticket, report, actions);
+        self.timers.insert((report.next, ticket.clone()));
+    }
+}
+
+fn send_report(ticket: &Ticket, report: &Report, actions: &mut Vec<RunnerAction>) {
+    let message = Message::ClaimOutcome { ticket: ticket.number, outcome: report.kept.clone() };
+    actions.push(RunnerAction::Send(ticket.holder.clone(), message));
+}
+
+/// Returns the caller's outcome, and the one that the issuer keeps.
+fn outcomes(transport: Transport) -> (Outcome, ClaimOutcome) {
+    match transport {
+        Transport::NotSent => (Outcome::NotRun, ClaimOutcome::NotRun),
+        Transport::Broken => (Outcome::Unknown(Doubt::NoAnswer), ClaimOutcome::Unknown),
+        Transport::Answer { status, body } => {
+            let fits = body.len() <= MAX_KEPT_BODY_BYTES;
+            let kept = match fits {
+                true => ClaimOutcome::Answer { status, body: body.clone() },
+                false => ClaimOutcome::Unknown,
+            };
+            (Outcome::Answer { status, body }, kept)
+        }
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,13 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod answer;
+pub mod claim;
 pub mod message;
+pub mod prefix;
 pub mod record;
 pub mod request;
+pub mod retry;
+pub mod route;
 pub mod table;
+pub mod ticket;
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -204,6 +204,11 @@
         /// Request that runs.
         request: request::Id,
     },
+    /// Tickets below this number are no longer decided, and their claims may be missing.
+    TicketFloor {
+        /// Lowest ticket number that is decided.
+        floor: u64,
+    },
     /// A claimed run ended.
     Outcome {
         /// Ticket number.
--- /dev/null
+++ b/crates/coordination/src/route/backend.rs
@@ -0,0 +1,224 @@
+//! What a router knows of one back end.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rand::rngs::StdRng;
+
+use super::{Load, Refusal, Setting};
+use crate::{
+    record::{self, Model},
+    request::Class,
+    retry,
+};
+
+/// Time for which a back end that refused as leaving counts as leaving, whatever it reports.
+const LEAVING_HOLD: Duration = Duration::from_secs(60);
+
+/// Longest pause after the first failure; doubles with each further one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause after any failure.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(30);
+
+/// Time after which a trial request that reported nothing no longer counts.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Greatest number of recent sends remembered for one back end.
+const MAX_RECENT: usize = 4096;
+
+/// Thousandths of one.
+const MILLI: u64 = 1000;
+
+/// A request that was sent to a back end, or ended there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    Sent,
+    Finished,
+}
+
+/// State of one back end.
+#[derive(Debug)]
+pub(super) struct Backend {
+    pub record: record::Backend,
+    models: Option<Vec<Model>>,
+    load: Option<Load>,
+    /// Requests of this host in flight.
+    own: u32,
+    /// Sends and ends that the load report may not show, oldest first.
+    recent: VecDeque<(Duration, Change)>,
+    recent_sent: u64,
+    recent_finished: u64,
+    listed_leaving: bool,
+    state_leaving: bool,
+    refused_leaving: Option<Duration>,
+    busy_until: Duration,
+    failures: u32,
+    failed_until: Duration,
+    trial: Option<Duration>,
+}
+
+impl Backend {
+    pub fn open(record: record::Backend) -> Self {
+        Self {
+            record,
+            models: None,
+            load: None,
+            own: 0,
+            recent: VecDeque::new(),
+            recent_sent: 0,
+            recent_finished: 0,
+            listed_leaving: false,
+            state_leaving: false,
+            refused_leaving: None,
+            busy_until: Duration::ZERO,
+            failures: 0,
+            failed_until: Duration::ZERO,
+            trial: None,
+        }
+    }
+
+    /// Returns true where any source says that the back end takes no new work.
+    pub fn leaving(&self, now: Duration) -> bool {
+        self.record.leaving
+            || self.listed_leaving
+            || self.state_leaving
+            || self.load.is_some_and(|load| load.leaving)
+            || self.refused_leaving.is_some_and(|until| now < until)
+    }
+
+    /// Returns true where the back end may get a request for a model.
+    pub fn eligible(&self, now: Duration, model: Option<&Model>) -> bool {
+        !self.leaving(now) && self.healthy(now) && now >= self.busy_until && self.holds(model)
+    }
+
+    fn healthy(&self, now: Duration) -> bool {
+        if self.failures == 0 {
+            return true;
+        }
+        now >= self.failed_until && self.trial.is_none_or(|until| now >= until)
+    }
+
+    fn holds(&self, model: Option<&Model>) -> bool {
+        let Some(wanted) = model else { return true };
+        let models = self.models.as_ref().unwrap_or(&self.record.models);
+        models.iter().any(|held| {
+            let version = wanted.version.is_empty() || held.version == wanted.version;
+            held.name == wanted.name && held.adapter == wanted.adapter && version
+        })
+    }
+
+    /// Returns the time after which an ineligible back end may become eligible.
+    pub fn retry_after(&self, now: Duration) -> Duration {
+        self.failed_until.max(self.busy_until).saturating_sub(now)
+    }
+
+    pub fn slots(&self) -> u32 {
+        self.load.map_or(self.record.slots, |load| load.slots).max(1)
+    }
+
+    /// Returns the estimated number of requests at the back end, in thousandths.
+    pub fn occupancy_milli(&self, setting: &Setting, hosts: u32) -> u64 {
+        let others = u64::from(hosts.saturating_sub(1));
+        let own = u64::from(self.own) * MILLI;
+        let Some(load) = self.load else { return own * (others + 1) };
+        let (sent, finished) = (self.recent_sent, self.recent_finished);
+        let reported = u64::from(load.queued) + u64::from(load.running);
+        let expected = sent * others * u64::from(setting.others_milli);
+        let estimate = ((reported + sent) * MILLI + expected).saturating_sub(finished * MILLI);
+        estimate.max(own)
+    }
+
+    /// Returns how many requests may be at the back end for another one of a class to be sent, in
+    /// thousandths.
+    pub fn limit_milli(&self, setting: &Setting, class: Class, aged: bool) -> u64 {
+        let slots = u64::from(self.slots()) * MILLI;
+        if class == Class::Urgent || aged {
+            return slots + slots * u64::from(setting.urgent_queue_milli) / MILLI;
+        }
+        if self.slots() < 2 {
+            return slots;
+        }
+        let kept = slots * u64::from(setting.keep_free_milli) / MILLI;
+        slots - kept.max(MILLI).min(slots - MILLI)
+    }
+
+    pub fn sent(&mut self, now: Duration) {
+        self.own += 1;
+        self.note(now, Change::Sent);
+        if self.failures > 0 {
+            self.trial = Some(now + TRIAL_TIMEOUT);
+        }
+    }
+
+    pub fn finished(&mut self, now: Duration) {
+        let Some(own) = self.own.checked_sub(1) else { return };
+        self.own = own;
+        self.note(now, Change::Finished);
+    }
+
+    fn note(&mut self, now: Duration, change: Change) {
+        self.recent.push_back((now, change));
+        *self.recent_count(change) += 1;
+        if self.recent.len() > MAX_RECENT {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, change)) = self.recent.pop_front() {
+            *self.recent_count(change) -= 1;
+        }
+    }
+
+    fn recent_count(&mut self, change: Change) -> &mut u64 {
+        match change {
+            Change::Sent => &mut self.recent_sent,
+            Change::Finished => &mut self.recent_finished,
+        }
+    }
+
+    pub fn report(&mut self, now: Duration, load: Load, lag: Duration) {
+        let shown = now.saturating_sub(lag);
+        while self.recent.front().is_some_and(|(at, _)| *at < shown) {
+            self.forget_oldest();
+        }
+        self.load = Some(load);
+    }
+
+    pub fn state(&mut self, models: Vec<Model>, leaving: bool) {
+        self.models = Some(models);
+        self.state_leaving = leaving;
+    }
+
+    pub fn listed(&mut self, leaving: bool) {
+        self.listed_leaving = leaving;
+    }
+
+    pub fn refused(&mut self, now: Duration, refusal: Refusal) {
+        self.trial = None;
+        match refusal {
+            Refusal::Leaving => self.refused_leaving = Some(now + LEAVING_HOLD),
+            Refusal::Busy(pause) => self.busy_until = self.busy_until.max(now + pause),
+            Refusal::Model(model) => {
+                let models = self.models.get_or_insert_with(|| self.record.models.clone());
+                models.retain(|held| held.name != model.name || held.adapter != model.adapter);
+            }
+        }
+    }
+
+    pub fn served(&mut self) {
+        self.failures = 0;
+        self.trial = None;
+    }
+
+    /// Takes a failure; those of requests sent before the last pause began count once.
+    pub fn failed(&mut self, now: Duration, rng: &mut StdRng) {
+        self.trial = None;
+        if now < self.failed_until {
+            return;
+        }
+        self.failures = self.failures.saturating_add(1);
+        let longest = retry::backoff(FAILURE_PAUSE, FAILURE_PAUSE_MAX, self.failures);
+        self.failed_until = now + retry::jitter(longest, rng);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/route/router.rs
@@ -0,0 +1,335 @@
+//! Chooses among the back ends of a route.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::{Choice, Query, RouterAction, RouterEvent, Setting, backend::Backend};
+use crate::{
+    prefix,
+    record::{self, Model},
+};
+
+/// Candidates compared for each choice within a group of zones.
+const CANDIDATES: usize = 2;
+
+/// Random draws for the candidates before a scan.
+const DRAWS: usize = 6;
+
+/// Greatest number of back ends looked at in a scan.
+const MAX_SCAN: usize = 64;
+
+/// Time after which to retry where no back end says better.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Longest time after which to retry.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
+
+/// Thousandths of one.
+const MILLI: i64 = 1000;
+
+/// Back ends of a route.
+#[derive(Debug)]
+struct Pool {
+    route: record::Route,
+    near: Vec<Arc<str>>,
+    far: Vec<Arc<str>>,
+}
+
+/// A back end that may be chosen, with its cost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Candidate {
+    cost: i64,
+    backend: Arc<str>,
+}
+
+/// Chooses a back end for each request of one host.
+#[derive(Debug)]
+pub struct Router {
+    setting: Setting,
+    backends: BTreeMap<Arc<str>, Backend>,
+    pools: BTreeMap<Arc<str>, Pool>,
+    routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    prefixes: prefix::Index,
+    hosts: u32,
+    rng: StdRng,
+}
+
+impl Router {
+    /// Opens a router without back ends.
+    pub fn open(setting: Setting) -> Self {
+        let rng = StdRng::seed_from_u64(setting.seed);
+        Self {
+            setting,
+            backends: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            routes_of: BTreeMap::new(),
+            prefixes: prefix::Index::default(),
+            hosts: 1,
+            rng,
+        }
+    }
+
+    /// Returns the routes that a back end serves.
+    pub fn routes_of(&self, backend: &str) -> impl Iterator<Item = &Arc<str>> {
+        self.routes_of.get(backend).into_iter().flatten()
+    }
+
+    /// Returns the number after which to read a back end's cache events.
+    pub fn cache_after(&self, backend: &str) -> u64 {
+        self.prefixes.after(backend)
+    }
+
+    /// Returns true where a back end takes no new work, by any source.
+    pub fn leaving(&self, now: Duration, backend: &str) -> bool {
+        self.backends.get(backend).is_none_or(|backend| backend.leaving(now))
+    }
+
+    /// Takes an event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: Duration, event: RouterEvent, actions: &mut Vec<RouterAction>) {
+        match event {
+            RouterEvent::Backend(record) => self.put_backend(record),
+            RouterEvent::BackendDeleted(name) => self.delete_backend(&name),
+            RouterEvent::Route(record) => self.put_route(record),
+            RouterEvent::RouteDeleted(name) => self.delete_route(&name),
+            RouterEvent::Hosts(hosts) => self.hosts = hosts.max(1),
+            RouterEvent::Cache { backend, after, events, next } => {
+                if !self.prefixes.apply(&backend, after, &events, next) {
+                    actions.push(RouterAction::Resync(backend));
+                }
+            }
+            RouterEvent::Load(name, load) => {
+                let lag = self.setting.report_lag;
+                self.with(&name, |backend, _| backend.report(now, load, lag));
+            }
+            RouterEvent::State { backend, models, leaving } => {
+                self.with(&backend, |backend, _| backend.state(models, leaving));
+            }
+            RouterEvent::Listed { backend, leaving } => {
+                self.with(&backend, |backend, _| backend.listed(leaving));
+            }
+            RouterEvent::Refused(name, refusal) => {
+                self.with(&name, |backend, _| backend.refused(now, refusal));
+            }
+            RouterEvent::Health { backend, served: true } => {
+                self.with(&backend, |backend, _| backend.served());
+            }
+            RouterEvent::Health { backend, served: false } => {
+                self.with(&backend, |backend, rng| backend.failed(now, rng));
+            }
+            RouterEvent::Finished(name) => {
+                self.with(&name, |backend, _| backend.finished(now));
+            }
+        }
+    }
+
+    /// Chooses a back end and counts the request there.
+    pub fn choose(&mut self, now: Duration, query: &Query) -> Choice {
+        let Some(pool) = self.pools.remove(&query.route) else {
+            return Choice::None { retry_after: RETRY_AFTER };
+        };
+        let mut choice = self.choose_in(now, &pool, query, &query.avoid);
+        if matches!(choice, Choice::None { .. }) && !query.avoid.is_empty() {
+            choice = self.choose_in(now, &pool, query, &[]);
+        }
+        self.pools.insert(query.route.clone(), pool);
+        if let Choice::Backend(name) = &choice {
+            self.with(name, |backend, _| backend.sent(now));
+            self.prefixes.expect(name, &query.prefixes);
+        }
+        choice
+    }
+
+    fn with(&mut self, name: &str, change: impl FnOnce(&mut Backend, &mut StdRng)) {
+        if let Some(backend) = self.backends.get_mut(name) {
+            change(backend, &mut self.rng);
+        }
+    }
+
+    fn choose_in(
+        &mut self,
+        now: Duration,
+        pool: &Pool,
+        query: &Query,
+        avoid: &[Arc<str>],
+    ) -> Choice {
+        let model = pool.route.model.as_ref();
+        let mut full = false;
+        let near = self.best(now, &pool.near, model, query, avoid, &mut full);
+        let roomy = near.as_ref().is_some_and(|near| near.cost < MILLI);
+        let far = match roomy {
+            true => None,
+            false => self.best(now, &pool.far, model, query, avoid, &mut full),
+        };
+        let mut best = near.into_iter().chain(far).min_by_key(|candidate| candidate.cost);
+        if let Some(hinted) = self.hinted(now, pool, query, avoid) {
+            let better = best.as_ref().is_none_or(|best| hinted.cost <= best.cost);
+            best = if better { Some(hinted) } else { best };
+        }
+        match best {
+            Some(candidate) => Choice::Backend(candidate.backend),
+            None if full => Choice::Full,
+            None => Choice::None { retry_after: self.retry_after(now, pool) },
+        }
+    }
+
+    /// Returns the better of a few random back ends of a list that can take the request.
+    fn best(
+        &mut self,
+        now: Duration,
+        list: &[Arc<str>],
+        model: Option<&Model>,
+        query: &Query,
+        avoid: &[Arc<str>],
+        full: &mut bool,
+    ) -> Option<Candidate> {
+        if list.is_empty() {
+            return None;
+        }
+        let mut found: Vec<Candidate> = Vec::with_capacity(CANDIDATES);
+        let start = self.rng.random_range(0..list.len());
+        let draws: Vec<usize> = (0..DRAWS).map(|_| self.rng.random_range(0..list.len())).collect();
+        let scan = (0..list.len().min(MAX_SCAN)).map(|i| (start + i) % list.len());
+        for i in draws.into_iter().chain(scan) {
+            let name = &list[i];
+            if avoid.contains(name) || found.iter().any(|c| c.backend == *name) {
+                continue;
+            }
+            match self.cost(now, name, model, query) {
+                Cost::Ineligible => {}
+                Cost::Full => *full = true,
+                Cost::Milli(cost) => found.push(Candidate { cost, backend: name.clone() }),
+            }
+            if found.len() == CANDIDATES {
+                break;
+            }
+        }
+        found.into_iter().min_by_key(|candidate| candidate.cost)
+    }
+
+    /// Returns the best back end that is likely to hold the prompt's prefix.
+    fn hinted(
+        &self,
+        now: Duration,
+        pool: &Pool,
+        query: &Query,
+        avoid: &[Arc<str>],
+    ) -> Option<Candidate> {
+        let found = self.prefixes.find(&query.prefixes)?;
+        let model = pool.route.model.as_ref();
+        let share = found.blocks as i64 * MILLI / query.prefixes.len() as i64;
+        let worth = self.setting.affinity_milli * share / MILLI;
+        let candidates = found.backends.iter().filter_map(|name| {
+            let routed = self.routes_of.get(name).is_some_and(|r| r.contains(&query.route));
+            if !routed || avoid.contains(name) {
+                return None;
+            }
+            match self.cost(now, name, model, query) {
+                Cost::Milli(cost) => Some(Candidate { cost: cost - worth, backend: name.clone() }),
+                Cost::Full | Cost::Ineligible => None,
+            }
+        });
+        candidates.min_by_key(|candidate| candidate.cost)
+    }
+
+    /// Returns the cost of a request at a back end, in thousandths of its slots.
+    fn cost(&self, now: Duration, name: &str, model: Option<&Model>, query: &Query) -> Cost {
+        let Some(backend) = self.backends.get(name) else { return Cost::Ineligible };
+        if !backend.eligible(now, model) {
+            return Cost::Ineligible;
+        }
+        let occupancy = backend.occupancy_milli(&self.setting, self.hosts);
+        if occupancy >= backend.limit_milli(&self.setting, query.class, query.aged) {
+            return Cost::Full;
+        }
+        let load = i64::try_from(occupancy / u64::from(backend.slots())).unwrap_or(i64::MAX / 2);
+        let far = backend.record.zone != self.setting.zone;
+        Cost::Milli(load + if far { self.setting.zone_milli } else { 0 })
+    }
+
+    fn retry_after(&self, now: Duration, pool: &Pool) -> Duration {
+        let names = pool.near.iter().chain(&pool.far).take(MAX_SCAN);
+        let waits = names.filter_map(|name| Some(self.backends.get(name)?.retry_after(now)));
+        let wait = waits.filter(|wait| !wait.is_zero()).min().unwrap_or(RETRY_AFTER);
+        wait.clamp(RETRY_AFTER, RETRY_AFTER_MAX)
+    }
+
+    fn put_backend(&mut self, record: record::Backend) {
+        let name = record.name.clone();
+        let moved = self.backends.get(&name).is_none_or(|old| old.record.zone != record.zone);
+        match self.backends.get_mut(&name) {
+            Some(backend) if backend.record.address == record.address => backend.record = record,
+            _ => {
+                self.prefixes.forget(&name);
+                self.backends.insert(name.clone(), Backend::open(record));
+            }
+        }
+        if moved {
+            self.place(&name);
+        }
+    }
+
+    fn delete_backend(&mut self, name: &Arc<str>) {
+        self.backends.remove(name);
+        self.prefixes.forget(name);
+        self.place(name);
+    }
+
+    fn put_route(&mut self, route: record::Route) {
+        self.delete_route(&route.name.clone());
+        let name = route.name.clone();
+        let mut pool = Pool { route, near: Vec::new(), far: Vec::new() };
+        for backend in &pool.route.backends {
+            self.routes_of.entry(backend.clone()).or_default().insert(name.clone());
+        }
+        for backend in pool.route.backends.clone() {
+            self.place_in(&mut pool, &backend);
+        }
+        self.pools.insert(name, pool);
+    }
+
+    fn delete_route(&mut self, name: &Arc<str>) {
+        let Some(pool) = self.pools.remove(name) else { return };
+        for backend in &pool.route.backends {
+            let Some(routes) = self.routes_of.get_mut(backend) else { continue };
+            routes.remove(name);
+            if routes.is_empty() {
+                self.routes_of.remove(backend);
+            }
+        }
+    }
+
+    /// Sorts a back end into the lists of its routes anew.
+    fn place(&mut self, backend: &Arc<str>) {
+        for route in self.routes_of.get(backend).cloned().unwrap_or_default() {
+            let Some(mut pool) = self.pools.remove(&route) else { continue };
+            self.place_in(&mut pool, backend);
+            self.pools.insert(route, pool);
+        }
+    }
+
+    fn place_in(&self, pool: &mut Pool, name: &Arc<str>) {
+        pool.near.retain(|listed| listed != name);
+        pool.far.retain(|listed| listed != name);
+        let Some(backend) = self.backends.get(name) else { return };
+        match backend.record.zone == self.setting.zone {
+            true => pool.near.push(name.clone()),
+            false => pool.far.push(name.clone()),
+        }
+    }
+}
+
+/// Cost of a request at a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cost {
+    /// It can't serve the request.
+    Ineligible,
+    /// It can't take the request now.
+    Full,
+    /// In thousandths of its slots.
+    Milli(i64),
+}
--- /dev/null
+++ b/crates/coordination/src/ticket.rs
@@ -0,0 +1,119 @@
+//! Tickets for calls that run at most once.
+//!
+//! The text of a ticket is `<holder>.<number>.<mac>`. The holder issued it and alone decides what
+//! becomes of it, so every host that knows the fleet's key can tell from the text whom to ask.
+
+use std::fmt;
+
+use subtle::ConstantTimeEq;
+
+use crate::message::Holder;
+
+/// Bytes of the authentication code in a ticket's text.
+const MAC_BYTES: usize = 16;
+
+/// Greatest length of a ticket's text, in bytes.
+pub const MAX_TEXT_BYTES: usize = 256;
+
+/// Key with which all hosts of a fleet authenticate tickets.
+#[derive(Clone)]
+pub struct Key([u8; 32]);
+
+impl Key {
+    /// Derives the key from the fleet's secret.
+    pub fn derive(secret: &[u8]) -> Self {
+        Self(blake3::derive_key("laburnumcove ticket key v1", secret))
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+/// Names the issuer of a ticket and the number that the issuer gave it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    /// Holder that issued it.
+    pub holder: Holder,
+    /// Number within the holder, counted from 1.
+    pub number: u64,
+}
+
+/// The text is no ticket that this fleet issued to the workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The text does not have the form of a ticket.
+    #[error("parse ticket: expected <host>.<incarnation>.<number>.<mac>")]
+    Malformed,
+    /// The authentication code does not fit.
+    #[error("verify ticket: not issued by this fleet to this workspace")]
+    Forged,
+}
+
+impl Ticket {
+    /// Returns the text of the ticket, valid for one workspace.
+    pub fn encode(&self, workspace: &str, key: &Key) -> String {
+        let mac = self.mac(workspace, key);
+        format!("{}.{}.{}", self.holder, self.number, hex::encode(mac))
+    }
+
+    /// Parses the text of a ticket and verifies that it was issued to the workspace.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] where the text is no ticket, [`Error::Forged`] where it was not issued
+    /// with this key to this workspace.
+    pub fn parse(text: &str, workspace: &str, key: &Key) -> Result<Self, Error> {
+        if text.len() > MAX_TEXT_BYTES {
+            return Err(Error::Malformed);
+        }
+        let mut parts = text.rsplitn(3, '.');
+        let mac = parts.next().ok_or(Error::Malformed)?;
+        let digits = parts.next().ok_or(Error::Malformed)?;
+        let holder = parts.next().ok_or(Error::Malformed)?;
+        let number = parse_number(digits).ok_or(Error::Malformed)?;
+        if !is_holder(holder) {
+            return Err(Error::Malformed);
+        }
+        let mut given = [0; MAC_BYTES];
+        hex::decode_to_slice(mac, &mut given).map_err(|_| Error::Malformed)?;
+        let ticket = Self { holder: holder.into(), number };
+        if !bool::from(given.ct_eq(&ticket.mac(workspace, key))) {
+            return Err(Error::Forged);
+        }
+        Ok(ticket)
+    }
+
+    fn mac(&self, workspace: &str, key: &Key) -> [u8; MAC_BYTES] {
+        let mut hasher = blake3::Hasher::new_keyed(&key.0);
+        hasher.update(&(workspace.len() as u64).to_le_bytes());
+        hasher.update(workspace.as_bytes());
+        hasher.update(&self.number.to_le_bytes());
+        hasher.update(self.holder.as_bytes());
+        let mut mac = [0; MAC_BYTES];
+        mac.copy_from_slice(&hasher.finalize().as_bytes()[..MAC_BYTES]);
+        mac
+    }
+}
+
+/// Returns the digest that binds a ticket to one call: its service and its body.
+pub fn digest(service: &str, body: &[u8]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new_derive_key("laburnumcove call digest v1");
+    hasher.update(&(service.len() as u64).to_le_bytes());
+    hasher.update(service.as_bytes());
+    hasher.update(body);
+    *hasher.finalize().as_bytes()
+}
+
+fn parse_number(digits: &str) -> Option<u64> {
+    let number: u64 = digits.parse().ok()?;
+    let canonical = number > 0 && number.to_string() == digits;
+    canonical.then_some(number)
+}
+
+fn is_holder(text: &str) -> bool {
+    let Some((host, incarnation)) = text.rsplit_once('.') else { return false };
+    !host.is_empty() && incarnation.parse::<u64>().is_ok()
+}
