--- a/crates/coordination/src/answer.rs
+++ b/crates/coordination/src/answer.rs
@@ -5,14 +5,15 @@
 //! on, and what each caller gets.
 
 mod assembler;
+mod ending;
+mod event;
 mod stream;
 
 use std::sync::Arc;
 
 pub use assembler::{Assembler, Break, Step};
-pub use stream::{
-    Caller, Failure, Setting, Source, Stream, StreamAction, StreamEvent, Usage, stream_id,
-};
+pub use event::{Caller, Failure, Setting, Source, StreamAction, StreamEvent, Usage};
+pub use stream::{Stream, stream_id};
 
 use crate::request;
 
--- /dev/null
+++ b/crates/coordination/src/answer/event.rs
@@ -0,0 +1,201 @@
+//! Events, actions and settings of a stream.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Attempt, Line};
+use crate::request::{self, Class};
+
+/// Names a caller that waits on this host.
+pub type Caller = u64;
+
+/// What a stream is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Setting {
+    /// Request.
+    pub request: request::Id,
+    /// Digest of the body, see [`crate::ticket::digest`].
+    pub digest: [u8; 32],
+    /// Class.
+    pub class: Class,
+    /// Callers may come back and join.
+    pub keyed: bool,
+    /// Greatest number of tokens generated.
+    pub max_tokens: u64,
+    /// Time at which the request ends at the latest.
+    pub deadline: Duration,
+    /// Longest wait for the first line of an attempt.
+    pub first_timeout: Duration,
+    /// Longest wait for any further line.
+    pub idle_timeout: Duration,
+}
+
+/// Tokens that an engine reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+}
+
+/// Where the tokens of an attempt come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Source {
+    /// Stream at the engine, see [`stream_id`].
+    pub stream: request::Id,
+    /// Delivered tokens that the driver appends to the prompt; they count against the greatest
+    /// number of tokens.
+    pub base: u64,
+    /// Tokens of the engine's stream to be left out.
+    pub offset: u64,
+}
+
+/// Why a caller gets no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
+    /// No engine got the request, or each engine that got it refused it.
+    NotRun {
+        /// Time after which a retry may succeed.
+        retry_after: Duration,
+    },
+    /// The request ran, and the rest of the answer can't be had.
+    Incomplete {
+        /// Tokens delivered.
+        delivered: u64,
+    },
+    /// An earlier run of the request is being ended.
+    Ending {
+        /// Time after which a retry may succeed.
+        retry_after: Duration,
+    },
+    /// The key was used with another body.
+    Mismatch,
+}
+
+/// What a stream is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamEvent {
+    /// A caller wants the answer.
+    Join {
+        /// Caller.
+        caller: Caller,
+        /// Digest of the caller's body.
+        digest: [u8; 32],
+    },
+    /// A caller left.
+    Leave(Caller),
+    /// Answers [`StreamAction::Choose`].
+    Chosen(Arc<str>),
+    /// Answers [`StreamAction::Choose`]: no back end can take the request.
+    NoBackend {
+        /// Time after which one may.
+        retry_after: Duration,
+    },
+    /// Answers [`StreamAction::Probe`].
+    Probed {
+        /// Back end that was asked.
+        backend: Arc<str>,
+        /// Stream that was asked for.
+        stream: request::Id,
+        /// The stream stands and can be resumed; `None` where the engine did not answer.
+        stands: Option<bool>,
+    },
+    /// A line came.
+    Line(Line),
+    /// An attempt's connection closed, or failed after some byte was written.
+    Closed(Attempt),
+    /// An attempt's connection failed before any byte was written.
+    NotSent(Attempt),
+    /// The engine refused the attempt and does not run it.
+    Refused {
+        /// Attempt.
+        attempt: Attempt,
+        /// Time after which the engine may take it; `None` where it won't.
+        retry_after: Option<Duration>,
+    },
+    /// Answers [`StreamAction::Cancel`].
+    Cancelled {
+        /// Back end that was asked.
+        backend: Arc<str>,
+        /// Stream that was cancelled.
+        stream: request::Id,
+        /// Tokens that the engine reports; `None` where it did not answer.
+        usage: Option<Usage>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What a stream wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamAction {
+    /// Choose a back end, and count the request there until [`StreamAction::Vacate`]. Choose one
+    /// that is not in the list, unless there is no other.
+    Choose {
+        /// Back ends that failed the request.
+        avoid: Vec<Arc<str>>,
+    },
+    /// Withdraw the last [`StreamAction::Choose`]; no answer to it may follow.
+    Withdraw,
+    /// The request no longer counts at the back end that was chosen.
+    Vacate(Arc<str>),
+    /// Ask an engine whether it has the stream.
+    Probe {
+        /// Back end.
+        backend: Arc<str>,
+        /// Stream.
+        stream: request::Id,
+    },
+    /// Open a connection for an attempt.
+    Open {
+        /// Back end.
+        backend: Arc<str>,
+        /// Attempt.
+        attempt: Attempt,
+        /// What to ask for.
+        source: Source,
+    },
+    /// Close the connection of an attempt.
+    Close(Attempt),
+    /// Cancel a stream at an engine.
+    Cancel {
+        /// Back end.
+        backend: Arc<str>,
+        /// Stream.
+        stream: request::Id,
+    },
+    /// The back end served or failed an attempt.
+    Health {
+        /// Back end.
+        backend: Arc<str>,
+        /// It served the attempt.
+        served: bool,
+    },
+    /// Give a caller the next piece.
+    Deliver {
+        /// Caller.
+        caller: Caller,
+        /// Tokens before this one.
+        offset: u64,
+        /// Text.
+        token: Arc<str>,
+    },
+    /// Tell a caller that its answer is whole.
+    Finish {
+        /// Caller.
+        caller: Caller,
+        /// Tokens used.
+        usage: Usage,
+    },
+    /// Tell a caller that it gets no whole answer.
+    Fail {
+        /// Caller.
+        caller: Caller,
+        /// Why.
+        failure: Failure,
+    },
+    /// Charge the request for these tokens, once, and free the rest of its reservation.
+    Settle(Usage),
+    /// Free the request's reservation without a charge.
+    Release,
+}
--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -5,13 +5,15 @@
 //! issuer, dispatches once, and reports the outcome. After the issuer's death its sealed journal
 //! decides, as [`Recovered`].
 
+mod event;
 mod issuer;
 mod runner;
 
 use std::{collections::BTreeMap, sync::Arc};
 
-pub use issuer::{Issuer, IssuerAction, IssuerEvent};
-pub use runner::{Call, Reach, Runner, RunnerAction, RunnerEvent, Transport};
+pub use event::{Call, Caller, Reach, RunnerAction, RunnerEvent, Transport};
+pub use issuer::{Ask, Issuer, IssuerAction, IssuerEvent};
+pub use runner::Runner;
 
 use crate::{
     message::{ClaimOutcome, Entry},
--- a/crates/coordination/src/claim/issuer.rs
+++ b/crates/coordination/src/claim/issuer.rs
@@ -18,20 +18,24 @@
 /// Time between two notes of the number reached, from which the floor moves up.
 const FLOOR_STEP: Duration = Duration::from_secs(60);
 
+/// A runner's question whether it may run; see [`Message::Claim`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Holder that asks.
+    pub from: Holder,
+    /// Ticket number.
+    pub ticket: u64,
+    /// Digest of the call.
+    pub digest: [u8; 32],
+    /// Run that the runner would start.
+    pub request: request::Id,
+}
+
 /// What an issuer is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum IssuerEvent {
-    /// A runner asks to run; see [`Message::Claim`].
-    Claim {
-        /// Holder that asks.
-        from: Holder,
-        /// Ticket number.
-        ticket: u64,
-        /// Digest of the call.
-        digest: [u8; 32],
-        /// Run that the runner would start.
-        request: request::Id,
-    },
+    /// A runner asks to run.
+    Claim(Ask),
     /// A runner reports an outcome; see [`Message::ClaimOutcome`].
     Outcome {
         /// Holder that reports.
@@ -83,9 +87,7 @@
 
 #[derive(Debug)]
 struct State {
-    from: Holder,
-    digest: [u8; 32],
-    request: request::Id,
+    ask: Ask,
     progress: Progress,
     ending: Ending,
 }
@@ -145,7 +147,7 @@
     pub fn snapshot(&self) -> Vec<Entry> {
         let mut entries = vec![Entry::TicketFloor { floor: self.floor }];
         for (&ticket, state) in &self.claims {
-            let State { digest, request, .. } = *state;
+            let Ask { digest, request, .. } = state.ask;
             entries.push(Entry::Claim { ticket, digest, request });
             if let Ending::Reported { outcome, .. } = &state.ending {
                 entries.push(Entry::Outcome { ticket, outcome: outcome.clone() });
@@ -162,15 +164,13 @@
             Ending::Presumed => Some(ClaimOutcome::Unknown),
             Ending::Reported { outcome, .. } => Some(outcome.clone()),
         };
-        Some(Claim { digest: state.digest, request: state.request, outcome })
+        Some(Claim { digest: state.ask.digest, request: state.ask.request, outcome })
     }
 
     /// Takes an event and pushes the actions that follow from it.
     pub fn handle(&mut self, now: Duration, event: IssuerEvent, actions: &mut Vec<IssuerAction>) {
         match event {
-            IssuerEvent::Claim { from, ticket, digest, request } => {
-                self.decide(from, ticket, digest, request, actions);
-            }
+            IssuerEvent::Claim(ask) => self.decide(ask, actions),
             IssuerEvent::Outcome { from, ticket, outcome } => {
                 self.end(from, ticket, outcome, actions);
             }
@@ -181,38 +181,25 @@
         }
     }
 
-    fn decide(
-        &mut self,
-        from: Holder,
-        ticket: u64,
-        digest: [u8; 32],
-        request: request::Id,
-        actions: &mut Vec<IssuerAction>,
-    ) {
-        if ticket < self.floor || ticket >= self.next {
-            self.reply(from, ticket, request, Verdict::Invalid, actions);
+    fn decide(&mut self, ask: Ask, actions: &mut Vec<IssuerAction>) {
+        if ask.ticket < self.floor || ask.ticket >= self.next {
+            self.reply(ask.from, ask.ticket, ask.request, Verdict::Invalid, actions);
             return;
         }
-        let Some(state) = self.claims.get(&ticket) else {
-            self.accept(from, ticket, digest, request, actions);
+        let Some(state) = self.claims.get(&ask.ticket) else {
+            self.accept(ask, actions);
             return;
         };
-        if let Some(verdict) = judge(state, &from, &digest, request) {
-            self.reply(from, ticket, request, verdict, actions);
+        if let Some(verdict) = judge(state, &ask) {
+            self.reply(ask.from, ask.ticket, ask.request, verdict, actions);
         }
     }
 
-    fn accept(
-        &mut self,
-        from: Holder,
-        ticket: u64,
-        digest: [u8; 32],
-        request: request::Id,
-        actions: &mut Vec<IssuerAction>,
-    ) {
-        self.open.entry(from.clone()).or_default().insert(ticket);
-        let state =
-            State { from, digest, request, progress: Progress::Appending, ending: Ending::Open };
+    fn accept(&mut self, ask: Ask, actions: &mut Vec<IssuerAction>) {
+        let Ask { ticket, digest, request, .. } = ask;
+        self.open.entry(ask.from.clone()).or_default().insert(ticket);
+        let progress = Progress::Appending;
+        let state = State { ask, progress, ending: Ending::Open };
         self.claims.insert(ticket, state);
         self.append(Pending::Claim(ticket), Entry::Claim { ticket, digest, request }, actions);
     }
@@ -229,7 +216,7 @@
             return;
         }
         let Some(state) = self.claims.get_mut(&ticket) else { return };
-        if state.from != from || state.progress != Progress::Durable {
+        if state.ask.from != from || state.progress != Progress::Durable {
             return;
         }
         match &state.ending {
@@ -288,13 +275,13 @@
         match pending {
             Pending::Claim(ticket) => {
                 let Some(state) = self.claims.get(&ticket) else { return };
-                let (from, request) = (state.from.clone(), state.request);
+                let (from, request) = (state.ask.from.clone(), state.ask.request);
                 self.reply(from, ticket, request, Verdict::Run, actions);
             }
             Pending::Outcome(ticket) => {
                 let Some(state) = self.claims.get(&ticket) else { return };
                 let ack = Message::ClaimOutcomeAck { ticket };
-                actions.push(IssuerAction::Send(state.from.clone(), ack));
+                actions.push(IssuerAction::Send(state.ask.from.clone(), ack));
             }
             Pending::Floor => {}
         }
@@ -332,7 +319,7 @@
         let kept = self.claims.split_off(&floor);
         let expired = std::mem::replace(&mut self.claims, kept);
         for (ticket, state) in expired {
-            self.close(&state.from, ticket);
+            self.close(&state.ask.from, ticket);
         }
     }
 
@@ -351,14 +338,15 @@
 
 /// Returns the verdict on a claim of a ticket that is claimed already; none while the claim of the
 /// asking run is not durable, since the reply follows then.
-fn judge(state: &State, from: &Holder, digest: &[u8; 32], request: request::Id) -> Option<Verdict> {
-    if state.digest != *digest {
+fn judge(state: &State, ask: &Ask) -> Option<Verdict> {
+    if state.ask.digest != ask.digest {
         return Some(Verdict::Mismatch);
     }
+    let same = state.ask == *ask;
     match &state.ending {
         Ending::Reported { outcome, .. } => Some(Verdict::Done(outcome.clone())),
         Ending::Presumed => Some(Verdict::Done(ClaimOutcome::Unknown)),
-        Ending::Open if state.request != request || state.from != *from => Some(Verdict::Busy),
+        Ending::Open if !same => Some(Verdict::Busy),
         Ending::Open if state.progress == Progress::Durable => Some(Verdict::Run),
         Ending::Open => None,
     }
