--- /dev/null
+++ b/crates/coordination/src/host.rs
@@ -0,0 +1,454 @@
+//! All decisions of one host as one object.
+//!
+//! A [`Host`] takes events from callers, back ends, the platform, other hosts and timers, and
+//! returns actions. The cost of an event does not grow with the number of hosts, budgets or
+//! requests, except that a changed member list is copied.
+
+pub mod action;
+pub mod catalog;
+pub mod event;
+mod fleet;
+pub mod intake;
+mod model;
+mod money;
+mod placement;
+mod plain;
+pub mod problem;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use action::{Action, Problem};
+use catalog::Catalog;
+use event::{Call, Caller, Event, Operation, Report, Run};
+
+use crate::{
+    admit::{self, Admission, AdmissionEvent, Waiter},
+    answer::Attempt,
+    claim::{Issuer, Runner},
+    config, fold, holder, journal, member,
+    message::Holder,
+    recovery,
+    request,
+    retry,
+    route::{self, Router},
+    table::{Op, Outcome},
+    ticket,
+    timeline::{Entry, Step},
+};
+
+/// Time for which a host that holds nothing any more still answers other hosts, so that they can
+/// move the copies of their journals elsewhere.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+/// Settings of a host.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Host name.
+    pub host: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Incarnation of this process; greater than those of all earlier ones.
+    pub incarnation: u64,
+    /// Address of the own peer port, `ip:port`.
+    pub address: Arc<str>,
+    /// Peer ports of hosts to contact while no other is known.
+    pub seeds: Vec<Arc<str>>,
+    /// Secret that all hosts of the fleet share.
+    pub secret: Vec<u8>,
+    /// Key drawn at the start of the process.
+    pub key: [u8; 32],
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Requests in progress at once.
+    pub max_requests: usize,
+    /// Time that requests in progress get to finish while the host leaves.
+    pub drain: Duration,
+}
+
+impl Settings {
+    /// Returns the name of the process, `host.incarnation`.
+    pub fn holder(&self) -> Holder {
+        format!("{}.{}", self.host, self.incarnation).into()
+    }
+}
+
+/// Figures of a host for status and metrics.
+#[derive(Debug, Clone)]
+pub struct Figures {
+    /// It takes requests.
+    pub ready: bool,
+    /// State in one word.
+    pub state: &'static str,
+    /// Configuration revision in force.
+    pub revision: u64,
+    /// Hosts heard of lately.
+    pub members: u64,
+    /// Requests in progress.
+    pub requests: u64,
+    /// Tokens that this host may spend.
+    pub held_tokens: u64,
+    /// Tokens set aside for requests in progress.
+    pub reserved_tokens: u64,
+}
+
+/// Decision that an operation of the table belongs to.
+#[derive(Debug, Clone)]
+enum Owner {
+    Holder(u64),
+    Recovery(u64),
+    Fold(u64),
+    Follower,
+    Claims(Holder),
+    Announce,
+}
+
+/// What a run at a back end is for.
+#[derive(Debug, Clone)]
+enum Purpose {
+    Stream { request: request::Id, attempt: Attempt, backend: Arc<str> },
+    Call { request: request::Id, backend: Arc<str> },
+}
+
+/// How far a host is with leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    /// Finishes requests until then at the latest.
+    Finishing {
+        until: Duration,
+    },
+    Returning,
+    Lingering {
+        until: Duration,
+    },
+    Stopped,
+}
+
+/// All decisions of one host.
+#[derive(Debug)]
+pub struct Host {
+    settings: Settings,
+    id: Holder,
+    now: Duration,
+    out: Vec<Action>,
+    stage: Stage,
+    fenced: bool,
+    catalog: Catalog,
+    follower: config::Follower,
+    members: member::Table,
+    peers: Vec<holder::Peer>,
+    holder: holder::Holder,
+    replica: journal::Replica,
+    recovery: recovery::Recovery,
+    fold: fold::Fold,
+    issuer: Issuer,
+    runner: Runner,
+    admission: Admission,
+    retries: retry::Budget,
+    ticket_key: ticket::Key,
+    operations: BTreeMap<Operation, Owner>,
+    next_operation: Operation,
+    runs: BTreeMap<Run, Purpose>,
+    next_run: Run,
+    numbered: u64,
+    models: BTreeMap<request::Id, model::Request>,
+    calls: BTreeMap<request::Id, plain::Request>,
+    tickets: BTreeMap<Caller, plain::Ticketed>,
+    callers: BTreeMap<Caller, request::Id>,
+    waiters: BTreeMap<Waiter, request::Id>,
+    waiting: BTreeMap<request::Id, Waiter>,
+    next_waiter: Waiter,
+    timers: BTreeSet<(Duration, request::Id)>,
+    inquiries: BTreeMap<request::Id, VecDeque<model::Inquiry>>,
+    announced: bool,
+}
+
+impl Host {
+    /// Opens a host that knows nothing yet.
+    pub fn open(settings: Settings) -> Self {
+        let id = settings.holder();
+        let holder_settings = holder::Settings {
+            id: id.clone(),
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            seed: settings.seed,
+        };
+        let member_settings = member::Settings {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            address: settings.address.clone(),
+            incarnation: settings.incarnation,
+            seeds: settings.seeds.clone(),
+        };
+        let router = Router::open(route::Setting::new(settings.zone.clone(), settings.seed));
+        Self {
+            now: Duration::ZERO,
+            out: Vec::new(),
+            stage: Stage::Serving,
+            fenced: false,
+            catalog: Catalog::new(settings.key),
+            follower: config::Follower::new(fleet::validate),
+            members: member::Table::new(member_settings),
+            peers: Vec::new(),
+            holder: holder::Holder::open(holder_settings),
+            replica: journal::Replica::default(),
+            recovery: recovery::Recovery::open(id.clone(), settings.seed),
+            fold: fold::Fold::open(),
+            issuer: Issuer::open(id.clone()),
+            runner: Runner::open(id.clone()),
+            admission: Admission::open(admit::Setting::default(), router),
+            retries: retry::Budget::open(retry::Setting::default(), settings.seed),
+            ticket_key: ticket::Key::derive(&settings.secret),
+            operations: BTreeMap::new(),
+            next_operation: 1,
+            runs: BTreeMap::new(),
+            next_run: 1,
+            numbered: 0,
+            models: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next_waiter: 1,
+            timers: BTreeSet::new(),
+            inquiries: BTreeMap::new(),
+            announced: false,
+            id,
+            settings,
+        }
+    }
+
+    /// Takes an event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        self.take(event);
+        actions.append(&mut self.out);
+    }
+
+    /// Returns the name of the process, `host.incarnation`.
+    pub fn id(&self) -> &Holder {
+        &self.id
+    }
+
+    /// Returns the figures for status and metrics.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            ready: self.ready(),
+            state: self.state(),
+            revision: self.follower.revision(),
+            members: self.members.reachable().count() as u64,
+            requests: self.callers.len() as u64,
+            held_tokens: 0,
+            reserved_tokens: 0,
+        }
+    }
+
+    /// Returns whether a bearer token belongs to an operator.
+    pub fn is_operator(&self, token: &str) -> bool {
+        self.catalog.is_operator(token)
+    }
+
+    fn ready(&self) -> bool {
+        self.stage == Stage::Serving && !self.fenced && self.follower.ready()
+    }
+
+    fn state(&self) -> &'static str {
+        match self.stage {
+            _ if self.fenced => "fenced",
+            Stage::Serving if self.follower.ready() => "serving",
+            Stage::Serving => "starting",
+            Stage::Finishing { .. } => "finishing",
+            Stage::Returning => "returning",
+            Stage::Lingering { .. } => "lingering",
+            Stage::Stopped => "stopped",
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Call(call) => self.call(call),
+            Event::Ticket { caller, token } => self.issue(caller, &token),
+            Event::Left { caller } => self.left(caller),
+            Event::Backend { run, report } => self.report(run, report),
+            Event::Load { backend, load } => self.load(backend, load),
+            Event::Cache { backend, changes, next } => self.cache(backend, &changes, next),
+            Event::Table { operation, outcome } => self.table_done(operation, outcome),
+            Event::Hosts(listed) => {
+                self.backends_listed(&listed);
+                self.member_event(member::Event::HostList(listed));
+            }
+            Event::Message { from, address, message } => self.message(from, address, message),
+            Event::Unreachable { address } => self.unreachable(&address),
+            Event::Held { stream, held } => self.held(stream, held),
+            Event::Tick => self.tick(),
+            Event::Drain => self.drain(),
+        }
+    }
+
+    fn call(&mut self, call: Call) {
+        let caller = call.caller;
+        if let Some(problem) = self.closed() {
+            return self.refuse(caller, None, problem);
+        }
+        match intake::check(&self.catalog, &call) {
+            Ok(work) => self.start(caller, work),
+            Err(problem) => self.refuse(caller, None, problem),
+        }
+    }
+
+    /// Returns why no request is taken now.
+    fn closed(&self) -> Option<Problem> {
+        if self.fenced {
+            return Some(problem::not_ready("this host was taken for dead and restarts"));
+        }
+        if self.stage != Stage::Serving {
+            return Some(problem::not_ready("this host is leaving"));
+        }
+        if !self.follower.ready() {
+            return Some(problem::not_ready("this host has no configuration yet"));
+        }
+        if self.callers.len() >= self.settings.max_requests {
+            let wait = Duration::from_secs(1);
+            let detail = "too many requests in progress";
+            return Some(problem::later(503, "overloaded", detail, wait));
+        }
+        None
+    }
+
+    fn start(&mut self, caller: Caller, work: intake::Work) {
+        match work.ask {
+            intake::Ask::Model(_) => self.start_model(caller, work),
+            intake::Ask::Call { .. } => self.start_call(caller, work),
+        }
+    }
+
+    /// Returns the id of a request that is not bound to a ticket.
+    fn request_id(&mut self, work: &intake::Work) -> request::Id {
+        match &work.key {
+            Some(key) => request::Id::keyed(&work.workspace, key),
+            None => {
+                self.numbered += 1;
+                request::Id::numbered(&self.id, self.numbered)
+            }
+        }
+    }
+
+    fn refuse(&mut self, caller: Caller, request: Option<request::Id>, problem: Problem) {
+        self.callers.remove(&caller);
+        let detail = format!("code={} outcome={}", problem.code, problem.outcome.as_str());
+        self.note(request, Step::Refused, "", detail);
+        self.out.push(Action::Fail { caller, problem });
+    }
+
+    fn left(&mut self, caller: Caller) {
+        let Some(request) = self.callers.remove(&caller) else { return };
+        if self.models.contains_key(&request) {
+            self.leave_model(request, caller);
+        }
+        self.leave_call(request, caller);
+    }
+
+    fn report(&mut self, run: Run, report: Report) {
+        let last = !matches!(report, Report::Piece { .. });
+        let purpose = match last {
+            true => self.runs.remove(&run),
+            false => self.runs.get(&run).cloned(),
+        };
+        match purpose {
+            Some(Purpose::Stream { request, attempt, backend }) => {
+                self.stream_report(request, attempt, &backend, report);
+            }
+            Some(Purpose::Call { request, backend }) => {
+                self.call_report(request, &backend, report);
+            }
+            None => {}
+        }
+    }
+
+    fn open_run(&mut self, purpose: Purpose) -> Run {
+        let run = self.next_run;
+        self.next_run += 1;
+        self.runs.insert(run, purpose);
+        run
+    }
+
+    fn table(&mut self, owner: Owner, op: Op) {
+        let operation = self.next_operation;
+        self.next_operation += 1;
+        self.operations.insert(operation, owner);
+        self.out.push(Action::Table { operation, op });
+    }
+
+    fn table_done(&mut self, operation: Operation, outcome: Outcome) {
+        let Some(owner) = self.operations.remove(&operation) else { return };
+        match owner {
+            Owner::Holder(id) => self.holder_event(holder::Event::Table { id, outcome }),
+            Owner::Recovery(id) => self.recovery_event(recovery::Event::Table { id, outcome }),
+            Owner::Fold(id) => self.fold_event(fold::Event::Table { id, outcome }),
+            Owner::Follower => self.follower_event(config::Event::Outcome(outcome)),
+            Owner::Claims(holder) => self.claims_read(holder, outcome),
+            Owner::Announce => self.announced &= matches!(outcome, Outcome::Committed(_)),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.member_event(member::Event::Tick);
+        self.follower_event(config::Event::Tick);
+        self.holder_event(holder::Event::Tick);
+        self.recovery_event(recovery::Event::Tick);
+        self.fold_event(fold::Event::Tick);
+        self.claim_tick();
+        self.admission_event(AdmissionEvent::Tick);
+        self.wake_streams();
+        self.announce();
+        self.advance();
+    }
+
+    fn drain(&mut self) {
+        if self.stage != Stage::Serving {
+            return;
+        }
+        self.note(None, Step::Draining, "", String::new());
+        self.member_event(member::Event::Leave);
+        self.stage = Stage::Finishing { until: self.now + self.settings.drain };
+        self.advance();
+    }
+
+    /// Takes the next step of leaving once the current one is done.
+    fn advance(&mut self) {
+        match self.stage {
+            Stage::Finishing { until } if self.idle() || self.now >= until => {
+                self.stage = Stage::Returning;
+                self.holder_event(holder::Event::Drain);
+            }
+            Stage::Lingering { until } if self.now >= until => {
+                self.stage = Stage::Stopped;
+                self.note(None, Step::Stopped, "", String::new());
+                self.out.push(Action::Stopped);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether no request is in progress and no outcome of one is still to be kept.
+    fn idle(&self) -> bool {
+        self.callers.is_empty() && self.calls.is_empty() && self.runner.running() == 0
+            && self.models.values().all(model::Request::ended)
+    }
+
+    fn note(
+        &mut self,
+        request: Option<request::Id>,
+        step: Step,
+        peer: impl Into<Arc<str>>,
+        detail: String,
+    ) {
+        let (peer, detail) = (peer.into(), detail.into());
+        self.out.push(Action::Note(Entry { request, step, peer, cause: None, detail }));
+    }
+}
--- a/crates/coordination/src/host/catalog.rs
+++ b/crates/coordination/src/host/catalog.rs
@@ -32,6 +32,10 @@
     Backend(Backend),
     /// A back end was deleted.
     BackendDeleted(Arc<str>),
+    /// A route was made or changed.
+    Route(Route),
+    /// A route was deleted.
+    RouteDeleted(Arc<str>),
 }
 
 impl Catalog {
@@ -72,7 +76,8 @@
                 return Change::Backend(backend);
             }
             Record::Route(route) => {
-                self.routes.insert(route.name.clone(), route);
+                self.routes.insert(route.name.clone(), route.clone());
+                return Change::Route(route);
             }
             Record::Operator(operator) => {
                 self.operators.set(&operator.name, &operator.token_hashes);
@@ -97,6 +102,7 @@
             }
             Kind::Route => {
                 self.routes.remove(name);
+                return Change::RouteDeleted(name.into());
             }
             Kind::Operator => self.operators.remove(name),
         }
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -204,6 +204,8 @@
 pub struct CacheChange {
     /// Number of the change at the back end.
     pub number: u64,
+    /// Model that it was computed with.
+    pub model: Arc<str>,
     /// Prefix hash.
     pub prefix: Arc<str>,
     /// It was added, not evicted.
--- /dev/null
+++ b/crates/coordination/src/host/fleet.rs
@@ -0,0 +1,236 @@
+//! Other hosts, and the configuration that all share.
+
+use std::sync::Arc;
+
+use super::{
+    Host, Owner, Stage,
+    action::Action,
+    catalog::Change,
+    money::host_of,
+};
+use crate::{
+    claim::{IssuerEvent, RunnerEvent},
+    config, holder, member,
+    message::{Holder, Member, Message, State},
+    record, recovery,
+    route::RouterEvent,
+    table::{Op, Row, Txn, Write},
+    timeline::Step,
+};
+
+/// Returns why a row can't come into force.
+pub(super) fn validate(row: &Row) -> Result<(), String> {
+    let Some(value) = &row.value else { return Ok(()) };
+    record::parse(&row.key, value).map(drop).map_err(|fault| fault.to_string())
+}
+
+impl Host {
+    pub(super) fn message(&mut self, from: Holder, address: Arc<str>, message: Message) {
+        match message {
+            Message::Append(_) | Message::Seal { .. } => self.journal_message(address, message),
+            Message::Appended { .. }
+            | Message::AppendRefused { .. }
+            | Message::TransferAsk { .. }
+            | Message::Transfer { .. } => {
+                self.holder_event(holder::Event::Message { from, message });
+            }
+            Message::TransferAck { .. } => {
+                let event = holder::Event::Message { from: from.clone(), message: message.clone() };
+                self.holder_event(event);
+                self.recovery_event(recovery::Event::Message { from, message });
+            }
+            Message::Sealed(_) => self.recovery_event(recovery::Event::Message { from, message }),
+            Message::Locate { .. } | Message::Located { .. } => {}
+            Message::Claim { .. }
+            | Message::ClaimReply { .. }
+            | Message::ClaimOutcome { .. }
+            | Message::ClaimOutcomeAck { .. } => self.claim_message(from, message),
+            Message::Heartbeat(heartbeat) => {
+                self.member_event(member::Event::Heartbeat { from, address, heartbeat });
+            }
+            Message::ConfigAsk { after } => {
+                self.follower_event(config::Event::Ask { address, after });
+            }
+            Message::ConfigRows { rows, through } => {
+                self.follower_event(config::Event::Rows { rows, through });
+            }
+        }
+    }
+
+    pub(super) fn unreachable(&mut self, address: &str) {
+        let found = self.members.members().find(|member| *member.address == *address);
+        let Some(holder) = found.map(process) else { return };
+        self.runner_event(RunnerEvent::Unreachable(holder));
+    }
+
+    pub(super) fn send_to(&mut self, holder: &Holder, message: Message) {
+        let host = host_of(holder);
+        let Some(member) = self.members.get(&host) else { return };
+        if process(member) != *holder {
+            return;
+        }
+        let address = member.address.clone();
+        self.out.push(Action::Send { address, message });
+    }
+
+    pub(super) fn send_to_host(&mut self, host: &str, message: Message) {
+        let Some(member) = self.members.get(host) else { return };
+        let address = member.address.clone();
+        self.out.push(Action::Send { address, message });
+    }
+
+    pub(super) fn member_event(&mut self, event: member::Event) {
+        let mut actions = Vec::new();
+        self.members.handle(self.now, event, &mut actions);
+        let mut changed = false;
+        for action in actions {
+            match action {
+                member::Action::Send { to, message } => {
+                    self.out.push(Action::Datagram { address: to, message });
+                }
+                member::Action::Changed(member) => {
+                    changed = true;
+                    self.member_changed(&member);
+                }
+            }
+        }
+        if changed {
+            self.peers_changed();
+        }
+    }
+
+    fn member_changed(&mut self, member: &Member) {
+        let Member { host, address, incarnation, state, revision, .. } = member;
+        if *host == self.settings.host {
+            return;
+        }
+        let heard = config::Event::Heard { address: address.clone(), revision: *revision };
+        self.follower_event(heard);
+        let old = self.peers.iter().find(|peer| peer.host == *host).map(|peer| peer.id.clone());
+        let current = process(member);
+        if let Some(old) = old
+            && (old != current || *state == State::Gone)
+        {
+            self.process_gone(&old);
+        }
+        if *state == State::Gone {
+            self.process_gone(&current);
+        }
+        let detail = format!("state={state:?} incarnation={incarnation}");
+        self.note(None, Step::MemberChanged, host.clone(), detail);
+    }
+
+    fn process_gone(&mut self, holder: &Holder) {
+        self.issuer_event(IssuerEvent::Gone(holder.clone()));
+        self.recovery_event(recovery::Event::Gone(holder.clone()));
+        self.recovery_event(recovery::Event::Dead(holder.clone()));
+    }
+
+    fn peers_changed(&mut self) {
+        let own = self.settings.host.clone();
+        let others = self.members.members().filter(|member| member.host != own);
+        let known = others.filter(|member| member.state != State::Gone);
+        self.peers = known.map(peer).collect();
+        let serving = self.members.reachable().count() + 1;
+        let hosts = u32::try_from(serving).unwrap_or(u32::MAX);
+        self.router_event(RouterEvent::Hosts(hosts));
+        self.holder_event(holder::Event::Peers(self.peers.clone()));
+    }
+
+    pub(super) fn follower_event(&mut self, event: config::Event) {
+        let mut actions = Vec::new();
+        self.follower.handle(self.now, event, &mut actions);
+        let mut backends = false;
+        for action in actions {
+            match action {
+                config::Action::Read(op) => self.table(Owner::Follower, op),
+                config::Action::Send { to, message } => {
+                    self.out.push(Action::Send { address: to, message });
+                }
+                config::Action::Apply(row) => backends |= self.apply(&row),
+                config::Action::Invalid { row, reason } => {
+                    let detail = format!("record={} reason={reason:?}", row.key);
+                    self.note(None, Step::RecordInvalid, "", detail);
+                }
+                config::Action::Advanced(revision) => self.advanced(revision),
+            }
+        }
+        if backends {
+            self.watch();
+        }
+    }
+
+    fn advanced(&mut self, revision: u64) {
+        self.note(None, Step::Configured, "", format!("revision={revision}"));
+        self.member_event(member::Event::Revision(revision));
+    }
+
+    /// Puts a row into force; returns whether it changed the back ends.
+    fn apply(&mut self, row: &Row) -> bool {
+        match self.catalog.apply(row) {
+            Change::None => false,
+            Change::Budget(budget) => {
+                self.holder_event(holder::Event::Budget(budget));
+                false
+            }
+            Change::BudgetDeleted(name) => {
+                self.holder_event(holder::Event::BudgetDeleted(name));
+                false
+            }
+            Change::Route(route) => {
+                self.router_event(RouterEvent::Route(route));
+                false
+            }
+            Change::RouteDeleted(name) => {
+                self.router_event(RouterEvent::RouteDeleted(name));
+                false
+            }
+            Change::Backend(backend) => {
+                self.router_event(RouterEvent::Backend(backend));
+                true
+            }
+            Change::BackendDeleted(name) => {
+                self.router_event(RouterEvent::BackendDeleted(name));
+                true
+            }
+        }
+    }
+
+    /// Names the engines whose reports are to be read.
+    fn watch(&mut self) {
+        let engines = self.catalog.backends().filter(|b| b.role == record::Role::Engine);
+        let backends = engines.map(|b| (b.name.clone(), b.address.clone())).collect();
+        self.out.push(Action::Watch { backends });
+    }
+
+    /// Writes where this host can be asked, once it serves.
+    pub(super) fn announce(&mut self) {
+        if self.announced || self.stage != Stage::Serving || !self.follower.ready() {
+            return;
+        }
+        self.announced = true;
+        let value = serde_json::json!({
+            "address": self.settings.address,
+            "holder": self.id,
+            "zone": self.settings.zone,
+        });
+        let key = format!("member/{}", self.settings.host).into();
+        let write = Write { key, value: Some(value.to_string().into()) };
+        let txn = Txn { checks: Vec::new(), writes: vec![write] };
+        self.table(Owner::Announce, Op::Commit(txn));
+    }
+}
+
+fn peer(member: &Member) -> holder::Peer {
+    holder::Peer {
+        id: process(member),
+        host: member.host.clone(),
+        zone: member.zone.clone(),
+        reachable: member.state == State::Alive,
+    }
+}
+
+/// Returns the name of a member's process.
+fn process(member: &Member) -> Holder {
+    format!("{}.{}", member.host, member.incarnation).into()
+}
--- /dev/null
+++ b/crates/coordination/src/host/intake.rs
@@ -0,0 +1,129 @@
+//! Checks a caller's request against the records in force.
+
+use std::sync::Arc;
+
+use super::{
+    action::Problem,
+    catalog::Catalog,
+    event::Call,
+    problem::refused,
+};
+use crate::{prefix, record::Model, record::Route, request::Class};
+
+/// Bytes of a prompt that make a token; a prompt's last token may cover fewer.
+pub const PROMPT_BYTES_PER_TOKEN: u64 = 4;
+
+/// A request that the records allow.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Workspace that pays for it.
+    pub workspace: Arc<str>,
+    /// Route that serves it.
+    pub route: Arc<str>,
+    /// Back ends that serve the route.
+    pub backends: Vec<Arc<str>>,
+    /// Class.
+    pub class: Class,
+    /// Budget that is charged.
+    pub budget: Arc<str>,
+    /// Tokens that it takes at most.
+    pub worst: u64,
+    /// Idempotency key or ticket.
+    pub key: Option<Arc<str>>,
+    /// Longest time that it may take, in milliseconds.
+    pub timeout_ms: u64,
+    /// What it asks for.
+    pub ask: Ask,
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    /// Tokens from a model.
+    Model(Prompt),
+    /// A call of a plain service.
+    Call {
+        /// JSON body.
+        body: Arc<str>,
+        /// The call may be repeated.
+        idempotent: bool,
+    },
+}
+
+/// A prompt for a model.
+#[derive(Debug, Clone)]
+pub struct Prompt {
+    /// Model.
+    pub model: Model,
+    /// Text.
+    pub text: Arc<str>,
+    /// Greatest number of tokens to generate.
+    pub max_tokens: u64,
+    /// Prefixes, shortest first.
+    pub prefixes: Vec<prefix::Key>,
+}
+
+/// Returns the work that a call asks for.
+///
+/// # Errors
+///
+/// Returns the problem to tell the caller.
+pub fn check(catalog: &Catalog, call: &Call) -> Result<Work, Problem> {
+    let workspace = catalog
+        .workspace(&call.token)
+        .ok_or_else(|| refused(401, "unauthorized", "the token belongs to no workspace"))?;
+    let route = catalog
+        .route(&call.service)
+        .ok_or_else(|| refused(404, "unknown_service", "no such service"))?;
+    let budget = match &call.budget {
+        Some(name) => workspace.budgets.iter().find(|budget| *budget == name),
+        None => workspace.budgets.first(),
+    };
+    let budget = budget
+        .filter(|name| {
+            catalog.budget(name).is_some_and(|budget| budget.workspace == workspace.name)
+        })
+        .ok_or_else(|| refused(404, "unknown_budget", "the workspace has no such budget"))?;
+    let (ask, worst) = match &route.model {
+        Some(model) => prompt(call, route, model)?,
+        None => plain(call, route)?,
+    };
+    Ok(Work {
+        workspace: workspace.name.clone(),
+        route: route.name.clone(),
+        backends: route.backends.clone(),
+        class: route.class,
+        budget: budget.clone(),
+        worst,
+        key: call.key.clone(),
+        timeout_ms: route.timeout_ms,
+        ask,
+    })
+}
+
+fn prompt(call: &Call, route: &Route, model: &Model) -> Result<(Ask, u64), Problem> {
+    if call.prompt.is_empty() {
+        return Err(refused(400, "bad_json", "expected a `prompt` that is not empty"));
+    }
+    let max_tokens = call.max_tokens.unwrap_or(route.max_tokens);
+    if max_tokens == 0 || max_tokens > route.max_tokens {
+        let detail = format!("expected `max_tokens` from 1 to {}", route.max_tokens);
+        return Err(refused(400, "bad_max_tokens", detail));
+    }
+    let worst = (call.prompt.len() as u64).div_ceil(PROMPT_BYTES_PER_TOKEN) + max_tokens;
+    let prefixes = prefix::keys(&model.name, call.prompt.as_bytes());
+    let text = call.prompt.clone();
+    Ok((Ask::Model(Prompt { model: model.clone(), text, max_tokens, prefixes }), worst))
+}
+
+fn plain(call: &Call, route: &Route) -> Result<(Ask, u64), Problem> {
+    if call.body.is_empty() {
+        return Err(refused(400, "bad_json", "expected an `input` for this service"));
+    }
+    if !route.idempotent && call.key.is_none() {
+        let detail = "expected a ticket as Idempotency-Key; POST /v1/tickets issues one";
+        return Err(refused(400, "ticket_required", detail));
+    }
+    let ask = Ask::Call { body: call.body.clone(), idempotent: route.idempotent };
+    Ok((ask, route.call_tokens))
+}
--- /dev/null
+++ b/crates/coordination/src/host/model.rs
@@ -0,0 +1,479 @@
+//! Requests to models: from the reservation to the whole answer.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    Host, Purpose,
+    action::{Action, Stream as Ask},
+    event::{Caller, Held, Refusal, Report, Run},
+    intake::{self, Prompt, Work},
+    problem,
+};
+use crate::{
+    answer::{
+        Attempt, Content, Failure, Line, Setting, Source, Stream, StreamAction, StreamEvent, Usage,
+    },
+    holder,
+    request::{self, Class},
+    route::{self, Query, RouterEvent},
+    ticket,
+    timeline::Step,
+};
+
+/// Time for which a back end that refused for want of room is left alone, where it says none.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest silence of a stream after its first line.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time between two looks at an ended stream that late callers may still join.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(61);
+
+/// A question to a back end about a stream.
+#[derive(Debug, Clone)]
+pub(super) enum Inquiry {
+    Probe { request: request::Id, backend: Arc<str> },
+    Cancel { request: request::Id, backend: Arc<str> },
+    Recovery,
+}
+
+/// A request to a model.
+#[derive(Debug)]
+pub(super) struct Request {
+    work: Work,
+    prompt: Prompt,
+    digest: [u8; 32],
+    /// Callers that wait for the reservation.
+    joining: Vec<Caller>,
+    stream: Option<Stream>,
+    began: BTreeSet<Caller>,
+    runs: BTreeMap<Attempt, Run>,
+    wake: Option<Duration>,
+    opened: Duration,
+}
+
+impl Request {
+    /// Returns whether nothing of it is in progress.
+    pub(super) fn ended(&self) -> bool {
+        self.stream.as_ref().is_some_and(Stream::ended)
+    }
+}
+
+impl Host {
+    pub(super) fn start_model(&mut self, caller: Caller, work: Work) {
+        let intake::Ask::Model(prompt) = work.ask.clone() else { return };
+        let id = self.request_id(&work);
+        let digest = digest(&work, &prompt);
+        self.callers.insert(caller, id);
+        self.note(Some(id), Step::Accepted, "", format!("service={}", work.route));
+        if self.models.contains_key(&id) {
+            return self.join(id, caller, digest);
+        }
+        let reserve = holder::Reserve {
+            request: id,
+            budget: work.budget.clone(),
+            tokens: work.worst,
+            class: work.class,
+            backend: Arc::from(""),
+        };
+        let request = Request {
+            work,
+            prompt,
+            digest,
+            joining: vec![caller],
+            stream: None,
+            began: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            wake: None,
+            opened: self.now,
+        };
+        self.models.insert(id, request);
+        self.holder_event(holder::Event::Reserve(reserve));
+    }
+
+    fn join(&mut self, id: request::Id, caller: Caller, digest: [u8; 32]) {
+        let Some(request) = self.models.get_mut(&id) else { return };
+        if request.stream.is_some() {
+            return self.stream_event(id, StreamEvent::Join { caller, digest });
+        }
+        if request.digest != digest {
+            return self.refuse(caller, Some(id), problem::mismatch());
+        }
+        request.joining.push(caller);
+    }
+
+    /// Starts the stream of a request whose reservation stands.
+    pub(super) fn open_stream(&mut self, id: request::Id) {
+        let Some(request) = self.models.get_mut(&id) else { return };
+        let joining = std::mem::take(&mut request.joining);
+        let Some((&first, others)) = joining.split_first() else {
+            self.models.remove(&id);
+            return self.holder_event(holder::Event::Release { request: id });
+        };
+        let setting = Setting {
+            request: id,
+            digest: request.digest,
+            class: request.work.class,
+            keyed: request.work.key.is_some(),
+            max_tokens: request.prompt.max_tokens,
+            deadline: request.opened + Duration::from_millis(request.work.timeout_ms),
+            first_timeout: first_timeout(request.work.class),
+            idle_timeout: IDLE_TIMEOUT,
+        };
+        let digest = request.digest;
+        let mut actions = Vec::new();
+        request.stream = Some(Stream::open(setting, first, &mut self.retries, &mut actions));
+        self.stream_actions(id, actions);
+        for &caller in others {
+            self.stream_event(id, StreamEvent::Join { caller, digest });
+        }
+        self.rest(id);
+    }
+
+    /// Ends a request whose reservation was refused.
+    pub(super) fn refuse_model(&mut self, id: request::Id, problem: &super::action::Problem) {
+        let Some(request) = self.models.remove(&id) else { return };
+        for caller in request.joining {
+            self.refuse(caller, Some(id), problem.clone());
+        }
+    }
+
+    pub(super) fn leave_model(&mut self, id: request::Id, caller: Caller) {
+        let Some(request) = self.models.get_mut(&id) else { return };
+        request.began.remove(&caller);
+        if request.stream.is_some() {
+            return self.stream_event(id, StreamEvent::Leave(caller));
+        }
+        request.joining.retain(|waiting| *waiting != caller);
+        if request.joining.is_empty() {
+            self.models.remove(&id);
+            self.holder_event(holder::Event::Release { request: id });
+        }
+    }
+
+    pub(super) fn chosen(&mut self, id: request::Id, backend: Arc<str>) {
+        self.stream_event(id, StreamEvent::Chosen(backend));
+    }
+
+    pub(super) fn not_chosen(&mut self, id: request::Id, retry_after: Duration) {
+        self.stream_event(id, StreamEvent::NoBackend { retry_after });
+    }
+
+    pub(super) fn stream_report(
+        &mut self,
+        id: request::Id,
+        attempt: Attempt,
+        backend: &Arc<str>,
+        report: Report,
+    ) {
+        let event = match report {
+            Report::Piece { request, attempt, offset, token } => {
+                line(&request, attempt, Content::Piece { offset, token })
+            }
+            Report::End { request, attempt: named, tokens, prompt_tokens } => {
+                let end = line(&request, named, Content::End { tokens, prompt_tokens });
+                self.stream_events(id, end);
+                Some(StreamEvent::Closed(attempt))
+            }
+            Report::Refused { reason, retry_after_ms } => {
+                let retry_after = retry_after_ms.map(Duration::from_millis);
+                self.refused_by(id, backend, reason, retry_after);
+                Some(StreamEvent::Refused { attempt, retry_after })
+            }
+            Report::Failed { unsent: true, .. } => Some(StreamEvent::NotSent(attempt)),
+            Report::Failed { unsent: false, cause } => {
+                self.note(Some(id), Step::Failed, backend.clone(), format!("cause={cause:?}"));
+                Some(StreamEvent::Closed(attempt))
+            }
+            Report::Answer { .. } => Some(StreamEvent::Closed(attempt)),
+        };
+        self.stream_events(id, event);
+    }
+
+    fn stream_events(&mut self, id: request::Id, event: Option<StreamEvent>) {
+        let Some(event) = event else { return };
+        self.stream_event(id, event);
+    }
+
+    fn refused_by(
+        &mut self,
+        id: request::Id,
+        backend: &Arc<str>,
+        reason: Refusal,
+        retry_after: Option<Duration>,
+    ) {
+        let refusal = match reason {
+            Refusal::Leaving => route::Refusal::Leaving,
+            Refusal::Model => match self.models.get(&id) {
+                Some(request) => route::Refusal::Model(request.prompt.model.clone()),
+                None => return,
+            },
+            Refusal::Full => route::Refusal::Busy(retry_after.unwrap_or(FULL_RETRY)),
+        };
+        self.router_event(RouterEvent::Refused(backend.clone(), refusal));
+    }
+
+    fn stream_event(&mut self, id: request::Id, event: StreamEvent) {
+        let now = self.now;
+        let Some(request) = self.models.get_mut(&id) else { return };
+        let Some(stream) = &mut request.stream else { return };
+        let mut actions = Vec::new();
+        stream.handle(now, event, &mut self.retries, &mut actions);
+        self.stream_actions(id, actions);
+        self.rest(id);
+    }
+
+    /// Sets the timer of a request, and lets go of what an ended one needs no more.
+    fn rest(&mut self, id: request::Id) {
+        let Some(request) = self.models.get_mut(&id) else { return };
+        let Some(stream) = &request.stream else { return };
+        let ended = stream.ended();
+        let wake = match ended {
+            true => Some(self.now + EXPIRY_INTERVAL),
+            false => stream.wake_at(),
+        };
+        let expired = stream.expired(self.now);
+        let old = std::mem::replace(&mut request.wake, wake);
+        if let Some(old) = old {
+            self.timers.remove(&(old, id));
+        }
+        if let Some(wake) = wake
+            && !expired
+        {
+            self.timers.insert((wake, id));
+        }
+        if expired {
+            self.models.remove(&id);
+        }
+    }
+
+    fn stream_actions(&mut self, id: request::Id, actions: Vec<StreamAction>) {
+        for action in actions {
+            self.stream_action(id, action);
+        }
+    }
+
+    fn stream_action(&mut self, id: request::Id, action: StreamAction) {
+        match action {
+            StreamAction::Choose { avoid } => self.choose(id, avoid),
+            StreamAction::Withdraw => self.withdraw(id),
+            StreamAction::Vacate(backend) => {
+                self.router_event(RouterEvent::Finished(backend));
+            }
+            StreamAction::Probe { backend, stream } => {
+                let inquiry = Inquiry::Probe { request: id, backend: backend.clone() };
+                self.inquire(&backend, stream, inquiry);
+            }
+            StreamAction::Open { backend, attempt, source } => {
+                self.open_attempt(id, backend, attempt, source);
+            }
+            StreamAction::Close(attempt) => self.close_attempt(id, attempt),
+            StreamAction::Cancel { backend, stream } => {
+                self.note(Some(id), Step::Cancelled, backend.clone(), String::new());
+                let inquiry = Inquiry::Cancel { request: id, backend: backend.clone() };
+                self.inquire(&backend, stream, inquiry);
+            }
+            StreamAction::Health { backend, served } => {
+                self.router_event(RouterEvent::Health { backend, served });
+            }
+            StreamAction::Deliver { caller, offset, token } => {
+                self.deliver(id, caller, offset, token);
+            }
+            StreamAction::Finish { caller, usage } => self.finish(id, caller, usage),
+            StreamAction::Fail { caller, failure } => self.fail(id, caller, &failure),
+            StreamAction::Settle(usage) => self.settle(id, usage),
+            StreamAction::Release => self.holder_event(holder::Event::Release { request: id }),
+        }
+    }
+
+    fn choose(&mut self, id: request::Id, avoid: Vec<Arc<str>>) {
+        let Some(request) = self.models.get(&id) else { return };
+        let query = Query {
+            route: request.work.route.clone(),
+            class: request.work.class,
+            aged: false,
+            prefixes: request.prompt.prefixes.clone(),
+            avoid,
+        };
+        let expires = request.opened + Duration::from_millis(request.work.timeout_ms);
+        self.ask_for_backend(id, query, expires);
+    }
+
+    fn open_attempt(
+        &mut self,
+        id: request::Id,
+        backend: Arc<str>,
+        attempt: Attempt,
+        source: Source,
+    ) {
+        let purpose = Purpose::Stream { request: id, attempt, backend: backend.clone() };
+        let run = self.open_run(purpose);
+        let Some(request) = self.models.get_mut(&id) else { return };
+        request.runs.insert(attempt, run);
+        let Some(address) = self.catalog.backend(&backend).map(|record| record.address.clone())
+        else {
+            return self.report(run, Report::Failed { unsent: true, cause: "no record".into() });
+        };
+        let ask = ask(request, attempt, source);
+        let step = if attempt == 1 { Step::Dispatched } else { Step::Resumed };
+        let detail = format!("attempt={attempt} offset={}", source.base + source.offset);
+        self.note(Some(id), step, backend, detail);
+        self.out.push(Action::Stream { run, address, stream: ask });
+    }
+
+    fn close_attempt(&mut self, id: request::Id, attempt: Attempt) {
+        let Some(request) = self.models.get_mut(&id) else { return };
+        let Some(run) = request.runs.remove(&attempt) else { return };
+        if self.runs.remove(&run).is_some() {
+            self.out.push(Action::Abandon { run });
+        }
+    }
+
+    fn inquire(&mut self, backend: &Arc<str>, stream: request::Id, inquiry: Inquiry) {
+        let cancels = matches!(inquiry, Inquiry::Cancel { .. });
+        let Some(record) = self.catalog.backend(backend) else {
+            return self.answer_inquiry(stream, inquiry, None);
+        };
+        let address = record.address.clone();
+        self.inquiries.entry(stream).or_default().push_back(inquiry);
+        self.out.push(match cancels {
+            true => Action::Cancel { address, stream },
+            false => Action::Inquire { address, stream },
+        });
+    }
+
+    /// Asks a back end, on behalf of a recovery, what a dead host's stream used.
+    pub(super) fn inquire_for_recovery(&mut self, backend: &Arc<str>, stream: request::Id) {
+        self.inquire(backend, stream, Inquiry::Recovery);
+    }
+
+    pub(super) fn held(&mut self, stream: request::Id, held: Option<Held>) {
+        let Some(queue) = self.inquiries.get_mut(&stream) else { return };
+        let inquiry = queue.pop_front();
+        if queue.is_empty() {
+            self.inquiries.remove(&stream);
+        }
+        let Some(inquiry) = inquiry else { return };
+        self.answer_inquiry(stream, inquiry, held);
+    }
+
+    fn answer_inquiry(&mut self, stream: request::Id, inquiry: Inquiry, held: Option<Held>) {
+        let usage = match held {
+            Some(Held::Stream(usage)) => Some(usage),
+            Some(Held::Nothing) | None => None,
+        };
+        match inquiry {
+            Inquiry::Probe { request, backend } => {
+                let stands = held.map(|held| matches!(held, Held::Stream(_)));
+                self.stream_event(request, StreamEvent::Probed { backend, stream, stands });
+            }
+            Inquiry::Cancel { request, backend } => {
+                self.stream_event(request, StreamEvent::Cancelled { backend, stream, usage });
+            }
+            Inquiry::Recovery => self.recovered_usage(stream, usage),
+        }
+    }
+
+    fn deliver(&mut self, id: request::Id, caller: Caller, offset: u64, token: Arc<str>) {
+        if self.begin(id, caller) && offset == 0 {
+            self.note(Some(id), Step::FirstToken, "", String::new());
+        }
+        self.out.push(Action::Token { caller, offset, token });
+    }
+
+    /// Starts the answer to a caller; returns whether it had not begun.
+    fn begin(&mut self, id: request::Id, caller: Caller) -> bool {
+        let Some(request) = self.models.get_mut(&id) else { return false };
+        let first = request.began.insert(caller);
+        if first {
+            self.out.push(Action::Begin { caller });
+        }
+        first
+    }
+
+    fn finish(&mut self, id: request::Id, caller: Caller, usage: Usage) {
+        self.begin(id, caller);
+        self.callers.remove(&caller);
+        let charged = self.charge(id, usage);
+        let Usage { prompt_tokens, tokens } = usage;
+        self.note(Some(id), Step::Answered, "", format!("tokens={tokens} charged={charged}"));
+        self.out.push(Action::End { caller, tokens, prompt_tokens, charged });
+    }
+
+    fn fail(&mut self, id: request::Id, caller: Caller, failure: &Failure) {
+        self.callers.remove(&caller);
+        let problem = problem::stream(failure);
+        let detail = format!("code={} outcome={}", problem.code, problem.outcome.as_str());
+        self.note(Some(id), Step::Failed, "", detail);
+        self.out.push(Action::Fail { caller, problem });
+    }
+
+    /// Returns the tokens that a request is charged: what it used, at most its reservation.
+    fn charge(&self, id: request::Id, usage: Usage) -> u64 {
+        let worst = self.models.get(&id).map_or(0, |request| request.work.worst);
+        usage.tokens.saturating_add(usage.prompt_tokens).min(worst)
+    }
+
+    fn settle(&mut self, id: request::Id, usage: Usage) {
+        let tokens = self.charge(id, usage);
+        self.note(Some(id), Step::Settled, "", format!("tokens={tokens}"));
+        self.holder_event(holder::Event::Settle { request: id, tokens });
+    }
+
+    pub(super) fn wake_streams(&mut self) {
+        while let Some(&(at, id)) = self.timers.first() {
+            if at > self.now {
+                return;
+            }
+            self.timers.pop_first();
+            self.stream_event(id, StreamEvent::Tick);
+        }
+    }
+}
+
+fn first_timeout(class: Class) -> Duration {
+    match class {
+        Class::Urgent => Duration::from_secs(10),
+        Class::Normal => Duration::from_secs(30),
+        Class::Long => Duration::from_secs(300),
+    }
+}
+
+fn digest(work: &Work, prompt: &Prompt) -> [u8; 32] {
+    let body = serde_json::json!([work.budget, prompt.max_tokens, prompt.text]).to_string();
+    ticket::digest(&work.route, body.as_bytes())
+}
+
+fn line(request: &str, attempt: Attempt, content: Content) -> Option<StreamEvent> {
+    let request = request::Id::try_from(request.to_owned()).ok()?;
+    Some(StreamEvent::Line(Line { request, attempt, content }))
+}
+
+fn ask(request: &Request, attempt: Attempt, source: Source) -> Ask {
+    let Source { stream, base, offset } = source;
+    let delivered = request.stream.as_ref().map_or(&[][..], Stream::delivered);
+    let base_tokens = usize::try_from(base).unwrap_or(usize::MAX).min(delivered.len());
+    let prompt = match base_tokens {
+        0 => request.prompt.text.clone(),
+        _ => {
+            let mut text = request.prompt.text.to_string();
+            text.extend(delivered[..base_tokens].iter().map(|token| &**token));
+            text.into()
+        }
+    };
+    Ask {
+        stream,
+        attempt,
+        model: request.prompt.model.name.clone(),
+        adapter: request.prompt.model.adapter.clone(),
+        version: request.prompt.model.version.clone(),
+        prompt,
+        max_tokens: request.prompt.max_tokens.saturating_sub(base),
+        class: request.work.class,
+        offset,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/host/money.rs
@@ -0,0 +1,143 @@
+//! Reservations, grants, recovery and the ledger of one host.
+
+use std::sync::Arc;
+
+use super::{Host, Owner, Stage, action::Action, problem};
+use crate::{
+    answer::Usage,
+    claim::IssuerEvent,
+    fold, holder,
+    message::Message,
+    recovery, request,
+    timeline::Step,
+};
+
+impl Host {
+    pub(super) fn holder_event(&mut self, event: holder::Event) {
+        let mut actions = Vec::new();
+        self.holder.handle(self.now, event, &mut actions);
+        self.holder_actions(actions);
+    }
+
+    pub(super) fn holder_actions(&mut self, actions: Vec<holder::Action>) {
+        for action in actions {
+            self.holder_action(action);
+        }
+    }
+
+    fn holder_action(&mut self, action: holder::Action) {
+        match action {
+            holder::Action::Reserved { request } => self.reserved(request),
+            holder::Action::Refused { request, reason, retry_after } => {
+                let problem = problem::reservation(reason, retry_after);
+                self.refuse_model(request, &problem);
+                self.refuse_call(request, problem);
+            }
+            holder::Action::Durable { through } => self.issuer_event(IssuerEvent::Durable(through)),
+            holder::Action::Table { id, op } => self.table(Owner::Holder(id), op),
+            holder::Action::Send { to, message } => self.send_to_host(&to, message),
+            holder::Action::Drained => {
+                if self.stage == Stage::Returning {
+                    self.stage = Stage::Lingering { until: self.now + super::LINGER };
+                }
+            }
+            holder::Action::Fenced => {
+                self.fenced = true;
+                self.note(None, Step::Sealed, "", String::new());
+                self.drain();
+            }
+            holder::Action::Note(note) => self.holder_note(note),
+        }
+    }
+
+    fn reserved(&mut self, request: request::Id) {
+        self.note(Some(request), Step::Reserved, "", String::new());
+        match self.calls.contains_key(&request) {
+            true => self.open_call(request),
+            false => self.open_stream(request),
+        }
+    }
+
+    fn holder_note(&mut self, note: holder::Note) {
+        let (step, peer, detail): (Step, Arc<str>, String) = match note {
+            holder::Note::Granted { budget, tokens } => {
+                (Step::Granted, "".into(), format!("budget={budget} tokens={tokens}"))
+            }
+            holder::Note::Returned { budget, tokens } => {
+                (Step::Returned, "".into(), format!("budget={budget} tokens={tokens}"))
+            }
+            holder::Note::Sent { budget, tokens, to } => {
+                (Step::TransferSent, host_of(&to), format!("budget={budget} tokens={tokens}"))
+            }
+            holder::Note::Received { budget, tokens, from } => {
+                let detail = format!("budget={budget} tokens={tokens}");
+                (Step::TransferReceived, host_of(&from), detail)
+            }
+            holder::Note::Flushed { segment, charges } => {
+                (Step::Billed, "".into(), format!("segment={segment} charges={charges}"))
+            }
+            holder::Note::Ensemble(replicas) => {
+                (Step::Replicated, "".into(), format!("replicas={}", replicas.join(",")))
+            }
+        };
+        self.note(None, step, peer, detail);
+    }
+
+    pub(super) fn recovery_event(&mut self, event: recovery::Event) {
+        let mut actions = Vec::new();
+        self.recovery.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                recovery::Action::Table { id, op } => self.table(Owner::Recovery(id), op),
+                recovery::Action::Send { to, message } => self.send_to_host(&to, message),
+                recovery::Action::Ask { request, backend } => {
+                    self.inquire_for_recovery(&backend, request);
+                }
+                recovery::Action::Closed(report) => self.recovered(&report),
+            }
+        }
+    }
+
+    fn recovered(&mut self, report: &recovery::Report) {
+        let recovery::Report { holder, settled, returned, stranded, .. } = report;
+        let detail = format!("settled={settled} returned={returned} stranded={stranded}");
+        self.replica.forget(holder);
+        self.note(None, Step::Recovered, host_of(holder), detail);
+    }
+
+    pub(super) fn recovered_usage(&mut self, request: request::Id, usage: Option<Usage>) {
+        let tokens = usage.map(|usage| usage.tokens.saturating_add(usage.prompt_tokens));
+        self.recovery_event(recovery::Event::Usage { request, tokens });
+    }
+
+    pub(super) fn fold_event(&mut self, event: fold::Event) {
+        if matches!(event, fold::Event::Tick) && !self.folds() {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.fold.handle(self.now, event, &mut actions);
+        for fold::Action::Table { id, op } in actions {
+            self.table(Owner::Fold(id), op);
+        }
+    }
+
+    /// Returns whether this host folds the ledger: the first of those heard of. Two that fold at
+    /// once cost reads, since a refund is written once.
+    fn folds(&self) -> bool {
+        self.ready() && self.members.reachable().all(|member| *member.host > *self.settings.host)
+    }
+
+    pub(super) fn journal_message(&mut self, address: Arc<str>, message: Message) {
+        let answer = match message {
+            Message::Append(append) => self.replica.append(append),
+            Message::Seal { holder } => self.replica.seal(&holder),
+            _ => return,
+        };
+        self.out.push(Action::Send { address, message: answer });
+    }
+}
+
+/// Returns the host of a process.
+pub(super) fn host_of(holder: &str) -> Arc<str> {
+    holder.rsplit_once('.').map_or(holder, |(host, _)| host).into()
+}
--- /dev/null
+++ b/crates/coordination/src/host/placement.rs
@@ -0,0 +1,103 @@
+//! Back ends for requests: the router's news and the admission of requests to it.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Host,
+    event::{CacheChange, Load},
+};
+use crate::{
+    admit::{AdmissionAction, AdmissionEvent, Waiter},
+    member::Listed,
+    prefix, request,
+    route::{self, Query, RouterEvent},
+};
+
+impl Host {
+    /// Asks for a back end; the answer reaches the request, at once or later.
+    pub(super) fn ask_for_backend(&mut self, id: request::Id, query: Query, expires: Duration) {
+        self.withdraw(id);
+        let waiter = self.next_waiter;
+        self.next_waiter += 1;
+        self.waiters.insert(waiter, id);
+        self.waiting.insert(id, waiter);
+        self.admission_event(AdmissionEvent::Ask { waiter, query, expires });
+    }
+
+    /// Takes back what a request asked for.
+    pub(super) fn withdraw(&mut self, id: request::Id) {
+        let Some(waiter) = self.waiting.remove(&id) else { return };
+        self.waiters.remove(&waiter);
+        self.admission_event(AdmissionEvent::Withdraw(waiter));
+    }
+
+    pub(super) fn admission_event(&mut self, event: AdmissionEvent) {
+        let mut actions = Vec::new();
+        self.admission.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                AdmissionAction::Place { waiter, backend } => self.placed(waiter, backend),
+                AdmissionAction::Refuse { waiter, retry_after, .. } => {
+                    self.not_placed(waiter, retry_after);
+                }
+                AdmissionAction::Router(route::RouterAction::Resync(_)) => {}
+            }
+        }
+    }
+
+    fn served(&mut self, waiter: Waiter) -> Option<request::Id> {
+        let id = self.waiters.remove(&waiter)?;
+        self.waiting.remove(&id);
+        Some(id)
+    }
+
+    fn placed(&mut self, waiter: Waiter, backend: Arc<str>) {
+        let Some(id) = self.served(waiter) else {
+            return self.router_event(RouterEvent::Finished(backend));
+        };
+        match self.calls.contains_key(&id) {
+            true => self.send_call(id, &backend),
+            false => self.chosen(id, backend),
+        }
+    }
+
+    fn not_placed(&mut self, waiter: Waiter, retry_after: Duration) {
+        let Some(id) = self.served(waiter) else { return };
+        match self.calls.contains_key(&id) {
+            true => self.call_not_placed(id, retry_after),
+            false => self.not_chosen(id, retry_after),
+        }
+    }
+
+    pub(super) fn router_event(&mut self, event: RouterEvent) {
+        self.admission_event(AdmissionEvent::Router(event));
+    }
+
+    pub(super) fn load(&mut self, backend: Arc<str>, load: Option<Load>) {
+        let Some(load) = load else { return };
+        let Load { queued, running, slots, leaving, .. } = load;
+        let load = route::Load { queued, running, slots, leaving };
+        self.router_event(RouterEvent::Load(backend, load));
+    }
+
+    /// Tells the router which back ends the platform's list takes out of service.
+    pub(super) fn backends_listed(&mut self, listed: &[Listed]) {
+        for entry in listed {
+            if self.catalog.backend(&entry.host).is_none() {
+                continue;
+            }
+            let leaving = entry.standing != crate::member::Standing::Live;
+            self.router_event(RouterEvent::Listed { backend: entry.host.clone(), leaving });
+        }
+    }
+
+    pub(super) fn cache(&mut self, backend: Arc<str>, changes: &[CacheChange], next: u64) {
+        let events = changes.iter().filter_map(|change| {
+            let key = prefix::Key::parse(&change.model, &change.prefix)?;
+            Some(prefix::Event { seq: change.number, key, cached: change.cached })
+        });
+        let events = events.collect();
+        let after = self.admission.router().cache_after(&backend);
+        self.router_event(RouterEvent::Cache { backend, after, events, next });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/host/plain.rs
@@ -0,0 +1,453 @@
+//! Calls of plain services, repeatable or run at most once by a ticket.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Host, Owner, Purpose,
+    action::{Action, Problem},
+    event::{Caller, Report},
+    intake::{self, Work},
+    problem,
+};
+use crate::{
+    claim::{
+        Ask, Call, IssuerAction, IssuerEvent, Outcome, Reach, Recovered, RunnerAction, RunnerEvent,
+        Transport,
+    },
+    escrow, holder,
+    message::{Entry, Holder, Message, State},
+    request,
+    route::{Query, RouterEvent},
+    table::{self, Op},
+    ticket::{self, Ticket},
+    timeline::Step,
+};
+
+/// Wait that a caller is told where no back end could be reached.
+const UNREACHED_RETRY: Duration = Duration::from_secs(1);
+
+/// Back ends tried for one call.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// A call that carries a ticket, until its outcome is known.
+#[derive(Debug)]
+pub(super) struct Ticketed {
+    work: Work,
+    /// Why it was not dispatched.
+    problem: Option<Problem>,
+}
+
+/// A call on its way to a back end.
+#[derive(Debug)]
+pub(super) struct Request {
+    work: Work,
+    body: Arc<str>,
+    /// Callers of a repeatable call; a call with a ticket is answered by its outcome.
+    callers: Vec<Caller>,
+    /// Caller whose ticket lets it run.
+    ticketed: Option<Caller>,
+    digest: [u8; 32],
+    avoid: Vec<Arc<str>>,
+    attempts: u32,
+    sent: bool,
+    deadline: Duration,
+}
+
+impl Host {
+    pub(super) fn start_call(&mut self, caller: Caller, work: Work) {
+        let intake::Ask::Call { body, idempotent } = work.ask.clone() else { return };
+        let digest = ticket::digest(&work.route, body.as_bytes());
+        match idempotent {
+            true => self.start_repeatable(caller, work, body, digest),
+            false => self.start_ticketed(caller, work, digest),
+        }
+    }
+
+    fn start_repeatable(
+        &mut self,
+        caller: Caller,
+        work: Work,
+        body: Arc<str>,
+        digest: [u8; 32],
+    ) {
+        let id = self.request_id(&work);
+        self.callers.insert(caller, id);
+        self.note(Some(id), Step::Accepted, "", format!("service={}", work.route));
+        if let Some(request) = self.calls.get_mut(&id) {
+            if request.digest != digest {
+                return self.refuse(caller, Some(id), problem::mismatch());
+            }
+            return request.callers.push(caller);
+        }
+        self.reserve_call(id, work, body, digest, vec![caller], None);
+    }
+
+    fn start_ticketed(&mut self, caller: Caller, work: Work, digest: [u8; 32]) {
+        let text = work.key.clone().unwrap_or_default();
+        let ticket = match Ticket::parse(&text, &work.workspace, &self.ticket_key) {
+            Ok(ticket) => ticket,
+            Err(error) => {
+                let problem = problem::refused(400, "bad_ticket", error.to_string());
+                return self.refuse(caller, None, problem);
+            }
+        };
+        let id = request::Id::keyed(&work.workspace, &text);
+        self.callers.insert(caller, id);
+        self.note(Some(id), Step::Accepted, "", format!("service={}", work.route));
+        let call = Call {
+            caller,
+            reach: self.reach(&ticket.holder),
+            ticket,
+            digest,
+            deadline: self.now + Duration::from_millis(work.timeout_ms),
+        };
+        self.tickets.insert(caller, Ticketed { work, problem: None });
+        self.runner_event(RunnerEvent::Call(call));
+    }
+
+    fn reach(&self, holder: &Holder) -> Reach {
+        if *holder == self.id {
+            return Reach::Reachable;
+        }
+        let Some((host, incarnation)) = holder.rsplit_once('.') else { return Reach::Gone };
+        let Some(member) = self.members.get(host) else { return Reach::Gone };
+        match member.state {
+            _ if member.incarnation.to_string() != incarnation => Reach::Gone,
+            State::Alive | State::Leaving => Reach::Reachable,
+            State::Suspect => Reach::Unreachable,
+            State::Gone => Reach::Gone,
+        }
+    }
+
+    fn reserve_call(
+        &mut self,
+        id: request::Id,
+        work: Work,
+        body: Arc<str>,
+        digest: [u8; 32],
+        callers: Vec<Caller>,
+        ticketed: Option<Caller>,
+    ) {
+        let reserve = holder::Reserve {
+            request: id,
+            budget: work.budget.clone(),
+            tokens: work.worst,
+            class: work.class,
+            backend: Arc::from(""),
+        };
+        let deadline = self.now + Duration::from_millis(work.timeout_ms);
+        let request = Request {
+            work,
+            body,
+            callers,
+            ticketed,
+            digest,
+            avoid: Vec::new(),
+            attempts: 0,
+            sent: false,
+            deadline,
+        };
+        self.calls.insert(id, request);
+        self.holder_event(holder::Event::Reserve(reserve));
+    }
+
+    /// Sends a call whose reservation stands.
+    pub(super) fn open_call(&mut self, id: request::Id) {
+        let Some(request) = self.calls.get(&id) else { return };
+        if request.ticketed.is_none() && request.callers.is_empty() {
+            return self.drop_call(id);
+        }
+        self.place_call(id);
+    }
+
+    /// Ends a call whose reservation was refused.
+    pub(super) fn refuse_call(&mut self, id: request::Id, problem: Problem) {
+        let Some(request) = self.remove_call(id) else { return };
+        self.end_unsent(id, request, problem);
+    }
+
+    pub(super) fn leave_call(&mut self, id: request::Id, caller: Caller) {
+        if self.tickets.remove(&caller).is_some() {
+            return self.runner_event(RunnerEvent::Left(caller));
+        }
+        let Some(request) = self.calls.get_mut(&id) else { return };
+        request.callers.retain(|waiting| *waiting != caller);
+        let idle = request.callers.is_empty() && !request.sent && request.ticketed.is_none();
+        if idle {
+            self.drop_call(id);
+        }
+    }
+
+    fn drop_call(&mut self, id: request::Id) {
+        self.remove_call(id);
+        self.holder_event(holder::Event::Release { request: id });
+    }
+
+    fn remove_call(&mut self, id: request::Id) -> Option<Request> {
+        self.withdraw(id);
+        self.calls.remove(&id)
+    }
+
+    fn place_call(&mut self, id: request::Id) {
+        let Some(request) = self.calls.get(&id) else { return };
+        let query = Query {
+            route: request.work.route.clone(),
+            class: request.work.class,
+            aged: false,
+            prefixes: Vec::new(),
+            avoid: request.avoid.clone(),
+        };
+        let expires = request.deadline;
+        self.ask_for_backend(id, query, expires);
+    }
+
+    pub(super) fn call_not_placed(&mut self, id: request::Id, retry_after: Duration) {
+        let detail = "no back end can take the call";
+        self.give_up(id, problem::later(503, "no_backend", detail, retry_after));
+    }
+
+    pub(super) fn send_call(&mut self, id: request::Id, backend: &Arc<str>) {
+        let purpose = Purpose::Call { request: id, backend: backend.clone() };
+        let run = self.open_run(purpose);
+        let Some(record) = self.catalog.backend(backend) else {
+            return self.report(run, Report::Failed { unsent: true, cause: "no record".into() });
+        };
+        let address = record.address.clone();
+        let Some(request) = self.calls.get_mut(&id) else { return };
+        request.sent = true;
+        request.attempts += 1;
+        let action = Action::Request {
+            run,
+            address,
+            service: request.work.route.clone(),
+            request: id,
+            body: request.body.clone(),
+            timeout_ms: request.work.timeout_ms,
+        };
+        let detail = format!("attempt={}", request.attempts);
+        self.note(Some(id), Step::Dispatched, backend.clone(), detail);
+        self.out.push(action);
+    }
+
+    /// Ends a call of which not a byte was sent.
+    fn give_up(&mut self, id: request::Id, problem: Problem) {
+        let Some(request) = self.remove_call(id) else { return };
+        self.holder_event(holder::Event::Release { request: id });
+        self.end_unsent(id, request, problem);
+    }
+
+    fn end_unsent(&mut self, id: request::Id, request: Request, problem: Problem) {
+        for caller in request.callers {
+            self.refuse(caller, Some(id), problem.clone());
+        }
+        let Some(caller) = request.ticketed else { return };
+        if let Some(ticketed) = self.tickets.get_mut(&caller) {
+            ticketed.problem = Some(problem);
+        }
+        self.runner_event(RunnerEvent::Ended { run: id, transport: Transport::NotSent });
+    }
+
+    pub(super) fn call_report(&mut self, id: request::Id, backend: &Arc<str>, report: Report) {
+        let served = matches!(report, Report::Answer { .. });
+        self.router_event(RouterEvent::Health { backend: backend.clone(), served });
+        self.router_event(RouterEvent::Finished(backend.clone()));
+        match report {
+            Report::Answer { status, body } => self.call_answered(id, status, body),
+            Report::Failed { unsent: true, cause } => self.call_unsent(id, backend, &cause),
+            Report::Failed { unsent: false, cause } => self.call_broken(id, backend, &cause),
+            Report::Piece { .. } | Report::End { .. } | Report::Refused { .. } => {
+                self.call_broken(id, backend, "unexpected answer");
+            }
+        }
+    }
+
+    fn call_answered(&mut self, id: request::Id, status: u16, body: Arc<str>) {
+        let Some(request) = self.remove_call(id) else { return };
+        self.settle_call(id, request.work.worst);
+        self.note(Some(id), Step::Answered, "", format!("status={status}"));
+        for caller in request.callers {
+            self.callers.remove(&caller);
+            self.out.push(Action::Answer { caller, status, body: body.clone() });
+        }
+        if request.ticketed.is_some() {
+            let transport = Transport::Answer { status, body };
+            self.runner_event(RunnerEvent::Ended { run: id, transport });
+        }
+    }
+
+    fn settle_call(&mut self, id: request::Id, tokens: u64) {
+        self.note(Some(id), Step::Settled, "", format!("tokens={tokens}"));
+        self.holder_event(holder::Event::Settle { request: id, tokens });
+    }
+
+    fn call_unsent(&mut self, id: request::Id, backend: &Arc<str>, cause: &str) {
+        self.note(Some(id), Step::Failed, backend.clone(), format!("sent=no cause={cause:?}"));
+        let Some(request) = self.calls.get_mut(&id) else { return };
+        request.sent = false;
+        request.avoid.push(backend.clone());
+        if request.attempts < MAX_ATTEMPTS && self.retries.spend() {
+            self.place_call(id);
+            return;
+        }
+        let detail = "no back end could be reached";
+        self.give_up(id, problem::later(503, "no_backend", detail, UNREACHED_RETRY));
+    }
+
+    fn call_broken(&mut self, id: request::Id, backend: &Arc<str>, cause: &str) {
+        self.note(Some(id), Step::Failed, backend.clone(), format!("sent=yes cause={cause:?}"));
+        let Some(request) = self.calls.get_mut(&id) else { return };
+        request.avoid.push(backend.clone());
+        let repeatable = request.ticketed.is_none();
+        if repeatable && request.attempts < MAX_ATTEMPTS && self.retries.spend() {
+            self.place_call(id);
+            return;
+        }
+        let Some(request) = self.remove_call(id) else { return };
+        if !repeatable {
+            // It may have run, so it is charged.
+            self.settle_call(id, request.work.worst);
+            let transport = Transport::Broken;
+            return self.runner_event(RunnerEvent::Ended { run: id, transport });
+        }
+        self.holder_event(holder::Event::Release { request: id });
+        for caller in request.callers {
+            self.callers.remove(&caller);
+            let failure = crate::answer::Failure::Incomplete { delivered: 0 };
+            self.out.push(Action::Fail { caller, problem: problem::stream(&failure) });
+        }
+    }
+
+    pub(super) fn issue(&mut self, caller: Caller, token: &str) {
+        if let Some(problem) = self.closed() {
+            return self.refuse(caller, None, problem);
+        }
+        let Some(workspace) = self.catalog.workspace(token).map(|found| found.name.clone()) else {
+            let detail = "the token belongs to no workspace";
+            return self.refuse(caller, None, problem::refused(401, "unauthorized", detail));
+        };
+        let ticket = self.issuer.issue(self.now);
+        let text = ticket.encode(&workspace, &self.ticket_key);
+        self.note(None, Step::TicketIssued, "", format!("number={}", ticket.number));
+        let body = serde_json::json!({ "ticket": text }).to_string().into();
+        self.out.push(Action::Answer { caller, status: 201, body });
+    }
+
+    pub(super) fn claim_tick(&mut self) {
+        self.runner_event(RunnerEvent::Tick);
+        self.issuer_event(IssuerEvent::Tick);
+    }
+
+    pub(super) fn runner_event(&mut self, event: RunnerEvent) {
+        let mut actions = Vec::new();
+        self.runner.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.runner_action(action);
+        }
+    }
+
+    fn runner_action(&mut self, action: RunnerAction) {
+        match action {
+            RunnerAction::Send(holder, message) => self.send_claim(&holder, message),
+            RunnerAction::Dispatch { caller, run, .. } => self.dispatch(caller, run),
+            RunnerAction::Reply(caller, outcome) => self.reply(caller, outcome),
+            RunnerAction::Recover(holder) => {
+                let keys = vec![escrow::holder_key(&holder), claims_key(&holder)];
+                self.table(Owner::Claims(holder), Op::Read(keys));
+            }
+        }
+    }
+
+    /// Sends a message about a claim, within this process where the receiver is its own holder.
+    fn send_claim(&mut self, holder: &Holder, message: Message) {
+        match *holder == self.id {
+            true => self.claim_message(self.id.clone(), message),
+            false => self.send_to(holder, message),
+        }
+    }
+
+    pub(super) fn claim_message(&mut self, from: Holder, message: Message) {
+        match message {
+            Message::Claim { ticket, digest, request } => {
+                self.issuer_event(IssuerEvent::Claim(Ask { from, ticket, digest, request }));
+            }
+            Message::ClaimOutcome { ticket, outcome } => {
+                self.issuer_event(IssuerEvent::Outcome { from, ticket, outcome });
+            }
+            Message::ClaimReply { ticket, request, verdict } => {
+                self.runner_event(RunnerEvent::Reply { from, ticket, request, verdict });
+            }
+            Message::ClaimOutcomeAck { ticket } => {
+                self.runner_event(RunnerEvent::Acked { from, ticket });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn issuer_event(&mut self, event: IssuerEvent) {
+        let mut actions = Vec::new();
+        self.issuer.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                IssuerAction::Append(entry) => self.append(entry),
+                IssuerAction::Send(holder, message) => self.send_claim(&holder, message),
+            }
+        }
+    }
+
+    fn append(&mut self, entry: Entry) {
+        let mut actions = Vec::new();
+        let number = self.holder.append(self.now, entry, &mut actions);
+        if let Some(number) = number {
+            self.issuer_event(IssuerEvent::Appended(number));
+        }
+        self.holder_actions(actions);
+    }
+
+    fn dispatch(&mut self, caller: Caller, run: request::Id) {
+        let Some(ticketed) = self.tickets.get(&caller) else {
+            return self
+                .runner_event(RunnerEvent::Ended { run, transport: Transport::NotSent });
+        };
+        let work = ticketed.work.clone();
+        let intake::Ask::Call { body, .. } = work.ask.clone() else { return };
+        let digest = ticket::digest(&work.route, body.as_bytes());
+        self.note(Some(run), Step::Claimed, "", String::new());
+        self.reserve_call(run, work, body, digest, Vec::new(), Some(caller));
+    }
+
+    fn reply(&mut self, caller: Caller, outcome: Outcome) {
+        let request = self.callers.remove(&caller);
+        let ticketed = self.tickets.remove(&caller);
+        let problem = match outcome {
+            Outcome::Answer { status, body } => {
+                self.note(request, Step::ClaimEnded, "", format!("status={status}"));
+                return self.out.push(Action::Answer { caller, status, body });
+            }
+            Outcome::NotRun => {
+                ticketed.and_then(|ticketed| ticketed.problem).unwrap_or_else(problem::spent)
+            }
+            Outcome::Unknown(doubt) => problem::doubt(doubt),
+            Outcome::Mismatch => problem::mismatch(),
+        };
+        self.refuse(caller, request, problem);
+    }
+
+    pub(super) fn claims_read(&mut self, holder: Holder, outcome: table::Outcome) {
+        let table::Outcome::Rows(rows) = outcome else { return };
+        let [registration, claims] = rows.as_slice() else { return };
+        let Ok(Some(registration)) = escrow::parse::<escrow::Registration>(registration) else {
+            return;
+        };
+        if registration.state != escrow::State::Closed {
+            return;
+        }
+        let Ok(entries) = escrow::parse::<Vec<Entry>>(claims) else { return };
+        let recovered = Recovered::replay(entries.iter().flatten());
+        self.runner_event(RunnerEvent::Recovered(holder, Arc::new(recovered)));
+    }
+}
+
+/// Returns the key of the row with the claims of a closed holder.
+fn claims_key(holder: &str) -> Arc<str> {
+    format!("claims/{holder}").into()
+}
--- /dev/null
+++ b/crates/coordination/src/host/problem.rs
@@ -0,0 +1,101 @@
+//! Problems that callers are told of.
+
+use std::{sync::Arc, time::Duration};
+
+use super::action::{Outcome, Problem};
+use crate::{answer::Failure, claim, holder::Reason};
+
+/// Wait after which a request to a host that is not ready may be repeated, in milliseconds.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// Wait after which a ticket whose run is not decided may be asked about again, in milliseconds.
+const UNDECIDED_RETRY_MS: u64 = 2_000;
+
+/// Returns a problem of a request that did not run.
+pub fn refused(status: u16, code: &'static str, detail: impl Into<Arc<str>>) -> Problem {
+    let (outcome, detail) = (Outcome::NotRun, detail.into());
+    Problem { status, code, outcome, detail, retry_after_ms: None }
+}
+
+/// Returns a problem of a request that did not run and may be repeated after a wait.
+pub fn later(
+    status: u16,
+    code: &'static str,
+    detail: impl Into<Arc<str>>,
+    wait: Duration,
+) -> Problem {
+    let retry_after_ms = Some(milliseconds(wait));
+    Problem { retry_after_ms, ..refused(status, code, detail) }
+}
+
+/// Returns the problem of a host that can't take requests yet, or any more.
+pub fn not_ready(detail: &'static str) -> Problem {
+    later(503, "not_ready", detail, Duration::from_millis(NOT_READY_RETRY_MS))
+}
+
+/// Returns the problem of a reservation that was refused.
+pub fn reservation(reason: Reason, wait: Duration) -> Problem {
+    match reason {
+        Reason::Exhausted => {
+            later(402, "budget_exhausted", "what is left of the budget does not cover it", wait)
+        }
+        Reason::CutOff => {
+            let detail = "what this host holds does not cover it and the platform is away";
+            later(503, "budget_unreachable", detail, wait)
+        }
+        Reason::UnknownBudget => refused(404, "unknown_budget", "no such budget"),
+        Reason::Unreplicated => {
+            later(503, "unreplicated", "no other host can keep a copy of the reservation", wait)
+        }
+        Reason::Draining => later(503, "draining", "this host is leaving", wait),
+        Reason::Fenced => later(503, "fenced", "this host was taken for dead", wait),
+    }
+}
+
+/// Returns the problem of a stream that gave no whole answer.
+pub fn stream(failure: &Failure) -> Problem {
+    match failure {
+        Failure::NotRun { retry_after } => {
+            later(503, "no_backend", "no back end took the request", *retry_after)
+        }
+        Failure::Ending { retry_after } => {
+            later(409, "ending", "an earlier run of the request is being ended", *retry_after)
+        }
+        Failure::Incomplete { delivered } => Problem {
+            status: 502,
+            code: "incomplete",
+            outcome: Outcome::Incomplete,
+            detail: format!("the answer broke off after {delivered} tokens").into(),
+            retry_after_ms: Some(NOT_READY_RETRY_MS),
+        },
+        Failure::Mismatch => mismatch(),
+    }
+}
+
+/// Returns the problem of a key that was used with another body.
+pub fn mismatch() -> Problem {
+    refused(422, "key_reused", "the key was used with another body")
+}
+
+/// Returns the problem of a call whose run nobody can vouch for.
+pub fn doubt(doubt: claim::Doubt) -> Problem {
+    let (detail, retry_after_ms) = match doubt {
+        claim::Doubt::NoAnswer => ("it was sent and no whole answer came back", None),
+        claim::Doubt::InFlight => ("another run of this ticket goes on", Some(UNDECIDED_RETRY_MS)),
+        claim::Doubt::IssuerUnreachable => {
+            ("the host that decides this ticket can't be reached", Some(UNDECIDED_RETRY_MS))
+        }
+        claim::Doubt::Expired => ("the ticket is no longer decided", None),
+    };
+    let (status, code, outcome) = (504, "unknown", Outcome::Unknown);
+    Problem { status, code, outcome, detail: detail.into(), retry_after_ms }
+}
+
+/// Returns the problem of a call that did not run and never will with its ticket.
+pub fn spent() -> Problem {
+    refused(409, "not_run", "the call did not run and won't with this ticket; take a new one")
+}
+
+fn milliseconds(wait: Duration) -> u64 {
+    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+}
