--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -261,7 +261,12 @@
         headers: parts.headers,
         body,
     };
-    match service.call(call).await {
+    // In a task of its own a request is carried out even where the caller leaves meanwhile.
+    let answer = tokio::spawn(service.call(call)).await.map_err(|error| {
+        tracing::error!(step = "call", %error);
+        Closed
+    })?;
+    match answer {
         Answer::Whole(response) => Ok((*response).map(|bytes| Body::Whole(Some(bytes)))),
         Answer::Pieces(pieces) => Ok(Response::new(Body::Pieces(pieces))),
         Answer::NoLength(bytes) => Ok(no_length(bytes)),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,8 +4,10 @@
 //! Each runs in its own thread, in a test's process or in the program `laburnum-standin`, and is
 //! made to fail on command.
 
+pub mod control;
 pub mod engine;
 pub mod fault;
 pub mod http;
 pub mod platform;
+pub mod raw;
 pub mod service;
