--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -31,9 +31,7 @@
     claim::{Issuer, Runner},
     config, fold, holder, journal, member,
     message::Holder,
-    recovery,
-    request,
-    retry,
+    recovery, request, retry,
     route::{self, Router},
     table::{Op, Outcome},
     ticket,
@@ -235,6 +233,16 @@
         &self.id
     }
 
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns whether another host recovered what this one held.
+    pub fn fenced(&self) -> bool {
+        self.fenced
+    }
+
     /// Returns the figures for status and metrics.
     pub fn figures(&self) -> Figures {
         Figures {
@@ -437,7 +445,9 @@
 
     /// Returns whether no request is in progress and no outcome of one is still to be kept.
     fn idle(&self) -> bool {
-        self.callers.is_empty() && self.calls.is_empty() && self.runner.running() == 0
+        self.callers.is_empty()
+            && self.calls.is_empty()
+            && self.runner.running() == 0
             && self.models.values().all(model::Request::ended)
     }
 
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -2,12 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{
-    Host, Owner, Stage,
-    action::Action,
-    catalog::Change,
-    money::host_of,
-};
+use super::{Host, Owner, Stage, action::Action, catalog::Change, money::host_of};
 use crate::{
     claim::{IssuerEvent, RunnerEvent},
     config, holder, member,
--- a/crates/coordination/src/host/intake.rs
+++ b/crates/coordination/src/host/intake.rs
@@ -2,12 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{
-    action::Problem,
-    catalog::Catalog,
-    event::Call,
-    problem::refused,
-};
+use super::{action::Problem, catalog::Catalog, event::Call, problem::refused};
 use crate::{prefix, record::Model, record::Route, request::Class};
 
 /// Bytes of a prompt that make a token; a prompt's last token may cover fewer.
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -63,13 +63,7 @@
         }
     }
 
-    fn start_repeatable(
-        &mut self,
-        caller: Caller,
-        work: Work,
-        body: Arc<str>,
-        digest: [u8; 32],
-    ) {
+    fn start_repeatable(&mut self, caller: Caller, work: Work, body: Arc<str>, digest: [u8; 32]) {
         let id = self.request_id(&work);
         self.callers.insert(caller, id);
         self.note(Some(id), Step::Accepted, "", format!("service={}", work.route));
@@ -405,8 +399,7 @@
 
     fn dispatch(&mut self, caller: Caller, run: request::Id) {
         let Some(ticketed) = self.tickets.get(&caller) else {
-            return self
-                .runner_event(RunnerEvent::Ended { run, transport: Transport::NotSent });
+            return self.runner_event(RunnerEvent::Ended { run, transport: Transport::NotSent });
         };
         let work = ticketed.work.clone();
         let intake::Ask::Call { body, .. } = work.ask.clone() else { return };
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,9 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod admit;
+pub mod answer;
+pub mod claim;
 pub mod clock;
 pub mod config;
 pub mod credential;
@@ -16,17 +19,14 @@
 pub mod journal;
 pub mod ledger;
 pub mod member;
-pub mod admit;
-pub mod answer;
-pub mod claim;
 pub mod message;
 pub mod prefix;
 pub mod record;
 pub mod recovery;
 pub mod request;
-pub mod schema;
-pub mod table;
-pub mod timeline;
 pub mod retry;
 pub mod route;
+pub mod schema;
+pub mod table;
 pub mod ticket;
+pub mod timeline;
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -142,12 +142,8 @@
 ///
 /// Never returns an error; a failed exchange is reported to the core.
 pub fn run(jobs: &Receiver<Job>, core: Sender<Inbound>, limits: Limits) -> eyre::Result<()> {
-    let shared = Arc::new(Shared {
-        core,
-        live: Mutex::default(),
-        running: AtomicUsize::new(0),
-        limits,
-    });
+    let shared =
+        Arc::new(Shared { core, live: Mutex::default(), running: AtomicUsize::new(0), limits });
     for job in jobs {
         match job {
             Job::Abandon { run } => shared.abandon(run),
@@ -418,8 +414,5 @@
 }
 
 fn build(method: Method, uri: &str) -> oxhttp::model::request::Builder {
-    Request::builder()
-        .method(method)
-        .uri(uri)
-        .header(header::CONTENT_TYPE, "application/json")
+    Request::builder().method(method).uri(uri).header(header::CONTENT_TYPE, "application/json")
 }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -16,7 +16,10 @@
     message::Message,
     timeline::{Entry, Ring},
 };
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::{
+    channel::{Receiver, Sender, after, bounded},
+    select,
+};
 use tokio::sync::mpsc::error::TrySendError;
 use wire::{link, operator::Status};
 
@@ -34,9 +37,6 @@
 /// Events that wait for the core.
 pub const QUEUE: usize = 16_384;
 
-/// Longest time between two ticks.
-const TICK: Duration = Duration::from_millis(10);
-
 /// Something for the core.
 #[derive(Debug)]
 pub enum Inbound {
@@ -51,8 +51,6 @@
     },
     /// An event.
     Event(Event),
-    /// Something from other hosts.
-    Link(link::Inbound),
     /// A question for the status.
     Status(Sender<Status>),
     /// A question whether a bearer token belongs to an operator.
@@ -89,7 +87,8 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner).0.merge(wall_ms(), remote);
     }
 
-    fn push(&self, entry: Entry) {
+    /// Records an event.
+    pub fn push(&self, entry: Entry) {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         let stamp = inner.0.tick(wall_ms());
         inner.1.push(stamp, entry);
@@ -110,12 +109,31 @@
     watch: Sender<watch::Backends>,
 }
 
+/// What a driver is made of, besides its host.
+#[derive(Debug)]
+pub struct Parts {
+    /// Longest time between two ticks.
+    pub tick: Duration,
+    /// Brings events and questions.
+    pub inbox: Receiver<Inbound>,
+    /// Brings messages of other hosts.
+    pub peers: Receiver<link::Inbound>,
+    /// Carries messages to other hosts.
+    pub link: link::Handle,
+    /// Timeline of this process.
+    pub timeline: Arc<Timeline>,
+    /// Metrics of this process.
+    pub metrics: Arc<Metrics>,
+}
+
 /// Drives one host.
 #[derive(Debug)]
 pub struct Driver {
     host: Host,
     started: Instant,
+    tick: Duration,
     inbox: Receiver<Inbound>,
+    peers: Receiver<link::Inbound>,
     ports: Ports,
     link: link::Handle,
     timeline: Arc<Timeline>,
@@ -130,25 +148,29 @@
     /// # Errors
     ///
     /// Returns an error if a service that it needs has not published its port.
-    pub fn open(
-        host: Host,
-        inbox: Receiver<Inbound>,
-        registry: &Registry,
-        link: link::Handle,
-        timeline: Arc<Timeline>,
-        metrics: Arc<Metrics>,
-    ) -> Result<Self, Missing> {
+    pub fn open(host: Host, registry: &Registry, parts: Parts) -> Result<Self, Missing> {
         let ports = Ports {
             backend: registry.find(backend::NAME)?,
             table: registry.find(table::NAME)?,
             watch: registry.find(watch::NAME)?,
         };
-        let callers = BTreeMap::new();
-        let started = Instant::now();
-        Ok(Self { host, started, inbox, ports, link, timeline, metrics, callers, cause: None })
+        let Parts { tick, inbox, peers, link, timeline, metrics } = parts;
+        Ok(Self {
+            host,
+            started: Instant::now(),
+            tick,
+            inbox,
+            peers,
+            ports,
+            link,
+            timeline,
+            metrics,
+            callers: BTreeMap::new(),
+            cause: None,
+        })
     }
 
-    /// Runs until the host has stopped.
+    /// Runs until the host has stopped; returns whether it was taken for dead meanwhile.
     ///
     /// # Errors
     ///
@@ -156,15 +178,17 @@
     pub fn run(mut self) -> eyre::Result<()> {
         let mut actions = Vec::new();
         let mut next_tick = Instant::now();
+        let (inbox, peers) = (self.inbox.clone(), self.peers.clone());
         loop {
-            match self.inbox.recv_deadline(next_tick) {
-                Ok(inbound) => self.take(inbound, &mut actions),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => eyre::bail!("step=receive inbox closed"),
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            select! {
+                recv(inbox) -> inbound => self.take(inbound?, &mut actions),
+                recv(peers) -> inbound => self.take_link(inbound?, &mut actions),
+                recv(after(wait)) -> _ => {}
             }
             let now = Instant::now();
             if now >= next_tick {
-                next_tick = now + TICK;
+                next_tick = now + self.tick;
                 self.feed(Event::Tick, &mut actions);
                 self.metrics.observe(&self.host, self.callers.len(), self.inbox.len());
             }
@@ -175,6 +199,7 @@
             }
             self.cause = None;
             if stopped {
+                eyre::ensure!(!self.host.fenced(), "step=run this host was taken for dead");
                 return Ok(());
             }
         }
@@ -196,23 +221,48 @@
                 }
                 self.feed(event, actions);
             }
-            Inbound::Link(link::Inbound::Unreachable { address }) => {
-                self.feed(Event::Unreachable { address }, actions);
-            }
-            Inbound::Link(link::Inbound::Message(delivery)) => {
-                self.timeline.merge(delivery.stamp);
-                let host = delivery.from.split('.').next().unwrap_or_default();
-                self.cause = Some((host.into(), delivery.stamp));
-                let link::Delivery { from, address, message, .. } = delivery;
-                self.feed(Event::Message { from, address, message }, actions);
-            }
-            Inbound::Status(answer) => drop(answer.send(self.host.status(self.started.elapsed()))),
+            Inbound::Status(answer) => drop(answer.send(self.status())),
             Inbound::Authorise { token, answer } => {
                 drop(answer.send(self.host.is_operator(&token)));
             }
         }
     }
 
+    fn take_link(&mut self, inbound: link::Inbound, actions: &mut Vec<Action>) {
+        let delivery = match inbound {
+            link::Inbound::Message(delivery) => delivery,
+            link::Inbound::Unreachable { address } => {
+                return self.feed(Event::Unreachable { address }, actions);
+            }
+        };
+        self.timeline.merge(delivery.stamp);
+        let host = delivery.from.rsplit_once('.').map_or(&*delivery.from, |(host, _)| host);
+        self.cause = Some((host.into(), delivery.stamp));
+        let link::Delivery { from, address, message, .. } = delivery;
+        self.feed(Event::Message { from, address, message }, actions);
+    }
+
+    fn status(&self) -> Status {
+        let settings = self.host.settings();
+        let figures = self.host.figures();
+        let detail = serde_json::json!({
+            "members": figures.members,
+            "requests": figures.requests,
+            "held_tokens": figures.held_tokens,
+            "reserved_tokens": figures.reserved_tokens,
+            "uptime_ms": u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX),
+        });
+        Status {
+            host: settings.host.clone(),
+            holder: self.host.id().clone(),
+            zone: settings.zone.clone(),
+            revision: figures.revision,
+            state: figures.state.into(),
+            detail: detail.to_string().into(),
+            budgets: Vec::new(),
+        }
+    }
+
     fn perform(&mut self, action: Action) {
         match action {
             Action::Begin { caller } => self.reply(caller, Part::Begin),
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -166,7 +166,7 @@
         });
         loop {
             let accepted = tokio::select! {
-                _ = stop.wait_for(|stop| *stop) => break,
+                () = stopped(&mut stop) => break,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
@@ -225,7 +225,7 @@
         tokio::pin!(connection);
         let result = tokio::select! {
             result = connection.as_mut() => result,
-            _ = stop.wait_for(|stop| *stop) => {
+            () = stopped(&mut stop) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -296,6 +296,11 @@
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // A sender that is gone means the same.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
 async fn reject(mut stream: TcpStream) {
     use tokio::io::AsyncWriteExt as _;
 
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -4,6 +4,7 @@
 
 use coordination::{
     host::event::{Event, Operation},
+    member::{Listed, Standing},
     table::Op,
 };
 use crossbeam::channel::{Receiver, Sender};
@@ -31,11 +32,7 @@
 /// # Errors
 ///
 /// Returns an error if a thread can't be started or one panics.
-pub fn run(
-    client: &Arc<Client>,
-    jobs: &Receiver<Job>,
-    core: &Sender<Inbound>,
-) -> eyre::Result<()> {
+pub fn run(client: &Arc<Client>, jobs: &Receiver<Job>, core: &Sender<Inbound>) -> eyre::Result<()> {
     let workers: Vec<_> = (0..WORKERS)
         .map(|_| {
             let (client, jobs, core) = (client.clone(), jobs.clone(), core.clone());
@@ -69,7 +66,8 @@
     loop {
         match client.hosts() {
             Ok(hosts) => {
-                if core.send(Inbound::Event(Event::Hosts(hosts))).is_err() {
+                let listed = hosts.into_iter().map(listed).collect();
+                if core.send(Inbound::Event(Event::Hosts(listed))).is_err() {
                     return Ok(());
                 }
             }
@@ -78,3 +76,18 @@
         thread::sleep(interval);
     }
 }
+
+fn listed(host: platform::Host) -> Listed {
+    let standing = match host.state {
+        platform::State::Live => Standing::Live,
+        platform::State::Leaving => Standing::Leaving,
+        platform::State::Gone => Standing::Gone,
+    };
+    Listed {
+        host: host.host,
+        zone: host.zone,
+        address: None,
+        standing,
+        incarnation: host.incarnation,
+    }
+}
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -49,6 +49,7 @@
 #[derive(Debug, Deserialize)]
 struct CacheEvent {
     seq: u64,
+    model: Arc<str>,
     prefix: Arc<str>,
     cached: bool,
 }
@@ -117,6 +118,7 @@
     }
     let changes = report.events.into_iter().map(|event| CacheChange {
         number: event.seq,
+        model: event.model,
         prefix: event.prefix,
         cached: event.cached,
     });
