--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -1,250 +1,607 @@
 //! Tokens that this process holds, and the requests that they are set aside for.
+//!
+//! A reservation is taken from what is available here, copied to the journal's ensemble, and may
+//! then be dispatched. Tokens come from the table in transactions that name the holder's next
+//! grant number, or from other holders when the table can't be reached or has none left.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+mod account;
+mod event;
+mod policy;
+mod round;
+mod transfer;
 
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+pub use self::event::{Action, Event, Note, Peer, Reason, Reserve, Settings};
+use self::{
+    account::{Account, Reservation, Stage, Waiting},
+    round::{Flush, Round},
+    transfer::Outgoing,
+};
 use crate::{
+    journal::Writer,
     message::{self, Entry, Message},
-    record::Budget,
+    record,
     request::{self, Class},
-    table::{Op, Outcome},
 };
 
-/// Identity of a [`Holder`].
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// Process, `host.incarnation`.
-    pub id: message::Holder,
-    /// Host.
-    pub host: Arc<str>,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// Seed of the random numbers that spread retries.
-    pub seed: u64,
-}
+/// Time that a reservation waits for tokens, or for the journal.
+const WAIT: Duration = Duration::from_secs(1);
 
-/// Another process of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Peer {
-    /// Process, `host.incarnation`.
-    pub id: message::Holder,
-    /// Host.
-    pub host: Arc<str>,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// It was heard of lately.
-    pub reachable: bool,
-}
+/// Reservations of one budget that may wait.
+const WAITING_LIMIT: usize = 1024;
 
-/// A request's worst case, to be set aside before the request is dispatched.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Reserve {
-    /// Request.
-    pub request: request::Id,
-    /// Budget.
-    pub budget: Arc<str>,
-    /// Tokens.
-    pub tokens: u64,
-    /// Class.
-    pub class: Class,
-    /// Back end that is to run it; empty where not yet known.
-    pub backend: Arc<str>,
-}
+/// Time between checks of whether holdings suit the use of a budget.
+const CHECK_EVERY: Duration = Duration::from_secs(10);
 
-/// What a [`Holder`] is told.
-#[derive(Debug)]
-pub enum Event {
-    /// A request wants to run. Answered by [`Action::Reserved`] or [`Action::Refused`].
-    Reserve(Reserve),
-    /// A request that was reserved ended; its reservation is charged with this many tokens.
-    Settle {
-        /// Request.
-        request: request::Id,
-        /// Tokens to charge, at most those reserved.
-        tokens: u64,
-    },
-    /// A request that was reserved, or waits to be, will not run; nothing is charged.
-    Release {
-        /// Request.
-        request: request::Id,
-    },
-    /// A message from the process `from`, `host.incarnation`.
-    Message {
-        /// Sender.
-        from: message::Holder,
-        /// `Appended`, `AppendRefused`, `TransferAsk`, `Transfer` or `TransferAck`; others are
-        /// ignored.
-        message: Message,
-    },
-    /// Answer to [`Action::Table`].
-    Table {
-        /// Number of the request.
-        id: u64,
-        /// What came of it.
-        outcome: Outcome,
-    },
-    /// A budget's record was made or changed.
-    Budget(Budget),
-    /// A budget's record was deleted.
-    BudgetDeleted(Arc<str>),
-    /// All other processes that are not known to be gone; sent when that changes.
-    Peers(Vec<Peer>),
-    /// Time passed; at least every 100 ms.
-    Tick,
-    /// Takes no further reservation, and gives everything back once the last one is settled.
-    Drain,
-}
+/// When to come back if the budget is used up.
+const RETRY_EXHAUSTED: Duration = Duration::from_secs(30);
 
-/// What a [`Holder`] wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// The reservation stands and survives this process; the request may be dispatched.
-    Reserved {
-        /// Request.
-        request: request::Id,
-    },
-    /// The request must not be dispatched, and was not.
-    Refused {
-        /// Request.
-        request: request::Id,
-        /// Reason.
-        reason: Reason,
-        /// Time after which another try may succeed.
-        retry_after: Duration,
-    },
-    /// Journal entries up to this number survive this process.
-    Durable {
-        /// Number as returned by [`Holder::append`].
-        through: u64,
-    },
-    /// Sends a request to the table.
-    Table {
-        /// Number of the request.
-        id: u64,
-        /// Request.
-        op: Op,
-    },
-    /// Sends a message to the process that runs on a host.
-    Send {
-        /// Receiving host.
-        to: Arc<str>,
-        /// Message.
-        message: Message,
-    },
-    /// Everything was given back after [`Event::Drain`].
-    Drained,
-    /// Another host recovered this holder. Whatever was not `Reserved` was refused; a new holder
-    /// with a later incarnation has to be opened, and nothing more comes from this one.
-    Fenced,
-    /// Something for the time line.
-    Note(Note),
+/// When to come back if tokens can't be had here at the moment.
+const RETRY_CUT_OFF: Duration = Duration::from_secs(5);
+
+/// When to come back, or go to another host, if this process takes no requests.
+const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
+
+/// What follows when a journal entry is durable.
+#[derive(Debug)]
+enum Then {
+    /// The request may be dispatched.
+    Dispatch(request::Id),
+    /// The tokens may be sent.
+    Transfer(u64),
+    /// The receipt of a transfer may be acknowledged to a host.
+    Acknowledge { to: Arc<str>, number: u64 },
+    /// The budget may be asked for at the table.
+    Announced(Arc<str>),
+    /// The entry came through [`Holder::append`].
+    Report,
 }
 
-/// Reason of a refusal.
+/// Life of a holder.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// What is left of the budget doesn't cover the request.
-    Exhausted,
-    /// What is held here doesn't cover the request, and the platform can't be reached.
-    CutOff,
-    /// No record of the budget is known.
-    UnknownBudget,
-    /// No replica of the journal can be reached.
-    Unreplicated,
-    /// The process is shutting down.
-    Draining,
-    /// The process was taken for dead and its tokens were recovered.
+enum Phase {
+    /// Not yet in the table.
+    Unregistered,
+    /// In the table.
+    Registered,
+    /// Closed after everything was given back.
+    Drained,
+    /// Recovered by another host.
     Fenced,
 }
 
-/// Something that happened, for the time line.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Note {
-    /// Tokens were granted.
-    Granted {
-        /// Budget.
-        budget: Arc<str>,
-        /// Tokens.
-        tokens: u64,
-    },
-    /// Tokens were given back.
-    Returned {
-        /// Budget.
-        budget: Arc<str>,
-        /// Tokens.
-        tokens: u64,
-    },
-    /// Tokens were sent to another process.
-    Sent {
-        /// Budget.
-        budget: Arc<str>,
-        /// Tokens.
-        tokens: u64,
-        /// Receiving process.
-        to: message::Holder,
-    },
-    /// Tokens came from another process.
-    Received {
-        /// Budget.
-        budget: Arc<str>,
-        /// Tokens.
-        tokens: u64,
-        /// Sending process.
-        from: message::Holder,
-    },
-    /// A ledger segment was written.
-    Flushed {
-        /// Number of the segment.
-        segment: u64,
-        /// Charges in it.
-        charges: usize,
-    },
-    /// The journal is copied to these processes.
-    Ensemble(Vec<message::Holder>),
-}
-
 /// Tokens held by this process.
 #[derive(Debug)]
 pub struct Holder {
     settings: Settings,
-    appended: u64,
-    budgets: BTreeMap<Arc<str>, Budget>,
+    random: StdRng,
+    phase: Phase,
+    draining: bool,
+    opened: Option<Duration>,
+    epoch: u64,
+    segment: u64,
+    journal: Writer,
+    then: BTreeMap<u64, Then>,
+    reported: u64,
+    accounts: BTreeMap<Arc<str>, Account>,
+    reservations: BTreeMap<request::Id, Reservation>,
+    deadlines: BTreeSet<(Duration, request::Id)>,
+    turns: u64,
+    checks: BTreeSet<(Duration, Arc<str>)>,
+    /// Budgets that need the table, those with waiting reservations first.
+    due: BTreeSet<(bool, u64, Arc<str>)>,
+    due_keys: BTreeMap<Arc<str>, (bool, u64)>,
+    unflushed: VecDeque<round::Unflushed>,
+    flush: Option<Flush>,
+    round: Option<Round>,
+    pace: round::Pace,
+    operations: u64,
+    peers: Vec<Peer>,
+    asking: BTreeSet<Arc<str>>,
+    asked_at: Duration,
+    outgoing: BTreeMap<u64, Outgoing>,
+    transfers: u64,
+    incoming: BTreeSet<u64>,
 }
 
 impl Holder {
-    /// Opens a holder that holds nothing yet; it registers with the table at the first tick.
+    /// Opens a holder that holds nothing yet; it registers with the table at the first ticks.
     pub fn open(settings: Settings) -> Self {
-        Self { settings, appended: 0, budgets: BTreeMap::new() }
+        Self {
+            random: StdRng::seed_from_u64(settings.seed),
+            journal: Writer::open(settings.id.clone(), settings.zone.clone()),
+            settings,
+            phase: Phase::Unregistered,
+            draining: false,
+            opened: None,
+            epoch: 0,
+            segment: 0,
+            then: BTreeMap::new(),
+            reported: 0,
+            accounts: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            turns: 0,
+            checks: BTreeSet::new(),
+            due: BTreeSet::new(),
+            due_keys: BTreeMap::new(),
+            unflushed: VecDeque::new(),
+            flush: None,
+            round: None,
+            pace: round::Pace::default(),
+            operations: 0,
+            peers: Vec::new(),
+            asking: BTreeSet::new(),
+            asked_at: Duration::ZERO,
+            outgoing: BTreeMap::new(),
+            transfers: 0,
+            incoming: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the process that holds the tokens.
+    pub fn id(&self) -> &message::Holder {
+        &self.settings.id
+    }
+
+    /// Returns the tokens of a budget that may be reserved here.
+    pub fn available(&self, budget: &str) -> u64 {
+        self.accounts.get(budget).map_or(0, |account| account.available)
+    }
+
+    /// Returns the tokens of a budget that are set aside for requests here.
+    pub fn reserved(&self, budget: &str) -> u64 {
+        self.accounts.get(budget).map_or(0, |account| account.reserved)
+    }
+
+    /// Returns whether the last operation on the table failed.
+    pub fn cut_off(&self) -> bool {
+        self.pace.failing()
     }
 
     /// Takes an event.
-    pub fn handle(&mut self, _now: Duration, event: Event, actions: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        if matches!(self.phase, Phase::Fenced | Phase::Drained) {
+            self.handle_closed(event, actions);
+            return;
+        }
         match event {
-            Event::Budget(budget) => {
-                self.budgets.insert(budget.name.clone(), budget);
-            }
-            Event::Reserve(reserve) => actions.push(Action::Refused {
-                request: reserve.request,
-                reason: Reason::CutOff,
-                retry_after: Duration::from_secs(1),
-            }),
-            _ => {}
+            Event::Reserve(reserve) => self.reserve(now, reserve, actions),
+            Event::Settle { request, tokens } => self.settle(now, request, tokens, actions),
+            Event::Release { request } => self.release(now, request, actions),
+            Event::Message { from, message } => self.message(now, &from, message, actions),
+            Event::Table { id, outcome } => self.table(now, id, outcome, actions),
+            Event::Budget(budget) => self.set_budget(now, budget),
+            Event::BudgetDeleted(name) => self.delete_budget(&name),
+            Event::Peers(peers) => self.set_peers(peers),
+            Event::Tick => self.tick(now, actions),
+            Event::Drain => self.drain(actions),
         }
+        self.advance(now, actions);
+    }
+
+    fn handle_closed(&mut self, event: Event, actions: &mut Vec<Action>) {
+        let Event::Reserve(reserve) = event else {
+            return;
+        };
+        let reason = if self.draining { Reason::Draining } else { Reason::Fenced };
+        refuse(reserve.request, reason, RETRY_ELSEWHERE, actions);
     }
 
     /// Appends an entry to the journal and returns its number; [`Action::Durable`] tells when it
-    /// may be acted on. Returns `None` where the holder was fenced.
+    /// may be acted on. Returns `None` where the holder was fenced or drained.
     pub fn append(
         &mut self,
-        _now: Duration,
-        _entry: Entry,
-        _actions: &mut Vec<Action>,
+        now: Duration,
+        entry: Entry,
+        actions: &mut Vec<Action>,
     ) -> Option<u64> {
-        self.appended += 1;
-        Some(self.appended)
+        if matches!(self.phase, Phase::Fenced | Phase::Drained) {
+            return None;
+        }
+        let number = self.journal.append(entry);
+        self.then.insert(number, Then::Report);
+        self.advance(now, actions);
+        Some(number)
     }
 
-    /// Returns the process that holds the tokens.
-    pub fn id(&self) -> &message::Holder {
-        &self.settings.id
+    /// Drops a claimed ticket from the journal's snapshots.
+    pub fn forget_ticket(&mut self, ticket: u64) {
+        self.journal.state_mut().forget(ticket);
     }
+
+    /// Sends what the journal owes, acts on what became durable and starts a round at the table.
+    fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if matches!(self.phase, Phase::Fenced | Phase::Drained) {
+            return;
+        }
+        self.journal.advance(now, actions);
+        let durable = self.journal.durable();
+        let mut report = None;
+        while let Some(first) = self.then.first_entry()
+            && *first.key() <= durable
+        {
+            let (number, then) = first.remove_entry();
+            match then {
+                Then::Dispatch(request) => self.dispatch(request, actions),
+                Then::Transfer(number) => self.send_transfer(now, number, actions),
+                Then::Acknowledge { to, number } => {
+                    let message = Message::TransferAck { number };
+                    actions.push(Action::Send { to, message });
+                }
+                Then::Announced(budget) => self.announced(&budget),
+                Then::Report => report = Some(number),
+            }
+        }
+        if let Some(through) = report
+            && through > self.reported
+        {
+            self.reported = through;
+            actions.push(Action::Durable { through });
+        }
+        self.start_round(now, actions);
+    }
+
+    fn dispatch(&mut self, request: request::Id, actions: &mut Vec<Action>) {
+        let Some(reservation) = self.reservations.get_mut(&request) else {
+            return;
+        };
+        self.deadlines.remove(&(reservation.deadline, request));
+        reservation.stage = Stage::Open;
+        actions.push(Action::Reserved { request });
+    }
+
+    fn reserve(&mut self, now: Duration, reserve: Reserve, actions: &mut Vec<Action>) {
+        let request = reserve.request;
+        if let Some(standing) = self.reservations.get(&request) {
+            if standing.stage == Stage::Open {
+                actions.push(Action::Reserved { request });
+            }
+            return;
+        }
+        if self.draining {
+            refuse(request, Reason::Draining, RETRY_ELSEWHERE, actions);
+            return;
+        }
+        let Some(account) = self.accounts.get_mut(&reserve.budget) else {
+            refuse(request, Reason::UnknownBudget, RETRY_ELSEWHERE, actions);
+            return;
+        };
+        if account.record.is_none() {
+            refuse(request, Reason::UnknownBudget, RETRY_ELSEWHERE, actions);
+            return;
+        }
+        if account.fits(reserve.class, reserve.tokens) {
+            self.set_aside(now, reserve, now + WAIT);
+            return;
+        }
+        if account.waiting.len() >= WAITING_LIMIT {
+            self.refuse_short(request, &reserve.budget, actions);
+            return;
+        }
+        self.wait(now, reserve, actions);
+    }
+
+    /// Takes the tokens of a request that fits and copies that to the journal.
+    fn set_aside(&mut self, now: Duration, reserve: Reserve, deadline: Duration) {
+        let Some(account) = self.accounts.get_mut(&reserve.budget) else {
+            return;
+        };
+        account.available -= reserve.tokens;
+        account.reserved += reserve.tokens;
+        account.used.add(now, reserve.tokens as f64);
+        let low = account.available < account.low_water;
+        let number = self.journal.append(Entry::Reserve {
+            request: reserve.request,
+            budget: reserve.budget.clone(),
+            tokens: reserve.tokens,
+            backend: reserve.backend,
+        });
+        self.then.insert(number, Then::Dispatch(reserve.request));
+        self.deadlines.insert((deadline, reserve.request));
+        if low {
+            self.make_due(&reserve.budget, false);
+        }
+        let reservation = Reservation {
+            budget: reserve.budget,
+            tokens: reserve.tokens,
+            stage: Stage::Copying(number),
+            deadline,
+        };
+        self.reservations.insert(reserve.request, reservation);
+    }
+
+    fn wait(&mut self, now: Duration, reserve: Reserve, actions: &mut Vec<Action>) {
+        let (request, budget) = (reserve.request, reserve.budget.clone());
+        let deadline = now + WAIT;
+        self.turns += 1;
+        let turn = (reserve.class, self.turns);
+        let reservation = Reservation {
+            budget: budget.clone(),
+            tokens: reserve.tokens,
+            stage: Stage::Waiting(turn),
+            deadline,
+        };
+        if let Some(account) = self.accounts.get_mut(&budget) {
+            account.used.add(now, 0.0);
+            account.wanted += reserve.tokens;
+            account.waiting.insert(turn, Waiting { reserve });
+        }
+        self.reservations.insert(request, reservation);
+        self.deadlines.insert((deadline, request));
+        self.make_due(&budget, true);
+        if self.asking.insert(budget.clone()) && self.short_of(&budget) {
+            self.ask_peers(&budget, actions);
+        }
+    }
+
+    /// Serves the reservations of a budget that waited and now fit.
+    fn serve(&mut self, now: Duration, budget: &Arc<str>) {
+        loop {
+            let Some(account) = self.accounts.get_mut(budget) else {
+                return;
+            };
+            let Some(reserve) = account.next_fitting() else {
+                break;
+            };
+            let Some(waited) = self.reservations.remove(&reserve.request) else {
+                continue;
+            };
+            self.deadlines.remove(&(waited.deadline, reserve.request));
+            self.set_aside(now, reserve, now + WAIT);
+        }
+        if self.accounts.get(budget).is_some_and(|account| account.waiting.is_empty()) {
+            self.asking.remove(budget);
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: Duration,
+        request: request::Id,
+        tokens: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(reservation) = self.reservations.get(&request) else {
+            return;
+        };
+        if matches!(reservation.stage, Stage::Waiting(_)) || tokens == 0 {
+            self.release(now, request, actions);
+            return;
+        }
+        let tokens = tokens.min(reservation.tokens);
+        let Some(reservation) = self.remove(request) else {
+            return;
+        };
+        let number = self.journal.append(Entry::Settle { request, tokens });
+        let budget = reservation.budget;
+        self.unflushed.push_back(round::Unflushed {
+            number,
+            at: now,
+            request,
+            budget: budget.clone(),
+            tokens,
+            old: false,
+        });
+        self.free(now, &budget, reservation.tokens, reservation.tokens - tokens);
+    }
+
+    fn release(&mut self, now: Duration, request: request::Id, actions: &mut Vec<Action>) {
+        let Some(reservation) = self.remove(request) else {
+            return;
+        };
+        let _ = actions;
+        if let Stage::Waiting(turn) = reservation.stage {
+            if let Some(account) = self.accounts.get_mut(&reservation.budget) {
+                account.give_up(turn);
+            }
+            return;
+        }
+        self.journal.append(Entry::Release { request });
+        self.free(now, &reservation.budget, reservation.tokens, reservation.tokens);
+    }
+
+    /// Removes a reservation from the indexes.
+    fn remove(&mut self, request: request::Id) -> Option<Reservation> {
+        let reservation = self.reservations.remove(&request)?;
+        self.deadlines.remove(&(reservation.deadline, request));
+        if let Stage::Copying(number) = reservation.stage {
+            self.then.remove(&number);
+        }
+        Some(reservation)
+    }
+
+    /// Ends a reservation of `reserved` tokens, `unused` of which become available.
+    fn free(&mut self, now: Duration, budget: &Arc<str>, reserved: u64, unused: u64) {
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        account.reserved -= reserved;
+        account.available += unused;
+        account.used.add(now, -(unused as f64));
+        if account.record.is_none() || self.draining {
+            self.make_due(budget, false);
+        }
+        self.serve(now, budget);
+    }
+
+    fn refuse_short(&self, request: request::Id, budget: &Arc<str>, actions: &mut Vec<Action>) {
+        let known = self.accounts.get(budget).is_some_and(|account| account.pool.at.is_some());
+        if self.pace.failing() || !known {
+            refuse(request, Reason::CutOff, RETRY_CUT_OFF, actions);
+        } else {
+            refuse(request, Reason::Exhausted, RETRY_EXHAUSTED, actions);
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Duration,
+        from: &message::Holder,
+        message: Message,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Appended { holder, through } if holder == self.settings.id => {
+                self.journal.acknowledge(now, from, through);
+            }
+            Message::AppendRefused { holder } if holder == self.settings.id => {
+                self.fence(actions);
+            }
+            Message::TransferAsk { budget, tokens, class } => {
+                self.give(now, from, &budget, tokens, class);
+            }
+            Message::Transfer { number, to, budget, tokens } if to == self.settings.id => {
+                self.receive(now, from, number, &budget, tokens, actions);
+            }
+            Message::TransferAck { number } => self.acknowledged(from, number),
+            _ => {}
+        }
+    }
+
+    fn set_budget(&mut self, now: Duration, budget: record::Budget) {
+        let name = budget.name.clone();
+        let account = self.accounts.entry(name.clone()).or_default();
+        account.record = Some(budget);
+        let (used, waits) = (account.used.is_used(), !account.waiting.is_empty());
+        if !std::mem::replace(&mut account.checked, true) {
+            self.checks.insert((now + CHECK_EVERY, name.clone()));
+        }
+        if used || waits {
+            self.make_due(&name, waits);
+        }
+    }
+
+    fn delete_budget(&mut self, name: &Arc<str>) {
+        if let Some(account) = self.accounts.get_mut(name) {
+            account.record = None;
+            self.make_due(name, false);
+        }
+    }
+
+    fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.opened.get_or_insert(now);
+        self.expire(now, actions);
+        while let Some((at, budget)) = self.checks.first().cloned()
+            && at <= now
+        {
+            self.checks.remove(&(at, budget.clone()));
+            self.check(now, &budget);
+        }
+        self.ask_again(now, actions);
+        self.resend_transfers(now, actions);
+    }
+
+    /// Refuses what has waited too long for tokens or for the journal.
+    fn expire(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        while let Some(&(deadline, request)) = self.deadlines.first()
+            && deadline <= now
+        {
+            let Some(reservation) = self.remove(request) else {
+                self.deadlines.remove(&(deadline, request));
+                continue;
+            };
+            let budget = reservation.budget;
+            if let Stage::Waiting(turn) = reservation.stage {
+                if let Some(account) = self.accounts.get_mut(&budget) {
+                    account.give_up(turn);
+                }
+                self.refuse_short(request, &budget, actions);
+                self.serve(now, &budget);
+                continue;
+            }
+            self.journal.append(Entry::Release { request });
+            self.free(now, &budget, reservation.tokens, reservation.tokens);
+            refuse(request, Reason::Unreplicated, RETRY_ELSEWHERE, actions);
+        }
+    }
+
+    /// Compares the holdings of a budget with its use.
+    fn check(&mut self, now: Duration, budget: &Arc<str>) {
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        if account.available == 0 && account.used.rate(now) == 0.0 {
+            self.checks.insert((now + CHECK_EVERY, budget.clone()));
+            return;
+        }
+        let wants = policy::refill(account, now) > 0;
+        let stale = account.pool.at.is_none_or(|at| now >= at + policy::REFRESH);
+        let idle = policy::excess(account, now) > 0;
+        if wants || stale || idle {
+            self.make_due(budget, false);
+        }
+        self.checks.insert((now + CHECK_EVERY, budget.clone()));
+    }
+
+    /// Puts a budget in the line for the table.
+    fn make_due(&mut self, budget: &Arc<str>, urgent: bool) {
+        if let Some(&(later, turn)) = self.due_keys.get(budget) {
+            if !(urgent && later) {
+                return;
+            }
+            self.due.remove(&(later, turn, budget.clone()));
+        }
+        self.turns += 1;
+        self.due.insert((!urgent, self.turns, budget.clone()));
+        self.due_keys.insert(budget.clone(), (!urgent, self.turns));
+    }
+
+    fn drain(&mut self, actions: &mut Vec<Action>) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        let waiting = |reservation: &Reservation| matches!(reservation.stage, Stage::Waiting(_));
+        let requests: Vec<request::Id> = self
+            .reservations
+            .iter()
+            .filter(|(_, reservation)| waiting(reservation))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in requests {
+            self.remove(request);
+            refuse(request, Reason::Draining, RETRY_ELSEWHERE, actions);
+        }
+        let budgets: Vec<Arc<str>> = self.accounts.keys().cloned().collect();
+        for budget in budgets {
+            if let Some(account) = self.accounts.get_mut(&budget) {
+                account.waiting.clear();
+                account.wanted = 0;
+            }
+            self.make_due(&budget, false);
+        }
+        self.asking.clear();
+    }
+
+    /// Ends this holder: its tokens belong to whoever recovered it.
+    fn fence(&mut self, actions: &mut Vec<Action>) {
+        self.phase = Phase::Fenced;
+        for (request, reservation) in std::mem::take(&mut self.reservations) {
+            if reservation.stage != Stage::Open {
+                refuse(request, Reason::Fenced, RETRY_ELSEWHERE, actions);
+            }
+        }
+        self.accounts.clear();
+        self.then.clear();
+        self.deadlines.clear();
+        self.round = None;
+        actions.push(Action::Fenced);
+    }
+
+    fn jitter(&mut self, limit: Duration) -> Duration {
+        let share: f64 = self.random.random_range(0.5..1.0);
+        limit.mul_f64(share)
+    }
+}
+
+fn refuse(request: request::Id, reason: Reason, retry_after: Duration, actions: &mut Vec<Action>) {
+    actions.push(Action::Refused { request, reason, retry_after });
 }
--- /dev/null
+++ b/crates/coordination/src/holder/policy.rs
@@ -0,0 +1,155 @@
+//! How many tokens of a budget a process should hold.
+
+use std::time::Duration;
+
+use super::account::Account;
+
+/// Time over which holdings are to last without the platform.
+const HORIZON_S: f64 = 7200.0;
+
+/// Part of a budget's unspent tokens that all holders together aim for.
+const POOL_SHARE: f64 = 0.9;
+
+/// Share of the budget's use that is assumed until the table shows it.
+const FIRST_SHARE: f64 = 0.0625;
+
+/// Part of the unspent tokens that the floor of one process takes at most, as a divisor.
+const IDLE_SHARE: u64 = 32;
+
+/// Time over which recent use is averaged.
+const FAST_S: f64 = 30.0;
+
+/// Time over which lasting use is averaged.
+const SLOW_S: f64 = 600.0;
+
+/// Time after which figures of the whole budget are read again.
+pub(super) const REFRESH: Duration = Duration::from_secs(300);
+
+/// Shortest time over which the use of the whole budget is measured.
+const POOL_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Tokens used in a second, averaged with exponential decay over two spans.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Use {
+    fast: f64,
+    slow: f64,
+    at: Duration,
+    /// Time of the first use.
+    since: Option<Duration>,
+}
+
+impl Use {
+    /// Returns whether the budget was ever used here.
+    pub fn is_used(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Counts tokens; below zero for those that turned out not to be used.
+    pub fn add(&mut self, now: Duration, tokens: f64) {
+        self.since.get_or_insert(now);
+        self.decay(now);
+        self.fast += tokens / FAST_S;
+        self.slow += tokens / SLOW_S;
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        if passed > 0.0 {
+            self.fast *= (-passed / FAST_S).exp();
+            self.slow *= (-passed / SLOW_S).exp();
+            self.at = now;
+        }
+    }
+
+    /// Returns the tokens used in a second, by the greater of the two averages.
+    pub fn rate(&mut self, now: Duration) -> f64 {
+        self.decay(now);
+        let Some(since) = self.since else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(since).as_secs_f64().max(1.0);
+        let fast = self.fast / (1.0 - (-age / FAST_S).exp());
+        let slow = self.slow / (1.0 - (-age / SLOW_S).exp());
+        fast.max(slow).max(0.0)
+    }
+}
+
+/// What the table showed of a budget as a whole.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Pool {
+    /// Tokens neither settled nor stranded.
+    pub unspent: u64,
+    /// Tokens that no holder has.
+    pub remaining: u64,
+    /// When it was read; `None` for never.
+    pub at: Option<Duration>,
+    rate: Option<f64>,
+    settled: u64,
+    settled_at: Duration,
+}
+
+impl Pool {
+    /// Takes figures that were read from the table.
+    pub fn observe(&mut self, now: Duration, unspent: u64, remaining: u64, settled: u64) {
+        self.unspent = unspent;
+        self.remaining = remaining;
+        if self.at.is_none() {
+            self.settled = settled;
+            self.settled_at = now;
+        }
+        self.at = Some(now);
+        let passed = now.saturating_sub(self.settled_at);
+        if passed < POOL_INTERVAL {
+            return;
+        }
+        let rate = settled.saturating_sub(self.settled) as f64 / passed.as_secs_f64();
+        self.rate = Some(self.rate.map_or(rate, |last| (last + rate) / 2.0));
+        self.settled = settled;
+        self.settled_at = now;
+    }
+}
+
+/// Returns the tokens that should be available at this process.
+pub(super) fn target(account: &mut Account, now: Duration) -> u64 {
+    let rate = account.used.rate(now);
+    let unspent = account.pool.unspent;
+    let share = match account.pool.rate {
+        Some(all) if all > 0.0 => (rate / all.max(rate)).min(1.0),
+        _ => FIRST_SHARE,
+    };
+    let fair = unspent as f64 * POOL_SHARE * share;
+    let wanted = (rate * HORIZON_S).min(fair) as u64;
+    let floor = account.record.as_ref().map_or(0, |record| record.urgent_floor);
+    let idle = match account.used.since {
+        Some(_) => (floor * 2).min(unspent / IDLE_SHARE),
+        None => 0,
+    };
+    wanted.max(idle)
+}
+
+/// Returns the tokens to ask the table for.
+pub(super) fn refill(account: &mut Account, now: Duration) -> u64 {
+    let target = target(account, now);
+    account.low_water = target / 2;
+    let missing = account.missing();
+    if account.available >= account.low_water.max(1) && missing == 0 {
+        return 0;
+    }
+    let wanted = target.saturating_sub(account.available).max(missing);
+    wanted.min(account.pool.remaining)
+}
+
+/// Returns the tokens to give back to the table.
+pub(super) fn excess(account: &mut Account, now: Duration) -> u64 {
+    if !account.waiting.is_empty() {
+        return 0;
+    }
+    if account.record.is_none() {
+        return account.available;
+    }
+    let target = target(account, now);
+    if account.available <= target.saturating_mul(2) {
+        return 0;
+    }
+    account.available - target
+}
--- /dev/null
+++ b/crates/coordination/src/holder/transfer.rs
@@ -0,0 +1,226 @@
+//! Tokens that pass from holder to holder.
+//!
+//! The sender's debit is durable before the tokens leave, and the receiver's credit is durable
+//! before it is acknowledged: a recovery of either counts them at one of the two, or at neither.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Action, Class, Holder, Then, event::Note};
+use crate::message::{self, Entry, Message, Source};
+
+/// Time between repeats of a transfer that isn't acknowledged.
+const RESEND_EVERY: Duration = Duration::from_millis(500);
+
+/// Time between questions to peers for one budget.
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Peers asked at a time.
+const ASK_PEERS: usize = 2;
+
+/// Tokens on their way to another holder.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    to: message::Holder,
+    host: Arc<str>,
+    budget: Arc<str>,
+    tokens: u64,
+    sent_at: Option<Duration>,
+}
+
+impl Holder {
+    /// Takes the peers, in the order in which they are asked for tokens: own zone first.
+    pub(super) fn set_peers(&mut self, peers: Vec<super::Peer>) {
+        let zone = self.settings.zone.clone();
+        self.journal.set_peers(peers.clone());
+        self.peers = peers;
+        self.peers.sort_by(|a, b| (a.zone != zone, &a.id).cmp(&(b.zone != zone, &b.id)));
+    }
+
+    /// Returns whether the table is unlikely to cover what waits.
+    pub(super) fn short_of(&self, budget: &str) -> bool {
+        let Some(account) = self.accounts.get(budget) else {
+            return false;
+        };
+        self.pace.failing()
+            || account.pool.at.is_some() && account.pool.remaining < account.missing()
+    }
+
+    /// Asks the next peers for what is missing.
+    pub(super) fn ask_peers(&mut self, budget: &Arc<str>, actions: &mut Vec<Action>) {
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        let (tokens, Some(class)) = (account.missing(), account.waiting_class()) else {
+            return;
+        };
+        if tokens == 0 || self.peers.is_empty() {
+            return;
+        }
+        for _ in 0..ASK_PEERS.min(self.peers.len()) {
+            let peer = &self.peers[account.next_peer % self.peers.len()];
+            account.next_peer = (account.next_peer + 1) % self.peers.len();
+            let message = Message::TransferAsk { budget: budget.clone(), tokens, class };
+            actions.push(Action::Send { to: peer.host.clone(), message });
+        }
+    }
+
+    pub(super) fn ask_again(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.asked_at + ASK_EVERY {
+            return;
+        }
+        self.asked_at = now;
+        let budgets: Vec<Arc<str>> = self.asking.iter().cloned().collect();
+        for budget in budgets {
+            if self.accounts.get(&budget).is_none_or(|account| account.waiting.is_empty()) {
+                self.asking.remove(&budget);
+                continue;
+            }
+            self.ask_peers(&budget, actions);
+            self.make_due(&budget, true);
+        }
+    }
+
+    /// Answers a peer that asks for tokens with what isn't needed here.
+    ///
+    /// Of two holders that both have reservations waiting, the one whose name sorts first
+    /// collects; otherwise they would swap tokens until both give up.
+    pub(super) fn give(
+        &mut self,
+        now: Duration,
+        from: &message::Holder,
+        budget: &Arc<str>,
+        tokens: u64,
+        class: Class,
+    ) {
+        let host = host_of(from);
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        let waits = account.waiting_class();
+        if waits.is_some_and(|own| (own, &self.settings.id) < (class, from)) {
+            return;
+        }
+        let amount = tokens.min(account.spare(class));
+        if amount == 0 {
+            return;
+        }
+        account.available -= amount;
+        account.relevel();
+        self.transfers += 1;
+        let number = transfer_number(&self.settings.id, self.transfers);
+        let entry = self.journal.append(Entry::Debit {
+            budget: budget.clone(),
+            tokens: amount,
+            source: Source::Holder(from.clone(), number),
+        });
+        self.then.insert(entry, Then::Transfer(number));
+        let outgoing = Outgoing {
+            to: from.clone(),
+            host,
+            budget: budget.clone(),
+            tokens: amount,
+            sent_at: None,
+        };
+        self.outgoing.insert(number, outgoing);
+        let _ = now;
+    }
+
+    /// Sends a transfer whose debit is durable.
+    pub(super) fn send_transfer(&mut self, now: Duration, number: u64, actions: &mut Vec<Action>) {
+        let Some(outgoing) = self.outgoing.get_mut(&number) else {
+            return;
+        };
+        if outgoing.sent_at.is_none() {
+            actions.push(Action::Note(Note::Sent {
+                budget: outgoing.budget.clone(),
+                tokens: outgoing.tokens,
+                to: outgoing.to.clone(),
+            }));
+        }
+        outgoing.sent_at = Some(now);
+        let message = Message::Transfer {
+            number,
+            to: outgoing.to.clone(),
+            budget: outgoing.budget.clone(),
+            tokens: outgoing.tokens,
+        };
+        actions.push(Action::Send { to: outgoing.host.clone(), message });
+    }
+
+    pub(super) fn resend_transfers(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let late = |outgoing: &Outgoing| {
+            outgoing.sent_at.is_some_and(|sent_at| now >= sent_at + RESEND_EVERY)
+        };
+        let numbers: Vec<u64> = self
+            .outgoing
+            .iter()
+            .filter(|(_, outgoing)| late(outgoing))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            self.send_transfer(now, number, actions);
+        }
+    }
+
+    /// Takes tokens from a peer, once for each transfer.
+    pub(super) fn receive(
+        &mut self,
+        now: Duration,
+        from: &message::Holder,
+        number: u64,
+        budget: &Arc<str>,
+        tokens: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let host = host_of(from);
+        if !self.incoming.insert(number) {
+            let copying = |then: &Then| matches!(then, Then::Acknowledge { number: waiting, .. } if *waiting == number);
+            if !self.then.values().any(copying) {
+                let message = Message::TransferAck { number };
+                actions.push(Action::Send { to: host, message });
+            }
+            return;
+        }
+        let entry = self.journal.append(Entry::Credit {
+            budget: budget.clone(),
+            tokens,
+            source: Source::Holder(from.clone(), number),
+        });
+        self.then.insert(entry, Then::Acknowledge { to: host, number });
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.available += tokens;
+        account.relevel();
+        let unwanted = account.record.is_none() || self.draining;
+        actions.push(Action::Note(Note::Received {
+            budget: budget.clone(),
+            tokens,
+            from: from.clone(),
+        }));
+        if unwanted {
+            self.make_due(budget, false);
+        }
+        self.serve(now, budget);
+    }
+
+    pub(super) fn acknowledged(&mut self, from: &message::Holder, number: u64) {
+        if self.outgoing.get(&number).is_some_and(|outgoing| outgoing.to == *from) {
+            self.outgoing.remove(&number);
+            self.journal.state_mut().acknowledge(number);
+        }
+    }
+}
+
+/// Returns the host of a process, `host.incarnation`.
+pub(super) fn host_of(holder: &str) -> Arc<str> {
+    Arc::from(holder.rsplit_once('.').map_or(holder, |(host, _)| host))
+}
+
+/// Returns a number that no other transfer of the fleet has.
+fn transfer_number(holder: &str, count: u64) -> u64 {
+    let mut hasher = blake3::Hasher::new_derive_key("laburnumcove transfer number v1");
+    hasher.update(&count.to_le_bytes());
+    hasher.update(holder.as_bytes());
+    let mut number = [0; 8];
+    number.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(number).max(1)
+}
--- /dev/null
+++ b/crates/coordination/src/journal/state.rs
@@ -0,0 +1,273 @@
+//! State that a journal's entries add up to.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use crate::{
+    message::{ClaimOutcome, Entry, Holder, Source},
+    request,
+};
+
+/// A reservation that is neither settled nor released.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// Budget.
+    pub budget: Arc<str>,
+    /// Tokens set aside.
+    pub tokens: u64,
+    /// Back end that is to run it; empty where not known.
+    pub backend: Arc<str>,
+}
+
+/// A charge that may not be in the ledger yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settlement {
+    /// Request.
+    pub request: request::Id,
+    /// Budget.
+    pub budget: Arc<str>,
+    /// Tokens charged.
+    pub tokens: u64,
+}
+
+/// A transfer that the receiver may not have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sent {
+    /// Receiving holder.
+    pub to: Holder,
+    /// Budget.
+    pub budget: Arc<str>,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// A claimed ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// Digest of the request's body.
+    pub digest: [u8; 32],
+    /// Request that runs.
+    pub request: request::Id,
+    /// What came of it, once known.
+    pub outcome: Option<ClaimOutcome>,
+}
+
+/// State of a journal up to an entry.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct State {
+    through: u64,
+    segment: u64,
+    flushed: u64,
+    budgets: BTreeSet<Arc<str>>,
+    open: BTreeMap<request::Id, Reservation>,
+    settled: BTreeMap<(u64, request::Id), Settlement>,
+    received: BTreeMap<Arc<str>, u64>,
+    sent: BTreeMap<Arc<str>, u64>,
+    unacknowledged: BTreeMap<u64, Sent>,
+    claims: BTreeMap<u64, Claim>,
+}
+
+impl State {
+    /// Rebuilds a state from the entries of [`State::entries`].
+    pub fn rebuild(through: u64, entries: &[Entry]) -> Self {
+        let mut state = Self::default();
+        for entry in entries {
+            state.apply(through, entry);
+        }
+        state.through = through;
+        state
+    }
+
+    /// Applies the entry of a number.
+    pub fn apply(&mut self, number: u64, entry: &Entry) {
+        self.through = number;
+        match entry {
+            Entry::Credit { budget, tokens, source } => {
+                self.budgets.insert(budget.clone());
+                if let Source::Holder(..) = source {
+                    *self.received.entry(budget.clone()).or_default() += tokens;
+                }
+            }
+            Entry::Debit { budget, tokens, source } => self.debit(budget, *tokens, source),
+            Entry::Reserve { request, budget, tokens, backend } => {
+                self.budgets.insert(budget.clone());
+                let reservation = Reservation {
+                    budget: budget.clone(),
+                    tokens: *tokens,
+                    backend: backend.clone(),
+                };
+                self.open.insert(*request, reservation);
+            }
+            Entry::Settle { request, tokens } => self.settle(number, *request, *tokens),
+            Entry::Release { request } => {
+                self.open.remove(request);
+            }
+            Entry::Flushed { segment, through } => self.flush(*segment, *through),
+            Entry::Claim { ticket, digest, request } => {
+                let claim = Claim { digest: *digest, request: *request, outcome: None };
+                self.claims.entry(*ticket).or_insert(claim);
+            }
+            Entry::Outcome { ticket, outcome } => {
+                if let Some(claim) = self.claims.get_mut(ticket) {
+                    claim.outcome = Some(outcome.clone());
+                }
+            }
+        }
+    }
+
+    fn debit(&mut self, budget: &Arc<str>, tokens: u64, source: &Source) {
+        self.budgets.insert(budget.clone());
+        let Source::Holder(to, number) = source else {
+            return;
+        };
+        *self.sent.entry(budget.clone()).or_default() += tokens;
+        if *number == 0 {
+            return;
+        }
+        let sent = Sent { to: to.clone(), budget: budget.clone(), tokens };
+        self.unacknowledged.insert(*number, sent);
+    }
+
+    fn settle(&mut self, number: u64, request: request::Id, tokens: u64) {
+        let Some(reservation) = self.open.remove(&request) else {
+            return;
+        };
+        let settlement = Settlement { request, budget: reservation.budget, tokens };
+        self.settled.insert((number, request), settlement);
+    }
+
+    fn flush(&mut self, segment: u64, through: u64) {
+        self.segment = self.segment.max(segment);
+        self.flushed = self.flushed.max(through);
+        while let Some(first) = self.settled.first_entry()
+            && first.key().0 <= through
+        {
+            first.remove();
+        }
+    }
+
+    /// Drops the details of a transfer that its receiver has acknowledged.
+    pub fn acknowledge(&mut self, transfer: u64) {
+        self.unacknowledged.remove(&transfer);
+    }
+
+    /// Drops a claimed ticket that nobody asks for any more.
+    pub fn forget(&mut self, ticket: u64) {
+        self.claims.remove(&ticket);
+    }
+
+    /// Returns entries that rebuild this state.
+    ///
+    /// Settlements lose their numbers: a rebuilt state may hold settlements of its last segment
+    /// that are flushed already.
+    pub fn entries(&self) -> Vec<Entry> {
+        let mut entries = vec![Entry::Flushed { segment: self.segment, through: self.flushed }];
+        for budget in &self.budgets {
+            entries.push(Entry::Credit {
+                budget: budget.clone(),
+                tokens: 0,
+                source: Source::Table(0),
+            });
+        }
+        self.transfer_entries(&mut entries);
+        for settlement in self.settled.values() {
+            entries.push(Entry::Reserve {
+                request: settlement.request,
+                budget: settlement.budget.clone(),
+                tokens: settlement.tokens,
+                backend: Arc::from(""),
+            });
+            entries.push(Entry::Settle { request: settlement.request, tokens: settlement.tokens });
+        }
+        for (request, reservation) in &self.open {
+            entries.push(Entry::Reserve {
+                request: *request,
+                budget: reservation.budget.clone(),
+                tokens: reservation.tokens,
+                backend: reservation.backend.clone(),
+            });
+        }
+        self.claim_entries(&mut entries);
+        entries
+    }
+
+    fn transfer_entries(&self, entries: &mut Vec<Entry>) {
+        let nobody = || Holder::from("");
+        for (budget, tokens) in &self.received {
+            let source = Source::Holder(nobody(), 0);
+            entries.push(Entry::Credit { budget: budget.clone(), tokens: *tokens, source });
+        }
+        let mut acknowledged = self.sent.clone();
+        for (number, sent) in &self.unacknowledged {
+            if let Some(tokens) = acknowledged.get_mut(&sent.budget) {
+                *tokens -= sent.tokens;
+            }
+            let source = Source::Holder(sent.to.clone(), *number);
+            let (budget, tokens) = (sent.budget.clone(), sent.tokens);
+            entries.push(Entry::Debit { budget, tokens, source });
+        }
+        for (budget, tokens) in acknowledged {
+            entries.push(Entry::Debit { budget, tokens, source: Source::Holder(nobody(), 0) });
+        }
+    }
+
+    fn claim_entries(&self, entries: &mut Vec<Entry>) {
+        for (ticket, claim) in &self.claims {
+            entries.push(Entry::Claim {
+                ticket: *ticket,
+                digest: claim.digest,
+                request: claim.request,
+            });
+            if let Some(outcome) = &claim.outcome {
+                entries.push(Entry::Outcome { ticket: *ticket, outcome: outcome.clone() });
+            }
+        }
+    }
+
+    /// Returns the number of the last entry.
+    pub fn through(&self) -> u64 {
+        self.through
+    }
+
+    /// Returns the number of the last ledger segment that the journal knows of.
+    pub fn segment(&self) -> u64 {
+        self.segment
+    }
+
+    /// Returns the budgets that the holder has ever asked for, in order.
+    pub fn budgets(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.budgets.iter()
+    }
+
+    /// Returns the open reservations, by request.
+    pub fn open(&self) -> &BTreeMap<request::Id, Reservation> {
+        &self.open
+    }
+
+    /// Returns the settlements that may not be in the ledger yet, oldest first.
+    pub fn settled(&self) -> impl Iterator<Item = &Settlement> {
+        self.settled.values()
+    }
+
+    /// Returns the tokens that came from other holders.
+    pub fn received(&self, budget: &str) -> u64 {
+        self.received.get(budget).copied().unwrap_or_default()
+    }
+
+    /// Returns the tokens that went to other holders.
+    pub fn sent(&self, budget: &str) -> u64 {
+        self.sent.get(budget).copied().unwrap_or_default()
+    }
+
+    /// Returns the transfers that the receiver may not have, by number.
+    pub fn unacknowledged(&self) -> &BTreeMap<u64, Sent> {
+        &self.unacknowledged
+    }
+
+    /// Returns the claimed tickets.
+    pub fn claims(&self) -> &BTreeMap<u64, Claim> {
+        &self.claims
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/journal/writer.rs
@@ -0,0 +1,355 @@
+//! The holder's end of its journal.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::State;
+use crate::{
+    holder::{Action, Peer},
+    message::{Append, Entry, Holder, Message},
+};
+
+/// Members of an ensemble.
+const MEMBERS: usize = 2;
+
+/// Time without progress after which a member isn't waited for.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time without progress after which a member is replaced.
+const REPLACE_AFTER: Duration = Duration::from_secs(2);
+
+/// Time after which unacknowledged entries are sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(50);
+
+/// Time between attempts to reach a member that isn't waited for.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Greatest number of entries in one message.
+const APPEND_ENTRIES: usize = 256;
+
+/// Entries kept for members that are behind; a member further behind gets a snapshot.
+const TAIL_ENTRIES: usize = 16_384;
+
+/// An ensemble that is ready to be written to the table.
+pub type Proposal = Vec<Holder>;
+
+/// Journal of this process and its copying.
+#[derive(Debug)]
+pub struct Writer {
+    holder: Holder,
+    zone: Arc<str>,
+    state: State,
+    tail: VecDeque<Entry>,
+    members: Vec<Member>,
+    committed: Option<Vec<Holder>>,
+    pending: Option<Vec<Holder>>,
+    peers: BTreeMap<Holder, Peer>,
+    excluded: BTreeSet<Holder>,
+    durable: u64,
+}
+
+#[derive(Debug)]
+struct Member {
+    id: Holder,
+    host: Arc<str>,
+    /// Last number acknowledged; 0 while the copy isn't there yet.
+    acked: u64,
+    /// Last number sent.
+    sent: u64,
+    /// Number of the last snapshot sent.
+    snapshot: u64,
+    sent_at: Duration,
+    /// When the oldest unacknowledged entry began to wait, or progress was last made.
+    waiting: Option<Duration>,
+    lost: bool,
+}
+
+impl Member {
+    fn stalled(&self, now: Duration, limit: Duration) -> bool {
+        self.lost || self.waiting.is_some_and(|since| now >= since + limit)
+    }
+}
+
+impl Writer {
+    /// Opens the journal of a process.
+    pub fn open(holder: Holder, zone: Arc<str>) -> Self {
+        let mut writer = Self {
+            holder,
+            zone,
+            state: State::default(),
+            tail: VecDeque::new(),
+            members: Vec::new(),
+            committed: None,
+            pending: None,
+            peers: BTreeMap::new(),
+            excluded: BTreeSet::new(),
+            durable: 0,
+        };
+        writer.append(Entry::Flushed { segment: 0, through: 0 });
+        writer
+    }
+
+    /// Appends an entry and returns its number.
+    pub fn append(&mut self, entry: Entry) -> u64 {
+        let number = self.state.through() + 1;
+        self.state.apply(number, &entry);
+        self.tail.push_back(entry);
+        number
+    }
+
+    /// Returns the number up to which entries survive this process.
+    pub fn durable(&self) -> u64 {
+        self.durable
+    }
+
+    /// Returns what the entries add up to.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns what the entries add up to, for changes that need no entry.
+    pub fn state_mut(&mut self) -> &mut State {
+        &mut self.state
+    }
+
+    /// Takes the other processes of the fleet.
+    pub fn set_peers(&mut self, peers: Vec<Peer>) {
+        self.peers = peers.into_iter().map(|peer| (peer.id.clone(), peer)).collect();
+        self.excluded.clear();
+    }
+
+    /// Returns whether some other process can be reached.
+    pub fn has_peers(&self) -> bool {
+        self.peers.values().any(|peer| peer.reachable)
+    }
+
+    /// Takes an acknowledgement from a process.
+    pub fn acknowledge(&mut self, now: Duration, from: &Holder, through: u64) {
+        let last = self.state.through();
+        let Some(member) = self.members.iter_mut().find(|member| member.id == *from) else {
+            self.lose_predecessor(from);
+            return;
+        };
+        if through < member.acked {
+            member.lost |= through == 0;
+            return;
+        }
+        let progress = through > member.acked;
+        member.acked = through.min(last);
+        if member.acked == last {
+            member.waiting = None;
+        } else if progress {
+            member.waiting = Some(now);
+        }
+        self.trim();
+    }
+
+    /// Marks the member lost whose host now runs another process.
+    fn lose_predecessor(&mut self, from: &Holder) {
+        let Some(host) = self.peers.get(from).map(|peer| &peer.host) else {
+            return;
+        };
+        for member in &mut self.members {
+            member.lost |= member.host == *host;
+        }
+    }
+
+    /// Drops entries that every member has.
+    fn trim(&mut self) {
+        let last = self.state.through();
+        let behind = self.members.iter().filter(|member| !member.lost);
+        let needed = behind.map(|member| member.acked.max(member.snapshot)).min().unwrap_or(last);
+        let keep = ((last - needed) as usize).min(TAIL_ENTRIES);
+        let excess = self.tail.len().saturating_sub(keep);
+        self.tail.drain(..excess);
+    }
+
+    /// Sends what is due to the members and works out what is durable.
+    pub fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let last = self.state.through();
+        for index in 0..self.members.len() {
+            self.send(index, now, actions);
+        }
+        if self.members.is_empty() || self.tail.len() > TAIL_ENTRIES {
+            self.trim();
+        }
+        let committed = self.committed.as_deref().map_or(last, |ids| self.covered(ids, now));
+        let pending = self.pending.as_deref().map_or(last, |ids| self.covered(ids, now));
+        self.durable = self.durable.max(committed.min(pending));
+    }
+
+    /// Returns the number up to which an ensemble holds entries: all members that are waited for,
+    /// and at least one.
+    fn covered(&self, ids: &[Holder], now: Duration) -> u64 {
+        if ids.is_empty() {
+            return self.state.through();
+        }
+        let members = || self.members.iter().filter(|member| ids.contains(&member.id));
+        let waited = members().filter(|member| !member.stalled(now, MEMBER_TIMEOUT));
+        let all = waited.map(|member| member.acked).min();
+        all.or_else(|| members().map(|member| member.acked).max()).unwrap_or(0)
+    }
+
+    fn send(&mut self, index: usize, now: Duration, actions: &mut Vec<Action>) {
+        let last = self.state.through();
+        let member = &mut self.members[index];
+        if member.lost || member.acked == last {
+            return;
+        }
+        let since = *member.waiting.get_or_insert(now);
+        let pause = if now >= since + REPLACE_AFTER { PROBE_EVERY } else { RESEND_AFTER };
+        let due = member.sent == 0 || now >= member.sent_at + pause;
+        let base = last - self.tail.len() as u64;
+        if member.acked.max(member.snapshot) < base || member.acked == 0 {
+            if due {
+                member.sent = last;
+                member.snapshot = last;
+                member.sent_at = now;
+                let message = snapshot(&self.holder, &self.state);
+                actions.push(Action::Send { to: member.host.clone(), message });
+            }
+            return;
+        }
+        if due {
+            member.sent = member.acked;
+        }
+        let stalled = now >= since + MEMBER_TIMEOUT;
+        let first = member.sent.max(base) + 1;
+        if first > last || (stalled && !due) {
+            return;
+        }
+        let skip = (first - 1 - base) as usize;
+        let entries: Vec<Entry> =
+            self.tail.iter().skip(skip).take(APPEND_ENTRIES).cloned().collect();
+        member.sent = first - 1 + entries.len() as u64;
+        member.sent_at = now;
+        let holder = self.holder.clone();
+        let append = Append { holder, first, snapshot: false, entries };
+        actions.push(Action::Send { to: member.host.clone(), message: Message::Append(append) });
+    }
+
+    /// Returns the ensemble to be written to the table, once its new members have their copies.
+    ///
+    /// Returns `None` while there is nothing to change.
+    pub fn propose(&mut self, now: Duration) -> Option<Proposal> {
+        if let Some(pending) = &self.pending {
+            return Some(pending.clone());
+        }
+        let desired = self.desired(now);
+        let committed = self.committed.clone().unwrap_or_default();
+        self.members
+            .retain(|member| committed.contains(&member.id) || desired.contains(&member.id));
+        for id in &desired {
+            self.join(id, now);
+        }
+        let ready = desired
+            .iter()
+            .all(|id| self.members.iter().any(|member| member.id == *id && member.acked > 0));
+        let changed = self.committed.as_ref().is_none_or(|committed| *committed != desired);
+        (ready && changed).then_some(desired)
+    }
+
+    fn join(&mut self, id: &Holder, now: Duration) {
+        if let Some(member) = self.members.iter().find(|member| member.id == *id) {
+            if member.acked == 0 && member.stalled(now, REPLACE_AFTER) {
+                self.excluded.insert(id.clone());
+            }
+            return;
+        }
+        let Some(peer) = self.peers.get(id) else {
+            return;
+        };
+        self.members.push(Member {
+            id: id.clone(),
+            host: peer.host.clone(),
+            acked: 0,
+            sent: 0,
+            snapshot: 0,
+            sent_at: now,
+            waiting: None,
+            lost: false,
+        });
+    }
+
+    /// Returns the ensemble as it should be, which is the committed one where nothing is better.
+    fn desired(&self, now: Duration) -> Vec<Holder> {
+        let committed = self.committed.as_deref().unwrap_or_default();
+        let healthy = |id: &&Holder| {
+            self.members.iter().any(|member| {
+                member.id == **id && !member.stalled(now, REPLACE_AFTER) && self.reachable(id)
+            })
+        };
+        let mut desired: Vec<Holder> = committed.iter().filter(healthy).cloned().collect();
+        while desired.len() < MEMBERS
+            && let Some(id) = self.candidate(&desired)
+        {
+            desired.push(id);
+        }
+        if desired.is_empty() { committed.to_vec() } else { desired }
+    }
+
+    fn reachable(&self, id: &Holder) -> bool {
+        self.peers.get(id).is_some_and(|peer| peer.reachable)
+    }
+
+    /// Returns the best process to add: first one of another zone, then one of this zone.
+    fn candidate(&self, chosen: &[Holder]) -> Option<Holder> {
+        let zone = |id: &Holder| self.peers.get(id).map(|peer| &peer.zone);
+        let elsewhere = chosen.iter().any(|id| zone(id).is_some_and(|zone| *zone != self.zone));
+        let rank = |peer: &&Peer| {
+            let wanted = (peer.zone != self.zone) != elsewhere;
+            (!wanted, spread(&self.holder, &peer.id))
+        };
+        let free = |peer: &&Peer| {
+            peer.reachable && !chosen.contains(&peer.id) && !self.excluded.contains(&peer.id)
+        };
+        self.peers.values().filter(free).min_by_key(rank).map(|peer| peer.id.clone())
+    }
+
+    /// Notes that an ensemble is on its way to the table: until it is known what came of that,
+    /// entries need the acknowledgement of this ensemble and of the committed one.
+    pub fn begin(&mut self, ensemble: Proposal) {
+        self.pending = Some(ensemble);
+    }
+
+    /// Notes that the ensemble on its way was certainly not written.
+    pub fn cancel(&mut self) {
+        self.pending = None;
+    }
+
+    /// Notes the ensemble that the table holds.
+    pub fn commit(&mut self, ensemble: Vec<Holder>) {
+        self.pending = None;
+        self.members.retain(|member| ensemble.contains(&member.id));
+        self.committed = Some(ensemble);
+        self.trim();
+    }
+
+    /// Returns the ensemble that the table holds, `None` before the first.
+    pub fn ensemble(&self) -> Option<&[Holder]> {
+        self.committed.as_deref()
+    }
+}
+
+fn snapshot(holder: &Holder, state: &State) -> Message {
+    Message::Append(Append {
+        holder: holder.clone(),
+        first: state.through(),
+        snapshot: true,
+        entries: state.entries(),
+    })
+}
+
+/// Returns a rank that differs from holder to holder, so that copies spread over the processes.
+fn spread(holder: &str, peer: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(holder.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(peer.as_bytes());
+    let mut rank = [0; 8];
+    rank.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(rank)
+}
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -41,10 +41,12 @@
         budget: Arc<str>,
         /// Tokens wanted.
         tokens: u64,
+        /// Class of the request that needs them most urgently.
+        class: request::Class,
     },
     /// Hands over tokens; repeated until acknowledged, applied once.
     Transfer {
-        /// Number of the transfer, counted by the sender for each receiving holder.
+        /// Number of the transfer, different from that of every other transfer of the fleet.
         number: u64,
         /// Holder that receives it; another incarnation must not apply it.
         to: Holder,
--- /dev/null
+++ b/crates/coordination/tests/money/contract.rs
@@ -0,0 +1,73 @@
+//! Fault cases of the table.
+
+use std::time::Duration;
+
+use coordination::{
+    escrow::{Escrow, Grant},
+    request::Class,
+};
+use test_case::test_case;
+
+use crate::{
+    fleet::{Answer, Fleet},
+    table::Fault,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn open_pair() -> Fleet {
+    let mut fleet = Fleet::open(1, &[("a", "x"), ("b", "y")]);
+    fleet.set_budget("p", &[("t1", 10_000)], 0, false);
+    fleet.run_for(SECOND);
+    fleet
+}
+
+fn escrow(fleet: &Fleet) -> Escrow {
+    coordination::escrow::parse(&fleet.table.row("escrow/p")).expect("a row").unwrap_or_default()
+}
+
+fn grant(fleet: &Fleet, holder: &str) -> Grant {
+    let row = fleet.table.row(&format!("grant/p/{holder}"));
+    coordination::escrow::parse(&row).expect("a row").unwrap_or_default()
+}
+
+struct Case {
+    faults: &'static [Option<Fault>],
+    late: bool,
+}
+
+#[test_case(Case { faults: &[], late: false }; "no fault")]
+#[test_case(Case { faults: &[Some(Fault::Refused)], late: false }; "refused")]
+#[test_case(Case { faults: &[Some(Fault::AnswerLost)], late: false }; "answer lost")]
+#[test_case(Case { faults: &[Some(Fault::AnswerLost), Some(Fault::AnswerLost)], late: false }; "two answers lost")]
+#[test_case(Case { faults: &[Some(Fault::Lost)], late: false }; "lost")]
+#[test_case(Case { faults: &[Some(Fault::Late)], late: true }; "late")]
+#[test_case(Case { faults: &[Some(Fault::Late), Some(Fault::AnswerLost)], late: true }; "late then answer lost")]
+fn grant_settle_and_drain_agree_with_the_table(case: Case) {
+    let mut fleet = open_pair();
+    fleet.faults.insert(0, case.faults.to_vec());
+    fleet.reserve(0, 1, "p", 100, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(1), Some(Answer::Reserved));
+    fleet.faults.insert(0, case.faults.to_vec());
+    fleet.settle(0, 1, 60);
+    fleet.run_for(10 * SECOND);
+    if case.late {
+        fleet.table.deliver_late();
+    }
+    fleet.run_for(10 * SECOND);
+    let row = grant(&fleet, "a.1");
+    let held = fleet.hosts[0].holder.available("p");
+    assert_eq!(row.open(), i128::from(held));
+    assert_eq!(row.settled, 60);
+    fleet.faults.insert(0, case.faults.to_vec());
+    fleet.event(0, coordination::holder::Event::Drain);
+    fleet.run_for(10 * SECOND);
+    if case.late {
+        fleet.table.deliver_late();
+    }
+    assert!(fleet.hosts[0].drained);
+    assert_eq!(grant(&fleet, "a.1").open(), 0);
+    let escrow = escrow(&fleet);
+    assert_eq!((escrow.settled, escrow.open()), (60, 0));
+}
--- /dev/null
+++ b/crates/coordination/tests/money/main.rs
@@ -0,0 +1,5 @@
+//! Budgets under faults: contract with the table, hard cases of recovery, differential tests.
+
+mod contract;
+mod fleet;
+mod table;
--- /dev/null
+++ b/crates/coordination/tests/money/table.rs
@@ -0,0 +1,125 @@
+//! Table in memory, with faults.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use coordination::table::{Op, Outcome, Row, Txn};
+
+/// What goes wrong with an operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It is refused; nothing is done.
+    Refused,
+    /// It is done and its answer is lost.
+    AnswerLost,
+    /// It never arrives.
+    Lost,
+    /// Its answer is lost and it is done only later, by [`Table::deliver_late`].
+    Late,
+}
+
+/// Rows with commit revisions.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<Arc<str>, Row>,
+    log: BTreeMap<(u64, Arc<str>), ()>,
+    revision: u64,
+    late: Vec<Txn>,
+    pub commits: u64,
+    pub conflicts: u64,
+    pub reads: u64,
+}
+
+impl Table {
+    pub fn row(&self, key: &str) -> Row {
+        let absent = || Row { key: Arc::from(key), value: None, revision: 0 };
+        self.rows.get(key).cloned().unwrap_or_else(absent)
+    }
+
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    pub fn put(&mut self, key: &str, value: impl Into<Arc<str>>) {
+        let write = coordination::table::Write { key: Arc::from(key), value: Some(value.into()) };
+        self.commit(&Txn { checks: Vec::new(), writes: vec![write] });
+    }
+
+    pub fn run(&mut self, op: &Op, fault: Option<Fault>) -> Outcome {
+        match (fault, op) {
+            (None, op) => self.perform(op),
+            (Some(Fault::Refused), _) => Outcome::Unavailable,
+            (Some(Fault::AnswerLost), op) => {
+                self.perform(op);
+                Outcome::Unknown
+            }
+            (Some(Fault::Late), Op::Commit(txn)) => {
+                self.late.push(txn.clone());
+                Outcome::Unknown
+            }
+            (Some(Fault::Lost | Fault::Late), _) => Outcome::Unknown,
+        }
+    }
+
+    pub fn deliver_late(&mut self) {
+        for txn in std::mem::take(&mut self.late) {
+            self.commit(&txn);
+        }
+    }
+
+    fn perform(&mut self, op: &Op) -> Outcome {
+        match op {
+            Op::Read(keys) => {
+                self.reads += 1;
+                Outcome::Rows(keys.iter().map(|key| self.row(key)).collect())
+            }
+            Op::Scan { prefix, after, limit } => {
+                self.reads += 1;
+                let rows = self.rows.values().filter(|row| {
+                    row.key.starts_with(&**prefix) && row.key > *after && row.value.is_some()
+                });
+                Outcome::Rows(rows.take(*limit as usize).cloned().collect())
+            }
+            Op::Changes { prefix, after, limit } => self.changes(prefix, *after, *limit as usize),
+            Op::Commit(txn) => self.commit(txn),
+        }
+    }
+
+    fn changes(&mut self, prefix: &str, after: u64, limit: usize) -> Outcome {
+        self.reads += 1;
+        let first = (after + 1, Arc::from(""));
+        let keys = self.log.range(first..).filter(|((_, key), ())| key.starts_with(prefix));
+        let rows: Vec<Row> = keys.take(limit + 1).map(|((_, key), ())| self.row(key)).collect();
+        let mut through = self.revision;
+        let mut rows = rows;
+        if rows.len() > limit {
+            let cut = rows[limit].revision;
+            rows.truncate(limit);
+            if rows.last().is_some_and(|row| row.revision == cut) {
+                rows.retain(|row| row.revision < cut);
+            }
+            through = rows.last().map_or(after, |row| row.revision);
+        }
+        Outcome::Changes { rows, through }
+    }
+
+    pub fn commit(&mut self, txn: &Txn) -> Outcome {
+        let stale = |check: &&coordination::table::Check| {
+            self.row(&check.key).revision != check.revision
+        };
+        if txn.checks.iter().any(|check| stale(&check)) {
+            self.conflicts += 1;
+            return Outcome::Conflict(txn.checks.iter().map(|check| self.row(&check.key)).collect());
+        }
+        self.commits += 1;
+        self.revision += 1;
+        for write in &txn.writes {
+            let (key, revision) = (write.key.clone(), self.revision);
+            if let Some(old) = self.rows.get(&key) {
+                self.log.remove(&(old.revision, key.clone()));
+            }
+            self.log.insert((revision, key.clone()), ());
+            self.rows.insert(key.clone(), Row { key, value: write.value.clone(), revision });
+        }
+        Outcome::Committed(self.revision)
+    }
+}
