--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,13 +8,13 @@
 
 pub mod clock;
 pub mod config;
-pub mod member;
+pub mod credential;
 pub mod escrow;
 pub mod fold;
 pub mod holder;
 pub mod journal;
 pub mod ledger;
-pub mod credential;
+pub mod member;
 pub mod message;
 pub mod record;
 pub mod recovery;
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -134,3 +134,21 @@
         self.reachable().take(count).collect()
     }
 }
+
+/// Greatest size of the members in one heartbeat, in bytes.
+const MAX_PAGE_BYTES: usize = 900;
+
+/// Bytes of a member beside its names.
+const MEMBER_BYTES: usize = 48;
+
+/// Returns as many members as fit one heartbeat.
+pub fn page<'a>(members: impl IntoIterator<Item = &'a Member>) -> Vec<Member> {
+    let mut room = MAX_PAGE_BYTES;
+    let fits = members.into_iter().take_while(|member| {
+        let size = MEMBER_BYTES + member.host.len() + member.zone.len() + member.address.len();
+        let left = room.checked_sub(size);
+        room = left.unwrap_or(0);
+        left.is_some()
+    });
+    fits.cloned().collect()
+}
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -279,8 +279,11 @@
     pub incarnation: u64,
     /// State.
     pub state: State,
-    /// Revision of the configuration in force there.
+    /// Revision of the configuration in force there, where heard from the member itself.
     pub revision: u64,
+    /// Suspicions that the member has refuted in this incarnation.
+    #[serde(default)]
+    pub refuted: u64,
 }
 
 /// State of a member, weakest claim first.
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -146,6 +146,7 @@
   4: required i64 incarnation
   5: required MemberState state
   6: required i64 revision
+  7: required i64 refuted
 }
 
 struct Heartbeat {
@@ -193,8 +194,8 @@
   3: required string address
   // Address that it was sent to.
   4: required string to
-  // Incarnation of the receiver as the sender knows it; 0 for unknown.
-  5: required i64 to_incarnation
+  // Session of the connection, from the receiver's greeting; 0 in a datagram or a greeting.
+  5: required i64 session
   // Incarnation of the sender.
   6: required i64 incarnation
   // Number of the envelope within the sender's incarnation.
@@ -209,7 +210,8 @@
 struct Greeting {
   1: required string holder
   2: required i64 incarnation
-  3: required binary mac
+  3: required i64 session
+  4: required binary mac
 }
 
 struct Held {
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -342,7 +342,7 @@
         )
       )
     } else {
-      Ok(ret.expect("return value should have been constructed"))
+      ret.ok_or_else(|| thrift::Error::Protocol(ProtocolError::new(ProtocolErrorKind::InvalidData, "union without a known field")))
     }
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
@@ -892,7 +892,7 @@
         )
       )
     } else {
-      Ok(ret.expect("return value should have been constructed"))
+      ret.ok_or_else(|| thrift::Error::Protocol(ProtocolError::new(ProtocolErrorKind::InvalidData, "union without a known field")))
     }
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
@@ -1075,7 +1075,7 @@
         )
       )
     } else {
-      Ok(ret.expect("return value should have been constructed"))
+      ret.ok_or_else(|| thrift::Error::Protocol(ProtocolError::new(ProtocolErrorKind::InvalidData, "union without a known field")))
     }
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
@@ -1224,7 +1224,7 @@
         )
       )
     } else {
-      Ok(ret.expect("return value should have been constructed"))
+      ret.ok_or_else(|| thrift::Error::Protocol(ProtocolError::new(ProtocolErrorKind::InvalidData, "union without a known field")))
     }
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
@@ -1937,10 +1937,11 @@
   pub incarnation: i64,
   pub state: MemberState,
   pub revision: i64,
+  pub refuted: i64,
 }
 
 impl Member {
-  pub fn new(host: String, zone: String, address: String, incarnation: i64, state: MemberState, revision: i64) -> Member {
+  pub fn new(host: String, zone: String, address: String, incarnation: i64, state: MemberState, revision: i64, refuted: i64) -> Member {
     Member {
       host,
       zone,
@@ -1948,6 +1949,7 @@
       incarnation,
       state,
       revision,
+      refuted,
     }
   }
 }
@@ -1961,6 +1963,7 @@
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<MemberState> = None;
     let mut f_6: Option<i64> = None;
+    let mut f_7: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1992,6 +1995,10 @@
           let val = i_prot.read_i64()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_i64()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2005,6 +2012,7 @@
     verify_required_field_exists("Member.incarnation", &f_4)?;
     verify_required_field_exists("Member.state", &f_5)?;
     verify_required_field_exists("Member.revision", &f_6)?;
+    verify_required_field_exists("Member.refuted", &f_7)?;
     let ret = Member {
       host: f_1.expect("auto-generated code should have checked for presence of required fields"),
       zone: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -2012,6 +2020,7 @@
       incarnation: f_4.expect("auto-generated code should have checked for presence of required fields"),
       state: f_5.expect("auto-generated code should have checked for presence of required fields"),
       revision: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      refuted: f_7.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -2036,6 +2045,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 6))?;
     o_prot.write_i64(self.revision)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("refuted", TType::I64, 7))?;
+    o_prot.write_i64(self.refuted)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2404,7 +2416,7 @@
         )
       )
     } else {
-      Ok(ret.expect("return value should have been constructed"))
+      ret.ok_or_else(|| thrift::Error::Protocol(ProtocolError::new(ProtocolErrorKind::InvalidData, "union without a known field")))
     }
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
@@ -2580,7 +2592,7 @@
   pub zone: String,
   pub address: String,
   pub to: String,
-  pub to_incarnation: i64,
+  pub session: i64,
   pub incarnation: i64,
   pub number: i64,
   pub clock: Clock,
@@ -2590,13 +2602,13 @@
 }
 
 impl Envelope {
-  pub fn new<F9>(holder: String, zone: String, address: String, to: String, to_incarnation: i64, incarnation: i64, number: i64, clock: Clock, request: F9, body: Vec<u8>, mac: Vec<u8>) -> Envelope where F9: Into<Option<Vec<u8>>> {
+  pub fn new<F9>(holder: String, zone: String, address: String, to: String, session: i64, incarnation: i64, number: i64, clock: Clock, request: F9, body: Vec<u8>, mac: Vec<u8>) -> Envelope where F9: Into<Option<Vec<u8>>> {
     Envelope {
       holder,
       zone,
       address,
       to,
-      to_incarnation,
+      session,
       incarnation,
       number,
       clock,
@@ -2683,7 +2695,7 @@
     verify_required_field_exists("Envelope.zone", &f_2)?;
     verify_required_field_exists("Envelope.address", &f_3)?;
     verify_required_field_exists("Envelope.to", &f_4)?;
-    verify_required_field_exists("Envelope.to_incarnation", &f_5)?;
+    verify_required_field_exists("Envelope.session", &f_5)?;
     verify_required_field_exists("Envelope.incarnation", &f_6)?;
     verify_required_field_exists("Envelope.number", &f_7)?;
     verify_required_field_exists("Envelope.clock", &f_8)?;
@@ -2694,7 +2706,7 @@
       zone: f_2.expect("auto-generated code should have checked for presence of required fields"),
       address: f_3.expect("auto-generated code should have checked for presence of required fields"),
       to: f_4.expect("auto-generated code should have checked for presence of required fields"),
-      to_incarnation: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      session: f_5.expect("auto-generated code should have checked for presence of required fields"),
       incarnation: f_6.expect("auto-generated code should have checked for presence of required fields"),
       number: f_7.expect("auto-generated code should have checked for presence of required fields"),
       clock: f_8.expect("auto-generated code should have checked for presence of required fields"),
@@ -2719,8 +2731,8 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("to", TType::String, 4))?;
     o_prot.write_string(&self.to)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("to_incarnation", TType::I64, 5))?;
-    o_prot.write_i64(self.to_incarnation)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("session", TType::I64, 5))?;
+    o_prot.write_i64(self.session)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 6))?;
     o_prot.write_i64(self.incarnation)?;
@@ -2755,14 +2767,16 @@
 pub struct Greeting {
   pub holder: String,
   pub incarnation: i64,
+  pub session: i64,
   pub mac: Vec<u8>,
 }
 
 impl Greeting {
-  pub fn new(holder: String, incarnation: i64, mac: Vec<u8>) -> Greeting {
+  pub fn new(holder: String, incarnation: i64, session: i64, mac: Vec<u8>) -> Greeting {
     Greeting {
       holder,
       incarnation,
+      session,
       mac,
     }
   }
@@ -2773,7 +2787,8 @@
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
     let mut f_2: Option<i64> = None;
-    let mut f_3: Option<Vec<u8>> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<Vec<u8>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2790,9 +2805,13 @@
           f_2 = Some(val);
         },
         3 => {
-          let val = i_prot.read_bytes()?;
+          let val = i_prot.read_i64()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_bytes()?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2802,11 +2821,13 @@
     i_prot.read_struct_end()?;
     verify_required_field_exists("Greeting.holder", &f_1)?;
     verify_required_field_exists("Greeting.incarnation", &f_2)?;
-    verify_required_field_exists("Greeting.mac", &f_3)?;
+    verify_required_field_exists("Greeting.session", &f_3)?;
+    verify_required_field_exists("Greeting.mac", &f_4)?;
     let ret = Greeting {
       holder: f_1.expect("auto-generated code should have checked for presence of required fields"),
       incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
-      mac: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      session: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      mac: f_4.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -2819,7 +2840,10 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
     o_prot.write_i64(self.incarnation)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("mac", TType::String, 3))?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("session", TType::I64, 3))?;
+    o_prot.write_i64(self.session)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("mac", TType::String, 4))?;
     o_prot.write_bytes(&self.mac)?;
     o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
