--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -66,6 +66,7 @@
     received: BTreeMap<Arc<str>, u64>,
     sent: BTreeMap<Arc<str>, u64>,
     unacknowledged: BTreeMap<u64, Sent>,
+    floor: u64,
     claims: BTreeMap<u64, Claim>,
 }
 
@@ -109,6 +110,10 @@
                 let claim = Claim { digest: *digest, request: *request, outcome: None };
                 self.claims.entry(*ticket).or_insert(claim);
             }
+            Entry::TicketFloor { floor } => {
+                self.floor = self.floor.max(*floor);
+                self.claims = self.claims.split_off(&self.floor);
+            }
             Entry::Outcome { ticket, outcome } => {
                 if let Some(claim) = self.claims.get_mut(ticket) {
                     claim.outcome = Some(outcome.clone());
@@ -214,6 +219,7 @@
     }
 
     fn claim_entries(&self, entries: &mut Vec<Entry>) {
+        entries.push(Entry::TicketFloor { floor: self.floor });
         for (ticket, claim) in &self.claims {
             entries.push(Entry::Claim {
                 ticket: *ticket,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -221,9 +221,11 @@
                 }
                 self.feed(event, actions);
             }
-            Inbound::Status(answer) => drop(answer.send(self.status())),
+            Inbound::Status(answer) => {
+                let _ = answer.send(self.status());
+            }
             Inbound::Authorise { token, answer } => {
-                drop(answer.send(self.host.is_operator(&token)));
+                let _ = answer.send(self.host.is_operator(&token));
             }
         }
     }
