--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -110,7 +110,6 @@
 }
 
 /// What a driver is made of, besides its host.
-#[derive(Debug)]
 pub struct Parts {
     /// Longest time between two ticks.
     pub tick: Duration,
@@ -127,7 +126,6 @@
 }
 
 /// Drives one host.
-#[derive(Debug)]
 pub struct Driver {
     host: Host,
     started: Instant,
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -90,6 +90,7 @@
   6: Flush flushed
   7: TicketClaim claim
   8: TicketOutcome outcome
+  9: i64 ticket_floor
 }
 
 struct Append {
@@ -110,9 +111,16 @@
   3: required list<Entry> entries
 }
 
+enum Class {
+  URGENT = 0
+  NORMAL = 1
+  LONG = 2
+}
+
 struct TransferAsk {
   1: required string budget
   2: required i64 tokens
+  3: required Class priority
 }
 
 struct Transfer {
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -82,6 +82,60 @@
   }
 }
 
+#[derive(Copy, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Class(pub i32);
+
+impl Class {
+  pub const URGENT: Class = Class(0);
+  pub const NORMAL: Class = Class(1);
+  pub const LONG: Class = Class(2);
+  pub const ENUM_VALUES: &'static [Self] = &[
+    Self::URGENT,
+    Self::NORMAL,
+    Self::LONG,
+  ];
+}
+
+impl TSerializable for Class {
+  #[allow(clippy::trivially_copy_pass_by_ref)]
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    o_prot.write_i32(self.0)
+  }
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Class> {
+    let enum_value = i_prot.read_i32()?;
+    Ok(Class::from(enum_value))
+  }
+}
+
+impl From<i32> for Class {
+  fn from(i: i32) -> Self {
+    match i {
+      0 => Class::URGENT,
+      1 => Class::NORMAL,
+      2 => Class::LONG,
+      _ => Class(i)
+    }
+  }
+}
+
+impl From<&i32> for Class {
+  fn from(i: &i32) -> Self {
+    Class::from(*i)
+  }
+}
+
+impl From<Class> for i32 {
+  fn from(e: Class) -> i32 {
+    e.0
+  }
+}
+
+impl From<&Class> for i32 {
+  fn from(e: &Class) -> i32 {
+    e.0
+  }
+}
+
 //
 // Nothing
 //
@@ -1127,6 +1181,7 @@
   Flushed(Flush),
   Claim(TicketClaim),
   Outcome(TicketOutcome),
+  TicketFloor(i64),
 }
 
 impl TSerializable for Entry {
@@ -1197,6 +1252,13 @@
           }
           received_field_count += 1;
         },
+        9 => {
+          let val = i_prot.read_i64()?;
+          if ret.is_none() {
+            ret = Some(Entry::TicketFloor(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1271,6 +1333,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Entry::TicketFloor(f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("ticket_floor", TType::I64, 9))?;
+        o_prot.write_i64(f)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
@@ -1545,13 +1612,15 @@
 pub struct TransferAsk {
   pub budget: String,
   pub tokens: i64,
+  pub priority: Class,
 }
 
 impl TransferAsk {
-  pub fn new(budget: String, tokens: i64) -> TransferAsk {
+  pub fn new(budget: String, tokens: i64, priority: Class) -> TransferAsk {
     TransferAsk {
       budget,
       tokens,
+      priority,
     }
   }
 }
@@ -1561,6 +1630,7 @@
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
     let mut f_2: Option<i64> = None;
+    let mut f_3: Option<Class> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1576,6 +1646,10 @@
           let val = i_prot.read_i64()?;
           f_2 = Some(val);
         },
+        3 => {
+          let val = Class::read_from_in_protocol(i_prot)?;
+          f_3 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1585,9 +1659,11 @@
     i_prot.read_struct_end()?;
     verify_required_field_exists("TransferAsk.budget", &f_1)?;
     verify_required_field_exists("TransferAsk.tokens", &f_2)?;
+    verify_required_field_exists("TransferAsk.priority", &f_3)?;
     let ret = TransferAsk {
       budget: f_1.expect("auto-generated code should have checked for presence of required fields"),
       tokens: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      priority: f_3.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -1600,6 +1676,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("tokens", TType::I64, 2))?;
     o_prot.write_i64(self.tokens)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("priority", TType::I32, 3))?;
+    self.priority.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/wire/src/message/decode.rs
+++ b/crates/wire/src/message/decode.rs
@@ -4,6 +4,7 @@
     message::{
         Append, ClaimOutcome, Entry, Heartbeat, Member, Message, SealedCopy, Source, State, Verdict,
     },
+    request::Class,
     table::Row,
 };
 
@@ -24,9 +25,11 @@
             }
             laburnum::Message::Seal(holder) => Self::Seal { holder: holder.into() },
             laburnum::Message::Sealed(copy) => Self::Sealed(copy.try_into()?),
-            laburnum::Message::TransferAsk(ask) => {
-                Self::TransferAsk { budget: ask.budget.into(), tokens: ask.tokens as u64 }
-            }
+            laburnum::Message::TransferAsk(ask) => Self::TransferAsk {
+                budget: ask.budget.into(),
+                tokens: ask.tokens as u64,
+                class: class(ask.priority)?,
+            },
             laburnum::Message::Transfer(transfer) => Self::Transfer {
                 number: transfer.number as u64,
                 to: transfer.to.into(),
@@ -128,6 +131,15 @@
     }
 }
 
+fn class(class: laburnum::Class) -> Result<Class, Fault> {
+    match class {
+        laburnum::Class::URGENT => Ok(Class::Urgent),
+        laburnum::Class::NORMAL => Ok(Class::Normal),
+        laburnum::Class::LONG => Ok(Class::Long),
+        _ => Err(Fault::Unknown { field: "priority" }),
+    }
+}
+
 impl TryFrom<laburnum::MemberState> for State {
     type Error = Fault;
 
@@ -180,6 +192,7 @@
             laburnum::Entry::Flushed(flush) => {
                 Self::Flushed { segment: flush.segment as u64, through: flush.through as u64 }
             }
+            laburnum::Entry::TicketFloor(floor) => Self::TicketFloor { floor: floor as u64 },
             laburnum::Entry::Claim(claim) => Self::Claim {
                 ticket: claim.ticket as u64,
                 digest: array("digest", &claim.digest)?,
--- a/crates/wire/src/message/encode.rs
+++ b/crates/wire/src/message/encode.rs
@@ -2,6 +2,7 @@
 
 use coordination::{
     message::{self, ClaimOutcome, Entry, Message, Source, State, Verdict},
+    request::Class,
     table::Row,
 };
 
@@ -17,9 +18,9 @@
             Message::AppendRefused { holder } => Self::AppendRefused(holder.to_string()),
             Message::Seal { holder } => Self::Seal(holder.to_string()),
             Message::Sealed(copy) => Self::Sealed(copy.into()),
-            Message::TransferAsk { budget, tokens } => {
-                Self::TransferAsk(laburnum::TransferAsk::new(budget.to_string(), *tokens as i64))
-            }
+            Message::TransferAsk { budget, tokens, class: wanted } => Self::TransferAsk(
+                laburnum::TransferAsk::new(budget.to_string(), *tokens as i64, class(*wanted)),
+            ),
             Message::Transfer { number, to, budget, tokens } => {
                 Self::Transfer(laburnum::Transfer::new(
                     *number as i64,
@@ -109,6 +110,14 @@
     }
 }
 
+fn class(class: Class) -> laburnum::Class {
+    match class {
+        Class::Urgent => laburnum::Class::URGENT,
+        Class::Normal => laburnum::Class::NORMAL,
+        Class::Long => laburnum::Class::LONG,
+    }
+}
+
 impl From<&Row> for laburnum::Row {
     fn from(row: &Row) -> Self {
         let value = row.value.as_ref().map(|value| value.to_string());
@@ -140,6 +149,7 @@
             Entry::Flushed { segment, through } => {
                 Self::Flushed(laburnum::Flush::new(*segment as i64, *through as i64))
             }
+            Entry::TicketFloor { floor } => Self::TicketFloor(*floor as i64),
             Entry::Claim { ticket, digest, request } => Self::Claim(laburnum::TicketClaim::new(
                 *ticket as i64,
                 digest.to_vec(),
