Add a caller of the fleet for demonstrations and tests

The quickstart must need nothing but the Rust toolchain, so that no HTTP client of the machine can be relied on.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each runs in its own thread, in a test's process or in the program `laburnum-standin`, and is
 //! made to fail on command.
 
+pub mod caller;
 pub mod control;
 pub mod engine;
 pub mod fault;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -15,7 +15,7 @@
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
-use standin::{engine, http::Handle, platform, service};
+use standin::{caller::Caller, engine, http::Handle, platform, service};
 
 /// Exit code of a program that failed.
 const FAILED: u8 = 1;
@@ -39,6 +39,7 @@
     Platform(Platform),
     Engine(Engine),
     Service(Service),
+    Call(Call),
 }
 
 /// Run a stand-in platform: table, object store, list of hosts and weight store.
@@ -116,6 +117,70 @@
     work_ms: u64,
 }
 
+/// Send a request to a host as a caller does, and print the answer as it comes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "call")]
+struct Call {
+    /// callers' address of the host, ip:port
+    #[argh(option)]
+    target: SocketAddr,
+    /// bearer token
+    #[argh(option)]
+    token: String,
+    /// service to call; left out, a ticket is asked for
+    #[argh(option)]
+    service: Option<String>,
+    /// idempotency key or ticket
+    #[argh(option)]
+    key: Option<String>,
+    /// prompt for a model
+    #[argh(option)]
+    prompt: Option<String>,
+    /// greatest number of tokens to generate
+    #[argh(option)]
+    max_tokens: Option<u64>,
+    /// jSON input for a plain service
+    #[argh(option)]
+    input: Option<String>,
+    /// longest silence, in milliseconds (30000)
+    #[argh(option, default = "30000")]
+    timeout_ms: u64,
+}
+
+fn call(call: &Call) -> eyre::Result<bool> {
+    let timeout = Duration::from_millis(call.timeout_ms);
+    let caller = Caller::open(call.target, call.token.as_str(), timeout);
+    let Some(service) = &call.service else {
+        println!("{}", caller.ticket()?);
+        return Ok(true);
+    };
+    let mut body = serde_json::Map::new();
+    if let Some(prompt) = &call.prompt {
+        body.insert("prompt".into(), prompt.as_str().into());
+    }
+    if let Some(max_tokens) = call.max_tokens {
+        body.insert("max_tokens".into(), max_tokens.into());
+    }
+    if let Some(input) = &call.input {
+        body.insert("input".into(), serde_json::from_str(input).wrap_err("step=parse input")?);
+    }
+    let mut count = 0;
+    let reply = caller.call(service, call.key.as_deref(), &body.into(), |_| count += 1)?;
+    println!("status={} tokens={count} whole={}", reply.status, reply.whole());
+    if let Some(end) = &reply.end {
+        println!("charged={} text={:?}", end.charged, reply.text());
+    }
+    if let Some(problem) = &reply.problem {
+        let wait = problem.retry_after_ms.map_or("never".to_owned(), |wait| wait.to_string());
+        println!("code={} outcome={} retry_after_ms={wait}", problem.code, problem.outcome);
+        println!("detail={:?}", problem.detail);
+    }
+    if !reply.body.is_empty() {
+        println!("body={}", reply.body);
+    }
+    Ok(reply.whole())
+}
+
 fn main() -> ExitCode {
     let args = match parse() {
         Ok(args) => args,
@@ -126,12 +191,19 @@
         return ExitCode::SUCCESS;
     }
     let Some(command) = args.command else {
-        eprintln!("one of the commands platform, engine and service must be given; see --help");
+        eprintln!(
+            "one of the commands platform, engine, service and call must be given; see --help"
+        );
         return ExitCode::from(WRONG_USE);
     };
     log();
-    match serve(command) {
-        Ok(()) => ExitCode::SUCCESS,
+    let done = match command {
+        Command::Call(args) => call(&args),
+        command => serve(command).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(FAILED),
         Err(error) => {
             eprintln!("laburnum-standin: {error:#}");
             ExitCode::from(FAILED)
@@ -178,6 +250,7 @@
         Command::Platform(args) => spawn_platform(&args),
         Command::Engine(args) => spawn_engine(&args),
         Command::Service(args) => spawn_service(&args),
+        Command::Call(_) => eyre::bail!("step=serve a call serves nothing"),
     }
 }
 
