--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -14,7 +14,6 @@
 use serde::Deserialize;
 
 /// A caller with its bearer token.
-#[derive(Debug)]
 pub struct Caller {
     address: SocketAddr,
     token: String,
