Recover dead holders from sealed copies of their journals

The holder's row is sealed first, then every copy; only then are charges, returns and the closing committed, on the condition that the rows stand as read, so that two recoverers charge once. A copy that is lost strands what isn't accounted for. Hard cases are held by tests.

--- a/crates/coordination/src/escrow.rs
+++ b/crates/coordination/src/escrow.rs
@@ -38,9 +38,9 @@
 }
 
 impl Escrow {
-    /// Returns the tokens that holders were granted and neither returned nor settled.
+    /// Returns the tokens that holders were granted and that weren't returned, settled or stranded.
     pub fn open(&self) -> u64 {
-        self.granted.saturating_sub(self.returned + self.settled + self.old_settled)
+        self.granted.saturating_sub(self.returned + self.settled + self.old_settled + self.stranded)
     }
 
     /// Returns the tokens that may still be granted.
@@ -69,9 +69,12 @@
 }
 
 impl Grant {
-    /// Returns granted less returned and settled; below zero where transfers came in.
+    /// Returns granted less returned, settled and stranded; below zero where transfers came in.
     pub fn open(&self) -> i128 {
-        i128::from(self.granted) - i128::from(self.returned) - i128::from(self.settled)
+        i128::from(self.granted)
+            - i128::from(self.returned)
+            - i128::from(self.settled)
+            - i128::from(self.stranded)
     }
 }
 
@@ -98,6 +101,22 @@
     pub epoch: u64,
     /// Number of the last ledger segment written.
     pub segment: u64,
+    /// It was closed without all copies of its journal; what its rows show as open is out of use.
+    #[serde(default)]
+    pub incomplete: bool,
+}
+
+impl Registration {
+    /// Returns the state of a holder that isn't in the table yet.
+    pub fn first() -> Self {
+        Self {
+            state: State::Open,
+            ensemble: Vec::new(),
+            epoch: 0,
+            segment: 0,
+            incomplete: false,
+        }
+    }
 }
 
 /// Returns the key of a budget's record.
@@ -120,6 +139,11 @@
     Arc::from(format!("{HOLDER_PREFIX}{holder}"))
 }
 
+/// Returns the key of the tickets that a closed holder had claimed.
+pub fn claims_key(holder: &str) -> Arc<str> {
+    Arc::from(format!("claims/{holder}"))
+}
+
 /// Returns the key of a charge in the old ledger.
 pub fn charge_key(budget: &str, request: request::Id) -> Arc<str> {
     Arc::from(format!("charge/{budget}/{request}"))
@@ -150,15 +174,6 @@
     }
 }
 
-/// Returns a row's JSON text.
-///
-/// # Panics
-///
-/// Never for the types of this crate, whose maps have string keys.
-pub fn render(value: &impl Serialize) -> Arc<str> {
-    Arc::from(serde_json::to_string(value).expect("string keys"))
-}
-
 /// Returns the tokens bought by a budget's record, and the format of its ledger.
 ///
 /// # Errors
--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -279,6 +279,7 @@
             return;
         }
         if account.fits(reserve.class, reserve.tokens) {
+            account.used.add(now, reserve.tokens as f64);
             self.set_aside(now, reserve, now + WAIT);
             return;
         }
@@ -296,7 +297,6 @@
         };
         account.available -= reserve.tokens;
         account.reserved += reserve.tokens;
-        account.used.add(now, reserve.tokens as f64);
         let low = account.available < account.low_water;
         let number = self.journal.append(Entry::Reserve {
             request: reserve.request,
@@ -330,7 +330,7 @@
             deadline,
         };
         if let Some(account) = self.accounts.get_mut(&budget) {
-            account.used.add(now, 0.0);
+            account.used.add(now, reserve.tokens as f64);
             account.wanted += reserve.tokens;
             account.waiting.insert(turn, Waiting { reserve });
         }
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -19,7 +19,7 @@
     message::{Entry, Source},
     record::Ledger,
     request,
-    table::{Check, Op, Outcome, Row, Txn, Write},
+    table::{Op, Outcome, Row, Txn},
 };
 
 /// Budgets in one round.
@@ -512,9 +512,9 @@
             return;
         }
         grant.number += 1;
-        check(rows.record, txn);
-        write(rows.escrow, &escrow, txn);
-        write(rows.grant, &grant, txn);
+        txn.check(rows.record);
+        txn.put(rows.escrow, &escrow);
+        txn.put(rows.grant, &grant);
         plan.grants.push((budget.clone(), grant));
     }
 
@@ -567,12 +567,12 @@
                 && row.value.is_none()
                 && !taken
             {
-                write(row, &entry, txn);
+                txn.put(row, &entry);
             }
         }
         let key = ledger::segment_key(&self.settings.id, flush.segment);
         let row = Row { key, value: None, revision: 0 };
-        write(&row, &segment, txn);
+        txn.put(&row, &segment);
     }
 
     /// Plans this holder's own row: its first state, its ensemble, its last segment, its end.
@@ -584,8 +584,7 @@
         txn: &mut Txn,
         plan: &mut Plan,
     ) {
-        let first = Registration { state: State::Open, ensemble: Vec::new(), epoch: 0, segment: 0 };
-        let mut next = was.clone().unwrap_or(first);
+        let mut next = was.clone().unwrap_or_else(Registration::first);
         if let Some(ensemble) = ensemble
             && (was.is_none() || next.ensemble != *ensemble)
         {
@@ -600,11 +599,11 @@
         }
         if was.as_ref() == Some(&next) {
             if !txn.writes.is_empty() {
-                check(row, txn);
+                txn.check(row);
             }
             return;
         }
-        write(row, &next, txn);
+        txn.put(row, &next);
         plan.registration = Some(next);
     }
 
@@ -636,14 +635,3 @@
 fn doubled(pause: Duration, times: u32, limit: Duration) -> Duration {
     pause.saturating_mul(1 << times.min(16)).min(limit)
 }
-
-/// Adds the condition that a row stands as it was read.
-pub(crate) fn check(row: &Row, txn: &mut Txn) {
-    txn.checks.push(Check { key: row.key.clone(), revision: row.revision });
-}
-
-/// Adds a write of a row, on the condition that it stands as it was read.
-pub(crate) fn write(row: &Row, value: &impl serde::Serialize, txn: &mut Txn) {
-    check(row, txn);
-    txn.writes.push(Write { key: row.key.clone(), value: Some(escrow::render(value)) });
-}
--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -5,6 +5,8 @@
     sync::Arc,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     message::{ClaimOutcome, Entry, Holder, Source},
     request,
@@ -44,7 +46,7 @@
 }
 
 /// A claimed ticket.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// Digest of the request's body.
     pub digest: [u8; 32],
--- a/crates/coordination/src/recovery.rs
+++ b/crates/coordination/src/recovery.rs
@@ -1,98 +1,168 @@
 //! Recovery of what a dead holder held.
+//!
+//! The holder's row is marked as sealed, so that it gets no further grant and can't change its
+//! ensemble. Then every copy of its journal is sealed, so that it can get no reservation
+//! acknowledged and so can dispatch nothing more, should it be alive after all. Only then are its
+//! reservations charged and the rest given back. A copy that is lost may have held entries that the
+//! others lack: what isn't accounted for is then put out of use.
 
-use std::{sync::Arc, time::Duration};
+mod event;
+mod job;
 
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+pub use self::event::{Action, Event, Report};
+use self::job::Job;
 use crate::{
+    journal::Sent,
     message::{Holder, Message},
-    request,
-    table::{Op, Outcome},
 };
 
-/// What a [`Recovery`] is told.
-#[derive(Debug)]
-pub enum Event {
-    /// A holder is dead: by the platform's list, or because its host runs a later incarnation.
-    Dead(Holder),
-    /// A process can't come back, so neither can the copies that it kept.
-    Gone(Holder),
-    /// A message from the process `from`, `host.incarnation`.
-    Message {
-        /// Sender.
-        from: Holder,
-        /// [`Message::Sealed`] or [`Message::TransferAck`]; others are ignored.
-        message: Message,
-    },
-    /// Answer to [`Action::Table`].
-    Table {
-        /// Number of the request.
-        id: u64,
-        /// What came of it.
-        outcome: Outcome,
-    },
-    /// Answer to [`Action::Ask`]; `None` where the back end can't tell.
-    Usage {
-        /// Request.
-        request: request::Id,
-        /// Tokens used.
-        tokens: Option<u64>,
-    },
-    /// Time passed.
-    Tick,
-}
+/// Longest time that a process waits before it begins; one of many then does the work.
+const START_WITHIN: Duration = Duration::from_secs(1);
 
-/// What a [`Recovery`] wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Sends a request to the table.
-    Table {
-        /// Number of the request.
-        id: u64,
-        /// Request.
-        op: Op,
-    },
-    /// Sends a message.
-    Send {
-        /// Receiving host.
-        to: Arc<str>,
-        /// Message.
-        message: Message,
-    },
-    /// Asks a back end how many tokens a request used, and cancels the request there.
-    Ask {
-        /// Request.
-        request: request::Id,
-        /// Back end.
-        backend: Arc<str>,
-    },
-    /// A holder was closed.
-    Closed(Report),
-}
+/// Time between repeats of a transfer of a dead holder.
+const RESEND_EVERY: Duration = Duration::from_secs(1);
+
+/// Times that a transfer of a dead holder is repeated.
+const RESEND_TIMES: u32 = 600;
 
-/// What came of a recovery.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Report {
-    /// Dead holder.
-    pub holder: Holder,
-    /// Tokens charged by the recovery.
-    pub settled: u64,
-    /// Tokens given back.
-    pub returned: u64,
-    /// Tokens put out of use.
-    pub stranded: u64,
-    /// Tickets that were claimed and whose outcome nobody knows.
-    pub unknown_tickets: Vec<u64>,
+/// Recovers dead holders.
+#[derive(Debug)]
+pub struct Recovery {
+    random: StdRng,
+    jobs: BTreeMap<Holder, Job>,
+    operations: BTreeMap<u64, Holder>,
+    operation: u64,
+    transfers: BTreeMap<u64, Repeat>,
 }
 
-/// Recovers dead holders, one at a time.
+/// A transfer that is repeated in place of its dead sender.
 #[derive(Debug)]
-pub struct Recovery {}
+struct Repeat {
+    sent: Sent,
+    at: Duration,
+    times: u32,
+}
 
 impl Recovery {
     /// Returns an idle recovery for the process `id`; `seed` spreads its retries.
-    pub fn open(_id: Holder, _seed: u64) -> Self {
-        Self {}
+    pub fn open(_id: Holder, seed: u64) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+            operations: BTreeMap::new(),
+            operation: 0,
+            transfers: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether a holder is being recovered here.
+    pub fn is_busy(&self) -> bool {
+        !self.jobs.is_empty()
     }
 
     /// Takes an event.
-    pub fn handle(&mut self, _now: Duration, _event: Event, _actions: &mut Vec<Action>) {}
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Dead(holder) => self.begin(now, holder),
+            Event::Gone(process) => self.gone(&process),
+            Event::Message { from, message } => self.message(now, &from, message),
+            Event::Table { id, outcome } => {
+                let Some(holder) = self.operations.remove(&id) else {
+                    return;
+                };
+                let jitter = self.random.random_range(0.5..1.0);
+                if let Some(job) = self.jobs.get_mut(&holder) {
+                    job.table(now, outcome, jitter);
+                }
+            }
+            Event::Usage { request, tokens } => {
+                for job in self.jobs.values_mut() {
+                    job.usage(request, tokens);
+                }
+            }
+            Event::Tick => self.repeat_transfers(now, actions),
+        }
+        self.advance(now, actions);
+    }
+
+    fn begin(&mut self, now: Duration, holder: Holder) {
+        if self.jobs.contains_key(&holder) {
+            return;
+        }
+        let wait = START_WITHIN.mul_f64(self.random.random_range(0.0..1.0));
+        self.jobs.insert(holder.clone(), Job::open(holder, now + wait));
+    }
+
+    fn gone(&mut self, process: &Holder) {
+        for job in self.jobs.values_mut() {
+            job.lose(process);
+        }
+        self.transfers.retain(|_, repeat| repeat.sent.to != *process);
+    }
+
+    fn message(&mut self, now: Duration, from: &Holder, message: Message) {
+        match message {
+            Message::Sealed(copy) => {
+                if let Some(job) = self.jobs.get_mut(&copy.holder) {
+                    job.sealed(now, from, &copy);
+                }
+            }
+            Message::TransferAck { number } => {
+                self.transfers.retain(|held, repeat| *held != number || repeat.sent.to != *from);
+            }
+            _ => {}
+        }
+    }
+
+    fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let mut closed = Vec::new();
+        for (holder, job) in &mut self.jobs {
+            if let Some(op) = job.advance(now, actions) {
+                self.operation += 1;
+                self.operations.insert(self.operation, holder.clone());
+                actions.push(Action::Table { id: self.operation, op });
+            }
+            if job.is_over() {
+                closed.push(holder.clone());
+            }
+        }
+        for holder in closed {
+            let Some(job) = self.jobs.remove(&holder) else {
+                continue;
+            };
+            for (number, sent) in job.transfers() {
+                self.transfers.insert(number, Repeat { sent, at: now, times: 0 });
+            }
+            if let Some(report) = job.into_report() {
+                actions.push(Action::Closed(report));
+            }
+        }
+    }
+
+    fn repeat_transfers(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.transfers.retain(|_, repeat| repeat.times < RESEND_TIMES);
+        for (number, repeat) in &mut self.transfers {
+            if now < repeat.at {
+                continue;
+            }
+            repeat.at = now + RESEND_EVERY;
+            repeat.times += 1;
+            let message = Message::Transfer {
+                number: *number,
+                to: repeat.sent.to.clone(),
+                budget: repeat.sent.budget.clone(),
+                tokens: repeat.sent.tokens,
+            };
+            actions.push(Action::Send { to: host_of(&repeat.sent.to), message });
+        }
+    }
+}
+
+/// Returns the host of a process, `host.incarnation`.
+fn host_of(holder: &str) -> Arc<str> {
+    Arc::from(holder.rsplit_once('.').map_or(holder, |(host, _)| host))
 }
--- /dev/null
+++ b/crates/coordination/src/recovery/job.rs
@@ -0,0 +1,432 @@
+//! Recovery of one holder.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    event::{Action, Report},
+    host_of,
+};
+use crate::{
+    escrow::{self, Escrow, Grant, Registration, State},
+    journal::{self, Sent},
+    ledger::{self, Charge, Segment},
+    message::{Holder, Message, SealedCopy},
+    record::{Budget, Ledger},
+    request,
+    table::{Op, Outcome, Row, Txn},
+};
+
+/// Time between repeats of a seal.
+const SEAL_EVERY: Duration = Duration::from_millis(500);
+
+/// Time that back ends have to tell what requests used.
+const ASK_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Budgets in one transaction.
+const BUDGETS: usize = 32;
+
+/// Pause after an operation that failed or conflicted.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Where a recovery stands.
+#[derive(Debug)]
+enum Step {
+    /// Waits to read the holder's row.
+    Begin,
+    /// The holder's row is being read, or marked as sealed.
+    Mark,
+    /// Copies are being sealed.
+    Seal,
+    /// Back ends are being asked.
+    Ask { until: Duration },
+    /// Ledger segments that may hold unflushed settlements are being read.
+    Segments,
+    /// Waits to read the rows of the next budgets.
+    Next,
+    /// Rows of the next budgets are being read.
+    Read,
+    /// A transaction is on its way.
+    Commit(Effect),
+    /// Nothing is left to do.
+    Over,
+}
+
+/// What a transaction does.
+#[derive(Debug, Default)]
+struct Effect {
+    budgets: usize,
+    settled: u64,
+    returned: u64,
+    stranded: u64,
+    charges: Vec<request::Id>,
+    closes: bool,
+}
+
+/// A recovery under way.
+#[derive(Debug)]
+pub(super) struct Job {
+    holder: Holder,
+    step: Step,
+    not_before: Duration,
+    op: Option<Op>,
+    registration: Registration,
+    copies: BTreeMap<Holder, Option<SealedCopy>>,
+    sealed_at: Option<Duration>,
+    state: journal::State,
+    usage: BTreeMap<request::Id, Option<u64>>,
+    charged: BTreeSet<request::Id>,
+    budgets: Vec<Arc<str>>,
+    done: usize,
+    charge_keys: Vec<Arc<str>>,
+    report: Report,
+    found: bool,
+}
+
+impl Job {
+    pub fn open(holder: Holder, at: Duration) -> Self {
+        let report = Report {
+            holder: holder.clone(),
+            settled: 0,
+            returned: 0,
+            stranded: 0,
+            claims: BTreeMap::new(),
+            incomplete: false,
+        };
+        Self {
+            holder,
+            step: Step::Begin,
+            not_before: at,
+            op: None,
+            registration: Registration::first(),
+            copies: BTreeMap::new(),
+            sealed_at: None,
+            state: journal::State::default(),
+            usage: BTreeMap::new(),
+            charged: BTreeSet::new(),
+            budgets: Vec::new(),
+            done: 0,
+            charge_keys: Vec::new(),
+            report,
+            found: false,
+        }
+    }
+
+    pub fn is_over(&self) -> bool {
+        matches!(self.step, Step::Over)
+    }
+
+    /// Returns the report, or `None` where the holder never was in the table.
+    pub fn into_report(self) -> Option<Report> {
+        self.found.then_some(self.report)
+    }
+
+    /// Returns the transfers whose receivers may not have them.
+    pub fn transfers(&self) -> BTreeMap<u64, Sent> {
+        self.state.unacknowledged().clone()
+    }
+
+    /// Notes that a process is gone with the copy that it kept.
+    pub fn lose(&mut self, process: &Holder) {
+        if self.registration.ensemble.contains(process) {
+            self.copies.entry(process.clone()).or_insert(None);
+        }
+    }
+
+    /// Takes a sealed copy. An empty one, or one from a later process of the host, proves that the
+    /// copy was lost.
+    pub fn sealed(&mut self, now: Duration, from: &Holder, copy: &SealedCopy) {
+        if !matches!(self.step, Step::Seal) {
+            return;
+        }
+        let host = host_of(from);
+        let mut members = self.registration.ensemble.iter();
+        let Some(member) = members.find(|member| host_of(member) == host).cloned() else {
+            return;
+        };
+        let whole = member == *from && copy.through > 0;
+        self.copies.insert(member, whole.then(|| copy.clone()));
+        self.sealed_at = self.sealed_at.or(Some(now));
+    }
+
+    pub fn usage(&mut self, request: request::Id, tokens: Option<u64>) {
+        if self.state.open().contains_key(&request) {
+            self.usage.insert(request, tokens);
+        }
+    }
+
+    /// Goes on as far as it can; returns the next operation on the table.
+    pub fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) -> Option<Op> {
+        if now >= self.not_before {
+            match self.step {
+                Step::Begin => {
+                    self.step = Step::Mark;
+                    self.op = Some(Op::Read(vec![escrow::holder_key(&self.holder)]));
+                }
+                Step::Seal => self.seal(now, actions),
+                Step::Next => self.read(),
+                _ => {}
+            }
+        }
+        if let Step::Ask { until } = self.step
+            && (now >= until || self.usage.len() == self.state.open().len())
+        {
+            self.read_segments();
+        }
+        self.op.take()
+    }
+
+    fn seal(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let missing = |member: &&Holder| !self.copies.contains_key(*member);
+        let missing: Vec<Holder> =
+            self.registration.ensemble.iter().filter(missing).cloned().collect();
+        if missing.is_empty() {
+            self.merge(now, actions);
+            return;
+        }
+        self.not_before = now + SEAL_EVERY;
+        for member in missing {
+            let message = Message::Seal { holder: self.holder.clone() };
+            actions.push(Action::Send { to: host_of(&member), message });
+        }
+    }
+
+    /// Takes the longest copy; copies are prefixes of one journal.
+    fn merge(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let whole = self.copies.values().flatten();
+        if let Some(copy) = whole.max_by_key(|copy| copy.through) {
+            self.state = journal::State::rebuild(copy.through, &copy.entries);
+        }
+        let lost = self.copies.values().any(|copy| copy.is_none());
+        self.report.incomplete = lost || self.registration.ensemble.is_empty();
+        self.report.claims = self.state.claims().clone();
+        self.budgets = self.state.budgets().cloned().collect();
+        for (request, reservation) in self.state.open() {
+            if reservation.backend.is_empty() {
+                self.usage.insert(*request, None);
+                continue;
+            }
+            actions.push(Action::Ask { request: *request, backend: reservation.backend.clone() });
+        }
+        self.step = Step::Ask { until: now + ASK_TIMEOUT };
+    }
+
+    /// Reads the segments that may hold settlements which the journal shows as unflushed.
+    fn read_segments(&mut self) {
+        let first = self.state.segment().max(1);
+        let segments = first..=self.registration.segment;
+        let key = |segment| ledger::segment_key(&self.holder, segment);
+        self.step = Step::Segments;
+        self.op = Some(Op::Read(segments.map(key).collect()));
+    }
+
+    /// Reads the rows of the next budgets.
+    fn read(&mut self) {
+        let mut keys = vec![escrow::holder_key(&self.holder)];
+        let budgets = self.chunk();
+        for budget in &budgets {
+            keys.push(escrow::record_key(budget));
+            keys.push(escrow::escrow_key(budget));
+            keys.push(escrow::grant_key(budget, &self.holder));
+        }
+        let charges = self.charges(&budgets);
+        let key = |charge: &Charge| escrow::charge_key(&charge.budget, charge.request);
+        self.charge_keys = charges.iter().map(key).collect();
+        keys.extend(self.charge_keys.iter().cloned());
+        self.step = Step::Read;
+        self.op = Some(Op::Read(keys));
+    }
+
+    fn chunk(&self) -> Vec<Arc<str>> {
+        self.budgets.iter().skip(self.done).take(BUDGETS).cloned().collect()
+    }
+
+    /// Returns the charges of some budgets that aren't in the holder's segments.
+    fn charges(&self, budgets: &[Arc<str>]) -> Vec<Charge> {
+        let settled = self.state.settled().map(|settlement| Charge {
+            request: settlement.request,
+            budget: settlement.budget.clone(),
+            tokens: settlement.tokens,
+        });
+        let open = self.state.open().iter().map(|(request, reservation)| {
+            let used = self.usage.get(request).copied().flatten();
+            Charge {
+                request: *request,
+                budget: reservation.budget.clone(),
+                tokens: used.map_or(reservation.tokens, |used| used.min(reservation.tokens)),
+            }
+        });
+        let wanted = |charge: &Charge| {
+            budgets.contains(&charge.budget) && !self.charged.contains(&charge.request)
+        };
+        settled.chain(open).filter(wanted).filter(|charge| charge.tokens > 0).collect()
+    }
+
+    /// Takes the answer to an operation on the table.
+    pub fn table(&mut self, now: Duration, outcome: Outcome, jitter: f64) {
+        match (std::mem::replace(&mut self.step, Step::Begin), outcome) {
+            (Step::Mark, Outcome::Rows(rows)) => self.mark(&rows),
+            (Step::Mark, Outcome::Committed(_)) => self.step = Step::Begin,
+            (Step::Segments, Outcome::Rows(rows)) => self.take_segments(&rows),
+            (Step::Read, Outcome::Rows(rows)) => self.plan(&rows),
+            (Step::Commit(effect), Outcome::Committed(_)) => self.apply(effect),
+            _ => self.not_before = now + PAUSE.mul_f64(jitter),
+        }
+    }
+
+    fn mark(&mut self, rows: &[Row]) {
+        let Some(row) = rows.first() else {
+            return;
+        };
+        let Ok(Some(registration)) = escrow::parse::<Registration>(row) else {
+            self.step = Step::Over;
+            return;
+        };
+        self.found = true;
+        self.registration = registration;
+        match self.registration.state {
+            State::Closed => self.step = Step::Over,
+            State::Sealed => self.step = Step::Seal,
+            State::Open => {
+                let sealed = Registration { state: State::Sealed, ..self.registration.clone() };
+                let mut txn = Txn::default();
+                txn.put(row, &sealed);
+                self.step = Step::Mark;
+                self.op = Some(Op::Commit(txn));
+            }
+        }
+    }
+
+    fn take_segments(&mut self, rows: &[Row]) {
+        for row in rows {
+            if let Ok(Some(segment)) = escrow::parse::<Segment>(row) {
+                self.charged.extend(segment.charges.iter().map(|charge| charge.request));
+            }
+        }
+        self.step = Step::Next;
+    }
+
+    fn plan(&mut self, rows: &[Row]) {
+        let budgets = self.chunk();
+        if rows.len() != 1 + 3 * budgets.len() + self.charge_keys.len() {
+            return;
+        }
+        let Ok(Some(registration)) = escrow::parse::<Registration>(&rows[0]) else {
+            return;
+        };
+        if registration != self.registration {
+            self.step = Step::Begin;
+            return;
+        }
+        let (budget_rows, charge_rows) = rows[1..].split_at(3 * budgets.len());
+        let mut txn = Txn::default();
+        let mut effect = Effect { budgets: budgets.len(), ..Effect::default() };
+        let mut segment = Segment::default();
+        for (budget, rows) in budgets.iter().zip(budget_rows.chunks_exact(3)) {
+            self.plan_budget(budget, rows, charge_rows, &mut txn, &mut segment, &mut effect);
+        }
+        self.plan_registration(&rows[0], &segment, &mut txn, &mut effect);
+        self.step = Step::Commit(effect);
+        self.op = Some(Op::Commit(txn));
+    }
+
+    /// Charges what a budget owes and gives the rest back, or strands it.
+    fn plan_budget(
+        &self,
+        budget: &Arc<str>,
+        rows: &[Row],
+        charge_rows: &[Row],
+        txn: &mut Txn,
+        segment: &mut Segment,
+        effect: &mut Effect,
+    ) {
+        let (Ok(record), Ok(escrow), Ok(grant)) = (
+            escrow::parse::<Budget>(&rows[0]),
+            escrow::parse::<Escrow>(&rows[1]),
+            escrow::parse::<Grant>(&rows[2]),
+        ) else {
+            return;
+        };
+        let old = record.is_some_and(|record| record.ledger == Ledger::Old);
+        let (mut escrow, mut grant) = (escrow.unwrap_or_default(), grant.unwrap_or_default());
+        let was = grant.clone();
+        for charge in self.charges(std::slice::from_ref(budget)) {
+            let key = escrow::charge_key(budget, charge.request);
+            let row = charge_rows.iter().find(|row| row.key == key);
+            if row.is_some_and(|row| row.value.is_some()) {
+                continue;
+            }
+            grant.settled += charge.tokens;
+            effect.settled += charge.tokens;
+            effect.charges.push(charge.request);
+            match row {
+                Some(row) if old => {
+                    escrow.old_settled += charge.tokens;
+                    txn.put(row, &charge);
+                }
+                _ => {
+                    escrow.settled += charge.tokens;
+                    segment.charges.push(charge);
+                }
+            }
+        }
+        let moved = i128::from(self.state.received(budget)) - i128::from(self.state.sent(budget));
+        let rest = u64::try_from(grant.open() + moved).unwrap_or(0);
+        if self.report.incomplete {
+            escrow.stranded += rest;
+            grant.stranded += rest;
+            effect.stranded += rest;
+        } else {
+            escrow.returned += rest;
+            grant.returned += rest;
+            effect.returned += rest;
+        }
+        if grant != was {
+            grant.number += 1;
+            txn.put(&rows[1], &escrow);
+            txn.put(&rows[2], &grant);
+        }
+    }
+
+    fn plan_registration(&self, row: &Row, segment: &Segment, txn: &mut Txn, effect: &mut Effect) {
+        let mut next = self.registration.clone();
+        if !segment.charges.is_empty() {
+            next.segment += 1;
+            let key = ledger::segment_key(&self.holder, next.segment);
+            txn.put(&Row { key, value: None, revision: 0 }, segment);
+        }
+        if self.done + effect.budgets == self.budgets.len() {
+            effect.closes = true;
+            next.state = State::Closed;
+            next.incomplete = self.report.incomplete;
+            if !self.report.claims.is_empty() {
+                let key = escrow::claims_key(&self.holder);
+                txn.put(&Row { key, value: None, revision: 0 }, &self.report.claims);
+            }
+        }
+        if next == self.registration {
+            txn.check(row);
+        } else {
+            txn.put(row, &next);
+        }
+    }
+
+    fn apply(&mut self, effect: Effect) {
+        self.report.settled += effect.settled;
+        self.report.returned += effect.returned;
+        self.report.stranded += effect.stranded;
+        self.done += effect.budgets;
+        if effect.closes {
+            self.step = Step::Over;
+            return;
+        }
+        if !effect.charges.is_empty() {
+            self.registration.segment += 1;
+        }
+        self.charged.extend(effect.charges);
+        self.step = Step::Next;
+    }
+}
--- a/crates/coordination/src/table.rs
+++ b/crates/coordination/src/table.rs
@@ -45,6 +45,24 @@
     pub writes: Vec<Write>,
 }
 
+impl Txn {
+    /// Adds the condition that a row stands as it was read.
+    pub fn check(&mut self, row: &Row) {
+        self.checks.push(Check { key: row.key.clone(), revision: row.revision });
+    }
+
+    /// Adds a write of a row, on the condition that it stands as it was read.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the value has no JSON form.
+    pub fn put(&mut self, row: &Row, value: &impl Serialize) {
+        self.check(row);
+        let value = serde_json::to_string(value).expect("a JSON form");
+        self.writes.push(Write { key: row.key.clone(), value: Some(Arc::from(value)) });
+    }
+}
+
 /// A request to the table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Op {
--- a/crates/coordination/tests/money/fleet.rs
+++ b/crates/coordination/tests/money/fleet.rs
@@ -116,12 +116,8 @@
     pub fn start(&mut self, name: &str, zone: &str, incarnation: u64) -> usize {
         let id: Arc<str> = Arc::from(format!("{name}.{incarnation}"));
         let seed = self.random.random();
-        let settings = Settings {
-            id: id.clone(),
-            host: Arc::from(name),
-            zone: Arc::from(zone),
-            seed,
-        };
+        let settings =
+            Settings { id: id.clone(), host: Arc::from(name), zone: Arc::from(zone), seed };
         self.hosts.push(Host {
             id: id.clone(),
             name: Arc::from(name),
@@ -307,7 +303,8 @@
         if self.loss > 0.0 && self.random.random_bool(self.loss) {
             return;
         }
-        let Some(target) = self.hosts.iter().rposition(|host| *host.name == *to && !host.dead) else {
+        let Some(target) = self.hosts.iter().rposition(|host| *host.name == *to && !host.dead)
+        else {
             return;
         };
         if self.is_cut(from, target) {
@@ -391,7 +388,8 @@
             }
             Message::TransferAck { .. } => {
                 let (from, message) = (from, message);
-                let event = recovery::Event::Message { from: from.clone(), message: message.clone() };
+                let event =
+                    recovery::Event::Message { from: from.clone(), message: message.clone() };
                 self.recover(index, event);
                 self.event(index, Event::Message { from, message });
                 return;
--- /dev/null
+++ b/crates/coordination/tests/money/hard_cases.rs
@@ -0,0 +1,267 @@
+//! Hard cases of recovery, each with the decision that docs/MONEY.md gives.
+
+use std::time::Duration;
+
+use coordination::{
+    escrow::{self, Escrow, Grant, Registration, State},
+    holder::{Event, Reason},
+    recovery,
+    request::Class,
+};
+
+use crate::fleet::{Answer, Fleet, PLATFORM, id};
+
+const SECOND: Duration = Duration::from_secs(1);
+const PREPAID: u64 = 10_000;
+
+/// Opens four hosts in two zones; `a` has 100 tokens reserved for request 1, has settled request 2
+/// at 70 and holds more.
+fn open() -> Fleet {
+    let mut fleet = Fleet::open(7, &[("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")]);
+    fleet.set_budget("p", &[("t1", PREPAID)], 0, false);
+    fleet.run_for(SECOND);
+    fleet.reserve(0, 1, "p", 100, Class::Normal);
+    fleet.reserve(0, 2, "p", 100, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(2), Some(Answer::Reserved));
+    fleet.settle(0, 2, 70);
+    fleet.run_for(SECOND / 10);
+    fleet
+}
+
+fn escrow(fleet: &Fleet) -> Escrow {
+    escrow::parse(&fleet.table.row("escrow/p")).expect("a row").unwrap_or_default()
+}
+
+fn registration(fleet: &Fleet) -> Registration {
+    escrow::parse(&fleet.table.row("holder/a.1")).expect("a row").expect("a holder")
+}
+
+fn grant(fleet: &Fleet) -> Grant {
+    escrow::parse(&fleet.table.row("grant/p/a.1")).expect("a row").unwrap_or_default()
+}
+
+/// Returns the indexes of the processes in a holder's ensemble.
+fn ensemble(fleet: &Fleet) -> Vec<usize> {
+    let members = registration(fleet).ensemble;
+    let index = |member| fleet.hosts.iter().position(|host| host.id == member).expect("a host");
+    members.into_iter().map(index).collect()
+}
+
+fn dead(fleet: &mut Fleet, recoverers: &[usize]) {
+    for index in recoverers {
+        fleet.recover(*index, recovery::Event::Dead("a.1".into()));
+    }
+}
+
+#[test]
+fn dead_holder_is_charged_for_open_work_and_gives_the_rest_back() {
+    let mut fleet = open();
+    fleet.kill(0);
+    fleet.usage.insert(id(1), 40);
+    dead(&mut fleet, &[1]);
+    fleet.run_for(10 * SECOND);
+    let report = fleet.reports.first().expect("a report");
+    assert_eq!((report.settled, report.stranded), (70 + 40, 0));
+    assert_eq!(grant(&fleet).open(), 0);
+    assert_eq!((escrow(&fleet).settled, escrow(&fleet).open()), (110, 0));
+    assert_eq!(registration(&fleet).state, State::Closed);
+}
+
+#[test]
+fn request_that_no_back_end_can_tell_about_is_charged_at_its_worst_case() {
+    let mut fleet = open();
+    fleet.kill(0);
+    dead(&mut fleet, &[1]);
+    fleet.run_for(10 * SECOND);
+    assert_eq!(escrow(&fleet).settled, 70 + 100);
+}
+
+#[test]
+fn two_recoverers_charge_once() {
+    let mut fleet = open();
+    fleet.kill(0);
+    dead(&mut fleet, &[1, 2, 3]);
+    fleet.run_for(10 * SECOND);
+    assert_eq!((escrow(&fleet).settled, escrow(&fleet).open()), (170, 0));
+    assert_eq!(fleet.reports.len(), 3);
+}
+
+#[test]
+fn lost_copies_strand_what_they_may_have_held() {
+    let mut fleet = open();
+    let copies = ensemble(&fleet);
+    for index in &copies {
+        let host = fleet.hosts[*index].id.clone();
+        fleet.kill(*index);
+        for other in 1..4 {
+            fleet.recover(other, recovery::Event::Gone(host.clone()));
+        }
+    }
+    fleet.kill(0);
+    let survivor = (1..4).find(|index| !copies.contains(index)).expect("a host");
+    let held = escrow(&fleet).open();
+    dead(&mut fleet, &[survivor]);
+    fleet.run_for(3 * SECOND);
+    for index in copies {
+        fleet.recover(survivor, recovery::Event::Gone(fleet.hosts[index].id.clone()));
+    }
+    fleet.run_for(10 * SECOND);
+    assert!(registration(&fleet).incomplete);
+    assert_eq!(registration(&fleet).state, State::Closed);
+    assert_eq!(escrow(&fleet).open() + escrow(&fleet).stranded, held);
+    assert_eq!(escrow(&fleet).returned, 0);
+}
+
+#[test]
+fn one_lost_copy_settles_what_is_known_and_strands_the_rest() {
+    let mut fleet = open();
+    let copies = ensemble(&fleet);
+    assert_eq!(copies.len(), 2);
+    fleet.kill(copies[0]);
+    fleet.kill(0);
+    dead(&mut fleet, &[copies[1]]);
+    fleet.run_for(5 * SECOND);
+    assert_eq!(registration(&fleet).state, State::Sealed);
+    let gone = fleet.hosts[copies[0]].id.clone();
+    fleet.recover(copies[1], recovery::Event::Gone(gone));
+    fleet.run_for(10 * SECOND);
+    let row = escrow(&fleet);
+    assert_eq!((row.settled, row.returned, row.open()), (170, 0, 0));
+    assert!(row.stranded > 0);
+}
+
+#[test]
+fn replica_that_restarted_does_not_pass_for_the_one_that_held_the_copy() {
+    let mut fleet = open();
+    let copies = ensemble(&fleet);
+    fleet.kill(0);
+    for index in &copies {
+        fleet.kill(*index);
+        let (name, zone) = (fleet.hosts[*index].name.clone(), fleet.hosts[*index].zone.clone());
+        fleet.start(&name, &zone, 2);
+    }
+    fleet.announce_peers();
+    let survivor = (1..4).find(|index| !copies.contains(index)).expect("a host");
+    dead(&mut fleet, &[survivor]);
+    fleet.run_for(10 * SECOND);
+    assert!(registration(&fleet).incomplete);
+    assert_eq!(escrow(&fleet).returned, 0);
+}
+
+#[test]
+fn unreachable_copies_are_waited_for() {
+    let mut fleet = open();
+    fleet.kill(0);
+    fleet.cut("x", "y");
+    dead(&mut fleet, &[1]);
+    fleet.run_for(30 * SECOND);
+    assert_eq!(registration(&fleet).state, State::Sealed);
+    fleet.heal();
+    fleet.run_for(10 * SECOND);
+    assert_eq!(registration(&fleet).state, State::Closed);
+    assert_eq!((escrow(&fleet).settled, escrow(&fleet).open()), (170, 0));
+}
+
+#[test]
+fn frozen_holder_that_wakes_dispatches_nothing() {
+    let mut fleet = open();
+    fleet.hosts[0].frozen = true;
+    fleet.announce_peers();
+    dead(&mut fleet, &[1]);
+    fleet.run_for(10 * SECOND);
+    assert_eq!(registration(&fleet).state, State::Closed);
+    fleet.hosts[0].frozen = false;
+    let available = fleet.hosts[0].holder.available("p");
+    assert!(available >= 100);
+    fleet.reserve(0, 3, "p", 100, Class::Urgent);
+    fleet.thaw(0);
+    fleet.run_for(5 * SECOND);
+    assert!(fleet.hosts[0].fenced);
+    assert_eq!(fleet.answer(3), Some(Answer::Refused(Reason::Fenced)));
+}
+
+#[test]
+fn sealed_holder_that_was_only_cut_off_is_fenced_and_replaced() {
+    let mut fleet = open();
+    fleet.cut("x", "y");
+    fleet.cut("x", PLATFORM);
+    fleet.announce_peers();
+    let copy = ensemble(&fleet).into_iter().find(|index| *index == 1).expect("a copy in the zone");
+    dead(&mut fleet, &[2]);
+    fleet.run_for(30 * SECOND);
+    fleet.reserve(0, 3, "p", 100, Class::Normal);
+    fleet.run_for(5 * SECOND);
+    assert_eq!(fleet.answer(3), Some(Answer::Reserved), "the copy at {copy} isn't sealed yet");
+    fleet.heal();
+    fleet.run_for(10 * SECOND);
+    assert!(fleet.hosts[0].fenced);
+    assert_eq!(escrow(&fleet).settled, 70 + 100 + 100);
+    fleet.kill(0);
+    let next = fleet.start("a", "x", 2);
+    fleet.announce_peers();
+    let record = crate::fleet::budget("p", &[("t1", PREPAID)], 0, false);
+    fleet.event(next, Event::Budget(record));
+    fleet.run_for(SECOND);
+    fleet.reserve(next, 4, "p", 100, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(4), Some(Answer::Reserved));
+}
+
+#[test]
+fn platform_away_during_an_ensemble_change_needs_a_copy_in_both_ensembles() {
+    let mut fleet = open();
+    let copies = ensemble(&fleet);
+    let faults = vec![Some(crate::table::Fault::Lost); 3];
+    fleet.faults.insert(0, faults);
+    fleet.kill(copies[0]);
+    fleet.run_for(4 * SECOND);
+    fleet.cut("x", PLATFORM);
+    fleet.reserve(0, 3, "p", 100, Class::Normal);
+    fleet.run_for(5 * SECOND);
+    assert_eq!(fleet.answer(3), Some(Answer::Reserved), "the other copy is in both ensembles");
+    for index in 1..4 {
+        if !fleet.hosts[index].dead {
+            fleet.kill(index);
+        }
+    }
+    fleet.reserve(0, 4, "p", 100, Class::Normal);
+    fleet.run_for(5 * SECOND);
+    assert_eq!(fleet.answer(4), Some(Answer::Refused(Reason::Unreplicated)));
+}
+
+#[test]
+fn whole_zone_gone_is_recovered_from_the_other_zone() {
+    let mut fleet = open();
+    fleet.kill(0);
+    fleet.kill(1);
+    let gone = fleet.hosts[1].id.clone();
+    dead(&mut fleet, &[2]);
+    fleet.run_for(2 * SECOND);
+    fleet.recover(2, recovery::Event::Gone(gone));
+    fleet.run_for(10 * SECOND);
+    let row = escrow(&fleet);
+    assert_eq!((row.settled, row.open()), (170, 0));
+    assert_eq!(registration(&fleet).state, State::Closed);
+}
+
+#[test]
+fn transfer_of_a_dead_sender_reaches_its_receiver_once() {
+    let mut fleet = open();
+    fleet.cut("x", PLATFORM);
+    fleet.announce_peers();
+    fleet.reserve(1, 5, "p", 200, Class::Normal);
+    fleet.run_for(SECOND / 50);
+    let moved = fleet.hosts[1].holder.reserved("p") + fleet.hosts[1].holder.available("p");
+    fleet.kill(0);
+    fleet.heal();
+    dead(&mut fleet, &[2]);
+    fleet.run_for(20 * SECOND);
+    fleet.settle(1, 5, 200);
+    fleet.run_for(10 * SECOND);
+    fleet.event(1, Event::Drain);
+    fleet.run_for(10 * SECOND);
+    assert!(fleet.hosts[1].drained, "moved {moved}");
+    let row = escrow(&fleet);
+    assert_eq!((row.settled, row.open()), (170 + 200, 0));
+}
--- a/crates/coordination/tests/money/main.rs
+++ b/crates/coordination/tests/money/main.rs
@@ -2,4 +2,5 @@
 
 mod contract;
 mod fleet;
+mod hard_cases;
 mod table;
--- a/crates/coordination/tests/money/table.rs
+++ b/crates/coordination/tests/money/table.rs
@@ -103,12 +103,13 @@
     }
 
     pub fn commit(&mut self, txn: &Txn) -> Outcome {
-        let stale = |check: &&coordination::table::Check| {
-            self.row(&check.key).revision != check.revision
-        };
+        let stale =
+            |check: &&coordination::table::Check| self.row(&check.key).revision != check.revision;
         if txn.checks.iter().any(|check| stale(&check)) {
             self.conflicts += 1;
-            return Outcome::Conflict(txn.checks.iter().map(|check| self.row(&check.key)).collect());
+            return Outcome::Conflict(
+                txn.checks.iter().map(|check| self.row(&check.key)).collect(),
+            );
         }
         self.commits += 1;
         self.revision += 1;
