Recover a host's earlier processes at its start; remember gone replicas

A fleet of one host, or one whose hosts all restart, has nobody to tell of the death. A replica that was gone before its holder died must count as lost in a recovery that begins later.

--- a/crates/coordination/src/escrow.rs
+++ b/crates/coordination/src/escrow.rs
@@ -8,7 +8,12 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{message::Holder, request, table::Row};
+use crate::{
+    message::Holder,
+    record::{self, Budget, Fault, Record},
+    request,
+    table::Row,
+};
 
 /// Prefix of the rows of budgets.
 pub const ESCROW_PREFIX: &str = "escrow/";
@@ -109,13 +114,7 @@
 impl Registration {
     /// Returns the state of a holder that isn't in the table yet.
     pub fn first() -> Self {
-        Self {
-            state: State::Open,
-            ensemble: Vec::new(),
-            epoch: 0,
-            segment: 0,
-            incomplete: false,
-        }
+        Self { state: State::Open, ensemble: Vec::new(), epoch: 0, segment: 0, incomplete: false }
     }
 }
 
@@ -139,7 +138,7 @@
     Arc::from(format!("{HOLDER_PREFIX}{holder}"))
 }
 
-/// Returns the key of the tickets that a closed holder had claimed.
+/// Returns the key of the tickets that a closed holder had claimed, as journal entries.
 pub fn claims_key(holder: &str) -> Arc<str> {
     Arc::from(format!("claims/{holder}"))
 }
@@ -174,17 +173,17 @@
     }
 }
 
-/// Returns the tokens bought by a budget's record, and the format of its ledger.
+/// Returns a budget's record; `None` where it is absent.
 ///
 /// # Errors
 ///
-/// Fails where the record isn't a budget's.
-pub fn prepaid(row: &Row) -> Result<Option<u64>, Malformed> {
-    #[derive(Deserialize)]
-    struct Purchases {
-        #[serde(default)]
-        top_ups: std::collections::BTreeMap<Arc<str>, u64>,
+/// Fails where the row isn't a valid record of a budget.
+pub fn budget(row: &Row) -> Result<Option<Budget>, Fault> {
+    let Some(value) = &row.value else {
+        return Ok(None);
+    };
+    match record::parse(&row.key, value)? {
+        Record::Budget(budget) => Ok(Some(budget)),
+        _ => Err(Fault::new(&row.key, "kind", "expected a budget")),
     }
-    let purchases: Option<Purchases> = parse(row)?;
-    Ok(purchases.map(|purchases| purchases.top_ups.values().sum()))
 }
--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -212,11 +212,6 @@
         Some(number)
     }
 
-    /// Drops a claimed ticket from the journal's snapshots.
-    pub fn forget_ticket(&mut self, ticket: u64) {
-        self.journal.state_mut().forget(ticket);
-    }
-
     /// Sends what the journal owes, acts on what became durable and starts a round at the table.
     fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if matches!(self.phase, Phase::Fenced | Phase::Drained) {
@@ -280,7 +275,7 @@
         }
         if account.fits(reserve.class, reserve.tokens) {
             account.used.add(now, reserve.tokens as f64);
-            self.set_aside(now, reserve, now + WAIT);
+            self.set_aside(reserve, now + WAIT);
             return;
         }
         if account.waiting.len() >= WAITING_LIMIT {
@@ -291,7 +286,7 @@
     }
 
     /// Takes the tokens of a request that fits and copies that to the journal.
-    fn set_aside(&mut self, now: Duration, reserve: Reserve, deadline: Duration) {
+    fn set_aside(&mut self, reserve: Reserve, deadline: Duration) {
         let Some(account) = self.accounts.get_mut(&reserve.budget) else {
             return;
         };
@@ -355,7 +350,7 @@
                 continue;
             };
             self.deadlines.remove(&(waited.deadline, reserve.request));
-            self.set_aside(now, reserve, now + WAIT);
+            self.set_aside(reserve, now + WAIT);
         }
         if self.accounts.get(budget).is_some_and(|account| account.waiting.is_empty()) {
             self.asking.remove(budget);
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -471,8 +471,8 @@
         txn: &mut Txn,
         plan: &mut Plan,
     ) {
-        let (Ok(prepaid), Ok(escrow), Ok(grant)) = (
-            escrow::prepaid(rows.record),
+        let (Ok(record), Ok(escrow), Ok(grant)) = (
+            escrow::budget(rows.record),
             escrow::parse::<Escrow>(rows.escrow),
             escrow::parse::<Grant>(rows.grant),
         ) else {
@@ -482,7 +482,7 @@
         let mut grant = grant.unwrap_or_default();
         let (was_escrow, was_grant) = (escrow.clone(), grant.clone());
         self.plan_settled(budget, charged, &mut escrow, &mut grant);
-        let prepaid = prepaid.unwrap_or(0);
+        let prepaid = record.map_or(0, |record| record.prepaid());
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -8,5 +8,5 @@
 mod writer;
 
 pub use replica::Replica;
-pub use state::{Claim, Reservation, Sent, Settlement, State};
+pub use state::{Reservation, Sent, Settlement, State};
 pub use writer::{Proposal, Writer};
--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -5,10 +5,9 @@
     sync::Arc,
 };
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
-    message::{ClaimOutcome, Entry, Holder, Source},
+    claim::Claim,
+    message::{Entry, Holder, Source},
     request,
 };
 
@@ -45,17 +44,6 @@
     pub tokens: u64,
 }
 
-/// A claimed ticket.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// Digest of the request's body.
-    pub digest: [u8; 32],
-    /// Request that runs.
-    pub request: request::Id,
-    /// What came of it, once known.
-    pub outcome: Option<ClaimOutcome>,
-}
-
 /// State of a journal up to an entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
@@ -68,6 +56,7 @@
     received: BTreeMap<Arc<str>, u64>,
     sent: BTreeMap<Arc<str>, u64>,
     unacknowledged: BTreeMap<u64, Sent>,
+    floor: u64,
     claims: BTreeMap<u64, Claim>,
 }
 
@@ -111,6 +100,10 @@
                 let claim = Claim { digest: *digest, request: *request, outcome: None };
                 self.claims.entry(*ticket).or_insert(claim);
             }
+            Entry::TicketFloor { floor } => {
+                self.floor = *floor;
+                self.claims = self.claims.split_off(floor);
+            }
             Entry::Outcome { ticket, outcome } => {
                 if let Some(claim) = self.claims.get_mut(ticket) {
                     claim.outcome = Some(outcome.clone());
@@ -155,11 +148,6 @@
         self.unacknowledged.remove(&transfer);
     }
 
-    /// Drops a claimed ticket that nobody asks for any more.
-    pub fn forget(&mut self, ticket: u64) {
-        self.claims.remove(&ticket);
-    }
-
     /// Returns entries that rebuild this state.
     ///
     /// Settlements lose their numbers: a rebuilt state may hold settlements of its last segment
@@ -191,7 +179,7 @@
                 backend: reservation.backend.clone(),
             });
         }
-        self.claim_entries(&mut entries);
+        entries.extend(self.claim_entries());
         entries
     }
 
@@ -215,7 +203,9 @@
         }
     }
 
-    fn claim_entries(&self, entries: &mut Vec<Entry>) {
+    /// Returns entries that rebuild the claimed tickets.
+    pub fn claim_entries(&self) -> Vec<Entry> {
+        let mut entries = vec![Entry::TicketFloor { floor: self.floor }];
         for (ticket, claim) in &self.claims {
             entries.push(Entry::Claim {
                 ticket: *ticket,
@@ -226,6 +216,7 @@
                 entries.push(Entry::Outcome { ticket: *ticket, outcome: outcome.clone() });
             }
         }
+        entries
     }
 
     /// Returns the number of the last entry.
@@ -267,9 +258,4 @@
     pub fn unacknowledged(&self) -> &BTreeMap<u64, Sent> {
         &self.unacknowledged
     }
-
-    /// Returns the claimed tickets.
-    pub fn claims(&self) -> &BTreeMap<u64, Claim> {
-        &self.claims
-    }
 }
--- a/crates/coordination/src/recovery.rs
+++ b/crates/coordination/src/recovery.rs
@@ -16,8 +16,10 @@
 pub use self::event::{Action, Event, Report};
 use self::job::Job;
 use crate::{
+    escrow::{self, Registration, State},
     journal::Sent,
     message::{Holder, Message},
+    table::{Op, Outcome},
 };
 
 /// Longest time that a process waits before it begins; one of many then does the work.
@@ -29,6 +31,12 @@
 /// Times that a transfer of a dead holder is repeated.
 const RESEND_TIMES: u32 = 600;
 
+/// Rows in one page of the search for earlier processes.
+const SWEEP_ROWS: u32 = 64;
+
+/// Pause after a page that couldn't be read.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+
 /// Recovers dead holders.
 #[derive(Debug)]
 pub struct Recovery {
@@ -37,6 +45,20 @@
     operations: BTreeMap<u64, Holder>,
     operation: u64,
     transfers: BTreeMap<u64, Repeat>,
+    /// Last incarnation of each host that is known to be gone.
+    gone: BTreeMap<Arc<str>, u64>,
+    sweep: Sweep,
+}
+
+/// Search for earlier processes of this host, which are dead since this one runs.
+#[derive(Debug)]
+struct Sweep {
+    host: Arc<str>,
+    incarnation: u64,
+    after: Arc<str>,
+    /// When to read the next page; `None` once all were read.
+    at: Option<Duration>,
+    id: Option<u64>,
 }
 
 /// A transfer that is repeated in place of its dead sender.
@@ -49,13 +71,22 @@
 
 impl Recovery {
     /// Returns an idle recovery for the process `id`; `seed` spreads its retries.
-    pub fn open(_id: Holder, seed: u64) -> Self {
+    pub fn open(id: Holder, seed: u64) -> Self {
+        let (host, incarnation) = split(&id);
         Self {
             random: StdRng::seed_from_u64(seed),
             jobs: BTreeMap::new(),
             operations: BTreeMap::new(),
             operation: 0,
             transfers: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            sweep: Sweep {
+                host,
+                incarnation,
+                after: Arc::from(""),
+                at: Some(Duration::ZERO),
+                id: None,
+            },
         }
     }
 
@@ -70,6 +101,7 @@
             Event::Dead(holder) => self.begin(now, holder),
             Event::Gone(process) => self.gone(&process),
             Event::Message { from, message } => self.message(now, &from, message),
+            Event::Table { id, outcome } if self.sweep.id == Some(id) => self.swept(now, outcome),
             Event::Table { id, outcome } => {
                 let Some(holder) = self.operations.remove(&id) else {
                     return;
@@ -84,7 +116,10 @@
                     job.usage(request, tokens);
                 }
             }
-            Event::Tick => self.repeat_transfers(now, actions),
+            Event::Tick => {
+                self.repeat_transfers(now, actions);
+                self.sweep(now, actions);
+            }
         }
         self.advance(now, actions);
     }
@@ -97,10 +132,42 @@
         self.jobs.insert(holder.clone(), Job::open(holder, now + wait));
     }
 
-    fn gone(&mut self, process: &Holder) {
-        for job in self.jobs.values_mut() {
-            job.lose(process);
+    /// Reads the next page of this host's rows.
+    fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.sweep.id.is_some() || self.sweep.at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.operation += 1;
+        self.sweep.id = Some(self.operation);
+        let prefix = Arc::from(format!("{}{}.", escrow::HOLDER_PREFIX, self.sweep.host));
+        let op = Op::Scan { prefix, after: self.sweep.after.clone(), limit: SWEEP_ROWS };
+        actions.push(Action::Table { id: self.operation, op });
+    }
+
+    fn swept(&mut self, now: Duration, outcome: Outcome) {
+        self.sweep.id = None;
+        let Outcome::Rows(rows) = outcome else {
+            self.sweep.at = Some(now + SWEEP_PAUSE);
+            return;
+        };
+        self.sweep.at = (rows.len() == SWEEP_ROWS as usize).then_some(now);
+        for row in rows {
+            self.sweep.after = row.key.clone();
+            let open = escrow::parse::<Registration>(&row)
+                .is_ok_and(|row| row.is_some_and(|row| row.state != State::Closed));
+            let Some(holder) = row.key.strip_prefix(escrow::HOLDER_PREFIX) else {
+                continue;
+            };
+            if open && split(holder).1 < self.sweep.incarnation {
+                self.begin(now, Arc::from(holder));
+            }
         }
+    }
+
+    fn gone(&mut self, process: &Holder) {
+        let (host, incarnation) = split(process);
+        let last = self.gone.entry(host).or_insert(incarnation);
+        *last = incarnation.max(*last);
         self.transfers.retain(|_, repeat| repeat.sent.to != *process);
     }
 
@@ -121,6 +188,10 @@
     fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let mut closed = Vec::new();
         for (holder, job) in &mut self.jobs {
+            job.lose_all(|process| {
+                let (host, incarnation) = split(process);
+                self.gone.get(&host).is_some_and(|last| incarnation <= *last)
+            });
             if let Some(op) = job.advance(now, actions) {
                 self.operation += 1;
                 self.operations.insert(self.operation, holder.clone());
@@ -162,7 +233,13 @@
     }
 }
 
-/// Returns the host of a process, `host.incarnation`.
+/// Returns the host and the incarnation of a process, `host.incarnation`.
+fn split(holder: &str) -> (Arc<str>, u64) {
+    let (host, incarnation) = holder.rsplit_once('.').unwrap_or((holder, ""));
+    (Arc::from(host), incarnation.parse().unwrap_or(0))
+}
+
+/// Returns the host of a process.
 fn host_of(holder: &str) -> Arc<str> {
-    Arc::from(holder.rsplit_once('.').map_or(holder, |(host, _)| host))
+    split(holder).0
 }
--- a/crates/coordination/src/recovery/event.rs
+++ b/crates/coordination/src/recovery/event.rs
@@ -1,9 +1,9 @@
 //! What a recovery hears and does.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
-    journal::Claim,
+    claim::Recovered,
     message::{Holder, Message},
     request,
     table::{Op, Outcome},
@@ -82,7 +82,7 @@
     pub stranded: u64,
     /// Tickets that were claimed, with what is known of the outcome. A ticket that isn't listed was
     /// never claimed and never will be, unless the recovery is incomplete.
-    pub claims: BTreeMap<u64, Claim>,
+    pub claims: Recovered,
     /// Some copies of the journal were lost.
     pub incomplete: bool,
 }
--- a/crates/coordination/src/recovery/job.rs
+++ b/crates/coordination/src/recovery/job.rs
@@ -11,11 +11,12 @@
     host_of,
 };
 use crate::{
+    claim::Recovered,
     escrow::{self, Escrow, Grant, Registration, State},
     journal::{self, Sent},
     ledger::{self, Charge, Segment},
     message::{Holder, Message, SealedCopy},
-    record::{Budget, Ledger},
+    record::Ledger,
     request,
     table::{Op, Outcome, Row, Txn},
 };
@@ -93,7 +94,7 @@
             settled: 0,
             returned: 0,
             stranded: 0,
-            claims: BTreeMap::new(),
+            claims: Recovered::default(),
             incomplete: false,
         };
         Self {
@@ -129,10 +130,15 @@
         self.state.unacknowledged().clone()
     }
 
-    /// Notes that a process is gone with the copy that it kept.
-    pub fn lose(&mut self, process: &Holder) {
-        if self.registration.ensemble.contains(process) {
-            self.copies.entry(process.clone()).or_insert(None);
+    /// Notes which members are gone with the copies that they kept.
+    pub fn lose_all(&mut self, gone: impl Fn(&Holder) -> bool) {
+        if !matches!(self.step, Step::Seal) {
+            return;
+        }
+        for member in &self.registration.ensemble {
+            if gone(member) {
+                self.copies.entry(member.clone()).or_insert(None);
+            }
         }
     }
 
@@ -202,7 +208,7 @@
         }
         let lost = self.copies.values().any(|copy| copy.is_none());
         self.report.incomplete = lost || self.registration.ensemble.is_empty();
-        self.report.claims = self.state.claims().clone();
+        self.report.claims = Recovered::replay(&self.state.claim_entries());
         self.budgets = self.state.budgets().cloned().collect();
         for (request, reservation) in self.state.open() {
             if reservation.backend.is_empty() {
@@ -344,7 +350,7 @@
         effect: &mut Effect,
     ) {
         let (Ok(record), Ok(escrow), Ok(grant)) = (
-            escrow::parse::<Budget>(&rows[0]),
+            escrow::budget(&rows[0]),
             escrow::parse::<Escrow>(&rows[1]),
             escrow::parse::<Grant>(&rows[2]),
         ) else {
@@ -402,9 +408,10 @@
             effect.closes = true;
             next.state = State::Closed;
             next.incomplete = self.report.incomplete;
-            if !self.report.claims.is_empty() {
+            let claims = self.state.claim_entries();
+            if claims.len() > 1 {
                 let key = escrow::claims_key(&self.holder);
-                txn.put(&Row { key, value: None, revision: 0 }, &self.report.claims);
+                txn.put(&Row { key, value: None, revision: 0 }, &claims);
             }
         }
         if next == self.registration {
--- a/crates/coordination/tests/money/fleet.rs
+++ b/crates/coordination/tests/money/fleet.rs
@@ -179,7 +179,8 @@
     /// Writes a budget's record and tells it to the hosts that can reach the platform.
     pub fn set_budget(&mut self, name: &str, prepaid: &[(&str, u64)], floor: u64, old: bool) {
         let record = budget(name, prepaid, floor, old);
-        let text = serde_json::to_string(&record).expect("a record");
+        let text =
+            coordination::record::render(&coordination::record::Record::Budget(record.clone()));
         self.table.put(&format!("config/budget/{name}"), text);
         self.tell_budget(&record);
     }
