--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -6,7 +6,8 @@
 };
 
 use crate::{
-    message::{ClaimOutcome, Entry, Holder, Source},
+    claim::Claim,
+    message::{Entry, Holder, Source},
     request,
 };
 
@@ -43,17 +44,6 @@
     pub tokens: u64,
 }
 
-/// A claimed ticket.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Claim {
-    /// Digest of the request's body.
-    pub digest: [u8; 32],
-    /// Request that runs.
-    pub request: request::Id,
-    /// What came of it, once known.
-    pub outcome: Option<ClaimOutcome>,
-}
-
 /// State of a journal up to an entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
@@ -111,8 +101,8 @@
                 self.claims.entry(*ticket).or_insert(claim);
             }
             Entry::TicketFloor { floor } => {
-                self.floor = self.floor.max(*floor);
-                self.claims = self.claims.split_off(&self.floor);
+                self.floor = *floor;
+                self.claims = self.claims.split_off(floor);
             }
             Entry::Outcome { ticket, outcome } => {
                 if let Some(claim) = self.claims.get_mut(ticket) {
@@ -158,11 +148,6 @@
         self.unacknowledged.remove(&transfer);
     }
 
-    /// Drops a claimed ticket that nobody asks for any more.
-    pub fn forget(&mut self, ticket: u64) {
-        self.claims.remove(&ticket);
-    }
-
     /// Returns entries that rebuild this state.
     ///
     /// Settlements lose their numbers: a rebuilt state may hold settlements of its last segment
@@ -194,7 +179,7 @@
                 backend: reservation.backend.clone(),
             });
         }
-        self.claim_entries(&mut entries);
+        entries.extend(self.claim_entries());
         entries
     }
 
@@ -218,8 +203,9 @@
         }
     }
 
-    fn claim_entries(&self, entries: &mut Vec<Entry>) {
-        entries.push(Entry::TicketFloor { floor: self.floor });
+    /// Returns entries that rebuild the claimed tickets.
+    pub fn claim_entries(&self) -> Vec<Entry> {
+        let mut entries = vec![Entry::TicketFloor { floor: self.floor }];
         for (ticket, claim) in &self.claims {
             entries.push(Entry::Claim {
                 ticket: *ticket,
@@ -230,6 +216,7 @@
                 entries.push(Entry::Outcome { ticket: *ticket, outcome: outcome.clone() });
             }
         }
+        entries
     }
 
     /// Returns the number of the last entry.
@@ -271,9 +258,4 @@
     pub fn unacknowledged(&self) -> &BTreeMap<u64, Sent> {
         &self.unacknowledged
     }
-
-    /// Returns the claimed tickets.
-    pub fn claims(&self) -> &BTreeMap<u64, Claim> {
-        &self.claims
-    }
 }
