Test whole answers and claims over random histories

Found by the claim histories: a host that has one body of a ticket waiting told a second body that it was a mismatch, before the issuer had decided; another host could then still run the second body. Calls now wait by ticket and body, and only the issuer says which body a ticket belongs to.

--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -12,7 +12,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 pub use event::{Call, Caller, Reach, RunnerAction, RunnerEvent, Transport};
-pub use issuer::{Ask, Issuer, IssuerAction, IssuerEvent};
+pub use issuer::{Ask, Issuer, IssuerAction, IssuerEvent, TICKET_LIFETIME};
 pub use runner::Runner;
 
 use crate::{
--- a/crates/coordination/src/claim/issuer.rs
+++ b/crates/coordination/src/claim/issuer.rs
@@ -156,6 +156,11 @@
         entries
     }
 
+    /// Returns true where a claim of the ticket is on every replica of the journal.
+    pub fn is_durable(&self, ticket: u64) -> bool {
+        self.claims.get(&ticket).is_some_and(|state| state.progress == Progress::Durable)
+    }
+
     /// Returns a claim of a ticket, where there is one.
     pub fn claim(&self, ticket: u64) -> Option<Claim> {
         let state = self.claims.get(&ticket)?;
--- a/crates/coordination/src/claim/runner.rs
+++ b/crates/coordination/src/claim/runner.rs
@@ -46,10 +46,17 @@
     Running,
 }
 
+/// A ticket together with the call that it is used for. Calls that share a ticket but differ wait
+/// apart, since only the issuer knows which of them the ticket belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    ticket: Ticket,
+    digest: [u8; 32],
+}
+
 #[derive(Debug)]
 struct Waiting {
     run: request::Id,
-    digest: [u8; 32],
     callers: Vec<Caller>,
     deadline: Duration,
     phase: Phase,
@@ -67,25 +74,21 @@
     expires: Duration,
 }
 
-/// A run that must not be dispatched any more.
-#[derive(Debug)]
-struct Abandoned {
-    ticket: Ticket,
-    digest: [u8; 32],
-}
-
 /// Runs calls with tickets that arrive at one host.
 #[derive(Debug)]
 pub struct Runner {
     holder: Holder,
     runs: u64,
-    calls: BTreeMap<Ticket, Waiting>,
-    callers: BTreeMap<Caller, Ticket>,
-    running: BTreeMap<request::Id, Ticket>,
+    calls: BTreeMap<Key, Waiting>,
+    callers: BTreeMap<Caller, Key>,
+    /// Runs that wait for a verdict.
+    asking: BTreeMap<request::Id, Key>,
+    running: BTreeMap<request::Id, Key>,
     reports: BTreeMap<Ticket, Report>,
-    abandoned: BTreeMap<request::Id, Abandoned>,
+    /// Runs that must not be dispatched any more.
+    abandoned: BTreeMap<request::Id, Key>,
     abandoned_order: VecDeque<request::Id>,
-    timers: BTreeSet<(Duration, Ticket)>,
+    timers: BTreeSet<(Duration, Key)>,
 }
 
 impl Runner {
@@ -96,6 +99,7 @@
             runs: 0,
             calls: BTreeMap::new(),
             callers: BTreeMap::new(),
+            asking: BTreeMap::new(),
             running: BTreeMap::new(),
             reports: BTreeMap::new(),
             abandoned: BTreeMap::new(),
@@ -121,7 +125,7 @@
             RunnerEvent::Left(caller) => self.leave(caller),
             RunnerEvent::Reply { from, ticket, request, verdict } => {
                 let ticket = Ticket { holder: from, number: ticket };
-                self.reply(now, ticket, request, verdict, actions);
+                self.reply(now, &ticket, request, verdict, actions);
             }
             RunnerEvent::Acked { from, ticket } => {
                 self.reports.remove(&Ticket { holder: from, number: ticket });
@@ -142,14 +146,11 @@
             actions.push(RunnerAction::Reply(call.caller, outcome));
             return;
         }
-        if let Some(waiting) = self.calls.get_mut(&call.ticket) {
-            if waiting.digest != call.digest {
-                actions.push(RunnerAction::Reply(call.caller, Outcome::Mismatch));
-                return;
-            }
+        let key = Key { ticket: call.ticket.clone(), digest: call.digest };
+        if let Some(waiting) = self.calls.get_mut(&key) {
             waiting.callers.push(call.caller);
             waiting.deadline = waiting.deadline.max(call.deadline);
-            self.callers.insert(call.caller, call.ticket);
+            self.callers.insert(call.caller, key);
             return;
         }
         if call.reach == Reach::Unreachable {
@@ -157,65 +158,60 @@
             actions.push(RunnerAction::Reply(call.caller, outcome));
             return;
         }
-        self.begin(now, call, actions);
+        self.begin(now, key, &call, actions);
     }
 
-    fn begin(&mut self, now: Duration, call: Call, actions: &mut Vec<RunnerAction>) {
+    fn begin(&mut self, now: Duration, key: Key, call: &Call, actions: &mut Vec<RunnerAction>) {
         self.runs += 1;
         let run = request::Id::numbered(&format!("{} run", self.holder), self.runs);
         let phase = match call.reach {
             Reach::Gone => Phase::Recovering { give_up: call.deadline },
             _ => Phase::Asking { give_up: call.deadline.min(now + ASK_TIMEOUT), busy: false },
         };
-        let waiting = Waiting {
-            run,
-            digest: call.digest,
-            callers: vec![call.caller],
-            deadline: call.deadline,
-            phase,
-            next: now,
-        };
-        self.callers.insert(call.caller, call.ticket.clone());
-        self.calls.insert(call.ticket.clone(), waiting);
-        self.ask(now, &call.ticket, actions);
+        let waiting =
+            Waiting { run, callers: vec![call.caller], deadline: call.deadline, phase, next: now };
+        self.callers.insert(call.caller, key.clone());
+        self.asking.insert(run, key.clone());
+        self.calls.insert(key.clone(), waiting);
+        self.ask(now, &key, actions);
     }
 
     /// Asks whoever decides the ticket now, and sets the time of the next try.
-    fn ask(&mut self, now: Duration, ticket: &Ticket, actions: &mut Vec<RunnerAction>) {
-        let Some(waiting) = self.calls.get_mut(ticket) else { return };
+    fn ask(&mut self, now: Duration, key: &Key, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.calls.get_mut(key) else { return };
         waiting.next = match waiting.phase {
             Phase::Running => return,
             Phase::Asking { give_up, .. } => {
                 let message = Message::Claim {
-                    ticket: ticket.number,
-                    digest: waiting.digest,
+                    ticket: key.ticket.number,
+                    digest: key.digest,
                     request: waiting.run,
                 };
-                actions.push(RunnerAction::Send(ticket.holder.clone(), message));
+                actions.push(RunnerAction::Send(key.ticket.holder.clone(), message));
                 give_up.min(now + ASK_INTERVAL)
             }
             Phase::Recovering { give_up } => {
-                actions.push(RunnerAction::Recover(ticket.holder.clone()));
+                actions.push(RunnerAction::Recover(key.ticket.holder.clone()));
                 give_up.min(now + RECOVER_INTERVAL)
             }
         };
-        self.timers.insert((waiting.next, ticket.clone()));
+        self.timers.insert((waiting.next, key.clone()));
     }
 
     fn leave(&mut self, caller: Caller) {
-        let Some(ticket) = self.callers.remove(&caller) else { return };
-        let Some(waiting) = self.calls.get_mut(&ticket) else { return };
+        let Some(key) = self.callers.remove(&caller) else { return };
+        let Some(waiting) = self.calls.get_mut(&key) else { return };
         waiting.callers.retain(|waiter| *waiter != caller);
         if waiting.callers.is_empty() && waiting.phase != Phase::Running {
-            self.abandon(&ticket);
+            self.abandon(&key);
         }
     }
 
     /// Removes a call that was not dispatched; a verdict that still comes is turned down.
-    fn abandon(&mut self, ticket: &Ticket) -> Option<Waiting> {
-        let waiting = self.calls.remove(ticket)?;
-        let abandoned = Abandoned { ticket: ticket.clone(), digest: waiting.digest };
-        self.abandoned.insert(waiting.run, abandoned);
+    fn abandon(&mut self, key: &Key) -> Option<Waiting> {
+        let waiting = self.calls.remove(key)?;
+        self.asking.remove(&waiting.run);
+        self.abandoned.insert(waiting.run, key.clone());
         self.abandoned_order.push_back(waiting.run);
         if self.abandoned_order.len() > MAX_ABANDONED
             && let Some(oldest) = self.abandoned_order.pop_front()
@@ -228,21 +224,22 @@
     fn reply(
         &mut self,
         now: Duration,
-        ticket: Ticket,
+        ticket: &Ticket,
         run: request::Id,
         verdict: Verdict,
         actions: &mut Vec<RunnerAction>,
     ) {
-        if verdict == Verdict::Run && self.turn_down(now, &ticket, run, actions) {
+        if verdict == Verdict::Run && self.turn_down(now, ticket, run, actions) {
             return;
         }
-        let Some(waiting) = self.calls.get_mut(&ticket) else { return };
-        if waiting.run != run || waiting.phase == Phase::Running {
+        let Some(key) = self.asking.get(&run).cloned() else { return };
+        if key.ticket != *ticket {
             return;
         }
         let outcome = match verdict {
-            Verdict::Run => return self.dispatch(&ticket, actions),
+            Verdict::Run => return self.dispatch(key, run, actions),
             Verdict::Busy => {
+                let Some(waiting) = self.calls.get_mut(&key) else { return };
                 waiting.phase = Phase::Asking { give_up: waiting.deadline, busy: true };
                 return;
             }
@@ -250,7 +247,7 @@
             Verdict::Mismatch => Outcome::Mismatch,
             Verdict::Invalid => Outcome::Unknown(Doubt::Expired),
         };
-        self.finish(&ticket, &outcome, actions);
+        self.finish(&key, &outcome, actions);
     }
 
     /// Answers a permission to run that came after its run was abandoned.
@@ -261,23 +258,21 @@
         run: request::Id,
         actions: &mut Vec<RunnerAction>,
     ) -> bool {
-        let Some(abandoned) = self.abandoned.remove(&run) else { return false };
-        if abandoned.ticket != *ticket {
-            return true;
+        let Some(key) = self.abandoned.remove(&run) else { return false };
+        if key.ticket == *ticket {
+            self.finish(&key, &Outcome::NotRun, actions);
+            self.report(now, key, Outcome::NotRun, ClaimOutcome::NotRun, actions);
         }
-        let digest = abandoned.digest;
-        self.finish(ticket, &Outcome::NotRun, actions);
-        self.report(now, ticket, digest, Outcome::NotRun, ClaimOutcome::NotRun, actions);
         true
     }
 
-    fn dispatch(&mut self, ticket: &Ticket, actions: &mut Vec<RunnerAction>) {
-        let Some(waiting) = self.calls.get_mut(ticket) else { return };
+    fn dispatch(&mut self, key: Key, run: request::Id, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.calls.get_mut(&key) else { return };
         let Some(&caller) = waiting.callers.first() else { return };
         waiting.phase = Phase::Running;
-        self.running.insert(waiting.run, ticket.clone());
-        let action = RunnerAction::Dispatch { caller, ticket: ticket.clone(), run: waiting.run };
-        actions.push(action);
+        actions.push(RunnerAction::Dispatch { caller, ticket: key.ticket.clone(), run });
+        self.asking.remove(&run);
+        self.running.insert(run, key);
     }
 
     fn ended(
@@ -287,21 +282,20 @@
         transport: Transport,
         actions: &mut Vec<RunnerAction>,
     ) {
-        let Some(ticket) = self.running.remove(&run) else { return };
-        let Some(waiting) = self.calls.get(&ticket) else { return };
-        let digest = waiting.digest;
+        let Some(key) = self.running.remove(&run) else { return };
         let (outcome, kept) = outcomes(transport);
-        self.finish(&ticket, &outcome, actions);
-        self.report(now, &ticket, digest, outcome, kept, actions);
+        self.finish(&key, &outcome, actions);
+        self.report(now, key, outcome, kept, actions);
     }
 
-    /// Gives all callers of a ticket its outcome and forgets the call.
-    fn finish(&mut self, ticket: &Ticket, outcome: &Outcome, actions: &mut Vec<RunnerAction>) {
-        let Some(waiting) = self.calls.remove(ticket) else { return };
+    /// Gives all callers of a call its outcome and forgets the call.
+    fn finish(&mut self, key: &Key, outcome: &Outcome, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.calls.remove(key) else { return };
         self.answer(waiting, outcome, actions);
     }
 
     fn answer(&mut self, waiting: Waiting, outcome: &Outcome, actions: &mut Vec<RunnerAction>) {
+        self.asking.remove(&waiting.run);
         for caller in waiting.callers {
             self.callers.remove(&caller);
             actions.push(RunnerAction::Reply(caller, outcome.clone()));
@@ -311,28 +305,27 @@
     fn report(
         &mut self,
         now: Duration,
-        ticket: &Ticket,
-        digest: [u8; 32],
+        key: Key,
         outcome: Outcome,
         kept: ClaimOutcome,
         actions: &mut Vec<RunnerAction>,
     ) {
         let report = Report {
-            digest,
+            digest: key.digest,
             outcome,
             kept,
             interval: REPORT_INTERVAL,
             next: now + REPORT_INTERVAL,
             expires: now + REPORT_LIFETIME,
         };
-        send_report(ticket, &report, actions);
-        self.timers.insert((report.next, ticket.clone()));
-        self.reports.insert(ticket.clone(), report);
+        send_report(&key.ticket, &report, actions);
+        self.reports.insert(key.ticket.clone(), report);
+        self.timers.insert((now + REPORT_INTERVAL, key));
     }
 
     fn unreachable(&mut self, holder: &Holder, actions: &mut Vec<RunnerAction>) {
-        for ticket in self.undispatched(holder) {
-            self.give_up(&ticket, actions);
+        for key in self.undispatched(holder) {
+            self.give_up(&key, actions);
         }
     }
 
@@ -342,23 +335,19 @@
         recovered: &Recovered,
         actions: &mut Vec<RunnerAction>,
     ) {
-        for ticket in self.undispatched(holder) {
-            let Some(waiting) = self.calls.remove(&ticket) else { continue };
-            let outcome = self.recovered_outcome(&ticket, &waiting, recovered);
+        for key in self.undispatched(holder) {
+            let Some(waiting) = self.calls.remove(&key) else { continue };
+            let outcome = self.recovered_outcome(&key, &waiting, recovered);
             self.answer(waiting, &outcome, actions);
         }
     }
 
     /// Returns the outcome of a call by the issuer's sealed journal. A claim by a run that this
     /// host did not dispatch, and now never will, has not run.
-    fn recovered_outcome(
-        &self,
-        ticket: &Ticket,
-        waiting: &Waiting,
-        recovered: &Recovered,
-    ) -> Outcome {
-        let outcome = recovered.outcome(ticket.number, &waiting.digest);
-        let Some(claim) = recovered.claims.get(&ticket.number) else { return outcome };
+    fn recovered_outcome(&self, key: &Key, waiting: &Waiting, recovered: &Recovered) -> Outcome {
+        let number = key.ticket.number;
+        let outcome = recovered.outcome(number, &key.digest);
+        let Some(claim) = recovered.claims.get(&number) else { return outcome };
         let own = claim.request == waiting.run || self.abandoned.contains_key(&claim.request);
         match outcome {
             Outcome::Unknown(Doubt::NoAnswer) if own && claim.outcome.is_none() => Outcome::NotRun,
@@ -366,16 +355,17 @@
         }
     }
 
-    /// Returns the tickets of a holder whose calls wait for it.
-    fn undispatched(&self, holder: &Holder) -> Vec<Ticket> {
-        let first = Ticket { holder: holder.clone(), number: 0 };
-        let of_holder = self.calls.range(first..).take_while(|(t, _)| t.holder == *holder);
+    /// Returns the calls that wait for a holder.
+    fn undispatched(&self, holder: &Holder) -> Vec<Key> {
+        let ticket = Ticket { holder: holder.clone(), number: 0 };
+        let first = Key { ticket, digest: [0; 32] };
+        let of_holder = self.calls.range(first..).take_while(|(k, _)| k.ticket.holder == *holder);
         let waiting = of_holder.filter(|(_, waiting)| waiting.phase != Phase::Running);
-        waiting.map(|(ticket, _)| ticket.clone()).collect()
+        waiting.map(|(key, _)| key.clone()).collect()
     }
 
-    fn give_up(&mut self, ticket: &Ticket, actions: &mut Vec<RunnerAction>) {
-        let Some(waiting) = self.abandon(ticket) else { return };
+    fn give_up(&mut self, key: &Key, actions: &mut Vec<RunnerAction>) {
+        let Some(waiting) = self.abandon(key) else { return };
         let doubt = match waiting.phase {
             Phase::Asking { busy: true, .. } => Doubt::InFlight,
             _ => Doubt::IssuerUnreachable,
@@ -387,9 +377,9 @@
         while let Some((at, _)) = self.timers.first()
             && *at <= now
         {
-            let Some((at, ticket)) = self.timers.pop_first() else { return };
-            self.retry_call(now, at, &ticket, actions);
-            self.retry_report(now, at, &ticket, actions);
+            let Some((at, key)) = self.timers.pop_first() else { return };
+            self.retry_call(now, at, &key, actions);
+            self.retry_report(now, at, &key, actions);
         }
     }
 
@@ -397,19 +387,19 @@
         &mut self,
         now: Duration,
         at: Duration,
-        ticket: &Ticket,
+        key: &Key,
         actions: &mut Vec<RunnerAction>,
     ) {
-        let Some(waiting) = self.calls.get(ticket) else { return };
+        let Some(waiting) = self.calls.get(key) else { return };
         if waiting.next != at {
             return;
         }
         match waiting.phase {
             Phase::Running => {}
             Phase::Asking { give_up, .. } | Phase::Recovering { give_up } if now >= give_up => {
-                self.give_up(ticket, actions);
+                self.give_up(key, actions);
             }
-            Phase::Asking { .. } | Phase::Recovering { .. } => self.ask(now, ticket, actions),
+            Phase::Asking { .. } | Phase::Recovering { .. } => self.ask(now, key, actions),
         }
     }
 
@@ -417,21 +407,21 @@
         &mut self,
         now: Duration,
         at: Duration,
-        ticket: &Ticket,
+        key: &Key,
         actions: &mut Vec<RunnerAction>,
     ) {
-        let Some(report) = self.reports.get_mut(ticket) else { return };
+        let Some(report) = self.reports.get_mut(&key.ticket) else { return };
         if report.next != at {
             return;
         }
         if now >= report.expires {
-            self.reports.remove(ticket);
+            self.reports.remove(&key.ticket);
             return;
         }
         report.interval = (report.interval * 2).min(REPORT_INTERVAL_MAX);
         report.next = now + report.interval;
-        send_report(ticket, report, actions);
-        self.timers.insert((report.next, ticket.clone()));
+        send_report(&key.ticket, report, actions);
+        self.timers.insert((report.next, key.clone()));
     }
 }
 
--- /dev/null
+++ b/crates/coordination/tests/answers_claim.rs
@@ -0,0 +1,541 @@
+//! Tests of tickets and of calls that run at most once.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use coordination::{
+    claim::{
+        Ask, Call, Doubt, Issuer, IssuerAction, IssuerEvent, Outcome, Reach, Recovered, Runner,
+        RunnerAction, RunnerEvent, TICKET_LIFETIME, Transport,
+    },
+    message::{ClaimOutcome, Entry, Holder, Message, Verdict},
+    request,
+    ticket::{Error, Key, Ticket, digest},
+};
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+const HOSTS: usize = 3;
+const TICKETS: u64 = 4;
+
+fn holder(host: usize) -> Holder {
+    Arc::from(format!("host-{host}.1"))
+}
+
+fn answer(body: &str) -> Transport {
+    Transport::Answer { status: 200, body: Arc::from(body) }
+}
+
+#[test]
+fn ticket_is_valid_only_for_its_fleet_and_workspace() {
+    let key = Key::derive(b"fleet secret");
+    let ticket = Ticket { holder: Arc::from("entry.a.7"), number: 42 };
+    let text = ticket.encode("grants", &key);
+    let other_number = text.replacen(".42.", ".43.", 1);
+    let other_holder = text.replacen("entry.a.7", "entry.a.8", 1);
+    let padded = text.replacen(".42.", ".042.", 1);
+    let short = &text[..text.len() - 2];
+    let cases = [
+        ("valid", text.as_str(), "grants", &key, Ok(ticket.clone())),
+        ("other workspace", &text, "press", &key, Err(Error::Forged)),
+        ("other key", &text, "grants", &Key::derive(b"other"), Err(Error::Forged)),
+        ("other number", &other_number, "grants", &key, Err(Error::Forged)),
+        ("other holder", &other_holder, "grants", &key, Err(Error::Forged)),
+        ("padded number", &padded, "grants", &key, Err(Error::Malformed)),
+        ("short code", short, "grants", &key, Err(Error::Malformed)),
+        ("empty", "", "grants", &key, Err(Error::Malformed)),
+        ("dots", "....", "grants", &key, Err(Error::Malformed)),
+        ("no holder", "42.00112233445566778899aabbccddeeff", "grants", &key, Err(Error::Malformed)),
+        ("too long", &"a.1.".repeat(100), "grants", &key, Err(Error::Malformed)),
+    ];
+    for (name, text, workspace, key, expected) in cases {
+        assert_eq!(Ticket::parse(text, workspace, key), expected, "{name}");
+    }
+    assert_ne!(digest("ab", b"c"), digest("a", b"bc"));
+}
+
+/// A run that a holder asks for.
+fn ask(from: usize, ticket: u64, body: u8, run: u8) -> IssuerEvent {
+    let request = request::Id([run; 16]);
+    IssuerEvent::Claim(Ask { from: holder(from), ticket, digest: [body; 32], request })
+}
+
+fn report(from: usize, outcome: ClaimOutcome) -> IssuerEvent {
+    IssuerEvent::Outcome { from: holder(from), ticket: 1, outcome }
+}
+
+#[test]
+fn issuer_lets_one_durable_claim_run() {
+    struct Case {
+        name: &'static str,
+        events: Vec<IssuerEvent>,
+        verdicts: Vec<(usize, Verdict)>,
+        acks: usize,
+    }
+    let claimed = || vec![ask(1, 1, 7, 1), IssuerEvent::Appended(5), IssuerEvent::Durable(5)];
+    let then = |more: Vec<IssuerEvent>| [claimed(), more].concat();
+    let unknown = ClaimOutcome::Unknown;
+    let ended =
+        |outcome| then(vec![report(1, outcome), IssuerEvent::Appended(6), IssuerEvent::Durable(6)]);
+    let run = (1, Verdict::Run);
+    let cases = [
+        Case {
+            name: "not durable",
+            events: vec![ask(1, 1, 7, 1), IssuerEvent::Appended(5), IssuerEvent::Durable(4)],
+            verdicts: vec![],
+            acks: 0,
+        },
+        Case { name: "durable", events: claimed(), verdicts: vec![run.clone()], acks: 0 },
+        Case {
+            name: "repeated question",
+            events: then(vec![ask(1, 1, 7, 1)]),
+            verdicts: vec![run.clone(), run.clone()],
+            acks: 0,
+        },
+        Case {
+            name: "other run of the same host",
+            events: then(vec![ask(1, 1, 7, 2)]),
+            verdicts: vec![run.clone(), (1, Verdict::Busy)],
+            acks: 0,
+        },
+        Case {
+            name: "other host, before the first is durable",
+            events: vec![ask(1, 1, 7, 1), ask(2, 1, 7, 1)],
+            verdicts: vec![(2, Verdict::Busy)],
+            acks: 0,
+        },
+        Case {
+            name: "other body",
+            events: then(vec![ask(2, 1, 8, 2)]),
+            verdicts: vec![run.clone(), (2, Verdict::Mismatch)],
+            acks: 0,
+        },
+        Case {
+            name: "never issued",
+            events: vec![ask(1, 9, 7, 1)],
+            verdicts: vec![(1, Verdict::Invalid)],
+            acks: 0,
+        },
+        Case {
+            name: "outcome",
+            events: [ended(ClaimOutcome::NotRun), vec![ask(2, 1, 7, 2)]].concat(),
+            verdicts: vec![run.clone(), (2, Verdict::Done(ClaimOutcome::NotRun))],
+            acks: 1,
+        },
+        Case {
+            name: "outcome reported again",
+            events: [ended(ClaimOutcome::NotRun), vec![report(1, ClaimOutcome::NotRun)]].concat(),
+            verdicts: vec![run.clone()],
+            acks: 2,
+        },
+        Case {
+            name: "outcome is not acknowledged before it is durable",
+            events: then(vec![report(1, ClaimOutcome::NotRun), IssuerEvent::Appended(6)]),
+            verdicts: vec![run.clone()],
+            acks: 0,
+        },
+        Case {
+            name: "outcome from another host",
+            events: then(vec![report(2, ClaimOutcome::NotRun), ask(2, 1, 7, 2)]),
+            verdicts: vec![run.clone(), (2, Verdict::Busy)],
+            acks: 0,
+        },
+        Case {
+            name: "reported unknown stays unknown",
+            events: [
+                ended(unknown.clone()),
+                vec![report(1, ClaimOutcome::NotRun), ask(2, 1, 7, 2)],
+            ]
+            .concat(),
+            verdicts: vec![run.clone(), (2, Verdict::Done(unknown.clone()))],
+            acks: 2,
+        },
+        Case {
+            name: "runner gone",
+            events: then(vec![IssuerEvent::Gone(holder(1)), ask(2, 1, 7, 2)]),
+            verdicts: vec![run.clone(), (2, Verdict::Done(unknown))],
+            acks: 0,
+        },
+        Case {
+            name: "runner taken for gone reports",
+            events: then(vec![
+                IssuerEvent::Gone(holder(1)),
+                report(1, ClaimOutcome::NotRun),
+                ask(2, 1, 7, 2),
+            ]),
+            verdicts: vec![run, (2, Verdict::Done(ClaimOutcome::NotRun))],
+            acks: 0,
+        },
+    ];
+    for case in cases {
+        let mut issuer = Issuer::open(holder(0));
+        issuer.issue(Duration::ZERO);
+        let mut actions = Vec::new();
+        for event in case.events {
+            issuer.handle(Duration::ZERO, event, &mut actions);
+        }
+        let mut verdicts = Vec::new();
+        let mut acks = 0;
+        for action in actions {
+            match action {
+                IssuerAction::Send(to, Message::ClaimReply { verdict, .. }) => {
+                    verdicts.push((to, verdict));
+                }
+                IssuerAction::Send(_, Message::ClaimOutcomeAck { .. }) => acks += 1,
+                _ => {}
+            }
+        }
+        let expected: Vec<_> = case.verdicts.into_iter().map(|(h, v)| (holder(h), v)).collect();
+        assert_eq!(verdicts, expected, "{}", case.name);
+        assert_eq!(acks, case.acks, "{}: acknowledgements", case.name);
+    }
+}
+
+#[test]
+fn forgotten_tickets_are_never_said_not_to_have_run() {
+    let mut issuer = Issuer::open(holder(0));
+    issuer.issue(Duration::ZERO);
+    let mut actions = Vec::new();
+    issuer.handle(Duration::ZERO, ask(1, 1, 7, 1), &mut actions);
+    let later = TICKET_LIFETIME + Duration::from_secs(120);
+    let fresh = issuer.issue(later).number;
+    issuer.handle(later, IssuerEvent::Tick, &mut actions);
+    actions.clear();
+    issuer.handle(later, ask(2, 1, 7, 2), &mut actions);
+    let invalid = matches!(
+        &actions[..],
+        [IssuerAction::Send(_, Message::ClaimReply { verdict: Verdict::Invalid, .. })]
+    );
+    assert!(invalid, "{actions:?}");
+    let recovered = Recovered::replay(&issuer.snapshot());
+    assert!(recovered.claims.is_empty());
+    assert_eq!(recovered.outcome(1, &[7; 32]), Outcome::Unknown(Doubt::Expired));
+    assert_eq!(recovered.outcome(fresh, &[7; 32]), Outcome::NotRun);
+}
+
+/// A step of a random history.
+#[derive(Debug, Clone)]
+enum Op {
+    Call { host: usize, ticket: u64, body: u8 },
+    Leave { nth: usize },
+    Deliver { nth: usize },
+    Drop { nth: usize },
+    Repeat { nth: usize },
+    Replicate,
+    Pass { ms: u64 },
+    End { nth: usize, how: u8 },
+    Unreachable { host: usize },
+    KillRunner,
+    KillIssuer { kept: usize },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (0..HOSTS, 1..=TICKETS, 0u8..2)
+            .prop_map(|(host, ticket, body)| Op::Call { host, ticket, body: body / 2 + body % 2 }),
+        1 => (0usize..8).prop_map(|nth| Op::Leave { nth }),
+        8 => (0usize..8).prop_map(|nth| Op::Deliver { nth }),
+        1 => (0usize..8).prop_map(|nth| Op::Drop { nth }),
+        2 => (0usize..8).prop_map(|nth| Op::Repeat { nth }),
+        4 => Just(Op::Replicate),
+        3 => (0u64..3000).prop_map(|ms| Op::Pass { ms }),
+        3 => (0usize..4, 0u8..3).prop_map(|(nth, how)| Op::End { nth, how }),
+        1 => (0..HOSTS).prop_map(|host| Op::Unreachable { host }),
+        1 => Just(Op::KillRunner),
+        1 => (0usize..4).prop_map(|kept| Op::KillIssuer { kept }),
+    ]
+}
+
+/// One issuer on host 0 and a runner on each host, with a link that loses, repeats and reorders.
+struct Fleet {
+    now: Duration,
+    issuer: Option<Issuer>,
+    runners: Vec<Option<Runner>>,
+    link: Vec<(Holder, Holder, Message)>,
+    journal: Vec<Entry>,
+    sealed: Option<Arc<Recovered>>,
+    callers: u64,
+    /// Ticket and body of each caller that waits.
+    waiting: BTreeMap<u64, (usize, u64, u8)>,
+    told: Vec<(u64, u8, Outcome)>,
+    /// Dispatches in flight: host, run, ticket, body.
+    flying: Vec<(usize, request::Id, u64, u8)>,
+    /// Bodies that may have reached a back end, by ticket.
+    sent: BTreeMap<u64, Vec<u8>>,
+}
+
+impl Fleet {
+    fn open() -> Self {
+        let mut issuer = Issuer::open(holder(0));
+        (0..TICKETS).for_each(|_| drop(issuer.issue(Duration::ZERO)));
+        Self {
+            now: Duration::ZERO,
+            issuer: Some(issuer),
+            runners: (0..HOSTS).map(|host| Some(Runner::open(holder(host)))).collect(),
+            link: Vec::new(),
+            journal: Vec::new(),
+            sealed: None,
+            callers: 0,
+            waiting: BTreeMap::new(),
+            told: Vec::new(),
+            flying: Vec::new(),
+            sent: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, op: Op) {
+        match op {
+            Op::Call { host, ticket, body } => self.call(host, ticket, body),
+            Op::Leave { nth } => self.leave(nth),
+            Op::Deliver { nth } if nth < self.link.len() => self.deliver(nth),
+            Op::Drop { nth } if nth < self.link.len() => drop(self.link.remove(nth)),
+            Op::Repeat { nth } if nth < self.link.len() => {
+                self.link.push(self.link[nth].clone());
+            }
+            Op::Deliver { .. } | Op::Drop { .. } | Op::Repeat { .. } => {}
+            Op::Replicate => self.replicate(),
+            Op::Pass { ms } => self.pass(Duration::from_millis(ms)),
+            Op::End { nth, how } => self.end(nth, how),
+            Op::Unreachable { host } => {
+                self.runner(host, RunnerEvent::Unreachable(holder(0)));
+            }
+            Op::KillRunner => self.kill_runner(HOSTS - 1),
+            Op::KillIssuer { kept } => self.kill_issuer(kept),
+        }
+    }
+
+    fn call(&mut self, host: usize, ticket: u64, body: u8) {
+        if self.runners[host].is_none() {
+            return;
+        }
+        self.callers += 1;
+        let caller = self.callers;
+        self.waiting.insert(caller, (host, ticket, body));
+        let reach = if self.issuer.is_some() { Reach::Reachable } else { Reach::Gone };
+        let ticket = Ticket { holder: holder(0), number: ticket };
+        let deadline = self.now + Duration::from_secs(5);
+        let call = Call { caller, ticket, digest: [body; 32], deadline, reach };
+        self.runner(host, RunnerEvent::Call(call));
+    }
+
+    fn leave(&mut self, nth: usize) {
+        let Some((&caller, &(host, ..))) = self.waiting.iter().nth(nth) else { return };
+        self.waiting.remove(&caller);
+        self.runner(host, RunnerEvent::Left(caller));
+    }
+
+    fn runner(&mut self, host: usize, event: RunnerEvent) {
+        let Some(runner) = &mut self.runners[host] else { return };
+        let mut actions = Vec::new();
+        runner.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                RunnerAction::Send(to, message) => self.link.push((holder(host), to, message)),
+                RunnerAction::Reply(caller, outcome) => {
+                    if let Some((_, ticket, body)) = self.waiting.remove(&caller) {
+                        self.told.push((ticket, body, outcome));
+                    }
+                }
+                RunnerAction::Dispatch { caller, ticket, run } => {
+                    let body = self.waiting[&caller].2;
+                    self.flying.push((host, run, ticket.number, body));
+                }
+                RunnerAction::Recover(holder) => {
+                    let sealed = self.sealed.clone().expect("recovery of a dead issuer");
+                    self.runner(host, RunnerEvent::Recovered(holder, sealed));
+                }
+            }
+        }
+    }
+
+    fn issuer(&mut self, event: IssuerEvent) {
+        let Some(issuer) = &mut self.issuer else { return };
+        let mut actions = Vec::new();
+        issuer.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                IssuerAction::Append(entry) => {
+                    self.journal.push(entry);
+                    self.issuer(IssuerEvent::Appended(self.journal.len() as u64));
+                }
+                IssuerAction::Send(to, message) => self.link.push((holder(0), to, message)),
+            }
+        }
+    }
+
+    fn deliver(&mut self, nth: usize) {
+        let (from, to, message) = self.link.remove(nth);
+        let host = (0..HOSTS).find(|&host| holder(host) == to).expect("a known holder");
+        match message {
+            Message::Claim { ticket, digest, request } => {
+                self.issuer(IssuerEvent::Claim(Ask { from, ticket, digest, request }));
+            }
+            Message::ClaimOutcome { ticket, outcome } => {
+                self.issuer(IssuerEvent::Outcome { from, ticket, outcome });
+            }
+            Message::ClaimReply { ticket, request, verdict } => {
+                self.runner(host, RunnerEvent::Reply { from, ticket, request, verdict });
+            }
+            Message::ClaimOutcomeAck { ticket } => {
+                self.runner(host, RunnerEvent::Acked { from, ticket });
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    fn replicate(&mut self) {
+        let through = self.journal.len() as u64;
+        self.issuer(IssuerEvent::Durable(through));
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        (0..HOSTS).for_each(|host| self.runner(host, RunnerEvent::Tick));
+        self.issuer(IssuerEvent::Tick);
+    }
+
+    fn end(&mut self, nth: usize, how: u8) {
+        if nth >= self.flying.len() {
+            return;
+        }
+        let (host, run, ticket, body) = self.flying.remove(nth);
+        let transport = match how {
+            0 => Transport::NotSent,
+            1 => Transport::Broken,
+            _ => answer(&format!("ran {run}")),
+        };
+        if transport != Transport::NotSent {
+            self.sent.entry(ticket).or_default().push(body);
+        }
+        self.runner(host, RunnerEvent::Ended { run, transport });
+    }
+
+    fn kill_runner(&mut self, host: usize) {
+        self.runners[host] = None;
+        self.waiting.retain(|_, (at, ..)| *at != host);
+        let (lost, kept) = self.flying.drain(..).partition(|(at, ..)| *at == host);
+        self.flying = kept;
+        let lost: Vec<(usize, request::Id, u64, u8)> = lost;
+        for (_, _, ticket, body) in lost {
+            self.sent.entry(ticket).or_default().push(body);
+        }
+        self.issuer(IssuerEvent::Gone(holder(host)));
+    }
+
+    fn kill_issuer(&mut self, kept: usize) {
+        let Some(issuer) = self.issuer.take() else { return };
+        let durable: Vec<Entry> = issuer
+            .snapshot()
+            .into_iter()
+            .filter(|entry| match entry {
+                Entry::Claim { ticket, .. } => issuer.is_durable(*ticket),
+                _ => true,
+            })
+            .collect();
+        let undurable = issuer.snapshot().into_iter().filter(|entry| !durable.contains(entry));
+        let sealed: Vec<Entry> = durable.iter().cloned().chain(undurable.take(kept)).collect();
+        let sealed = Arc::new(Recovered::replay(&sealed));
+        self.sealed = Some(sealed.clone());
+        self.kill_runner(0);
+        for host in 1..HOSTS {
+            self.runner(host, RunnerEvent::Recovered(holder(0), sealed.clone()));
+        }
+    }
+
+    /// Delivers and replicates everything until nobody waits.
+    fn settle(&mut self) {
+        for _ in 0..40 {
+            while !self.link.is_empty() {
+                self.deliver(0);
+            }
+            self.replicate();
+            while !self.flying.is_empty() {
+                self.end(0, 2);
+            }
+            self.pass(Duration::from_millis(500));
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (ticket, bodies) in &self.sent {
+            prop_assert!(bodies.len() <= 1, "ticket {ticket} ran {} times", bodies.len());
+        }
+        for (ticket, body, outcome) in &self.told {
+            let sent = self.sent.get(ticket).and_then(|bodies| bodies.first());
+            match outcome {
+                Outcome::NotRun => prop_assert_eq!(sent, None, "ticket {} not run", ticket),
+                Outcome::Answer { .. } => prop_assert_eq!(sent, Some(body)),
+                Outcome::Mismatch => prop_assert_ne!(sent, Some(body)),
+                Outcome::Unknown(_) => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+fn runner() -> TestRunner {
+    let config = Config { cases: 2000, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[test]
+fn no_history_runs_a_ticket_twice_or_denies_a_run() {
+    let result = runner().run(&vec(op(), 0..60), |ops| {
+        let mut fleet = Fleet::open();
+        ops.into_iter().for_each(|op| fleet.step(op));
+        fleet.settle();
+        prop_assert!(fleet.waiting.is_empty(), "no outcome for {:?}", fleet.waiting);
+        fleet.check()
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
+
+/// Decides with the whole truth at hand, one call after the other.
+#[derive(Default)]
+struct Exact {
+    ended: BTreeMap<u64, (u8, bool)>,
+}
+
+impl Exact {
+    /// Returns whether the call runs, and whether its body fits the ticket's.
+    fn call(&mut self, ticket: u64, body: u8, sent: bool) -> (bool, bool) {
+        match self.ended.get(&ticket) {
+            Some((first, _)) => (false, *first == body),
+            None => {
+                self.ended.insert(ticket, (body, sent));
+                (true, true)
+            }
+        }
+    }
+}
+
+#[test]
+fn without_faults_the_outcomes_are_those_of_an_exact_decider() {
+    let call = (0..HOSTS, 1..=TICKETS, 0u8..2, 0u8..3);
+    let result = runner().run(&vec(call, 0..20), |calls| {
+        let mut fleet = Fleet::open();
+        let mut exact = Exact::default();
+        for (host, ticket, body, how) in calls {
+            let (runs, fits) = exact.call(ticket, body, how != 0);
+            fleet.call(host, ticket, body);
+            while !fleet.link.is_empty() {
+                fleet.deliver(0);
+                fleet.replicate();
+            }
+            prop_assert_eq!(fleet.flying.len(), usize::from(runs));
+            fleet.end(0, how);
+            while !fleet.link.is_empty() {
+                fleet.deliver(0);
+                fleet.replicate();
+            }
+            let (.., outcome) = fleet.told.last().expect("an outcome");
+            prop_assert_eq!(*outcome == Outcome::Mismatch, !fits);
+            let sent = exact.ended[&ticket].1;
+            prop_assert_eq!(*outcome == Outcome::NotRun, fits && !sent);
+        }
+        fleet.check()
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
