Test routing, admission, cache hints and retry budget

Tables: each source of leaving alone, half-open trial, kept-free slots by class, own sends since a report, zones, prefix hints under load, gaps in cache events, aging and refusal at arrival.

--- /dev/null
+++ b/crates/coordination/tests/answers_route.rs
@@ -0,0 +1,447 @@
+//! Tests of routing, admission, retries and cache hints.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use coordination::{
+    admit::{Admission, AdmissionAction, AdmissionEvent, Reason},
+    prefix,
+    record::{Backend, Model, Role, Route, empty},
+    request::Class,
+    retry,
+    route::{Choice, Load, Query, Refusal, Router, RouterAction, RouterEvent, Setting},
+};
+
+const SLOTS: u32 = 8;
+
+fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn model(name: &str, version: &str) -> Model {
+    Model { name: Arc::from(name), adapter: empty(), version: Arc::from(version) }
+}
+
+fn backend(name: &str, zone: &str) -> Backend {
+    Backend {
+        name: Arc::from(name),
+        address: Arc::from(format!("http://{name}")),
+        zone: Arc::from(zone),
+        role: Role::Engine,
+        models: vec![model("assess", "2")],
+        slots: SLOTS,
+        fencing: true,
+        leaving: false,
+    }
+}
+
+fn route(backends: &[&str]) -> Route {
+    Route {
+        name: Arc::from("review"),
+        backends: backends.iter().map(|name| Arc::from(*name)).collect(),
+        model: Some(model("assess", "2")),
+        idempotent: true,
+        class: Class::Normal,
+        max_tokens: 100,
+        call_tokens: 0,
+        timeout_ms: 1000,
+    }
+}
+
+fn query(class: Class) -> Query {
+    Query {
+        route: Arc::from("review"),
+        class,
+        aged: false,
+        prefixes: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
+fn load(running: u32, queued: u32) -> Load {
+    Load { queued, running, slots: SLOTS, leaving: false }
+}
+
+/// Opens a router in zone `a` with back ends, named by zone and number.
+fn router(names: &[&str]) -> Router {
+    let mut router = Router::open(Setting::new("a", 1));
+    for name in names {
+        router.handle(secs(0), RouterEvent::Backend(backend(name, &name[..1])), &mut Vec::new());
+    }
+    router.handle(secs(0), RouterEvent::Route(route(names)), &mut Vec::new());
+    router
+}
+
+fn tell(router: &mut Router, now: Duration, event: RouterEvent) {
+    router.handle(now, event, &mut Vec::new());
+}
+
+/// Chooses many times and returns how often each back end came out.
+fn counts(
+    router: &mut Router,
+    now: Duration,
+    query: &Query,
+    times: u32,
+) -> BTreeMap<Arc<str>, u32> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..times {
+        if let Choice::Backend(name) = router.choose(now, query) {
+            tell(router, now, RouterEvent::Finished(name.clone()));
+            *counts.entry(name).or_default() += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn any_source_keeps_new_work_from_a_back_end() {
+    let name: Arc<str> = Arc::from("a1");
+    let leaving = |record: Backend| Backend { leaving: true, ..record };
+    let state = |models, leaving| RouterEvent::State { backend: Arc::from("a1"), models, leaving };
+    let refused = |refusal| RouterEvent::Refused(Arc::from("a1"), refusal);
+    let idle = RouterEvent::Load(name.clone(), load(0, 0));
+    struct Case {
+        name: &'static str,
+        events: Vec<RouterEvent>,
+        /// Whether the back end gets work at once, and after two minutes.
+        chosen: [bool; 2],
+    }
+    let holds = vec![model("assess", "2")];
+    let cases = [
+        Case { name: "nothing", events: vec![], chosen: [true, true] },
+        Case {
+            name: "record",
+            events: vec![RouterEvent::Backend(leaving(backend("a1", "a"))), idle.clone()],
+            chosen: [false, false],
+        },
+        Case {
+            name: "host list",
+            events: vec![
+                RouterEvent::Listed { backend: name.clone(), leaving: true },
+                idle.clone(),
+            ],
+            chosen: [false, false],
+        },
+        Case {
+            name: "load report",
+            events: vec![RouterEvent::Load(name.clone(), Load { leaving: true, ..load(0, 0) })],
+            chosen: [false, false],
+        },
+        Case { name: "state", events: vec![state(holds.clone(), true)], chosen: [false, false] },
+        Case {
+            name: "refusal, with an older report after it",
+            events: vec![refused(Refusal::Leaving), idle, state(holds, false)],
+            chosen: [false, true],
+        },
+        Case { name: "busy", events: vec![refused(Refusal::Busy(secs(5)))], chosen: [false, true] },
+        Case {
+            name: "model unloaded",
+            events: vec![state(vec![model("assess", "1")], false)],
+            chosen: [false, false],
+        },
+        Case {
+            name: "model refused",
+            events: vec![refused(Refusal::Model(model("assess", "2")))],
+            chosen: [false, false],
+        },
+        Case {
+            name: "failure",
+            events: vec![RouterEvent::Health { backend: name.clone(), served: false }],
+            chosen: [false, true],
+        },
+        Case {
+            name: "deleted",
+            events: vec![RouterEvent::BackendDeleted(name.clone())],
+            chosen: [false, false],
+        },
+    ];
+    for case in cases {
+        let mut router = router(&["a1", "a2"]);
+        for event in case.events {
+            tell(&mut router, secs(1), event);
+        }
+        let query = query(Class::Normal);
+        let chosen =
+            [secs(1), secs(120)].map(|now| counts(&mut router, now, &query, 50).contains_key("a1"));
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
+
+#[test]
+fn failed_back_end_gets_one_trial_request() {
+    let mut router = router(&["a1"]);
+    let failed = RouterEvent::Health { backend: Arc::from("a1"), served: false };
+    tell(&mut router, secs(0), failed.clone());
+    tell(&mut router, secs(0), failed.clone());
+    let query = query(Class::Normal);
+    let Choice::None { retry_after } = router.choose(secs(0), &query) else {
+        panic!("chosen while it is failed");
+    };
+    assert!(!retry_after.is_zero());
+    assert!(matches!(router.choose(secs(1), &query), Choice::Backend(_)));
+    assert!(matches!(router.choose(secs(1), &query), Choice::None { .. }), "second trial");
+    tell(&mut router, secs(1), RouterEvent::Health { backend: Arc::from("a1"), served: true });
+    assert!(matches!(router.choose(secs(1), &query), Choice::Backend(_)));
+}
+
+#[test]
+fn capacity_is_kept_free_for_urgent_requests() {
+    struct Case {
+        name: &'static str,
+        load: Load,
+        class: Class,
+        aged: bool,
+        chosen: bool,
+    }
+    let case = |name, load, class, aged, chosen| Case { name, load, class, aged, chosen };
+    let cases = [
+        case("room for all", load(6, 0), Class::Long, false, true),
+        case("last slot, long", load(7, 0), Class::Long, false, false),
+        case("last slot, normal", load(7, 0), Class::Normal, false, false),
+        case("last slot, aged", load(7, 0), Class::Long, true, true),
+        case("last slot, urgent", load(7, 0), Class::Urgent, false, true),
+        case("queue, urgent", load(8, 3), Class::Urgent, false, true),
+        case("long queue, urgent", load(8, 8), Class::Urgent, false, false),
+        case("long queue, aged", load(8, 8), Class::Long, true, false),
+    ];
+    for case in cases {
+        let mut router = router(&["a1"]);
+        tell(&mut router, secs(1), RouterEvent::Load(Arc::from("a1"), case.load));
+        let query = Query { aged: case.aged, ..query(case.class) };
+        let chosen = router.choose(secs(1), &query) != Choice::Full;
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
+
+#[test]
+fn own_sends_since_a_report_count() {
+    let mut router = router(&["a1", "a2"]);
+    tell(&mut router, secs(1), RouterEvent::Load(Arc::from("a1"), load(0, 0)));
+    tell(&mut router, secs(1), RouterEvent::Load(Arc::from("a2"), load(2, 0)));
+    let mut sent = BTreeMap::<Arc<str>, u32>::new();
+    let query = query(Class::Normal);
+    while let Choice::Backend(name) = router.choose(secs(1), &query) {
+        *sent.entry(name).or_default() += 1;
+    }
+    let sent: Vec<u32> = sent.into_values().collect();
+    assert_eq!(sent, [7, 5], "both filled up to the slot kept free");
+}
+
+#[test]
+fn other_zones_serve_what_the_own_zone_cannot() {
+    let mut router = router(&["a1", "b1"]);
+    let query = query(Class::Normal);
+    let near = counts(&mut router, secs(1), &query, 50);
+    assert_eq!(near.get("b1"), None, "own zone first");
+    tell(&mut router, secs(1), RouterEvent::Load(Arc::from("a1"), load(8, 8)));
+    let far = counts(&mut router, secs(1), &query, 50);
+    assert_eq!(far.get("a1"), None);
+    assert_eq!(far.get("b1"), Some(&50));
+}
+
+#[test]
+fn prefix_hint_attracts_until_its_back_end_is_busy() {
+    let mut router = router(&["a1", "a2", "a3", "a4"]);
+    let prefixes = prefix::keys("assess", &[7; 256]);
+    let events = prefixes.iter().zip(1..);
+    let events = events.map(|(&key, seq)| prefix::Event { seq, key, cached: true }).collect();
+    let backend = Arc::from("a3");
+    tell(&mut router, secs(1), RouterEvent::Cache { backend, after: 0, events, next: 4 });
+    let query = Query { prefixes, ..query(Class::Normal) };
+    let idle = router.choose(secs(1), &query);
+    assert_eq!(idle, Choice::Backend(Arc::from("a3")));
+    tell(&mut router, secs(2), RouterEvent::Load(Arc::from("a3"), load(6, 0)));
+    assert_ne!(router.choose(secs(2), &query), Choice::Backend(Arc::from("a3")));
+}
+
+#[test]
+fn cache_events_with_a_gap_are_read_again() {
+    let event = |seq, cached| prefix::Event { seq, key: prefix::Key::new("m", seq), cached };
+    struct Case {
+        name: &'static str,
+        after: u64,
+        events: Vec<prefix::Event>,
+        next: u64,
+        applied: bool,
+        entries: usize,
+        read_after: u64,
+    }
+    let cases = [
+        Case {
+            name: "next",
+            after: 2,
+            events: vec![event(3, true)],
+            next: 3,
+            applied: true,
+            entries: 3,
+            read_after: 3,
+        },
+        Case {
+            name: "full read",
+            after: 0,
+            events: vec![event(1, true), event(2, true)],
+            next: 2,
+            applied: true,
+            entries: 2,
+            read_after: 2,
+        },
+        Case {
+            name: "late",
+            after: 1,
+            events: vec![event(2, true)],
+            next: 2,
+            applied: true,
+            entries: 2,
+            read_after: 2,
+        },
+        Case {
+            name: "gap before",
+            after: 2,
+            events: vec![event(4, true)],
+            next: 4,
+            applied: false,
+            entries: 2,
+            read_after: 0,
+        },
+        Case {
+            name: "gap at the end",
+            after: 2,
+            events: vec![event(3, true)],
+            next: 5,
+            applied: false,
+            entries: 3,
+            read_after: 0,
+        },
+        Case {
+            name: "full read with gaps",
+            after: 0,
+            events: vec![event(5, true), event(9, true)],
+            next: 9,
+            applied: true,
+            entries: 2,
+            read_after: 9,
+        },
+    ];
+    for case in cases {
+        let mut index = prefix::Index::default();
+        let name: Arc<str> = Arc::from("a1");
+        index.apply(&name, 0, &[event(1, true), event(2, true)], 2);
+        let applied = index.apply(&name, case.after, &case.events, case.next);
+        assert_eq!(applied, case.applied, "{}", case.name);
+        assert_eq!(index.len(), case.entries, "{}", case.name);
+        assert_eq!(index.after(&name), case.read_after, "{}", case.name);
+    }
+    let mut router = router(&["a1"]);
+    let mut actions = Vec::new();
+    let backend: Arc<str> = Arc::from("a1");
+    let events = vec![event(9, true)];
+    let cache = RouterEvent::Cache { backend: backend.clone(), after: 3, events, next: 9 };
+    router.handle(secs(1), cache, &mut actions);
+    assert_eq!(actions, [RouterAction::Resync(backend)]);
+}
+
+#[test]
+fn retry_budget_bounds_retries_to_a_share() {
+    let setting = retry::Setting::default();
+    let mut budget = retry::Budget::open(setting, 1);
+    assert!(!budget.hedge(false), "a request that is not idempotent is never hedged");
+    let mut spent = 0;
+    for _ in 0..1000 {
+        budget.earn();
+        spent += u64::from(budget.spend()) + u64::from(budget.spend());
+    }
+    assert_eq!(spent, setting.capacity + 100 - 1);
+    for failures in 1..40 {
+        let longest = retry::backoff(setting.pause, setting.pause_max, failures);
+        let pause = budget.pause(failures);
+        assert!(pause >= longest / 2 && pause <= longest, "after {failures} failures");
+        assert!(longest <= setting.pause_max);
+    }
+}
+
+/// An admission over one back end.
+struct Desk {
+    now: Duration,
+    admission: Admission,
+    placed: Vec<u64>,
+    refused: Vec<(u64, Reason)>,
+}
+
+impl Desk {
+    fn open() -> Self {
+        let admission = Admission::open(Default::default(), router(&["a1"]));
+        Self { now: secs(1), admission, placed: Vec::new(), refused: Vec::new() }
+    }
+
+    fn event(&mut self, event: AdmissionEvent) {
+        let mut actions = Vec::new();
+        self.admission.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                AdmissionAction::Place { waiter, .. } => self.placed.push(waiter),
+                AdmissionAction::Refuse { waiter, reason, .. } => {
+                    self.refused.push((waiter, reason));
+                }
+                AdmissionAction::Router(_) => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, waiter: u64, class: Class, patience: Duration) {
+        let expires = self.now + patience;
+        self.event(AdmissionEvent::Ask { waiter, query: query(class), expires });
+    }
+
+    fn finish(&mut self) {
+        self.event(AdmissionEvent::Router(RouterEvent::Finished(Arc::from("a1"))));
+    }
+}
+
+#[test]
+fn waiting_requests_go_by_class_and_age() {
+    let mut desk = Desk::open();
+    (0..7).for_each(|waiter| desk.ask(waiter, Class::Long, secs(600)));
+    desk.ask(7, Class::Long, secs(600));
+    desk.ask(8, Class::Normal, secs(600));
+    assert_eq!(desk.placed, [0, 1, 2, 3, 4, 5, 6], "one slot is kept free");
+    desk.ask(9, Class::Urgent, secs(600));
+    assert_eq!(desk.placed.last(), Some(&9));
+    desk.finish();
+    desk.finish();
+    assert_eq!(desk.placed.last(), Some(&8), "normal before long");
+    desk.finish();
+    assert_eq!(desk.placed.last(), Some(&7));
+    desk.event(AdmissionEvent::Ask { waiter: 10, query: query(Class::Normal), expires: secs(2) });
+    desk.now = secs(2);
+    desk.event(AdmissionEvent::Tick);
+    assert_eq!(desk.refused, [(10, Reason::Overload)]);
+    assert_eq!(desk.admission.waiting(), 0);
+}
+
+#[test]
+fn long_requests_are_not_starved_by_a_steady_urgent_load() {
+    let mut desk = Desk::open();
+    (0..16).for_each(|waiter| desk.ask(waiter, Class::Urgent, secs(600)));
+    desk.ask(16, Class::Long, secs(6000));
+    for waiter in 17..400 {
+        desk.now += secs(1);
+        desk.ask(waiter, Class::Urgent, secs(600));
+        desk.finish();
+    }
+    let place = desk.placed.iter().position(|waiter| *waiter == 16);
+    assert!(place.is_some_and(|place| place < 70), "placed as number {place:?}");
+}
+
+#[test]
+fn request_that_would_wait_past_its_deadline_is_refused_at_once() {
+    let mut desk = Desk::open();
+    (0..7).for_each(|waiter| desk.ask(waiter, Class::Normal, secs(60)));
+    (7..27).for_each(|waiter| desk.ask(waiter, Class::Normal, secs(60)));
+    for _ in 0..10 {
+        desk.now += secs(1);
+        desk.finish();
+    }
+    desk.ask(30, Class::Normal, secs(2));
+    assert_eq!(desk.refused, [(30, Reason::Overload)]);
+    desk.ask(31, Class::Normal, secs(60));
+    assert_eq!(desk.refused.len(), 1);
+}
