--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admit;
 pub mod answer;
 pub mod claim;
+pub mod locate;
 pub mod message;
 pub mod prefix;
 pub mod record;
