--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod journal;
 pub mod ledger;
 pub mod member;
+pub mod locate;
 pub mod message;
 pub mod prefix;
 pub mod record;
