--- a/crates/coordination/src/escrow.rs
+++ b/crates/coordination/src/escrow.rs
@@ -21,6 +21,9 @@
 /// Prefix of the rows of grants.
 pub const GRANT_PREFIX: &str = "grant/";
 
+/// Prefix of the rows of charges in the old ledger.
+pub const CHARGE_PREFIX: &str = "charge/";
+
 /// Prefix of the rows of holders.
 pub const HOLDER_PREFIX: &str = "holder/";
 
@@ -145,7 +148,7 @@
 
 /// Returns the key of a charge in the old ledger.
 pub fn charge_key(budget: &str, request: request::Id) -> Arc<str> {
-    Arc::from(format!("charge/{budget}/{request}"))
+    Arc::from(format!("{CHARGE_PREFIX}{budget}/{request}"))
 }
 
 /// A row holds JSON that isn't of its type.
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -5,7 +5,7 @@
 use super::{Host, Owner, Stage, action::Action, catalog::Change, money::host_of};
 use crate::{
     claim::{IssuerEvent, RunnerEvent},
-    config, holder, member,
+    config, holder, locate, member,
     message::{Holder, Member, Message, State},
     record, recovery,
     route::RouterEvent,
@@ -35,7 +35,10 @@
                 self.recovery_event(recovery::Event::Message { from, message });
             }
             Message::Sealed(_) => self.recovery_event(recovery::Event::Message { from, message }),
-            Message::Locate { .. } | Message::Located { .. } => {}
+            Message::Locate { request, backend } => self.locate(from, address, request, backend),
+            Message::Located { request, backend, .. } => {
+                self.locator_event(locate::Event::Located { request, backend });
+            }
             Message::Claim { .. }
             | Message::ClaimReply { .. }
             | Message::ClaimOutcome { .. }
@@ -129,6 +132,9 @@
         let serving = self.members.reachable().count() + 1;
         let hosts = u32::try_from(serving).unwrap_or(u32::MAX);
         self.router_event(RouterEvent::Hosts(hosts));
+        let homes =
+            self.peers.iter().map(|peer| peer.host.clone()).chain([self.settings.host.clone()]);
+        self.locator.set_homes(locate::Homes::open(homes));
         self.holder_event(holder::Event::Peers(self.peers.clone()));
     }
 
--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -17,7 +17,8 @@
     answer::{
         Attempt, Content, Failure, Line, Setting, Source, Stream, StreamAction, StreamEvent, Usage,
     },
-    holder,
+    holder, locate,
+    message::{Entry, Holder, Message},
     request::{self, Class},
     route::{self, Query, RouterEvent},
     ticket,
@@ -54,6 +55,8 @@
     runs: BTreeMap<Attempt, Run>,
     wake: Option<Duration>,
     opened: Duration,
+    /// Its home was asked where it runs.
+    located: bool,
 }
 
 impl Request {
@@ -90,6 +93,7 @@
             runs: BTreeMap::new(),
             wake: None,
             opened: self.now,
+            located: false,
         };
         self.models.insert(id, request);
         self.holder_event(holder::Event::Reserve(reserve));
@@ -155,10 +159,54 @@
         }
     }
 
+    /// Takes a back end for a request. The first one of a keyed request may give way to the one on
+    /// which the request runs already.
     pub(super) fn chosen(&mut self, id: request::Id, backend: Arc<str>) {
+        let Some(request) = self.models.get_mut(&id) else { return };
+        let first = !std::mem::replace(&mut request.located, true);
+        if first && request.work.key.is_some() {
+            return self.locator_event(locate::Event::Start { request: id, backend });
+        }
         self.stream_event(id, StreamEvent::Chosen(backend));
     }
 
+    pub(super) fn locator_event(&mut self, event: locate::Event) {
+        let mut actions = Vec::new();
+        self.locator.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                locate::Action::Send(host, message) => self.ask_home(&host, message),
+                locate::Action::Run { request, backend } => {
+                    self.stream_event(request, StreamEvent::Chosen(backend));
+                }
+            }
+        }
+    }
+
+    fn ask_home(&mut self, host: &Arc<str>, message: Message) {
+        if *host != self.settings.host {
+            return self.send_to_host(host, message);
+        }
+        let Message::Locate { request, backend } = message else { return };
+        let asked = locate::Place { backend, holder: self.id.clone() };
+        let locate::Place { backend, .. } = self.places.locate(self.now, request, asked);
+        self.locator_event(locate::Event::Located { request, backend });
+    }
+
+    /// Answers another host where a request runs.
+    pub(super) fn locate(
+        &mut self,
+        from: Holder,
+        address: Arc<str>,
+        request: request::Id,
+        backend: Arc<str>,
+    ) {
+        let asked = locate::Place { backend, holder: from };
+        let locate::Place { backend, holder } = self.places.locate(self.now, request, asked);
+        let message = Message::Located { request, backend, holder };
+        self.out.push(Action::Send { address, message });
+    }
+
     pub(super) fn not_chosen(&mut self, id: request::Id, retry_after: Duration) {
         self.stream_event(id, StreamEvent::NoBackend { retry_after });
     }
@@ -319,6 +367,16 @@
             return self.report(run, Report::Failed { unsent: true, cause: "no record".into() });
         };
         let ask = ask(request, attempt, source);
+        let reserve = Entry::Reserve {
+            request: id,
+            budget: request.work.budget.clone(),
+            tokens: request.work.worst,
+            backend: backend.clone(),
+        };
+        if source.base == 0 {
+            // Tells a recovery where to ask what the request used.
+            self.append(reserve);
+        }
         let step = if attempt == 1 { Step::Dispatched } else { Step::Resumed };
         let detail = format!("attempt={attempt} offset={}", source.base + source.offset);
         self.note(Some(id), step, backend, detail);
--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -101,8 +101,8 @@
                 self.claims.entry(*ticket).or_insert(claim);
             }
             Entry::TicketFloor { floor } => {
-                self.floor = *floor;
-                self.claims = self.claims.split_off(floor);
+                self.floor = self.floor.max(*floor);
+                self.claims = self.claims.split_off(&self.floor);
             }
             Entry::Outcome { ticket, outcome } => {
                 if let Some(claim) = self.claims.get_mut(ticket) {
