--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -4,7 +4,11 @@
 
 use super::{Host, Owner, Stage, action::Action, problem};
 use crate::{
-    answer::Usage, claim::IssuerEvent, fold, holder, message::Message, recovery, request,
+    answer::Usage,
+    claim::{IssuerEvent, RunnerEvent},
+    fold, holder,
+    message::{Entry, Message},
+    recovery, request,
     timeline::Step,
 };
 
