--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod locate;
 pub mod message;
+pub mod order;
 pub mod prefix;
 pub mod record;
 pub mod request;
