--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod locate;
 pub mod member;
 pub mod message;
+pub mod order;
 pub mod prefix;
 pub mod record;
 pub mod recovery;
