--- a/crates/coordination/src/escrow.rs
+++ b/crates/coordination/src/escrow.rs
@@ -8,7 +8,12 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{message::Holder, request, table::Row};
+use crate::{
+    message::Holder,
+    record::{self, Budget, Fault, Record},
+    request,
+    table::Row,
+};
 
 /// Prefix of the rows of budgets.
 pub const ESCROW_PREFIX: &str = "escrow/";
@@ -16,6 +21,9 @@
 /// Prefix of the rows of grants.
 pub const GRANT_PREFIX: &str = "grant/";
 
+/// Prefix of the rows of charges in the old ledger.
+pub const CHARGE_PREFIX: &str = "charge/";
+
 /// Prefix of the rows of holders.
 pub const HOLDER_PREFIX: &str = "holder/";
 
@@ -38,9 +46,9 @@
 }
 
 impl Escrow {
-    /// Returns the tokens that holders were granted and neither returned nor settled.
+    /// Returns the tokens that holders were granted and that weren't returned, settled or stranded.
     pub fn open(&self) -> u64 {
-        self.granted.saturating_sub(self.returned + self.settled + self.old_settled)
+        self.granted.saturating_sub(self.returned + self.settled + self.old_settled + self.stranded)
     }
 
     /// Returns the tokens that may still be granted.
@@ -69,9 +77,12 @@
 }
 
 impl Grant {
-    /// Returns granted less returned and settled; below zero where transfers came in.
+    /// Returns granted less returned, settled and stranded; below zero where transfers came in.
     pub fn open(&self) -> i128 {
-        i128::from(self.granted) - i128::from(self.returned) - i128::from(self.settled)
+        i128::from(self.granted)
+            - i128::from(self.returned)
+            - i128::from(self.settled)
+            - i128::from(self.stranded)
     }
 }
 
@@ -98,6 +109,16 @@
     pub epoch: u64,
     /// Number of the last ledger segment written.
     pub segment: u64,
+    /// It was closed without all copies of its journal; what its rows show as open is out of use.
+    #[serde(default)]
+    pub incomplete: bool,
+}
+
+impl Registration {
+    /// Returns the state of a holder that isn't in the table yet.
+    pub fn first() -> Self {
+        Self { state: State::Open, ensemble: Vec::new(), epoch: 0, segment: 0, incomplete: false }
+    }
 }
 
 /// Returns the key of a budget's record.
@@ -120,9 +141,14 @@
     Arc::from(format!("{HOLDER_PREFIX}{holder}"))
 }
 
+/// Returns the key of the tickets that a closed holder had claimed, as journal entries.
+pub fn claims_key(holder: &str) -> Arc<str> {
+    Arc::from(format!("claims/{holder}"))
+}
+
 /// Returns the key of a charge in the old ledger.
 pub fn charge_key(budget: &str, request: request::Id) -> Arc<str> {
-    Arc::from(format!("charge/{budget}/{request}"))
+    Arc::from(format!("{CHARGE_PREFIX}{budget}/{request}"))
 }
 
 /// A row holds JSON that isn't of its type.
@@ -150,26 +176,17 @@
     }
 }
 
-/// Returns a row's JSON text.
-///
-/// # Panics
-///
-/// Never for the types of this crate, whose maps have string keys.
-pub fn render(value: &impl Serialize) -> Arc<str> {
-    Arc::from(serde_json::to_string(value).expect("string keys"))
-}
-
-/// Returns the tokens bought by a budget's record, and the format of its ledger.
+/// Returns a budget's record; `None` where it is absent.
 ///
 /// # Errors
 ///
-/// Fails where the record isn't a budget's.
-pub fn prepaid(row: &Row) -> Result<Option<u64>, Malformed> {
-    #[derive(Deserialize)]
-    struct Purchases {
-        #[serde(default)]
-        top_ups: std::collections::BTreeMap<Arc<str>, u64>,
+/// Fails where the row isn't a valid record of a budget.
+pub fn budget(row: &Row) -> Result<Option<Budget>, Fault> {
+    let Some(value) = &row.value else {
+        return Ok(None);
+    };
+    match record::parse(&row.key, value)? {
+        Record::Budget(budget) => Ok(Some(budget)),
+        _ => Err(Fault::new(&row.key, "kind", "expected a budget")),
     }
-    let purchases: Option<Purchases> = parse(row)?;
-    Ok(purchases.map(|purchases| purchases.top_ups.values().sum()))
 }
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -41,10 +41,12 @@
         budget: Arc<str>,
         /// Tokens wanted.
         tokens: u64,
+        /// Class of the request that needs them most urgently.
+        class: request::Class,
     },
     /// Hands over tokens; repeated until acknowledged, applied once.
     Transfer {
-        /// Number of the transfer, counted by the sender for each receiving holder.
+        /// Number of the transfer, different from that of every other transfer of the fleet.
         number: u64,
         /// Holder that receives it; another incarnation must not apply it.
         to: Holder,
@@ -204,6 +206,11 @@
         /// Request that runs.
         request: request::Id,
     },
+    /// Tickets below this number are no longer decided, and their claims may be missing.
+    TicketFloor {
+        /// Lowest ticket number that is decided.
+        floor: u64,
+    },
     /// A claimed run ended.
     Outcome {
         /// Ticket number.
@@ -279,8 +286,11 @@
     pub incarnation: u64,
     /// State.
     pub state: State,
-    /// Revision of the configuration in force there.
+    /// Revision of the configuration in force there, where heard from the member itself.
     pub revision: u64,
+    /// Suspicions that the member has refuted in this incarnation.
+    #[serde(default)]
+    pub refuted: u64,
 }
 
 /// State of a member, weakest claim first.
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -90,6 +90,7 @@
   6: Flush flushed
   7: TicketClaim claim
   8: TicketOutcome outcome
+  9: i64 ticket_floor
 }
 
 struct Append {
@@ -110,9 +111,16 @@
   3: required list<Entry> entries
 }
 
+enum Class {
+  URGENT = 0
+  NORMAL = 1
+  LONG = 2
+}
+
 struct TransferAsk {
   1: required string budget
   2: required i64 tokens
+  3: required Class priority
 }
 
 struct Transfer {
@@ -146,6 +154,7 @@
   4: required i64 incarnation
   5: required MemberState state
   6: required i64 revision
+  7: required i64 refuted
 }
 
 struct Heartbeat {
@@ -193,8 +202,8 @@
   3: required string address
   // Address that it was sent to.
   4: required string to
-  // Incarnation of the receiver as the sender knows it; 0 for unknown.
-  5: required i64 to_incarnation
+  // Session of the connection, from the receiver's greeting; 0 in a datagram or a greeting.
+  5: required i64 session
   // Incarnation of the sender.
   6: required i64 incarnation
   // Number of the envelope within the sender's incarnation.
@@ -209,7 +218,8 @@
 struct Greeting {
   1: required string holder
   2: required i64 incarnation
-  3: required binary mac
+  3: required i64 session
+  4: required binary mac
 }
 
 struct Held {
