--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -29,7 +29,7 @@
     admit::{self, Admission, AdmissionEvent, Waiter},
     answer::Attempt,
     claim::{Issuer, Runner},
-    config, fold, holder, journal, member,
+    config, fold, holder, journal, locate, member,
     message::Holder,
     recovery, request, retry,
     route::{self, Router},
@@ -146,6 +146,8 @@
     issuer: Issuer,
     runner: Runner,
     admission: Admission,
+    locator: locate::Locator,
+    places: locate::Index,
     retries: retry::Budget,
     ticket_key: ticket::Key,
     operations: BTreeMap<Operation, Owner>,
@@ -199,6 +201,8 @@
             issuer: Issuer::open(id.clone()),
             runner: Runner::open(id.clone()),
             admission: Admission::open(admit::Setting::default(), router),
+            locator: locate::Locator::open(),
+            places: locate::Index::default(),
             retries: retry::Budget::open(retry::Setting::default(), settings.seed),
             ticket_key: ticket::Key::derive(&settings.secret),
             operations: BTreeMap::new(),
@@ -412,6 +416,7 @@
         self.fold_event(fold::Event::Tick);
         self.claim_tick();
         self.admission_event(AdmissionEvent::Tick);
+        self.locator_event(locate::Event::Tick);
         self.wake_streams();
         self.announce();
         self.advance();
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -345,7 +345,7 @@
             RunnerAction::Dispatch { caller, run, .. } => self.dispatch(caller, run),
             RunnerAction::Reply(caller, outcome) => self.reply(caller, outcome),
             RunnerAction::Recover(holder) => {
-                let keys = vec![escrow::holder_key(&holder), claims_key(&holder)];
+                let keys = vec![escrow::holder_key(&holder), escrow::claims_key(&holder)];
                 self.table(Owner::Claims(holder), Op::Read(keys));
             }
         }
@@ -382,13 +382,13 @@
         self.issuer.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                IssuerAction::Append(entry) => self.append(entry),
+                IssuerAction::Append(entry) => self.append_claim(entry),
                 IssuerAction::Send(holder, message) => self.send_claim(&holder, message),
             }
         }
     }
 
-    fn append(&mut self, entry: Entry) {
+    fn append_claim(&mut self, entry: Entry) {
         let mut actions = Vec::new();
         let number = self.holder.append(self.now, entry, &mut actions);
         if let Some(number) = number {
@@ -439,8 +439,3 @@
         self.runner_event(RunnerEvent::Recovered(holder, Arc::new(recovered)));
     }
 }
-
-/// Returns the key of the row with the claims of a closed holder.
-fn claims_key(holder: &str) -> Arc<str> {
-    format!("claims/{holder}").into()
-}
