--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -23,7 +23,7 @@
             *width = (*width).max(cell.chars().count());
         }
     }
-    let heads: Vec<String> = heads.iter().map(|head| head.to_uppercase()).collect();
+    let heads: Vec<String> = heads.iter().map(|head| (*head).to_owned()).collect();
     let mut text = line(&heads, &widths);
     for row in rows {
         text.push_str(&line(row, &widths));
