Give orders to back ends from the composed host

The host that holds the lease compares what the records want with what engines report. The driver reads states, asks the weight store and sends each order once. A job that can't be started now always answers the core, so that no decision waits for ever.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -11,6 +11,7 @@
 pub mod intake;
 mod model;
 mod money;
+mod orders;
 mod placement;
 mod plain;
 pub mod problem;
@@ -31,7 +32,7 @@
     claim::{Issuer, Runner},
     config, fold, holder, journal, locate, member,
     message::Holder,
-    recovery, request, retry,
+    order, recovery, request, retry,
     route::{self, Router},
     table::{Op, Outcome},
     ticket,
@@ -100,6 +101,7 @@
     Recovery(u64),
     Fold(u64),
     Follower,
+    Orders(u64),
     Claims(Holder),
     Announce,
 }
@@ -148,6 +150,7 @@
     admission: Admission,
     locator: locate::Locator,
     places: locate::Index,
+    orders: order::Issuer,
     retries: retry::Budget,
     ticket_key: ticket::Key,
     operations: BTreeMap<Operation, Owner>,
@@ -203,6 +206,7 @@
             admission: Admission::open(admit::Setting::default(), router),
             locator: locate::Locator::open(),
             places: locate::Index::default(),
+            orders: order::Issuer::open(order::Setting::new(id.clone())),
             retries: retry::Budget::open(retry::Setting::default(), settings.seed),
             ticket_key: ticket::Key::derive(&settings.secret),
             operations: BTreeMap::new(),
@@ -297,6 +301,7 @@
             Event::Message { from, address, message } => self.message(from, address, message),
             Event::Unreachable { address } => self.unreachable(&address),
             Event::Held { stream, held } => self.held(stream, held),
+            Event::Order(event) => self.order_event(event),
             Event::Tick => self.tick(),
             Event::Drain => self.drain(),
         }
@@ -403,6 +408,7 @@
             Owner::Recovery(id) => self.recovery_event(recovery::Event::Table { id, outcome }),
             Owner::Fold(id) => self.fold_event(fold::Event::Table { id, outcome }),
             Owner::Follower => self.follower_event(config::Event::Outcome(outcome)),
+            Owner::Orders(number) => self.order_event(order::Event::Table { number, outcome }),
             Owner::Claims(holder) => self.claims_read(holder, outcome),
             Owner::Announce => self.announced &= matches!(outcome, Outcome::Committed(_)),
         }
@@ -414,6 +420,7 @@
         self.holder_event(holder::Event::Tick);
         self.recovery_event(recovery::Event::Tick);
         self.fold_event(fold::Event::Tick);
+        self.order_event(order::Event::Tick);
         self.claim_tick();
         self.admission_event(AdmissionEvent::Tick);
         self.locator_event(locate::Event::Tick);
@@ -428,6 +435,7 @@
         }
         self.note(None, Step::Draining, "", String::new());
         self.member_event(member::Event::Leave);
+        self.order_event(order::Event::Release);
         self.stage = Stage::Finishing { until: self.now + self.settings.drain };
         self.advance();
     }
--- a/crates/coordination/src/host/action.rs
+++ b/crates/coordination/src/host/action.rs
@@ -3,7 +3,14 @@
 use std::sync::Arc;
 
 use super::event::{Caller, Operation, Run};
-use crate::{message::Message, request, request::Class, table::Op, timeline::Entry};
+use crate::{
+    message::Message,
+    order::Order,
+    record::Model,
+    request::{self, Class},
+    table::Op,
+    timeline::Entry,
+};
 
 /// An action of [`Host`](super::Host), for the driver to carry out.
 #[derive(Debug, Clone)]
@@ -97,6 +104,35 @@
         /// Names and base addresses.
         backends: Vec<(Arc<str>, Arc<str>)>,
     },
+    /// Reads the models and the role of a back end; answered by [`order::Event::State`](crate::order::Event::State).
+    ReadState {
+        /// Base address of the back end.
+        address: Arc<str>,
+        /// Back end.
+        backend: Arc<str>,
+        /// Number of the request.
+        number: u64,
+    },
+    /// Asks the weight store for a model; answered by [`order::Event::Weights`](crate::order::Event::Weights).
+    Weights {
+        /// Back end that is to load it.
+        backend: Arc<str>,
+        /// Number of the request.
+        number: u64,
+        /// Model.
+        model: Model,
+    },
+    /// Sends an order to a back end, once; answered by [`order::Event::Ordered`](crate::order::Event::Ordered).
+    Order {
+        /// Base address of the back end.
+        address: Arc<str>,
+        /// Back end.
+        backend: Arc<str>,
+        /// Fencing number.
+        fence: u64,
+        /// Order.
+        order: Order,
+    },
     /// Runs an operation of the platform's table.
     Table {
         /// Operation.
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -6,7 +6,7 @@
     answer::Usage,
     member::Listed,
     message::{Holder, Message},
-    request,
+    order, request,
     table::Outcome,
 };
 
@@ -89,6 +89,8 @@
         /// What it holds; `None` where it did not answer.
         held: Option<Held>,
     },
+    /// A back end or the weight store answered the giver of orders.
+    Order(order::Event),
     /// Time passed.
     Tick,
     /// The host is to stop: take no new work, finish the rest, hand over what it holds.
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -7,7 +7,7 @@
     claim::{IssuerEvent, RunnerEvent},
     config, holder, locate, member,
     message::{Holder, Member, Message, State},
-    record, recovery,
+    order, record, recovery,
     route::RouterEvent,
     table::{Op, Row, Txn, Write},
     timeline::Step,
@@ -187,10 +187,12 @@
                 false
             }
             Change::Backend(backend) => {
+                self.want(&backend);
                 self.router_event(RouterEvent::Backend(backend));
                 true
             }
             Change::BackendDeleted(name) => {
+                self.order_event(order::Event::Forget(name.clone()));
                 self.router_event(RouterEvent::BackendDeleted(name));
                 true
             }
--- /dev/null
+++ b/crates/coordination/src/host/orders.rs
@@ -0,0 +1,66 @@
+//! Orders to back ends, given by the host that holds the lease.
+
+use super::{Host, Owner, action::Action};
+use crate::{
+    order::{self, Want},
+    record::{Backend, Role},
+    route::RouterEvent,
+    timeline::Step,
+};
+
+impl Host {
+    /// Tells the giver of orders what an engine is to hold.
+    pub(super) fn want(&mut self, record: &Backend) {
+        if record.role != Role::Engine {
+            return;
+        }
+        let Backend { name, models, fencing, .. } = record.clone();
+        let want = Want { backend: name, models, role: None, fencing };
+        self.order_event(order::Event::Want(want));
+    }
+
+    pub(super) fn order_event(&mut self, event: order::Event) {
+        match &event {
+            order::Event::Tick if !self.ready() => return,
+            order::Event::State { backend, state: Some(state), .. } => {
+                let models = state.models.clone();
+                let leaving = self.admission.router().leaving(self.now, backend);
+                self.router_event(RouterEvent::State { backend: backend.clone(), models, leaving });
+            }
+            _ => {}
+        }
+        let mut actions = Vec::new();
+        self.orders.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.order_action(action);
+        }
+    }
+
+    fn order_action(&mut self, action: order::Action) {
+        match action {
+            order::Action::Table { number, op } => self.table(Owner::Orders(number), op),
+            order::Action::Weights { backend, number, model } => {
+                self.out.push(Action::Weights { backend, number, model });
+            }
+            order::Action::Read { backend, number } => match self.catalog.backend(&backend) {
+                Some(record) => {
+                    let address = record.address.clone();
+                    self.out.push(Action::ReadState { address, backend, number });
+                }
+                None => {
+                    self.order_event(order::Event::State { backend, number, state: None });
+                }
+            },
+            order::Action::Order { backend, fence, order } => {
+                let Some(record) = self.catalog.backend(&backend) else {
+                    let outcome = order::Outcome::Failed;
+                    return self.order_event(order::Event::Ordered { backend, fence, outcome });
+                };
+                let address = record.address.clone();
+                let detail = format!("fence={fence} order={order:?}");
+                self.note(None, Step::Ordered, backend.clone(), detail);
+                self.out.push(Action::Order { address, backend, fence, order });
+            }
+        }
+    }
+}
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -20,6 +20,8 @@
         action::Stream,
         event::{Event, Held, Refusal, Report, Run},
     },
+    order::{self, Order},
+    record::Model,
     request,
 };
 use crossbeam::channel::{Receiver, Sender};
@@ -46,6 +48,9 @@
 /// Longest wait for the answer to a short question, in milliseconds.
 const INQUIRE_MS: u64 = 2_000;
 
+/// Longest wait for the answer to an order, in milliseconds.
+const ORDER_MS: u64 = 30_000;
+
 /// Stack of an exchange's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -88,6 +93,26 @@
         /// Stream.
         stream: request::Id,
     },
+    /// Reads the models and the role of a back end.
+    ReadState {
+        /// Base address.
+        address: Arc<str>,
+        /// Back end.
+        backend: Arc<str>,
+        /// Number of the request.
+        number: u64,
+    },
+    /// Sends an order, once.
+    Order {
+        /// Base address.
+        address: Arc<str>,
+        /// Back end.
+        backend: Arc<str>,
+        /// Fencing number.
+        fence: u64,
+        /// Order.
+        order: Order,
+    },
     /// Asks for the usage of a stream.
     Inquire {
         /// Base address.
@@ -165,7 +190,7 @@
         let run = job.run();
         if self.running.fetch_add(1, Ordering::Relaxed) >= self.limits.exchanges {
             self.running.fetch_sub(1, Ordering::Relaxed);
-            return self.report_unstarted(run, "too many exchanges");
+            return self.send(job.unstarted("too many exchanges"));
         }
         let abandoned = Arc::new(AtomicBool::new(false));
         if let Some(run) = run {
@@ -173,6 +198,7 @@
             live.insert(run, abandoned.clone());
         }
         let shared = self.clone();
+        let failure = job.unstarted("no thread");
         let thread = thread::Builder::new().name("exchange".into()).stack_size(STACK_BYTES);
         let started = thread.spawn(move || {
             shared.perform(job, &abandoned);
@@ -180,7 +206,7 @@
         });
         if started.is_err() {
             self.finish(run);
-            self.report_unstarted(run, "no thread");
+            self.send(failure);
         }
     }
 
@@ -190,11 +216,6 @@
         self.live.lock().unwrap_or_else(PoisonError::into_inner).remove(&run);
     }
 
-    fn report_unstarted(&self, run: Option<Run>, cause: &str) {
-        let Some(run) = run else { return };
-        self.report(run, Report::Failed { unsent: true, cause: cause.into() });
-    }
-
     fn report(&self, run: Run, report: Report) {
         self.send(Event::Backend { run, report });
     }
@@ -218,6 +239,14 @@
             }
             Job::Cancel { address, stream } => self.ask(Method::DELETE, &address, stream),
             Job::Inquire { address, stream } => self.ask(Method::GET, &address, stream),
+            Job::ReadState { address, backend, number } => {
+                let state = read_state(&address);
+                self.send(Event::Order(order::Event::State { backend, number, state }));
+            }
+            Job::Order { address, backend, fence, order } => {
+                let outcome = give_order(&address, fence, &order);
+                self.send(Event::Order(order::Event::Ordered { backend, fence, outcome }));
+            }
             Job::Abandon { .. } => {}
         }
     }
@@ -265,12 +294,35 @@
 }
 
 impl Job {
+    /// Returns what the core hears of a job that was not started.
+    fn unstarted(&self, cause: &str) -> Event {
+        match self {
+            Self::Stream { run, .. } | Self::Request { run, .. } | Self::Abandon { run } => {
+                Event::Backend { run: *run, report: unsent(cause) }
+            }
+            Self::Cancel { stream, .. } | Self::Inquire { stream, .. } => {
+                Event::Held { stream: *stream, held: None }
+            }
+            Self::ReadState { backend, number, .. } => {
+                let (backend, number) = (backend.clone(), *number);
+                Event::Order(order::Event::State { backend, number, state: None })
+            }
+            Self::Order { backend, fence, .. } => {
+                let (backend, fence, outcome) = (backend.clone(), *fence, order::Outcome::Failed);
+                Event::Order(order::Event::Ordered { backend, fence, outcome })
+            }
+        }
+    }
+
     fn run(&self) -> Option<Run> {
         match self {
             Self::Stream { run, .. } | Self::Request { run, .. } | Self::Abandon { run } => {
                 Some(*run)
             }
-            Self::Cancel { .. } | Self::Inquire { .. } => None,
+            Self::Cancel { .. }
+            | Self::Inquire { .. }
+            | Self::ReadState { .. }
+            | Self::Order { .. } => None,
         }
     }
 }
@@ -391,6 +443,50 @@
     Some(Held::Stream(Usage { prompt_tokens, tokens }))
 }
 
+#[derive(Debug, Deserialize)]
+struct State {
+    models: Vec<Model>,
+    role: Arc<str>,
+}
+
+fn read_state(address: &str) -> Option<order::State> {
+    let message = build(Method::GET, &format!("{address}/state")).body(Body::empty()).ok()?;
+    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let State { models, role } =
+        serde_json::from_slice(&response.into_body().to_vec().ok()?).ok()?;
+    Some(order::State { models, role })
+}
+
+fn give_order(address: &str, fence: u64, order: &Order) -> order::Outcome {
+    let body = match order {
+        Order::Load(model) => {
+            serde_json::json!({ "fence": fence, "order": "load", "model": model })
+        }
+        Order::Unload(model) => {
+            serde_json::json!({ "fence": fence, "order": "unload", "model": model })
+        }
+        Order::Role(role) => serde_json::json!({ "fence": fence, "order": "role", "role": role }),
+    };
+    if connect(address).is_err() {
+        return order::Outcome::Failed;
+    }
+    let message = build(Method::POST, &format!("{address}/orders"));
+    let Ok(message) = message.body(Body::from(body.to_string())) else {
+        return order::Outcome::Failed;
+    };
+    match client(Duration::from_millis(ORDER_MS)).request(message) {
+        Ok(response) if response.status() == StatusCode::OK => order::Outcome::Done,
+        Ok(response) if response.status() == StatusCode::PRECONDITION_FAILED => {
+            order::Outcome::Fenced
+        }
+        Ok(response) if response.status().is_client_error() => order::Outcome::Failed,
+        Ok(_) | Err(_) => order::Outcome::Unknown,
+    }
+}
+
 fn unsent(cause: impl Into<Arc<str>>) -> Report {
     Report::Failed { unsent: true, cause: cause.into() }
 }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -297,7 +297,16 @@
             }
             Action::Watch { backends } => drop(self.ports.watch.send(backends)),
             Action::Table { operation, op } => {
-                drop(self.ports.table.send(table::Job { operation, op }));
+                drop(self.ports.table.send(table::Job::Run { operation, op }));
+            }
+            Action::Weights { backend, number, model } => {
+                drop(self.ports.table.send(table::Job::Weights { backend, number, model }));
+            }
+            Action::ReadState { address, backend, number } => {
+                self.exchange(backend::Job::ReadState { address, backend, number });
+            }
+            Action::Order { address, backend, fence, order } => {
+                self.exchange(backend::Job::Order { address, backend, fence, order });
             }
             Action::Send { address, message } | Action::Datagram { address, message } => {
                 self.send(address, message);
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -5,6 +5,8 @@
 use coordination::{
     host::event::{Event, Operation},
     member::{Listed, Standing},
+    order,
+    record::Model,
     table::Op,
 };
 use crossbeam::channel::{Receiver, Sender};
@@ -18,13 +20,25 @@
 /// Operations that run at once.
 const WORKERS: usize = 8;
 
-/// An operation to run.
+/// What the service is asked to do.
 #[derive(Debug)]
-pub struct Job {
-    /// Operation.
-    pub operation: Operation,
-    /// What to do.
-    pub op: Op,
+pub enum Job {
+    /// Runs an operation.
+    Run {
+        /// Operation.
+        operation: Operation,
+        /// What to do.
+        op: Op,
+    },
+    /// Asks the weight store for a model.
+    Weights {
+        /// Back end that is to load it.
+        backend: Arc<str>,
+        /// Number of the request.
+        number: u64,
+        /// Model.
+        model: Model,
+    },
 }
 
 /// Runs operations until the channel closes.
@@ -46,10 +60,27 @@
 }
 
 fn work(client: &Client, jobs: &Receiver<Job>, core: &Sender<Inbound>) {
-    for Job { operation, op } in jobs {
-        let outcome = client.run(&op);
+    for job in jobs {
+        let event = match job {
+            Job::Run { operation, op } => Event::Table { operation, outcome: client.run(&op) },
+            Job::Weights { backend, number, model } => {
+                let weights = weights(client, &model);
+                Event::Order(order::Event::Weights { backend, number, weights })
+            }
+        };
         // The core goes first only when the process ends.
-        let _ = core.send(Inbound::Event(Event::Table { operation, outcome }));
+        let _ = core.send(Inbound::Event(event));
+    }
+}
+
+fn weights(client: &Client, model: &Model) -> order::Weights {
+    match client.weights(&model.name) {
+        Ok(platform::Weights::Started) => order::Weights::Granted,
+        Ok(platform::Weights::Busy(retry_after)) => order::Weights::Busy { retry_after },
+        Err(error) => {
+            tracing::warn!(event = "weights_unavailable", %error);
+            order::Weights::Unavailable
+        }
     }
 }
 
