--- a/crates/coordination/tests/money/fleet.rs
+++ b/crates/coordination/tests/money/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use coordination::{
-    holder::{self, Action, Event, Holder, Peer, Reason, Reserve, Settings},
+    holder::{Action, Event, Holder, Peer, Reason, Reserve, Settings},
     journal::Replica,
     message::Message,
     recovery::{self, Recovery},
@@ -438,6 +438,3 @@
         ledger: if old { Ledger::Old } else { Ledger::New },
     }
 }
-
-/// Names the parts that not every user of this file needs.
-pub type Unused = (holder::Note, Fault);
--- a/crates/coordination/tests/money/main.rs
+++ b/crates/coordination/tests/money/main.rs
@@ -4,4 +4,5 @@
 mod differential;
 mod fleet;
 mod hard_cases;
+mod ledger;
 mod table;
