--- a/crates/coordination/tests/money/fleet.rs
+++ b/crates/coordination/tests/money/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use coordination::{
-    holder::{self, Action, Event, Holder, Peer, Reason, Reserve, Settings},
+    holder::{Action, Event, Holder, Peer, Reason, Reserve, Settings},
     journal::Replica,
     message::Message,
     recovery::{self, Recovery},
@@ -147,7 +147,7 @@
 
     fn peers_of(&self, index: usize) -> Vec<Peer> {
         let others = self.hosts.iter().enumerate().filter(|(other, host)| {
-            *other != index && !host.dead && host.name != self.hosts[index].name
+            *other != index && !host.dead && !host.fenced && host.name != self.hosts[index].name
         });
         others
             .map(|(other, host)| Peer {
@@ -438,6 +438,3 @@
         ledger: if old { Ledger::Old } else { Ledger::New },
     }
 }
-
-/// Names the parts that not every user of this file needs.
-pub type Unused = (holder::Note, Fault);
