Add a load generator to the stand-in program

The added latency of a host is read from two legs of one run, taken in turns: an engine called directly and the same engine through the host. The loop is closed (a worker sends its next request once the last is answered), so that overload shows as a lower rate and not as queueing time. Only whole answers count.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod fault;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod raw;
 pub mod service;
--- a/crates/standin/tests/contract/main.rs
+++ b/crates/standin/tests/contract/main.rs
@@ -4,5 +4,6 @@
 mod engine;
 mod fault;
 mod library;
+mod load;
 mod program;
 mod service;
