--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -185,3 +185,15 @@
         }
     }
 }
+
+/// Reads the metrics page at an operators' address.
+///
+/// # Errors
+///
+/// Returns an error if the host can't be reached.
+pub fn scrape(address: SocketAddr) -> eyre::Result<String> {
+    let request = Request::builder().uri(format!("http://{address}/metrics"));
+    let client = Client::new().with_global_timeout(Duration::from_secs(5));
+    let answer = client.request(request.body(Body::empty())?)?;
+    Ok(answer.into_body().to_string()?)
+}
