--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -1,9 +1,12 @@
 //! Links over loopback.
 
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpStream, UdpSocket},
-    sync::Arc,
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,9 +16,16 @@
     request, timeline,
 };
 use crossbeam::channel::{Receiver, unbounded};
+use thrift::{
+    protocol::{TCompactInputProtocol, TCompactOutputProtocol},
+    server::TProcessor,
+};
 use wire::{
     client,
-    link::{self, Handle, Identity, Inbound, Outbound},
+    laburnum::{
+        self, Envelope, Greeting, HostSyncHandler, HostSyncProcessor, TimelineEvent, TimelineQuery,
+    },
+    link::{self, Handle, Identity, Inbound, Outbound, frame},
     operator::{Held, Responder, Status},
     seal::{self, Content, Key, NO_SESSION},
 };
@@ -214,50 +224,82 @@
     assert_eq!(two.handle.counts().refused, 3);
 }
 
+/// A host behind a proxy that has recorded one connection with one message.
+struct Recorded {
+    host: Handle,
+    inbox: Receiver<Inbound>,
+    /// Connection on which the recorded bytes came.
+    far: TcpStream,
+    bytes: Vec<u8>,
+    _sender: Host,
+}
+
+impl Recorded {
+    fn new() -> Self {
+        let proxy = TcpListener::bind("127.0.0.1:0").unwrap();
+        let seen: Arc<str> = Arc::from(proxy.local_addr().unwrap().to_string());
+        let (sender, inbox) = unbounded();
+        let identity = Identity {
+            holder: "a2.1".into(),
+            zone: "a".into(),
+            incarnation: 1,
+            address: Some(seen.clone()),
+        };
+        let address = "127.0.0.1:0".parse().unwrap();
+        let host = link::bind(address, Key::new("s"), identity, Arc::new(Operator), sender);
+        let host = host.unwrap();
+        let one = Host::new("a1", "s");
+        one.send(seen, Message::TransferAck { number: 4 });
+        let (mut near, _) = proxy.accept().unwrap();
+        let mut far = TcpStream::connect(host.address()).unwrap();
+        let mut copy = far.try_clone().unwrap();
+        let mut back = near.try_clone().unwrap();
+        std::thread::spawn(move || std::io::copy(&mut copy, &mut back));
+        near.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        let mut bytes = Vec::new();
+        while inbox.is_empty() {
+            let mut buffer = [0; 4_096];
+            let Ok(count) = near.read(&mut buffer) else { continue };
+            bytes.extend_from_slice(&buffer[..count]);
+            far.write_all(&buffer[..count]).unwrap();
+        }
+        assert!(matches!(inbox.recv().unwrap(), Inbound::Message(_)));
+        Self { host, inbox, far, bytes, _sender: one }
+    }
+
+    /// Writes bytes to the host, which has to end the connection and to change nothing.
+    fn expect_refusal(&self, stream: &mut TcpStream, bytes: &[u8]) {
+        let before = self.host.counts();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let ended = stream.read_to_end(&mut Vec::new());
+        let ended = ended.map_or_else(|error| error.kind() == ErrorKind::ConnectionReset, |_| true);
+        assert!(ended);
+        assert!(self.inbox.is_empty());
+        assert_eq!(self.host.counts().received, before.received);
+        assert_eq!(self.host.counts().refused, before.refused + 1);
+    }
+}
+
 #[test]
 fn recorded_connection_is_refused_on_another() {
-    let proxy = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let seen: Arc<str> = Arc::from(proxy.local_addr().unwrap().to_string());
-    let (sender, inbox) = unbounded();
-    let identity = Identity {
-        holder: "a2.1".into(),
-        zone: "a".into(),
-        incarnation: 1,
-        address: Some(seen.clone()),
-    };
-    let behind = link::bind(
-        "127.0.0.1:0".parse().unwrap(),
-        Key::new("s"),
-        identity,
-        Arc::new(Operator),
-        sender,
-    )
-    .unwrap();
-    let one = Host::new("a1", "s");
-    one.send(seen, Message::TransferAck { number: 4 });
-    let (mut near, _) = proxy.accept().unwrap();
-    let mut far = TcpStream::connect(behind.address()).unwrap();
-    let mut copy = far.try_clone().unwrap();
-    let mut back = near.try_clone().unwrap();
-    std::thread::spawn(move || std::io::copy(&mut copy, &mut back));
-    near.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
-    let mut recorded = Vec::new();
-    while inbox.is_empty() {
-        let mut buffer = [0; 4_096];
-        let Ok(count) = near.read(&mut buffer) else { continue };
-        recorded.extend_from_slice(&buffer[..count]);
-        far.write_all(&buffer[..count]).unwrap();
+    let recorded = Recorded::new();
+    let mut replay = TcpStream::connect(recorded.host.address()).unwrap();
+    recorded.expect_refusal(&mut replay, &recorded.bytes);
+}
+
+#[test]
+fn recorded_message_is_refused_on_its_own_connection() {
+    let recorded = Recorded::new();
+    let mut rest = recorded.bytes.as_slice();
+    let mut last = Vec::new();
+    while !rest.is_empty() {
+        last = frame::read(&mut rest, frame::MAX_BYTES, None).unwrap();
     }
-    assert!(matches!(inbox.recv().unwrap(), Inbound::Message(_)));
-    let before = behind.counts();
-    let mut replay = TcpStream::connect(behind.address()).unwrap();
-    replay.write_all(&recorded).unwrap();
-    // The host ends the connection at the first envelope of the other session.
-    let mut answer = Vec::new();
-    let _ = replay.read_to_end(&mut answer);
-    assert!(inbox.is_empty());
-    assert_eq!(behind.counts().received, before.received);
-    assert_eq!(behind.counts().refused, before.refused + 1);
+    let mut again = Vec::new();
+    frame::write(&mut again, &last).unwrap();
+    let mut far = recorded.far.try_clone().unwrap();
+    recorded.expect_refusal(&mut far, &again);
 }
 
 #[test]
@@ -265,10 +307,54 @@
     let host = Host::new("a1", "s");
     let mut stream = TcpStream::connect(host.handle.address()).unwrap();
     stream.write_all(&(1_000_000u32).to_be_bytes()).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    // Shorter than the time within which a peer has to authenticate itself.
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
     assert_eq!(stream.read(&mut [0; 1]).unwrap(), 0);
 }
 
+/// Answers every greeting without the key.
+struct Impostor(Arc<AtomicUsize>);
+
+impl HostSyncHandler for Impostor {
+    fn handle_greet(&self, _: Envelope) -> thrift::Result<Greeting> {
+        Ok(Greeting::new("a2.1".to_owned(), 1, 1, vec![0; 32]))
+    }
+
+    fn handle_deliver(&self, _: Envelope) -> thrift::Result<()> {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        Ok(())
+    }
+
+    fn handle_status(&self, _: String) -> thrift::Result<laburnum::Status> {
+        Err("none".into())
+    }
+
+    fn handle_timeline(&self, _: String, _: TimelineQuery) -> thrift::Result<Vec<TimelineEvent>> {
+        Err("none".into())
+    }
+}
+
+#[test]
+fn impostor_gets_no_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address: Arc<str> = Arc::from(listener.local_addr().unwrap().to_string());
+    let delivered = Arc::new(AtomicUsize::new(0));
+    let processor = HostSyncProcessor::new(Impostor(delivered.clone()));
+    let served = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        let mut input = TCompactInputProtocol::new(frame::Reader::new(stream.try_clone().unwrap()));
+        let mut output = TCompactOutputProtocol::new(frame::Writer::new(stream));
+        while processor.process(&mut input, &mut output).is_ok() {}
+    });
+    let one = Host::new("a1", "s");
+    one.send(address.clone(), Message::TransferAck { number: 1 });
+    let report = one.inbox.recv_timeout(Duration::from_secs(5));
+    drop(one);
+    served.join().unwrap();
+    assert_eq!(delivered.load(Ordering::SeqCst), 0);
+    assert_eq!(report, Ok(Inbound::Unreachable { address }));
+}
+
 #[test]
 fn operator_reads_status_and_timeline() {
     let host = Host::new("a1", "s");
