--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,19 +6,29 @@
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
+pub mod admit;
+pub mod answer;
+pub mod claim;
 pub mod clock;
 pub mod config;
 pub mod credential;
 pub mod escrow;
 pub mod fold;
 pub mod holder;
+pub mod host;
 pub mod journal;
 pub mod ledger;
+pub mod locate;
 pub mod member;
 pub mod message;
+pub mod order;
+pub mod prefix;
 pub mod record;
 pub mod recovery;
 pub mod request;
+pub mod retry;
+pub mod route;
 pub mod schema;
 pub mod table;
+pub mod ticket;
 pub mod timeline;
