--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -88,10 +88,17 @@
     pub members: u64,
     /// Requests in progress.
     pub requests: u64,
-    /// Tokens that this host may spend.
-    pub held_tokens: u64,
+}
+
+/// What a host holds of a budget.
+#[derive(Debug, Clone)]
+pub struct Balance {
+    /// Budget.
+    pub budget: Arc<str>,
+    /// Tokens that are not set aside.
+    pub available: u64,
     /// Tokens set aside for requests in progress.
-    pub reserved_tokens: u64,
+    pub reserved: u64,
 }
 
 /// Decision that an operation of the table belongs to.
@@ -251,6 +258,15 @@
         self.fenced
     }
 
+    /// Returns what this host holds of each budget; takes time for each budget in force.
+    pub fn balances(&self) -> impl Iterator<Item = Balance> {
+        self.catalog.budgets().map(|budget| Balance {
+            budget: budget.name.clone(),
+            available: self.holder.available(&budget.name),
+            reserved: self.holder.reserved(&budget.name),
+        })
+    }
+
     /// Returns the figures for status and metrics.
     pub fn figures(&self) -> Figures {
         Figures {
@@ -259,8 +275,6 @@
             revision: self.follower.revision(),
             members: self.members.reachable().count() as u64,
             requests: self.callers.len() as u64,
-            held_tokens: 0,
-            reserved_tokens: 0,
         }
     }
 
--- a/crates/coordination/src/host/catalog.rs
+++ b/crates/coordination/src/host/catalog.rs
@@ -134,6 +134,11 @@
         self.backends.values()
     }
 
+    /// Returns all budgets, by name.
+    pub fn budgets(&self) -> impl Iterator<Item = &Budget> {
+        self.budgets.values()
+    }
+
     /// Returns a budget.
     pub fn budget(&self, name: &str) -> Option<&Budget> {
         self.budgets.get(name)
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -21,7 +21,10 @@
     select,
 };
 use tokio::sync::mpsc::error::TrySendError;
-use wire::{link, operator::Status};
+use wire::{
+    link,
+    operator::{Held, Status},
+};
 
 use crate::{
     backend,
@@ -37,6 +40,9 @@
 /// Events that wait for the core.
 pub const QUEUE: usize = 16_384;
 
+/// Time between two sums over all budgets.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Something for the core.
 #[derive(Debug)]
 pub enum Inbound {
@@ -176,6 +182,7 @@
     pub fn run(mut self) -> eyre::Result<()> {
         let mut actions = Vec::new();
         let mut next_tick = Instant::now();
+        let mut next_balance = next_tick;
         let (inbox, peers) = (self.inbox.clone(), self.peers.clone());
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
@@ -190,6 +197,10 @@
                 self.feed(Event::Tick, &mut actions);
                 self.metrics.observe(&self.host, self.callers.len(), self.inbox.len());
             }
+            if now >= next_balance {
+                next_balance = now + BALANCE_INTERVAL;
+                self.metrics.observe_balances(self.host.balances());
+            }
             let mut stopped = false;
             for action in actions.drain(..) {
                 stopped |= matches!(action, Action::Stopped);
@@ -245,11 +256,12 @@
     fn status(&self) -> Status {
         let settings = self.host.settings();
         let figures = self.host.figures();
+        let held = self.host.balances().filter(|held| held.available > 0 || held.reserved > 0);
+        let budgets =
+            held.map(|held| Held { budget: held.budget, tokens: held.available + held.reserved });
         let detail = serde_json::json!({
             "members": figures.members,
             "requests": figures.requests,
-            "held_tokens": figures.held_tokens,
-            "reserved_tokens": figures.reserved_tokens,
             "uptime_ms": u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX),
         });
         Status {
@@ -259,7 +271,7 @@
             revision: figures.revision,
             state: figures.state.into(),
             detail: detail.to_string().into(),
-            budgets: Vec::new(),
+            budgets: budgets.collect(),
         }
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use coordination::host::Host;
+use coordination::host::{Balance, Host};
 use eyre::WrapErr as _;
 use opentelemetry::{
     KeyValue,
@@ -84,11 +84,20 @@
         gauges.callers.store(callers as u64, Ordering::Relaxed);
         gauges.queue.store(queue as u64, Ordering::Relaxed);
         gauges.revision.store(figures.revision, Ordering::Relaxed);
-        gauges.held.store(figures.held_tokens, Ordering::Relaxed);
-        gauges.reserved.store(figures.reserved_tokens, Ordering::Relaxed);
         gauges.members.store(figures.members, Ordering::Relaxed);
     }
 
+    /// Takes the sums over all budgets.
+    pub fn observe_balances(&self, balances: impl Iterator<Item = Balance>) {
+        let (mut available, mut reserved) = (0, 0);
+        for balance in balances {
+            available += balance.available;
+            reserved += balance.reserved;
+        }
+        self.gauges.held.store(available, Ordering::Relaxed);
+        self.gauges.reserved.store(reserved, Ordering::Relaxed);
+    }
+
     /// Returns whether the host takes requests.
     pub fn is_ready(&self) -> bool {
         self.gauges.ready.load(Ordering::Relaxed)
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -27,7 +27,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Token of the callers and the operator.
-const TOKEN: &str = "token-of-the-tests";
+pub const TOKEN: &str = "token-of-the-tests";
 
 /// Hosts of a fleet that spans three zones.
 pub const THREE: &[(&str, &str)] = &[("host-a", "a"), ("host-b", "b"), ("host-c", "c")];
@@ -212,9 +212,9 @@
     pub fn rows(&self, prefix: &str) -> Vec<(Arc<str>, Value)> {
         let op = Op::Scan { prefix: prefix.into(), after: "".into(), limit: 10_000 };
         let Outcome::Rows(rows) = self.client().run(&op) else { panic!("scan {prefix}") };
-        let parsed = rows.into_iter().filter_map(|row| {
-            Some((row.key, serde_json::from_str(&row.value?).expect("JSON")))
-        });
+        let parsed = rows
+            .into_iter()
+            .filter_map(|row| Some((row.key, serde_json::from_str(&row.value?).expect("JSON"))));
         parsed.collect()
     }
 
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -1,5 +1,6 @@
 //! Whole requests through a fleet of processes, with kills, freezes and outages.
 
+#[allow(dead_code)]
 mod fleet;
 
 use std::{sync::mpsc, thread};
@@ -212,9 +213,7 @@
     let thread = start(fleet.caller("host-a"), "review", "k", prompt("A review", 40));
     fleet.signal("host-a", Signal::TERM);
     fleet.signal("host-a", Signal::TERM);
-    fleet.wait("host-a takes no new work", || {
-        fleet.caller("host-a").ticket().is_err()
-    });
+    fleet.wait("host-a takes no new work", || fleet.caller("host-a").ticket().is_err());
     for engine in &fleet.engines {
         control::post(engine.address, "/control/release", &Value::Null).expect("release");
     }
