--- a/crates/ctl/tests/write.rs
+++ b/crates/ctl/tests/write.rs
@@ -56,7 +56,8 @@
         rival = signed(rival, operator, over);
     }
     let mine = file(name, &budget(json!({ "a": 6 })));
-    let report = apply(&raced(&platform, rival.clone()), "ana", &[mine.clone()]).unwrap();
+    let report =
+        apply(&raced(&platform, rival.clone()), "ana", std::slice::from_ref(&mine)).unwrap();
     assert!(!report.done);
     assert!(report.text.contains(case.text), "{}", report.text);
     assert!(
@@ -106,7 +107,7 @@
     let platform = Platform::open();
     let record = file(name, &budget(json!({ "a": 5 })));
     platform.fault(&case.fault);
-    let report = apply(&platform.client, "ana", &[record.clone()]).unwrap();
+    let report = apply(&platform.client, "ana", std::slice::from_ref(&record)).unwrap();
     assert_eq!(report.done, case.done, "{}", report.text);
     assert!(report.text.contains(case.text), "{}", report.text);
     platform.fault(&json!({ "kind": "up" }));
