--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -3,14 +3,16 @@
 //! A record is a row of the platform's table under `config/<kind>/<name>`. Its JSON carries `kind`,
 //! `version` and `name`. Version 1 and version 2 are both honoured; a reader sees the newest form.
 
-use std::{collections::BTreeMap, net::SocketAddr, str::FromStr, sync::Arc};
+mod read;
+
+use std::{collections::BTreeMap, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::{
     request::Class,
-    schema::{self, Document, Fields, MAX_TOKENS},
+    schema::{self, Document, Fields},
 };
 
 /// Prefix of the rows that hold records.
@@ -43,8 +45,6 @@
 /// Time that a request may take where the route doesn't say, in milliseconds.
 pub const DEFAULT_TIMEOUT_MS: u64 = 600_000;
 
-const HASH_CHARS: usize = 64;
-
 /// A record, or a field of it, is not valid.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{record}: {field}: {reason}")]
@@ -152,7 +152,7 @@
     expect_text(key, &document, "name", name)?;
     let version = schema::version(key, &document)?;
     let document = schema::upgrade(key, kind, document)?;
-    let record = read_kind(kind, Arc::from(name), &Fields::new(key, &document));
+    let record = read::record(kind, Arc::from(name), &Fields::new(key, &document));
     record.map_err(|mut fault| {
         if version == schema::OLDEST {
             fault.field = schema::old_path(kind, &fault.field).to_owned();
@@ -170,172 +170,6 @@
     }
 }
 
-fn read_kind(kind: Kind, name: Arc<str>, fields: &Fields<'_>) -> Result<Record, Fault> {
-    match kind {
-        Kind::Workspace => read_workspace(name, fields).map(Record::Workspace),
-        Kind::Budget => read_budget(name, fields).map(Record::Budget),
-        Kind::Backend => read_backend(name, fields).map(Record::Backend),
-        Kind::Route => read_route(name, fields).map(Record::Route),
-        Kind::Operator => read_operator(name, fields).map(Record::Operator),
-    }
-}
-
-fn read_workspace(name: Arc<str>, fields: &Fields<'_>) -> Result<Workspace, Fault> {
-    Ok(Workspace {
-        name,
-        token_hashes: read_hashes(fields)?,
-        budgets: fields.names("budgets", 1..=MAX_BUDGETS)?,
-    })
-}
-
-fn read_operator(name: Arc<str>, fields: &Fields<'_>) -> Result<Operator, Fault> {
-    Ok(Operator { name, token_hashes: read_hashes(fields)? })
-}
-
-/// Reads hashes of tokens; a fault never quotes what stands in their place.
-fn read_hashes(fields: &Fields<'_>) -> Result<Vec<Arc<str>>, Fault> {
-    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-    let mut hashes = Vec::new();
-    for (path, value) in fields.elements("token_hashes", 1..=MAX_CREDENTIALS)? {
-        match value.as_str() {
-            Some(hash) if hash.len() == HASH_CHARS && hash.bytes().all(is_hex) => {
-                hashes.push(Arc::from(hash));
-            }
-            _ => return Err(fields.fault(&path, "expected 64 lower-case hexadecimal digits")),
-        }
-    }
-    fields.distinct("token_hashes", &hashes)?;
-    Ok(hashes)
-}
-
-fn read_budget(name: Arc<str>, fields: &Fields<'_>) -> Result<Budget, Fault> {
-    Ok(Budget {
-        name,
-        workspace: fields.name("workspace")?,
-        top_ups: read_top_ups(fields)?,
-        urgent_floor: fields.number("urgent_floor", 0..=MAX_TOKENS, Some(0))?,
-        ledger: fields.choice("ledger", "old or new", Some(Ledger::New))?,
-    })
-}
-
-fn read_top_ups(fields: &Fields<'_>) -> Result<BTreeMap<Arc<str>, u64>, Fault> {
-    let empty = Document::new();
-    let entries = match fields.get("top_ups") {
-        None => &empty,
-        Some(Value::Object(entries)) => entries,
-        Some(other) => return Err(fields.expected("top_ups", "an object of tokens by id", other)),
-    };
-    if entries.len() > MAX_TOP_UPS {
-        let reason = format!("expected at most {MAX_TOP_UPS}, got {}", entries.len());
-        return Err(fields.fault("top_ups", reason));
-    }
-    let mut top_ups = BTreeMap::new();
-    let mut sum = 0;
-    for (id, value) in entries {
-        let path = format!("top_ups.{id}");
-        if !schema::is_label(id) {
-            return Err(fields.expected("top_ups", LABEL, &Value::from(id.as_str())));
-        }
-        let tokens = fields.number_in(&path, value, 1..=MAX_TOKENS)?;
-        sum += tokens;
-        if sum > MAX_TOKENS {
-            return Err(fields.fault(&path, format!("expected a sum of at most {MAX_TOKENS}")));
-        }
-        top_ups.insert(Arc::from(id.as_str()), tokens);
-    }
-    Ok(top_ups)
-}
-
-fn read_backend(name: Arc<str>, fields: &Fields<'_>) -> Result<Backend, Fault> {
-    let models = match fields.get("models") {
-        None => Vec::new(),
-        Some(_) => read_models(fields)?,
-    };
-    let implied = if models.is_empty() { Role::Service } else { Role::Engine };
-    let role = fields.choice("role", "engine or service", Some(implied))?;
-    if role == Role::Service && !models.is_empty() {
-        return Err(fields.fault("models", "expected none for a service"));
-    }
-    let slots = fields.number("slots", 1..=MAX_SLOTS, None)?;
-    Ok(Backend {
-        name,
-        address: read_address(fields)?,
-        zone: fields.name("zone")?,
-        role,
-        models,
-        slots: u32::try_from(slots).unwrap_or(u32::MAX),
-        fencing: fields.flag("fencing", Some(false))?,
-        leaving: fields.flag("leaving", Some(false))?,
-    })
-}
-
-fn read_address(fields: &Fields<'_>) -> Result<Arc<str>, Fault> {
-    const EXPECTED: &str = "http://ip:port";
-    let text = fields.text("address", EXPECTED)?;
-    let socket = text.strip_prefix("http://").and_then(|rest| rest.parse::<SocketAddr>().ok());
-    match socket {
-        Some(socket) if socket.port() != 0 => Ok(Arc::from(text)),
-        _ => Err(fields.expected("address", EXPECTED, &Value::from(text))),
-    }
-}
-
-fn read_models(fields: &Fields<'_>) -> Result<Vec<Model>, Fault> {
-    let mut models = Vec::new();
-    for (path, value) in fields.elements("models", 0..=MAX_MODELS)? {
-        models.push(read_model(fields, &path, value)?);
-    }
-    fields.distinct("models", &models)?;
-    Ok(models)
-}
-
-fn read_model(fields: &Fields<'_>, path: &str, value: &Value) -> Result<Model, Fault> {
-    if !value.is_object() {
-        return Err(fields.expected(path, "an object with name, adapter and version", value));
-    }
-    Ok(Model {
-        name: read_label(fields, path, value, "name", false)?,
-        adapter: read_label(fields, path, value, "adapter", true)?,
-        version: read_label(fields, path, value, "version", true)?,
-    })
-}
-
-const LABEL: &str = "1 to 63 letters, digits, dots, underscores and dashes";
-
-fn read_label(
-    fields: &Fields<'_>,
-    path: &str,
-    model: &Value,
-    field: &str,
-    optional: bool,
-) -> Result<Arc<str>, Fault> {
-    let path = format!("{path}.{field}");
-    match model.get(field) {
-        None | Some(Value::Null) if optional => Ok(empty()),
-        None | Some(Value::Null) => Err(fields.fault(&path, "missing")),
-        Some(Value::String(text)) if optional && text.is_empty() => Ok(empty()),
-        Some(Value::String(text)) if schema::is_label(text) => Ok(Arc::from(text.as_str())),
-        Some(other) => Err(fields.expected(&path, LABEL, other)),
-    }
-}
-
-fn read_route(name: Arc<str>, fields: &Fields<'_>) -> Result<Route, Fault> {
-    let model = match fields.get("model") {
-        None => None,
-        Some(value) => Some(read_model(fields, "model", value)?),
-    };
-    let (least, default) = if model.is_some() { (1, None) } else { (0, Some(0)) };
-    Ok(Route {
-        name,
-        backends: fields.names("backends", 1..=MAX_BACKENDS)?,
-        model,
-        idempotent: fields.flag("idempotent", None)?,
-        class: fields.choice("class", "urgent, normal or long", Some(Class::Normal))?,
-        max_tokens: fields.number("max_tokens", least..=MAX_REQUEST_TOKENS, default)?,
-        call_tokens: fields.number("call_tokens", 0..=MAX_REQUEST_TOKENS, Some(0))?,
-        timeout_ms: fields.number("timeout_ms", 1..=MAX_TIMEOUT_MS, Some(DEFAULT_TIMEOUT_MS))?,
-    })
-}
-
 /// Returns the JSON text of a record in its newest form.
 pub fn render(record: &Record) -> String {
     let fields = match record {
--- /dev/null
+++ b/crates/coordination/src/record/read.rs
@@ -0,0 +1,184 @@
+//! Reads the kinds of records in their newest form.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use serde_json::Value;
+
+use super::{
+    Backend, Budget, DEFAULT_TIMEOUT_MS, Fault, Kind, Ledger, MAX_BACKENDS, MAX_BUDGETS,
+    MAX_CREDENTIALS, MAX_MODELS, MAX_REQUEST_TOKENS, MAX_SLOTS, MAX_TIMEOUT_MS, MAX_TOP_UPS, Model,
+    Operator, Record, Role, Route, Workspace, empty,
+};
+use crate::{
+    request::Class,
+    schema::{self, Document, Fields, MAX_TOKENS},
+};
+
+const HASH_CHARS: usize = 64;
+
+/// Returns the record that the fields of the newest version hold.
+pub(super) fn record(kind: Kind, name: Arc<str>, fields: &Fields<'_>) -> Result<Record, Fault> {
+    match kind {
+        Kind::Workspace => workspace(name, fields).map(Record::Workspace),
+        Kind::Budget => budget(name, fields).map(Record::Budget),
+        Kind::Backend => backend(name, fields).map(Record::Backend),
+        Kind::Route => route(name, fields).map(Record::Route),
+        Kind::Operator => operator(name, fields).map(Record::Operator),
+    }
+}
+
+fn workspace(name: Arc<str>, fields: &Fields<'_>) -> Result<Workspace, Fault> {
+    Ok(Workspace {
+        name,
+        token_hashes: hashes(fields)?,
+        budgets: fields.names("budgets", 1..=MAX_BUDGETS)?,
+    })
+}
+
+fn operator(name: Arc<str>, fields: &Fields<'_>) -> Result<Operator, Fault> {
+    Ok(Operator { name, token_hashes: hashes(fields)? })
+}
+
+/// Reads hashes of tokens; a fault never quotes what stands in their place.
+fn hashes(fields: &Fields<'_>) -> Result<Vec<Arc<str>>, Fault> {
+    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    let mut hashes = Vec::new();
+    for (path, value) in fields.elements("token_hashes", 1..=MAX_CREDENTIALS)? {
+        match value.as_str() {
+            Some(hash) if hash.len() == HASH_CHARS && hash.bytes().all(is_hex) => {
+                hashes.push(Arc::from(hash));
+            }
+            _ => return Err(fields.fault(&path, "expected 64 lower-case hexadecimal digits")),
+        }
+    }
+    fields.distinct("token_hashes", &hashes)?;
+    Ok(hashes)
+}
+
+fn budget(name: Arc<str>, fields: &Fields<'_>) -> Result<Budget, Fault> {
+    Ok(Budget {
+        name,
+        workspace: fields.name("workspace")?,
+        top_ups: top_ups(fields)?,
+        urgent_floor: fields.number("urgent_floor", 0..=MAX_TOKENS, Some(0))?,
+        ledger: fields.choice("ledger", "old or new", Some(Ledger::New))?,
+    })
+}
+
+fn top_ups(fields: &Fields<'_>) -> Result<BTreeMap<Arc<str>, u64>, Fault> {
+    let empty = Document::new();
+    let entries = match fields.get("top_ups") {
+        None => &empty,
+        Some(Value::Object(entries)) => entries,
+        Some(other) => return Err(fields.expected("top_ups", "an object of tokens by id", other)),
+    };
+    if entries.len() > MAX_TOP_UPS {
+        let reason = format!("expected at most {MAX_TOP_UPS}, got {}", entries.len());
+        return Err(fields.fault("top_ups", reason));
+    }
+    let mut top_ups = BTreeMap::new();
+    let mut sum = 0;
+    for (id, value) in entries {
+        let path = format!("top_ups.{id}");
+        if !schema::is_label(id) {
+            return Err(fields.expected("top_ups", LABEL, &Value::from(id.as_str())));
+        }
+        let tokens = fields.number_in(&path, value, 1..=MAX_TOKENS)?;
+        sum += tokens;
+        if sum > MAX_TOKENS {
+            return Err(fields.fault(&path, format!("expected a sum of at most {MAX_TOKENS}")));
+        }
+        top_ups.insert(Arc::from(id.as_str()), tokens);
+    }
+    Ok(top_ups)
+}
+
+fn backend(name: Arc<str>, fields: &Fields<'_>) -> Result<Backend, Fault> {
+    let models = match fields.get("models") {
+        None => Vec::new(),
+        Some(_) => models(fields)?,
+    };
+    let implied = if models.is_empty() { Role::Service } else { Role::Engine };
+    let role = fields.choice("role", "engine or service", Some(implied))?;
+    if role == Role::Service && !models.is_empty() {
+        return Err(fields.fault("models", "expected none for a service"));
+    }
+    let slots = fields.number("slots", 1..=MAX_SLOTS, None)?;
+    Ok(Backend {
+        name,
+        address: address(fields)?,
+        zone: fields.name("zone")?,
+        role,
+        models,
+        slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        fencing: fields.flag("fencing", Some(false))?,
+        leaving: fields.flag("leaving", Some(false))?,
+    })
+}
+
+fn address(fields: &Fields<'_>) -> Result<Arc<str>, Fault> {
+    const EXPECTED: &str = "http://ip:port";
+    let text = fields.text("address", EXPECTED)?;
+    let socket = text.strip_prefix("http://").and_then(|rest| rest.parse::<SocketAddr>().ok());
+    match socket {
+        Some(socket) if socket.port() != 0 => Ok(Arc::from(text)),
+        _ => Err(fields.expected("address", EXPECTED, &Value::from(text))),
+    }
+}
+
+fn models(fields: &Fields<'_>) -> Result<Vec<Model>, Fault> {
+    let mut models = Vec::new();
+    for (path, value) in fields.elements("models", 0..=MAX_MODELS)? {
+        models.push(model(fields, &path, value)?);
+    }
+    fields.distinct("models", &models)?;
+    Ok(models)
+}
+
+fn model(fields: &Fields<'_>, path: &str, value: &Value) -> Result<Model, Fault> {
+    if !value.is_object() {
+        return Err(fields.expected(path, "an object with name, adapter and version", value));
+    }
+    Ok(Model {
+        name: label(fields, path, value, "name", false)?,
+        adapter: label(fields, path, value, "adapter", true)?,
+        version: label(fields, path, value, "version", true)?,
+    })
+}
+
+const LABEL: &str = "1 to 63 letters, digits, dots, underscores and dashes";
+
+fn label(
+    fields: &Fields<'_>,
+    path: &str,
+    model: &Value,
+    field: &str,
+    optional: bool,
+) -> Result<Arc<str>, Fault> {
+    let path = format!("{path}.{field}");
+    match model.get(field) {
+        None | Some(Value::Null) if optional => Ok(empty()),
+        None | Some(Value::Null) => Err(fields.fault(&path, "missing")),
+        Some(Value::String(text)) if optional && text.is_empty() => Ok(empty()),
+        Some(Value::String(text)) if schema::is_label(text) => Ok(Arc::from(text.as_str())),
+        Some(other) => Err(fields.expected(&path, LABEL, other)),
+    }
+}
+
+fn route(name: Arc<str>, fields: &Fields<'_>) -> Result<Route, Fault> {
+    let model = match fields.get("model") {
+        None => None,
+        Some(value) => Some(model(fields, "model", value)?),
+    };
+    let (least, default) = if model.is_some() { (1, None) } else { (0, Some(0)) };
+    Ok(Route {
+        name,
+        backends: fields.names("backends", 1..=MAX_BACKENDS)?,
+        model,
+        idempotent: fields.flag("idempotent", None)?,
+        class: fields.choice("class", "urgent, normal or long", Some(Class::Normal))?,
+        max_tokens: fields.number("max_tokens", least..=MAX_REQUEST_TOKENS, default)?,
+        call_tokens: fields.number("call_tokens", 0..=MAX_REQUEST_TOKENS, Some(0))?,
+        timeout_ms: fields.number("timeout_ms", 1..=MAX_TIMEOUT_MS, Some(DEFAULT_TIMEOUT_MS))?,
+    })
+}
