--- /dev/null
+++ b/crates/ctl/tests/operator/main.rs
@@ -0,0 +1,6 @@
+//! The tool against a stand-in platform.
+
+mod budget;
+mod common;
+mod tool;
+mod write;
--- a/crates/ctl/tests/write.rs
+++ b/crates/ctl/tests/operator/write.rs
@@ -1,10 +1,8 @@
 //! Writes under racing operators, lost answers and outages.
 
-mod common;
-
 use std::{cell::Cell, thread};
 
-use common::{BUDGET, Platform, budget, file};
+use crate::common::{BUDGET, Platform, budget, file};
 use coordination::{
     record::Kind,
     table::{Op, Outcome},
