Test that the daemon refuses faulty settings and logs no secret

Cause: settings were tested as a library only, and nothing looked for secrets in a daemon's log. A daemon at log level trace, given a key, a caller's token and a request for a ticket, prints neither; faulty settings end it with 2 and one line.

--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,8 +1,19 @@
-//! Settings: bounds, faults with their place, and the page that documents them.
+//! Settings: bounds, faults with their place, the page that documents them, and what the daemon
+//! makes of them.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    io::{BufRead as _, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
 
 use daemon::settings::{KEYS, Settings, ini};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use standin::{caller::Caller, platform};
 use test_case::test_case;
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
@@ -45,7 +56,8 @@
     assert_eq!(settings.timing.heartbeat.as_millis(), 1000);
     assert_eq!(settings.limits.max_body_bytes, 1_048_576);
     assert_eq!(settings.log.filter, "info");
-    assert!(!format!("{settings:?}").contains("17"), "the key shows in {settings:?}");
+    let shown = format!("{:?}", settings.fleet.key);
+    assert!(!shown.chars().any(|letter| letter.is_ascii_digit()), "the key shows in {shown}");
 }
 
 struct Case {
@@ -198,3 +210,53 @@
         ini::Values::parse("default", &text, &[*key]).unwrap();
     }
 }
+
+fn daemon(settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_laburnumd"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+#[test]
+fn daemon_with_faulty_settings_starts_nothing() {
+    let path = file("daemon-faulty", &WHOLE.replace("poll_ms = 50", "poll_ms = soon"));
+    let output = daemon(&path).wait_with_output().unwrap();
+    let fault = "14: [timing] poll_ms: expected 10 to 60000 ms, got \"soon\"";
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(String::from_utf8(output.stdout).unwrap(), "");
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(stderr, format!("{}:{fault}\n", path.display()));
+}
+
+#[test]
+fn daemon_logs_neither_key_nor_token() {
+    const TOKEN: &str = "secret-token-of-a-caller";
+
+    let platform = platform::spawn(platform::Settings::default()).unwrap();
+    let text = WHOLE
+        .replace("127.0.0.1:7000", &platform.address.to_string())
+        .replace(":7101", ":0")
+        .replace(":7201", ":0")
+        + "[log]\nfilter = trace\n";
+    let mut child = daemon(&file("daemon-secrets", &text));
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let (_, rest) = line.split_once("callers=").expect("address");
+    let callers: SocketAddr = rest.split_whitespace().next().unwrap().parse().unwrap();
+    let caller = Caller::open(callers, TOKEN, Duration::from_secs(10));
+    let reply = caller.call("review", Some("key"), &json!({ "prompt": "x" }), |_| {}).unwrap();
+    assert!(!format!("{reply:?}").contains(TOKEN));
+    assert!(caller.ticket().is_err());
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    let output = child.wait_with_output().unwrap();
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert!(stderr.contains("level=debug"), "{stderr}");
+    for secret in [TOKEN, KEY, "001122"] {
+        let found = stderr.lines().find(|line| line.contains(secret));
+        assert_eq!(found, None, "{secret}");
+    }
+}
