Set tokens aside for use without a copy while the platform is away

With one member left and the platform away, a holder now has that member record its available tokens as debited; no recovery gives them back, so they may be used without a further copy. Ruled out: to go on without a copy once a member's process is replaced, since a recovery may have sealed that member before it died. The urgent floor no longer shrinks as peers ask for tokens.

--- a/crates/coordination/examples/grants.rs
+++ b/crates/coordination/examples/grants.rs
@@ -1,7 +1,7 @@
 //! Overspend and false refusals under partitions, side by side with simpler ways.
 //!
 //! Prints a table in Markdown: `cargo run --release -p coordination --example grants`. With `--full`
-//! it prints each combination by itself. A refusal is false where the tokens bought, less those
+//! it prints each combination by itself, with `--only Tlaquepaque` one user's. A refusal is false where the tokens bought, less those
 //! charged or set aside anywhere, would have covered the request at that moment.
 
 #[path = "../tests/money/fleet.rs"]
@@ -132,8 +132,11 @@
 }
 
 fn main() {
-    let full = std::env::args().any(|argument| argument == "--full");
-    let cases = cases();
+    let arguments: Vec<String> = std::env::args().collect();
+    let full = arguments.iter().any(|argument| argument == "--full");
+    let only = arguments.iter().skip_while(|argument| *argument != "--only").nth(1);
+    let mut cases = cases();
+    cases.retain(|case| only.is_none_or(|only| case.name().contains(only.as_str())));
     let scores = run_all(&cases);
     println!("Each cell: tokens overspent / requests falsely refused / urgent ones among them.\n");
     print_head();
--- a/crates/coordination/examples/grants/world.rs
+++ b/crates/coordination/examples/grants/world.rs
@@ -76,6 +76,13 @@
 }
 
 impl Case {
+    /// Returns the user, the minutes of the cut, the demand and the budget.
+    pub fn name(&self) -> String {
+        let budget = if self.tight { "tight" } else { "ample" };
+        let minutes = self.cut.as_secs() / 60;
+        format!("{:?} {minutes} {:?} {budget}", self.user, self.demand)
+    }
+
     pub fn healed(&self) -> Duration {
         WARM_UP + self.cut
     }
--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -5,6 +5,7 @@
 //! grant number, or from other holders when the table can't be reached or has none left.
 
 mod account;
+mod allowance;
 mod event;
 mod policy;
 mod round;
@@ -60,6 +61,8 @@
     Acknowledge { to: Arc<str>, number: u64 },
     /// The budget may be asked for at the table.
     Announced(Arc<str>),
+    /// The tokens may be used without a copy of the journal.
+    Allow { budget: Arc<str>, tokens: u64 },
     /// The entry came through [`Holder::append`].
     Report,
 }
@@ -98,6 +101,8 @@
     /// Budgets that need the table, those with waiting reservations first.
     due: BTreeSet<(bool, u64, Arc<str>)>,
     due_keys: BTreeMap<Arc<str>, (bool, u64)>,
+    /// Tokens are set aside for use without a copy of the journal.
+    thin: bool,
     unflushed: VecDeque<round::Unflushed>,
     flush: Option<Flush>,
     round: Option<Round>,
@@ -132,6 +137,7 @@
             checks: BTreeSet::new(),
             due: BTreeSet::new(),
             due_keys: BTreeMap::new(),
+            thin: false,
             unflushed: VecDeque::new(),
             flush: None,
             round: None,
@@ -232,9 +238,11 @@
                     actions.push(Action::Send { to, message });
                 }
                 Then::Announced(budget) => self.announced(&budget),
+                Then::Allow { budget, tokens } => self.allowed(&budget, tokens),
                 Then::Report => report = Some(number),
             }
         }
+        self.use_allowance(now, actions);
         if let Some(through) = report
             && through > self.reported
         {
@@ -309,6 +317,7 @@
             tokens: reserve.tokens,
             stage: Stage::Copying(number),
             deadline,
+            covered: false,
         };
         self.reservations.insert(reserve.request, reservation);
     }
@@ -323,6 +332,7 @@
             tokens: reserve.tokens,
             stage: Stage::Waiting(turn),
             deadline,
+            covered: false,
         };
         if let Some(account) = self.accounts.get_mut(&budget) {
             account.used.add(now, reserve.tokens as f64);
@@ -376,7 +386,7 @@
             return;
         };
         let number = self.journal.append(Entry::Settle { request, tokens });
-        let budget = reservation.budget;
+        let budget = reservation.budget.clone();
         self.unflushed.push_back(round::Unflushed {
             number,
             at: now,
@@ -385,6 +395,7 @@
             tokens,
             old: false,
         });
+        self.regain(&reservation, reservation.tokens - tokens);
         self.free(now, &budget, reservation.tokens, reservation.tokens - tokens);
     }
 
@@ -400,6 +411,7 @@
             return;
         }
         self.journal.append(Entry::Release { request });
+        self.regain(&reservation, reservation.tokens);
         self.free(now, &reservation.budget, reservation.tokens, reservation.tokens);
     }
 
@@ -484,6 +496,7 @@
     fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.opened.get_or_insert(now);
         self.expire(now, actions);
+        self.watch_copies(now);
         while let Some((at, budget)) = self.checks.first().cloned()
             && at <= now
         {
@@ -520,6 +533,9 @@
 
     /// Compares the holdings of a budget with its use.
     fn check(&mut self, now: Duration, budget: &Arc<str>) {
+        if self.thin {
+            self.set_allowance(budget);
+        }
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -27,8 +27,12 @@
     pub reserved: u64,
     /// Tokens taken out of `available` by a return that isn't known to be committed.
     pub returning: u64,
-    /// Holdings after they last changed other than by use.
+    /// Holdings after the table or another holder last added to them.
     pub level: u64,
+    /// Tokens that may be used without a copy of the journal; see [`super::allowance`].
+    pub allowance: u64,
+    /// Tokens that the journal shows as set aside for that.
+    pub aside: u64,
     /// The journal names the budget in a durable entry.
     pub announced: bool,
     /// The entry that names the budget was appended.
@@ -75,11 +79,16 @@
         }
     }
 
-    /// Notes that holdings changed other than by use.
+    /// Notes that the table added to the holdings, or took from them.
     pub fn relevel(&mut self) {
         self.level = self.available + self.reserved;
     }
 
+    /// Notes that another holder added to the holdings.
+    pub fn raise_level(&mut self) {
+        self.level = self.level.max(self.available + self.reserved);
+    }
+
     /// Returns the most urgent class that waits.
     pub fn waiting_class(&self) -> Option<Class> {
         self.waiting.keys().next().map(|turn| turn.0)
@@ -135,4 +144,6 @@
     pub tokens: u64,
     pub stage: Stage,
     pub deadline: Duration,
+    /// Its tokens were taken from the allowance.
+    pub covered: bool,
 }
--- a/crates/coordination/src/holder/transfer.rs
+++ b/crates/coordination/src/holder/transfer.rs
@@ -22,8 +22,8 @@
 pub(super) struct Outgoing {
     to: message::Holder,
     host: Arc<str>,
-    budget: Arc<str>,
-    tokens: u64,
+    pub(super) budget: Arc<str>,
+    pub(super) tokens: u64,
     sent_at: Option<Duration>,
 }
 
@@ -100,12 +100,14 @@
         if waits.is_some_and(|own| (own, &self.settings.id) < (class, from)) {
             return;
         }
-        let amount = tokens.min(account.spare(class));
+        let mut amount = tokens.min(account.spare(class));
+        if self.journal.is_alone(now) {
+            amount = amount.min(account.allowance);
+        }
         if amount == 0 {
             return;
         }
         account.available -= amount;
-        account.relevel();
         self.transfers += 1;
         let number = transfer_number(&self.settings.id, self.transfers);
         let entry = self.journal.append(Entry::Debit {
@@ -122,7 +124,6 @@
             sent_at: None,
         };
         self.outgoing.insert(number, outgoing);
-        let _ = now;
     }
 
     /// Sends a transfer whose debit is durable.
@@ -199,7 +200,7 @@
         self.then.insert(entry, Then::Acknowledge { to: host, number });
         let account = self.accounts.entry(budget.clone()).or_default();
         account.available += tokens;
-        account.relevel();
+        account.raise_level();
         let unwanted = account.record.is_none() || self.draining;
         actions.push(Action::Note(Note::Received {
             budget: budget.clone(),
--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -193,6 +193,25 @@
         all.or_else(|| members().map(|member| member.acked).max()).unwrap_or(0)
     }
 
+    /// Returns whether the table names an ensemble of which no member acknowledges.
+    pub fn is_alone(&self, now: Duration) -> bool {
+        self.live(now).is_some_and(|live| live == 0)
+    }
+
+    /// Returns whether the loss of one more member would leave none that acknowledges.
+    pub fn is_thin(&self, now: Duration) -> bool {
+        self.live(now).is_some_and(|live| live <= 1)
+    }
+
+    /// Returns the members of the table's ensemble that acknowledge, `None` where it names none.
+    fn live(&self, now: Duration) -> Option<usize> {
+        let committed = self.committed.as_deref().filter(|ids| !ids.is_empty())?;
+        let live = |member: &&Member| {
+            committed.contains(&member.id) && !member.stalled(now, MEMBER_TIMEOUT)
+        };
+        Some(self.members.iter().filter(live).count())
+    }
+
     fn send(&mut self, index: usize, now: Duration, actions: &mut Vec<Action>) {
         let last = self.state.through();
         let member = &mut self.members[index];
