Ask peers by class, and for a little more than is missing

A process without a grant asked for each request's tokens alone and could never fill its floor, so a host replaced during a cut refused most filings.

--- a/crates/coordination/examples/grants/world.rs
+++ b/crates/coordination/examples/grants/world.rs
@@ -49,6 +49,9 @@
 /// Budgets, with their shares of the demand.
 pub const BUDGETS: [(&str, f64); 2] = [("large", 0.8), ("small", 0.2)];
 
+/// Part of the first purchase that each grant keeps for urgent requests, as a divisor.
+const FLOOR_PART: u64 = 50;
+
 /// Whose requests they are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum User {
@@ -295,7 +298,6 @@
 }
 
 struct Run<'a> {
-    case: &'a Case,
     workload: &'a Workload,
     fleet: Fleet,
     truth: Truth,
@@ -326,7 +328,6 @@
         agenda.insert((arrival.at, Happening::Arrival(index)));
     }
     let mut run = Run {
-        case,
         workload,
         fleet: Fleet::open(1, &HOSTS),
         truth: Truth::open(workload),
@@ -377,7 +378,7 @@
             let (first, later) = self.workload.bought[index];
             let tops = [("first", first), ("later", later)];
             let tops = if self.bought_all { &tops[..] } else { &tops[..1] };
-            budget(name, tops, first / 100, false)
+            budget(name, tops, first / FLOOR_PART, false)
         };
         BUDGETS.iter().enumerate().map(record).collect()
     }
@@ -482,10 +483,7 @@
                     self.truth.dispatched(arrival);
                     self.agenda.insert((at + arrival.lasts, Happening::End(index)));
                 }
-                Answer::Refused(_) => {
-                    self.truth.refused(arrival);
-                    let _ = self.case;
-                }
+                Answer::Refused(_) => self.truth.refused(arrival),
             }
         }
     }
--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -106,6 +106,8 @@
     unflushed: VecDeque<round::Unflushed>,
     flush: Option<Flush>,
     round: Option<Round>,
+    /// The ensemble is to be looked at before the next round.
+    ensemble_due: bool,
     pace: round::Pace,
     operations: u64,
     peers: Vec<Peer>,
@@ -141,6 +143,7 @@
             unflushed: VecDeque::new(),
             flush: None,
             round: None,
+            ensemble_due: true,
             pace: round::Pace::default(),
             operations: 0,
             peers: Vec::new(),
@@ -343,7 +346,7 @@
         self.deadlines.insert((deadline, request));
         self.make_due(&budget, true);
         if self.asking.insert(budget.clone()) && self.short_of(&budget) {
-            self.ask_peers(&budget, actions);
+            self.ask_peers(now, &budget, actions);
         }
     }
 
@@ -497,6 +500,7 @@
         self.opened.get_or_insert(now);
         self.expire(now, actions);
         self.watch_copies(now);
+        self.ensemble_due = true;
         while let Some((at, budget)) = self.checks.first().cloned()
             && at <= now
         {
--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -27,7 +27,7 @@
     pub reserved: u64,
     /// Tokens taken out of `available` by a return that isn't known to be committed.
     pub returning: u64,
-    /// Holdings after the table or another holder last added to them.
+    /// Holdings after the table last added to them or took from them.
     pub level: u64,
     /// Tokens that may be used without a copy of the journal; see [`super::allowance`].
     pub allowance: u64,
@@ -84,11 +84,6 @@
         self.level = self.available + self.reserved;
     }
 
-    /// Notes that another holder added to the holdings.
-    pub fn raise_level(&mut self) {
-        self.level = self.level.max(self.available + self.reserved);
-    }
-
     /// Returns the most urgent class that waits.
     pub fn waiting_class(&self) -> Option<Class> {
         self.waiting.keys().next().map(|turn| turn.0)
@@ -106,6 +101,18 @@
         (self.wanted + floor).saturating_sub(self.available)
     }
 
+    /// Returns the tokens that are missing for the urgent ones among those that wait.
+    pub fn missing_urgently(&self) -> u64 {
+        let urgent = self.waiting.range(..(Class::Normal, 0));
+        let wanted: u64 = urgent.map(|(_, waiting)| waiting.reserve.tokens).sum();
+        wanted.saturating_sub(self.available)
+    }
+
+    /// Returns the least urgent class that waits.
+    pub fn patient_class(&self) -> Option<Class> {
+        self.waiting.keys().next_back().map(|turn| turn.0)
+    }
+
     /// Returns the next waiting reservation that fits, most urgent and oldest first.
     pub fn next_fitting(&mut self) -> Option<Reserve> {
         let fits = |(turn, waiting): (&Turn, &Waiting)| {
--- a/crates/coordination/src/holder/policy.rs
+++ b/crates/coordination/src/holder/policy.rs
@@ -7,6 +7,9 @@
 /// Time over which holdings are to last without the platform.
 const HORIZON_S: f64 = 7200.0;
 
+/// Time for which tokens are asked of peers.
+const AHEAD_S: f64 = 20.0;
+
 /// Part of a budget's unspent tokens that all holders together aim for.
 const POOL_SHARE: f64 = 0.9;
 
@@ -139,6 +142,11 @@
     wanted.min(account.pool.remaining)
 }
 
+/// Returns the tokens to ask peers for beyond what is missing.
+pub(super) fn ahead(account: &mut Account, now: Duration) -> u64 {
+    (account.used.rate(now) * AHEAD_S) as u64
+}
+
 /// Returns the tokens to give back to the table.
 pub(super) fn excess(account: &mut Account, now: Duration) -> u64 {
     if !account.waiting.is_empty() {
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -138,7 +138,8 @@
         let Some(opened) = self.opened else {
             return;
         };
-        let mut ensemble = self.journal.propose(now);
+        let look = std::mem::take(&mut self.ensemble_due) || self.phase == Phase::Unregistered;
+        let mut ensemble = if look { self.journal.propose(now) } else { None };
         if self.phase == Phase::Unregistered {
             let alone = ensemble.as_ref().is_some_and(|ensemble| ensemble.is_empty());
             if self.draining && self.holds_nothing() && !self.holds_tokens() {
--- a/crates/coordination/src/holder/transfer.rs
+++ b/crates/coordination/src/holder/transfer.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Action, Class, Holder, Then, event::Note};
+use super::{Action, Class, Holder, Then, event::Note, policy};
 use crate::message::{self, Entry, Message, Source};
 
 /// Time between repeats of a transfer that isn't acknowledged.
@@ -45,22 +45,34 @@
             || account.pool.at.is_some() && account.pool.remaining < account.missing()
     }
 
-    /// Asks the next peers for what is missing.
-    pub(super) fn ask_peers(&mut self, budget: &Arc<str>, actions: &mut Vec<Action>) {
+    /// Asks the next peers for what is missing, of their floors only as much as is urgent.
+    pub(super) fn ask_peers(
+        &mut self,
+        now: Duration,
+        budget: &Arc<str>,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
-        let (tokens, Some(class)) = (account.missing(), account.waiting_class()) else {
-            return;
-        };
-        if tokens == 0 || self.peers.is_empty() {
-            return;
+        let mut asks = Vec::new();
+        let urgent = account.missing_urgently();
+        if urgent > 0 {
+            asks.push((urgent, Class::Urgent));
+        }
+        if let Some(class) = account.patient_class()
+            && class != Class::Urgent
+        {
+            asks.push((account.missing() + policy::ahead(account, now), class));
         }
         for _ in 0..ASK_PEERS.min(self.peers.len()) {
             let peer = &self.peers[account.next_peer % self.peers.len()];
             account.next_peer = (account.next_peer + 1) % self.peers.len();
-            let message = Message::TransferAsk { budget: budget.clone(), tokens, class };
-            actions.push(Action::Send { to: peer.host.clone(), message });
+            for (tokens, class) in &asks {
+                let (budget, tokens, class) = (budget.clone(), *tokens, *class);
+                let message = Message::TransferAsk { budget, tokens, class };
+                actions.push(Action::Send { to: peer.host.clone(), message });
+            }
         }
     }
 
@@ -75,7 +87,7 @@
                 self.asking.remove(&budget);
                 continue;
             }
-            self.ask_peers(&budget, actions);
+            self.ask_peers(now, &budget, actions);
             self.make_due(&budget, true);
         }
     }
@@ -200,7 +212,6 @@
         self.then.insert(entry, Then::Acknowledge { to: host, number });
         let account = self.accounts.entry(budget.clone()).or_default();
         account.available += tokens;
-        account.raise_level();
         let unwanted = account.record.is_none() || self.draining;
         actions.push(Action::Note(Note::Received {
             budget: budget.clone(),
