Test the guards that histories rarely reach; probe the platform while copies are few

An idle holder in a cut-off zone had no unacknowledged entry and no operation under way, so it didn't notice that copies were few and set nothing aside.

--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -34,6 +34,9 @@
 /// Time that a holder waits for a peer before it registers without a replica.
 const OPEN_WAIT: Duration = Duration::from_millis(500);
 
+/// Time between looks at whether the platform answers while copies of the journal are few.
+const PROBE_EVERY: Duration = Duration::from_secs(2);
+
 /// Shortest pause after a conflict, doubled with each further one.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(4);
 
@@ -96,6 +99,8 @@
 #[derive(Debug)]
 pub(super) struct Pace {
     not_before: Duration,
+    /// Start of the last round.
+    last: Duration,
     conflicts: u32,
     failures: u32,
     limit: usize,
@@ -107,6 +112,7 @@
     fn default() -> Self {
         Self {
             not_before: Duration::ZERO,
+            last: Duration::ZERO,
             conflicts: 0,
             failures: 0,
             limit: BUDGETS,
@@ -159,9 +165,11 @@
         }
         let budgets = self.take_due();
         let done = self.draining && self.holds_nothing();
-        if budgets.is_empty() && ensemble.is_none() && !done {
+        let probe = self.journal.is_thin(now) && now >= self.pace.last + PROBE_EVERY;
+        if budgets.is_empty() && ensemble.is_none() && !done && !probe {
             return;
         }
+        self.pace.last = now;
         let charges = self.old_charges();
         let mut keys = vec![escrow::holder_key(&self.settings.id)];
         for budget in &budgets {
--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -195,19 +195,19 @@
 
     /// Returns whether the table names an ensemble of which no member acknowledges.
     pub fn is_alone(&self, now: Duration) -> bool {
-        self.live(now).is_some_and(|live| live == 0)
+        self.live(now, |_| true).is_some_and(|live| live == 0)
     }
 
     /// Returns whether the loss of one more member would leave none that acknowledges.
     pub fn is_thin(&self, now: Duration) -> bool {
-        self.live(now).is_some_and(|live| live <= 1)
+        self.live(now, |member| self.reachable(&member.id)).is_some_and(|live| live <= 1)
     }
 
-    /// Returns the members of the table's ensemble that acknowledge, `None` where it names none.
-    fn live(&self, now: Duration) -> Option<usize> {
+    /// Returns how many members of the table's ensemble acknowledge, `None` where it names none.
+    fn live(&self, now: Duration, counts: impl Fn(&Member) -> bool) -> Option<usize> {
         let committed = self.committed.as_deref().filter(|ids| !ids.is_empty())?;
         let live = |member: &&Member| {
-            committed.contains(&member.id) && !member.stalled(now, MEMBER_TIMEOUT)
+            committed.contains(&member.id) && !member.stalled(now, MEMBER_TIMEOUT) && counts(member)
         };
         Some(self.members.iter().filter(live).count())
     }
--- /dev/null
+++ b/crates/coordination/tests/money/guards.rs
@@ -0,0 +1,315 @@
+//! One test for each guard that histories rarely reach.
+
+use std::{sync::Arc, time::Duration};
+
+use coordination::{
+    escrow::{self, Grant},
+    holder::{Action, Event, Holder, Peer, Reason, Settings},
+    journal::{Replica, Writer},
+    ledger::Reconciler,
+    message::{Entry, Message},
+    recovery,
+    request::Class,
+};
+use test_case::test_case;
+
+use crate::{
+    fleet::{Answer, Fleet, budget, id},
+    table::{Fault, Table},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+
+fn peer(id: &str, zone: &str) -> Peer {
+    let host = id.split('.').next().unwrap_or(id);
+    Peer { id: id.into(), host: host.into(), zone: zone.into(), reachable: true }
+}
+
+/// Lets a writer propose an ensemble of the peers and returns the proposal.
+fn propose(writer: &mut Writer, now: Duration, peers: &[Peer]) -> Vec<Arc<str>> {
+    writer.set_peers(peers.to_vec());
+    writer.propose(now);
+    writer.advance(now, &mut Vec::new());
+    for peer in peers {
+        writer.acknowledge(now, &peer.id, writer.state().through());
+    }
+    writer.propose(now).expect("an ensemble")
+}
+
+#[test]
+fn entry_needs_both_ensembles_while_a_change_is_under_way() {
+    let mut writer = Writer::open("a.1".into(), "x".into());
+    let first = propose(&mut writer, MILLI, &[peer("b.1", "y")]);
+    writer.commit(first);
+    let second = propose(&mut writer, 2 * MILLI, &[peer("c.1", "y")]);
+    assert_eq!(second, [Arc::from("c.1")]);
+    writer.begin(second.clone());
+    let entry = writer.append(Entry::Release { request: id(1) });
+    writer.advance(3 * MILLI, &mut Vec::new());
+    writer.acknowledge(3 * MILLI, &"c.1".into(), entry);
+    writer.advance(SECOND, &mut Vec::new());
+    assert!(writer.durable() < entry, "the committed ensemble lacks it");
+    writer.commit(second);
+    writer.advance(SECOND, &mut Vec::new());
+    assert_eq!(writer.durable(), entry);
+}
+
+/// A holder with a table and one replica, whose acknowledgements may be held back.
+struct Solo {
+    holder: Holder,
+    table: Table,
+    replica: Replica,
+    acknowledges: bool,
+    now: Duration,
+    sent: Vec<Message>,
+    answers: Vec<Action>,
+}
+
+impl Solo {
+    fn open() -> Self {
+        let settings = Settings { id: "a.1".into(), host: "a".into(), zone: "x".into(), seed: 5 };
+        let mut solo = Self {
+            holder: Holder::open(settings),
+            table: Table::default(),
+            replica: Replica::default(),
+            acknowledges: true,
+            now: Duration::ZERO,
+            sent: Vec::new(),
+            answers: Vec::new(),
+        };
+        let record = budget("p", &[("t", 1000)], 100, false);
+        let text =
+            coordination::record::render(&coordination::record::Record::Budget(record.clone()));
+        solo.table.put("config/budget/p", text);
+        solo.event(Event::Peers(vec![peer("b.1", "y")]));
+        solo.event(Event::Budget(record));
+        solo.run(20);
+        solo
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.holder.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Table { id, op } => {
+                    let outcome = self.table.run(&op, None);
+                    self.event(Event::Table { id, outcome });
+                }
+                Action::Send { message: Message::Append(append), .. } => {
+                    let message = self.replica.append(append);
+                    if self.acknowledges {
+                        self.event(Event::Message { from: "b.1".into(), message });
+                    }
+                }
+                Action::Send { message, .. } => self.sent.push(message),
+                action => self.answers.push(action),
+            }
+        }
+    }
+
+    fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.now += 50 * MILLI;
+            self.event(Event::Tick);
+        }
+    }
+
+    fn reserve(&mut self, request: u64, tokens: u64, class: Class) {
+        self.event(Event::Reserve(coordination::holder::Reserve {
+            request: id(request),
+            budget: "p".into(),
+            tokens,
+            class,
+            backend: "engine".into(),
+        }));
+    }
+
+    fn reserved(&self, request: u64) -> bool {
+        self.answers.contains(&Action::Reserved { request: id(request) })
+    }
+
+    fn transfers(&self) -> usize {
+        self.sent.iter().filter(|message| matches!(message, Message::Transfer { .. })).count()
+    }
+}
+
+#[test]
+fn transfer_waits_until_its_debit_is_durable() {
+    let mut solo = Solo::open();
+    solo.reserve(1, 10, Class::Normal);
+    solo.run(5);
+    assert!(solo.reserved(1));
+    solo.acknowledges = false;
+    let message = Message::TransferAsk { budget: "p".into(), tokens: 20, class: Class::Urgent };
+    solo.event(Event::Message { from: "b.1".into(), message });
+    solo.run(20);
+    assert_eq!(solo.transfers(), 0);
+    solo.acknowledges = true;
+    solo.run(60);
+    assert!(solo.transfers() > 0);
+}
+
+#[test]
+fn reservation_that_nobody_copies_is_refused_and_freed() {
+    let mut solo = Solo::open();
+    solo.reserve(1, 10, Class::Normal);
+    solo.run(5);
+    let available = solo.holder.available("p");
+    solo.acknowledges = false;
+    solo.reserve(2, 10, Class::Normal);
+    solo.run(30);
+    assert!(!solo.reserved(2));
+    let refused = |action: &Action| matches!(action, Action::Refused { request, reason: Reason::Unreplicated, .. } if *request == id(2));
+    assert!(solo.answers.iter().any(refused));
+    assert_eq!(solo.holder.available("p"), available);
+}
+
+struct Floor {
+    class: Class,
+    reserved: bool,
+}
+
+#[test_case(Floor { class: Class::Urgent, reserved: true }; "urgent")]
+#[test_case(Floor { class: Class::Normal, reserved: false }; "normal")]
+#[test_case(Floor { class: Class::Long, reserved: false }; "long")]
+fn floor_is_kept_for_urgent_requests(case: Floor) {
+    let mut solo = Solo::open();
+    solo.reserve(1, 800, Class::Normal);
+    solo.run(5);
+    assert!(solo.reserved(1));
+    solo.reserve(2, 150, case.class);
+    solo.run(40);
+    assert_eq!(solo.reserved(2), case.reserved);
+}
+
+#[test]
+fn grant_never_exceeds_what_is_left() {
+    let mut solo = Solo::open();
+    solo.reserve(1, 1001, Class::Urgent);
+    solo.run(40);
+    assert!(!solo.reserved(1));
+    let escrow: escrow::Escrow =
+        escrow::parse(&solo.table.row("escrow/p")).expect("a row").unwrap_or_default();
+    assert!(escrow.granted - escrow.returned <= 1000);
+}
+
+/// Opens three hosts of which `a` has settled request 1 at 70.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::open(7, &[("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")]);
+    fleet.set_budget("p", &[("t", 10_000)], 0, false);
+    fleet.run_for(SECOND);
+    fleet.reserve(0, 1, "p", 100, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(1), Some(Answer::Reserved));
+    fleet
+}
+
+#[test]
+fn flush_that_the_journal_does_not_know_of_is_not_repeated() {
+    let mut fleet = fleet();
+    fleet.settle(0, 1, 70);
+    fleet.faults.insert(0, vec![Some(Fault::AnswerLost)]);
+    while fleet.table.row("ledger/a.1/0000000001").value.is_none() {
+        fleet.run_for(MILLI);
+    }
+    fleet.kill(0);
+    fleet.recover(1, recovery::Event::Dead("a.1".into()));
+    fleet.run_for(10 * SECOND);
+    let mut reconciler = Reconciler::default();
+    fleet.table.rows().for_each(|row| reconciler.add(row));
+    let balance = reconciler.finish().remove("p").expect("a balance");
+    assert_eq!((balance.ledger, balance.charges), (70, 1));
+    assert_eq!(balance.disagreements, Vec::new());
+}
+
+#[test]
+fn grant_that_arrives_after_the_holder_was_closed_is_refused() {
+    let mut fleet = fleet();
+    fleet.set_budget("q", &[("t", 500)], 0, false);
+    fleet.faults.insert(0, vec![Some(Fault::Late); 4]);
+    fleet.reserve(0, 2, "q", 100, Class::Normal);
+    fleet.run_for(SECOND / 2);
+    fleet.kill(0);
+    fleet.recover(1, recovery::Event::Dead("a.1".into()));
+    fleet.run_for(10 * SECOND);
+    fleet.table.deliver_late();
+    let grant: Option<Grant> = escrow::parse(&fleet.table.row("grant/q/a.1")).expect("a row");
+    assert_eq!(grant.map_or(0, |grant| grant.granted), 0);
+}
+
+#[test]
+fn replica_that_was_gone_before_its_holder_died_counts_as_lost() {
+    let mut fleet = fleet();
+    let registration: escrow::Registration =
+        escrow::parse(&fleet.table.row("holder/a.1")).expect("a row").expect("a holder");
+    let copy = registration.ensemble[0].clone();
+    let index = fleet.hosts.iter().position(|host| host.id == copy).expect("a host");
+    let recoverer = (1..4).find(|other| *other != index).expect("another host");
+    fleet.kill(0);
+    fleet.kill(index);
+    fleet.recover(recoverer, recovery::Event::Gone(copy));
+    fleet.recover(recoverer, recovery::Event::Dead("a.1".into()));
+    fleet.run_for(10 * SECOND);
+    assert!(fleet.reports.first().expect("a report").incomplete);
+}
+
+#[test]
+fn process_recovers_its_own_predecessor() {
+    let mut fleet = fleet();
+    fleet.settle(0, 1, 70);
+    fleet.kill(0);
+    fleet.start("a", "x", 2);
+    fleet.announce_peers();
+    fleet.run_for(10 * SECOND);
+    let report = fleet.reports.first().expect("a report");
+    assert_eq!((&*report.holder, report.stranded), ("a.1", 0));
+}
+
+#[test]
+fn survivor_of_a_cut_off_zone_goes_on_and_what_it_used_is_never_given_back() {
+    let mut fleet = fleet();
+    fleet.cut("x", "y");
+    fleet.cut("x", crate::fleet::PLATFORM);
+    fleet.announce_peers();
+    fleet.run_for(5 * SECOND);
+    let held = fleet.hosts[0].holder.available("p");
+    fleet.kill(1);
+    fleet.reserve(0, 2, "p", held / 2, Class::Normal);
+    fleet.run_for(2 * SECOND);
+    assert_eq!(fleet.answer(2), Some(Answer::Reserved));
+    fleet.kill(0);
+    fleet.heal();
+    for gone in ["a.1", "b.1"] {
+        fleet.recover(2, recovery::Event::Gone(gone.into()));
+    }
+    fleet.recover(2, recovery::Event::Dead("a.1".into()));
+    fleet.run_for(10 * SECOND);
+    let escrow: escrow::Escrow =
+        escrow::parse(&fleet.table.row("escrow/p")).expect("a row").unwrap_or_default();
+    let unused = 10_000 - held / 2 - 100;
+    assert!(escrow.remaining(10_000) <= unused, "{escrow:?} gave back {held} held");
+}
+
+#[test]
+fn allowance_is_in_the_copy_before_it_is_used() {
+    let mut fleet = fleet();
+    fleet.cut("x", "y");
+    fleet.cut("x", crate::fleet::PLATFORM);
+    fleet.announce_peers();
+    fleet.run_for(5 * SECOND);
+    let held = fleet.hosts[0].holder.available("p");
+    let Message::Sealed(copy) = fleet.hosts[1].replica.seal(&"a.1".into()) else {
+        panic!("a sealed copy");
+    };
+    let aside: u64 = copy
+        .entries
+        .iter()
+        .map(|entry| match entry {
+            Entry::Debit { tokens, .. } => *tokens,
+            _ => 0,
+        })
+        .sum();
+    assert!(held > 0 && aside >= held);
+}
--- a/crates/coordination/tests/money/main.rs
+++ b/crates/coordination/tests/money/main.rs
@@ -3,6 +3,7 @@
 mod contract;
 mod differential;
 mod fleet;
+mod guards;
 mod hard_cases;
 mod ledger;
 mod table;
