--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -27,8 +27,12 @@
     pub reserved: u64,
     /// Tokens taken out of `available` by a return that isn't known to be committed.
     pub returning: u64,
-    /// Holdings after they last changed other than by use.
+    /// Holdings after the table last added to them or took from them.
     pub level: u64,
+    /// Tokens that may be used without a copy of the journal; see [`super::allowance`].
+    pub allowance: u64,
+    /// Tokens that the journal shows as set aside for that.
+    pub aside: u64,
     /// The journal names the budget in a durable entry.
     pub announced: bool,
     /// The entry that names the budget was appended.
@@ -75,7 +79,7 @@
         }
     }
 
-    /// Notes that holdings changed other than by use.
+    /// Notes that the table added to the holdings, or took from them.
     pub fn relevel(&mut self) {
         self.level = self.available + self.reserved;
     }
@@ -97,6 +101,18 @@
         (self.wanted + floor).saturating_sub(self.available)
     }
 
+    /// Returns the tokens that are missing for the urgent ones among those that wait.
+    pub fn missing_urgently(&self) -> u64 {
+        let urgent = self.waiting.range(..(Class::Normal, 0));
+        let wanted: u64 = urgent.map(|(_, waiting)| waiting.reserve.tokens).sum();
+        wanted.saturating_sub(self.available)
+    }
+
+    /// Returns the least urgent class that waits.
+    pub fn patient_class(&self) -> Option<Class> {
+        self.waiting.keys().next_back().map(|turn| turn.0)
+    }
+
     /// Returns the next waiting reservation that fits, most urgent and oldest first.
     pub fn next_fitting(&mut self) -> Option<Reserve> {
         let fits = |(turn, waiting): (&Turn, &Waiting)| {
@@ -135,4 +151,6 @@
     pub tokens: u64,
     pub stage: Stage,
     pub deadline: Duration,
+    /// Its tokens were taken from the allowance.
+    pub covered: bool,
 }
