Start only requests that can end in time, and divide room for long requests among hosts

Admission now learns how long a class runs and refuses what would end late. Capacity is kept free only at back ends that an urgent route uses. Admission is told of ends by waiter.

--- a/crates/coordination/src/admit.rs
+++ b/crates/coordination/src/admit.rs
@@ -2,8 +2,8 @@
 //!
 //! Requests of a route wait in one queue for each class on this host and get a back end only when
 //! one has room. Urgent requests go first, but a request that has waited long enough passes now and
-//! then, so that no class starves. A request whose wait would outlast its deadline is refused when
-//! it arrives.
+//! then, so that no class starves. A request that would not end by its deadline, by the usual wait
+//! and run of its class, is refused when it arrives or as soon as it is too late to start it.
 
 mod queue;
 
@@ -68,11 +68,13 @@
         waiter: Waiter,
         /// What it needs.
         query: Query,
-        /// Time up to which it may wait.
-        expires: Duration,
+        /// Time by which it should have ended.
+        deadline: Duration,
     },
-    /// A request no longer needs a back end.
+    /// A waiting request no longer needs a back end.
     Withdraw(Waiter),
+    /// A placed request has ended at its back end, however it ended.
+    Finished(Waiter),
     /// The router is told something.
     Router(RouterEvent),
     /// Time passed.
@@ -91,7 +93,7 @@
 /// What an admission wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AdmissionAction {
-    /// Send the request to the back end; tell [`RouterEvent::Finished`] when it has ended there.
+    /// Send the request to the back end; tell [`AdmissionEvent::Finished`] when it has ended there.
     Place {
         /// Request.
         waiter: Waiter,
@@ -118,12 +120,21 @@
     expires: Duration,
 }
 
+#[derive(Debug)]
+struct Placed {
+    route: Arc<str>,
+    class: Class,
+    backend: Arc<str>,
+    since: Duration,
+}
+
 /// Places the requests of one host.
 #[derive(Debug)]
 pub struct Admission {
     setting: Setting,
     router: Router,
     waiting: BTreeMap<Waiter, Waiting>,
+    placed: BTreeMap<Waiter, Placed>,
     queues: BTreeMap<Arc<str>, Queue>,
     expiries: BTreeSet<(Duration, Waiter)>,
     retry_at: Option<Duration>,
@@ -136,6 +147,7 @@
             setting,
             router,
             waiting: BTreeMap::new(),
+            placed: BTreeMap::new(),
             queues: BTreeMap::new(),
             expiries: BTreeSet::new(),
             retry_at: None,
@@ -166,12 +178,13 @@
         actions: &mut Vec<AdmissionAction>,
     ) {
         match event {
-            AdmissionEvent::Ask { waiter, query, expires } => {
-                self.ask(now, waiter, query, expires, actions);
+            AdmissionEvent::Ask { waiter, query, deadline } => {
+                self.ask(now, waiter, query, deadline, actions);
             }
             AdmissionEvent::Withdraw(waiter) => {
                 self.remove(waiter);
             }
+            AdmissionEvent::Finished(waiter) => self.finished(now, waiter, actions),
             AdmissionEvent::Router(event) => self.routed(now, event, actions),
             AdmissionEvent::Tick => self.tick(now, actions),
         }
@@ -186,23 +199,34 @@
         now: Duration,
         waiter: Waiter,
         query: Query,
-        expires: Duration,
+        deadline: Duration,
         actions: &mut Vec<AdmissionAction>,
     ) {
         let queue = self.queues.entry(query.route.clone()).or_default();
         let wait = queue.expected_wait(query.class);
+        let expires = deadline.saturating_sub(queue.expected_run(query.class));
         let full = queue.len(query.class) >= self.setting.of(query.class);
-        if full || now + wait > expires {
+        let late = queue.len(query.class) > 0 && now + wait > expires;
+        if full || late {
             refuse(waiter, Reason::Overload, wait, actions);
             return;
         }
         let route = query.route.clone();
+        let expires = expires.max(now);
         queue.push(now, waiter, query.class);
         self.waiting.insert(waiter, Waiting { query, since: now, expires });
         self.expiries.insert((expires, waiter));
         self.pump(now, &route, actions);
     }
 
+    fn finished(&mut self, now: Duration, waiter: Waiter, actions: &mut Vec<AdmissionAction>) {
+        let Some(placed) = self.placed.remove(&waiter) else { return };
+        if let Some(queue) = self.queues.get_mut(&placed.route) {
+            queue.ran(placed.class, now - placed.since);
+        }
+        self.routed(now, RouterEvent::Finished(placed.backend), actions);
+    }
+
     fn remove(&mut self, waiter: Waiter) -> Option<Waiting> {
         let waiting = self.waiting.remove(&waiter)?;
         self.expiries.remove(&(waiting.expires, waiter));
@@ -273,7 +297,7 @@
     ) -> bool {
         let waiter = head.waiter;
         let Some(waiting) = self.waiting.get_mut(&waiter) else { return false };
-        waiting.query.aged = head.aged;
+        waiting.query.starved = head.starved;
         match self.router.choose(now, &waiting.query) {
             Choice::Full => false,
             Choice::None { .. } if waiting.query.class == Class::Long => false,
@@ -287,6 +311,9 @@
                 if let Some(queue) = self.queues.get_mut(&waiting.query.route) {
                     queue.placed(now, &head);
                 }
+                let Query { route, class, .. } = waiting.query;
+                let placed = Placed { route, class, backend: backend.clone(), since: now };
+                self.placed.insert(waiter, placed);
                 actions.push(AdmissionAction::Place { waiter, backend });
                 true
             }
--- a/crates/coordination/src/locate.rs
+++ b/crates/coordination/src/locate.rs
@@ -19,6 +19,9 @@
 /// Longest wait for a home's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// Time after which a home is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(5);
+
 /// Time for which an entry is kept.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(600);
 
@@ -141,11 +144,18 @@
     },
 }
 
+#[derive(Debug)]
+struct Waiting {
+    backend: Arc<str>,
+    until: Duration,
+    next: Duration,
+}
+
 /// Asks homes on behalf of one host.
 #[derive(Debug, Default)]
 pub struct Locator {
     homes: Homes,
-    waiting: BTreeMap<request::Id, (Duration, Arc<str>)>,
+    waiting: BTreeMap<request::Id, Waiting>,
     timers: BTreeSet<(Duration, request::Id)>,
 }
 
@@ -169,12 +179,12 @@
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Start { request, backend } => self.start(now, request, backend, actions),
-            Event::Located { request, backend } => self.run(request, Some(backend), actions),
+            Event::Located { request, backend } => self.located(request, backend, actions),
             Event::Tick => {
                 while let Some(&(at, request)) = self.timers.first()
                     && at <= now
                 {
-                    self.run(request, None, actions);
+                    self.due(now, request, actions);
                 }
             }
         }
@@ -187,23 +197,41 @@
         backend: Arc<str>,
         actions: &mut Vec<Action>,
     ) {
+        self.take(request);
+        let until = now + ANSWER_TIMEOUT;
+        self.ask(request, Waiting { backend, until, next: now + ASK_AGAIN }, actions);
+    }
+
+    fn ask(&mut self, request: request::Id, waiting: Waiting, actions: &mut Vec<Action>) {
+        let backend = waiting.backend.clone();
         let Some(home) = self.homes.of(request) else {
             actions.push(Action::Run { request, backend });
             return;
         };
-        let message = Message::Locate { request, backend: backend.clone() };
-        actions.push(Action::Send(home.clone(), message));
-        let until = now + ANSWER_TIMEOUT;
-        if let Some((before, _)) = self.waiting.insert(request, (until, backend)) {
-            self.timers.remove(&(before, request));
+        actions.push(Action::Send(home.clone(), Message::Locate { request, backend }));
+        self.timers.insert((waiting.next, request));
+        self.waiting.insert(request, waiting);
+    }
+
+    fn due(&mut self, now: Duration, request: request::Id, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.take(request) else { return };
+        if now >= waiting.until {
+            actions.push(Action::Run { request, backend: waiting.backend });
+            return;
+        }
+        self.ask(request, Waiting { next: waiting.until, ..waiting }, actions);
+    }
+
+    fn located(&mut self, request: request::Id, backend: Arc<str>, actions: &mut Vec<Action>) {
+        if self.take(request).is_some() {
+            actions.push(Action::Run { request, backend });
         }
-        self.timers.insert((until, request));
     }
 
-    fn run(&mut self, request: request::Id, place: Option<Arc<str>>, actions: &mut Vec<Action>) {
-        let Some((until, own)) = self.waiting.remove(&request) else { return };
-        self.timers.remove(&(until, request));
-        actions.push(Action::Run { request, backend: place.unwrap_or(own) });
+    fn take(&mut self, request: request::Id) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&request)?;
+        self.timers.remove(&(waiting.next, request));
+        Some(waiting)
     }
 }
 
--- a/crates/coordination/src/order/issuer.rs
+++ b/crates/coordination/src/order/issuer.rs
@@ -25,9 +25,6 @@
 /// Greatest number of orders of one holding.
 const MAX_ORDERS: u64 = (1 << ORDER_BITS) - 1;
 
-/// Rows read at once when intents are collected.
-const SCAN_LIMIT: u32 = 500;
-
 /// Value of an intent row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Intent {
@@ -39,7 +36,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Purpose {
     Lease,
-    Scan,
     Intent(Arc<str>),
 }
 
@@ -51,10 +47,6 @@
     numbers: u64,
     orders: u64,
     tables: BTreeMap<u64, Purpose>,
-    /// The intents that former holders left are known.
-    scanned: bool,
-    /// Time at which a failed collection of intents is tried again.
-    scan_at: Option<Duration>,
     targets: BTreeMap<Arc<str>, Target>,
     timers: BTreeSet<(Duration, Arc<str>)>,
     loading: BTreeMap<Model, Arc<str>>,
@@ -70,8 +62,6 @@
             numbers: 0,
             orders: 0,
             tables: BTreeMap::new(),
-            scanned: false,
-            scan_at: None,
             targets: BTreeMap::new(),
             timers: BTreeSet::new(),
             loading: BTreeMap::new(),
@@ -86,8 +76,8 @@
 
     /// Returns the time at which [`Event::Tick`] is due.
     pub fn wake_at(&self) -> Option<Duration> {
-        let timer = self.timers.first().map(|(at, _)| *at).filter(|_| self.scanned);
-        [timer, self.scan_at, self.lease.wake_at()].into_iter().flatten().min()
+        let timer = self.timers.first().map(|(at, _)| *at);
+        [timer, self.lease.wake_at()].into_iter().flatten().min()
     }
 
     /// Takes an event and pushes the actions that follow from it.
@@ -163,13 +153,6 @@
         if let Some(op) = self.lease.tick(now) {
             self.send(Purpose::Lease, op, actions);
         }
-        if self.scan_at.is_some_and(|at| now >= at) {
-            self.scan_at = None;
-            self.scan(Arc::from(""), actions);
-        }
-        if !self.scanned {
-            return;
-        }
         while let Some((at, _)) = self.timers.first()
             && *at <= now
         {
@@ -302,18 +285,11 @@
         }
         let intent = Intent { holder: self.setting.holder.clone(), fence };
         let value = serde_json::to_string(&intent).unwrap_or_default();
-        let op = self.write_intent(backend, 0, Some(Arc::from(value)));
+        let op = write_intent(backend, 0, Some(Arc::from(value)));
         self.set(backend, Phase::Intent { fence, order }, now + self.setting.request_timeout);
         self.send(Purpose::Intent(backend.clone()), op, actions);
     }
 
-    /// Returns the transaction that writes an intent row, provided that this host has the lease.
-    fn write_intent(&self, backend: &str, revision: Revision, value: Option<Arc<str>>) -> Op {
-        let key = intent_key(backend);
-        let checks = vec![self.lease.check(), Check { key: key.clone(), revision }];
-        Op::Commit(Txn { checks, writes: vec![Write { key, value }] })
-    }
-
     fn order(
         &mut self,
         now: Duration,
@@ -370,7 +346,7 @@
             self.read(now, backend, actions);
             return;
         };
-        let op = self.write_intent(backend, revision, None);
+        let op = write_intent(backend, revision, None);
         self.set(backend, Phase::Clearing, now + self.setting.request_timeout);
         self.send(Purpose::Intent(backend.clone()), op, actions);
     }
@@ -392,28 +368,25 @@
     ) {
         match self.tables.remove(&number) {
             None => {}
-            Some(Purpose::Lease) => self.lease_outcome(now, outcome, actions),
-            Some(Purpose::Scan) => self.scan_outcome(now, outcome, actions),
+            Some(Purpose::Lease) => self.lease_outcome(now, outcome),
             Some(Purpose::Intent(backend)) => self.intent(now, &backend, outcome, actions),
         }
     }
 
-    fn lease_outcome(&mut self, now: Duration, outcome: table::Outcome, actions: &mut Vec<Action>) {
+    fn lease_outcome(&mut self, now: Duration, outcome: table::Outcome) {
         match self.lease.outcome(now, outcome) {
             Change::None => {}
             Change::Lost => self.stop(),
             Change::Acquired => {
                 self.stop();
                 self.orders = 0;
-                self.scan(Arc::from(""), actions);
+                self.restart(now);
             }
         }
     }
 
     /// Forgets all that is under way; what was sent is the next holder's to wait out.
     fn stop(&mut self) {
-        self.scanned = false;
-        self.scan_at = None;
         self.loading.clear();
         self.timers.clear();
         self.tables.retain(|_, purpose| *purpose == Purpose::Lease);
@@ -423,41 +396,11 @@
         }
     }
 
-    fn scan(&mut self, after: Arc<str>, actions: &mut Vec<Action>) {
-        let op = Op::Scan { prefix: Arc::from(INTENT_PREFIX), after, limit: SCAN_LIMIT };
-        self.send(Purpose::Scan, op, actions);
-    }
-
-    fn scan_outcome(&mut self, now: Duration, outcome: table::Outcome, actions: &mut Vec<Action>) {
-        let table::Outcome::Rows(rows) = outcome else {
-            self.scan_at = Some(now + self.setting.retry);
-            return;
-        };
-        let more = rows.len() >= SCAN_LIMIT as usize;
-        let last = rows.last().map(|row| row.key.clone()).unwrap_or_default();
-        for row in rows {
-            self.old_intent(&row);
-        }
-        if more {
-            self.scan(last, actions);
-            return;
-        }
-        self.scanned = true;
-        let wait = self.setting.pause_max + self.setting.request_timeout;
-        let all: Vec<(Arc<str>, bool)> =
-            self.targets.iter().map(|(name, t)| (name.clone(), t.intent.is_some())).collect();
-        for (backend, intent) in all {
-            match intent {
-                true => self.set(&backend, Phase::Settling, now + wait),
-                false => self.set(&backend, Phase::Idle, now),
-            }
-        }
-    }
-
-    fn old_intent(&mut self, row: &Row) {
-        let Some(backend) = row.key.strip_prefix(INTENT_PREFIX) else { return };
-        if let Some(target) = self.targets.get_mut(backend) {
-            target.intent = row.value.as_ref().map(|_| row.revision);
+    /// Has every back end looked at.
+    fn restart(&mut self, now: Duration) {
+        let backends: Vec<Arc<str>> = self.targets.keys().cloned().collect();
+        for backend in backends {
+            self.set(&backend, Phase::Idle, now);
         }
     }
 
@@ -520,3 +463,10 @@
 fn intent_key(backend: &str) -> Arc<str> {
     Arc::from(format!("{INTENT_PREFIX}{backend}"))
 }
+
+/// Returns the transaction that writes an intent row which stands at a revision.
+fn write_intent(backend: &str, revision: Revision, value: Option<Arc<str>>) -> Op {
+    let key = intent_key(backend);
+    let checks = vec![Check { key: key.clone(), revision }];
+    Op::Commit(Txn { checks, writes: vec![Write { key, value }] })
+}
--- a/crates/coordination/src/order/lease.rs
+++ b/crates/coordination/src/order/lease.rs
@@ -104,11 +104,6 @@
         self.held.filter(|held| now < held.until).map(|held| held.epoch)
     }
 
-    /// Returns the condition that the lease row is as this host last wrote it.
-    pub fn check(&self) -> Check {
-        Check { key: Arc::from(LEASE_KEY), revision: self.revision }
-    }
-
     pub fn wake_at(&self) -> Option<Duration> {
         (!self.released && self.pending.is_none()).then_some(self.due)
     }
@@ -181,7 +176,7 @@
         self.pending = Some(Pending::Commit { epoch });
         let value = serde_json::to_string(&Value { holder, epoch }).unwrap_or_default();
         let key: Arc<str> = Arc::from(LEASE_KEY);
-        let checks = vec![self.check()];
+        let checks = vec![Check { key: Arc::from(LEASE_KEY), revision: self.revision }];
         let writes = vec![Write { key, value: Some(Arc::from(value)) }];
         Op::Commit(Txn { checks, writes })
     }
--- a/crates/coordination/src/route.rs
+++ b/crates/coordination/src/route.rs
@@ -24,12 +24,15 @@
     pub zone: Arc<str>,
     /// Greatest age of a load report when it arrives.
     pub report_lag: Duration,
-    /// Share of each back end's slots kept free for urgent requests, in thousandths; at least one
-    /// slot where there are two or more.
+    /// Share of the slots kept free for urgent requests, in thousandths, at each back end that a
+    /// route of urgent requests uses; at least one slot where there are two or more.
     pub keep_free_milli: u32,
     /// Requests beyond the slots that urgent work may queue at a back end, in thousandths of its
     /// slots.
     pub urgent_queue_milli: u32,
+    /// Requests beyond the slots that other work may queue at a back end that no route of urgent
+    /// requests uses, in thousandths of its slots.
+    pub queue_milli: u32,
     /// Weight of what other hosts are expected to have sent since a report, in thousandths.
     pub others_milli: u32,
     /// Worth of a prompt that is wholly in the cache, in thousandths of a back end's slots.
@@ -48,6 +51,7 @@
             report_lag: Duration::from_millis(500),
             keep_free_milli: 125,
             urgent_queue_milli: 1000,
+            queue_milli: 250,
             others_milli: 500,
             affinity_milli: 500,
             zone_milli: 250,
@@ -150,7 +154,7 @@
     /// Class.
     pub class: Class,
     /// It has waited so long that it may use capacity kept for urgent requests.
-    pub aged: bool,
+    pub starved: bool,
     /// Prefixes of the prompt, shortest first; empty for a plain service.
     pub prefixes: Vec<prefix::Key>,
     /// Back ends that failed it, used only where there is no other.
--- a/crates/coordination/src/route/backend.rs
+++ b/crates/coordination/src/route/backend.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use rand::rngs::StdRng;
+use rand::{RngExt, rngs::StdRng};
 
 use super::{Load, Refusal, Setting};
 use crate::{
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub(super) struct Backend {
     pub record: record::Backend,
+    /// Some route of urgent requests uses it.
+    pub urgent: bool,
     models: Option<Vec<Model>>,
     load: Option<Load>,
     /// Requests of this host in flight.
@@ -48,6 +50,8 @@
     recent: VecDeque<(Duration, Change)>,
     recent_sent: u64,
     recent_finished: u64,
+    /// Long requests that this host may send by its share of the room.
+    share: Option<u64>,
     listed_leaving: bool,
     state_leaving: bool,
     refused_leaving: Option<Duration>,
@@ -61,12 +65,14 @@
     pub fn open(record: record::Backend) -> Self {
         Self {
             record,
+            urgent: false,
             models: None,
             load: None,
             own: 0,
             recent: VecDeque::new(),
             recent_sent: 0,
             recent_finished: 0,
+            share: None,
             listed_leaving: false,
             state_leaving: false,
             refused_leaving: None,
@@ -130,11 +136,14 @@
 
     /// Returns how many requests may be at the back end for another one of a class to be sent, in
     /// thousandths.
-    pub fn limit_milli(&self, setting: &Setting, class: Class, aged: bool) -> u64 {
+    pub fn limit_milli(&self, setting: &Setting, class: Class, starved: bool) -> u64 {
         let slots = u64::from(self.slots()) * MILLI;
-        if class == Class::Urgent || aged {
+        if class == Class::Urgent || starved {
             return slots + slots * u64::from(setting.urgent_queue_milli) / MILLI;
         }
+        if !self.urgent {
+            return slots + slots * u64::from(setting.queue_milli) / MILLI;
+        }
         if self.slots() < 2 {
             return slots;
         }
@@ -142,8 +151,26 @@
         slots - kept.max(MILLI).min(slots - MILLI)
     }
 
-    pub fn sent(&mut self, now: Duration) {
+    /// Returns true where this host may send a long request by its share of the room.
+    pub fn has_share(&self) -> bool {
+        self.share != Some(0)
+    }
+
+    /// Divides the room that a report shows among all hosts, since each of them sees it; what does
+    /// not divide goes to each by chance. A long request in excess would block a slot for long.
+    pub fn share_room(&mut self, setting: &Setting, hosts: u32, rng: &mut StdRng) {
+        let limit = self.limit_milli(setting, Class::Long, false);
+        let room = limit.saturating_sub(self.occupancy_milli(setting, 1)).div_ceil(MILLI);
+        let hosts = u64::from(hosts.max(1));
+        let chance = u64::from(rng.random_range(0..hosts) < room % hosts);
+        self.share = Some(room / hosts + chance);
+    }
+
+    pub fn sent(&mut self, now: Duration, class: Class) {
         self.own += 1;
+        if class == Class::Long {
+            self.share = self.share.map(|share| share.saturating_sub(1));
+        }
         self.note(now, Change::Sent);
         if self.failures > 0 {
             self.trial = Some(now + TRIAL_TIMEOUT);
@@ -153,6 +180,7 @@
     pub fn finished(&mut self, now: Duration) {
         let Some(own) = self.own.checked_sub(1) else { return };
         self.own = own;
+        self.share = self.share.map(|share| share + 1);
         self.note(now, Change::Finished);
     }
 
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -12,6 +12,7 @@
 use crate::{
     prefix,
     record::{self, Model},
+    request::Class,
 };
 
 /// Candidates compared for each choice within a group of zones.
@@ -103,8 +104,11 @@
                 }
             }
             RouterEvent::Load(name, load) => {
-                let lag = self.setting.report_lag;
-                self.with(&name, |backend, _| backend.report(now, load, lag));
+                let (setting, hosts) = (self.setting.clone(), self.hosts);
+                self.with(&name, |backend, rng| {
+                    backend.report(now, load, setting.report_lag);
+                    backend.share_room(&setting, hosts, rng);
+                });
             }
             RouterEvent::State { backend, models, leaving } => {
                 self.with(&backend, |backend, _| backend.state(models, leaving));
@@ -138,7 +142,7 @@
         }
         self.pools.insert(query.route.clone(), pool);
         if let Choice::Backend(name) = &choice {
-            self.with(name, |backend, _| backend.sent(now));
+            self.with(name, |backend, _| backend.sent(now, query.class));
             self.prefixes.expect(name, &query.prefixes);
         }
         choice
@@ -243,7 +247,9 @@
             return Cost::Ineligible;
         }
         let occupancy = backend.occupancy_milli(&self.setting, self.hosts);
-        if occupancy >= backend.limit_milli(&self.setting, query.class, query.aged) {
+        let limit = backend.limit_milli(&self.setting, query.class, query.starved);
+        let shared = query.class == Class::Long && !query.starved && !backend.has_share();
+        if occupancy >= limit || shared {
             return Cost::Full;
         }
         let load = i64::try_from(occupancy / u64::from(backend.slots())).unwrap_or(i64::MAX / 2);
@@ -266,6 +272,7 @@
             _ => {
                 self.prefixes.forget(&name);
                 self.backends.insert(name.clone(), Backend::open(record));
+                self.mark_urgent(&name);
             }
         }
         if moved {
@@ -289,7 +296,11 @@
         for backend in pool.route.backends.clone() {
             self.place_in(&mut pool, &backend);
         }
+        let backends = pool.route.backends.clone();
         self.pools.insert(name, pool);
+        for backend in &backends {
+            self.mark_urgent(backend);
+        }
     }
 
     fn delete_route(&mut self, name: &Arc<str>) {
@@ -301,6 +312,9 @@
                 self.routes_of.remove(backend);
             }
         }
+        for backend in &pool.route.backends {
+            self.mark_urgent(backend);
+        }
     }
 
     /// Sorts a back end into the lists of its routes anew.
@@ -310,6 +324,18 @@
             self.place_in(&mut pool, backend);
             self.pools.insert(route, pool);
         }
+        self.mark_urgent(backend);
+    }
+
+    /// Notes whether some route of urgent requests uses a back end.
+    fn mark_urgent(&mut self, name: &Arc<str>) {
+        let mut routes = self.routes_of.get(name).into_iter().flatten();
+        let urgent = routes.any(|route| {
+            self.pools.get(route).is_some_and(|pool| pool.route.class == Class::Urgent)
+        });
+        if let Some(backend) = self.backends.get_mut(name) {
+            backend.urgent = urgent;
+        }
     }
 
     fn place_in(&self, pool: &mut Pool, name: &Arc<str>) {
