Follow the members of a fleet by heartbeats within zones

The table was a skeleton. A host now beats to the three that follow it in its zone and to contacts in other zones, carries news of changes, and sends all entries of the zone after three differing digests in a row. Suspicion is refuted under a count; only the platform's list or a later incarnation makes a member gone. A list entry without an incarnation takes only a silent member, since it may speak of an earlier process.

--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -1,15 +1,51 @@
 //! Membership of the fleet.
 //!
-//! Each host sends heartbeats to a few neighbours of its zone and to one contact in each other
-//! zone. Silence makes a member suspect, which proves nothing; only the platform's host list or a
-//! later incarnation makes it gone.
+//! Each host sends heartbeats to the [`SUCCESSORS`] hosts that follow it in the order of its zone,
+//! and to a few contacts in other zones, which answer them. A heartbeat carries the sender's own
+//! entry, a digest of its zone and news of members that changed; hosts of a zone whose digests keep
+//! differing send each other all entries.
+//!
+//! Silence makes a member suspect, which proves nothing: the suspect refutes it under a greater
+//! count as soon as it hears of it. Only the platform's host list or a later incarnation makes a
+//! member gone. A host that was frozen grants everybody a fresh period before it suspects anyone.
+
+mod beat;
+mod merge;
+mod news;
+mod table;
 
 use std::{sync::Arc, time::Duration};
 
-use crate::message::{Heartbeat, Holder, Member, Message, State};
+pub use self::table::Table;
+
+use crate::message::{Heartbeat, Holder, Member, Message};
 
 /// Time between two heartbeats to the same neighbour.
-pub const PERIOD: Duration = Duration::from_millis(1_000);
+pub const PERIOD: Duration = Duration::from_millis(2_000);
+
+/// Silence after which a neighbour is suspect.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(7_000);
+
+/// Hosts of the own zone that get each heartbeat.
+pub const SUCCESSORS: usize = 3;
+
+/// Heartbeats of one period, answers left out.
+pub const BEATS: usize = 4;
+
+/// Hosts of other zones that get heartbeats in turn.
+pub const CONTACTS: usize = 16;
+
+/// Heartbeats to a contact that may go unanswered before it is suspect.
+pub const MAX_UNANSWERED: u32 = 3;
+
+/// Successive differing digests after which all entries of the zone are sent.
+const MAX_DIFFERING: u32 = 3;
+
+/// Members that are known at once.
+const MAX_MEMBERS: usize = 4_096;
+
+/// Gone members that are remembered.
+const MAX_GONE: usize = 1_024;
 
 /// What a host knows of itself.
 #[derive(Debug, Clone)]
@@ -48,7 +84,7 @@
     pub address: Option<Arc<str>>,
     /// State.
     pub standing: Standing,
-    /// Incarnation up to which `Gone` holds; `None` for all up to the one known.
+    /// Incarnation up to which `Gone` holds; without it only a member that is silent is gone.
     pub incarnation: Option<u64>,
 }
 
@@ -88,53 +124,6 @@
     Changed(Member),
 }
 
-/// Members known to one host.
-#[derive(Debug)]
-pub struct Table {
-    settings: Settings,
-    members: std::collections::BTreeMap<Arc<str>, Member>,
-}
-
-impl Table {
-    /// Returns a table that knows only its own host.
-    pub fn new(settings: Settings) -> Self {
-        Self { settings, members: Default::default() }
-    }
-
-    /// Takes an event and pushes the actions that follow from it.
-    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
-        let _ = (now, event, actions);
-    }
-
-    /// Returns a member by host name.
-    pub fn get(&self, host: &str) -> Option<&Member> {
-        self.members.get(host)
-    }
-
-    /// Returns all members by host name, this host among them.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
-    }
-
-    /// Returns the members of a zone by host name.
-    pub fn zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Member> {
-        self.members().filter(move |member| &*member.zone == zone)
-    }
-
-    /// Returns the members that are heard of, by host name, without this host.
-    pub fn reachable(&self) -> impl Iterator<Item = &Member> {
-        let own = self.settings.host.clone();
-        self.members().filter(move |member| member.state == State::Alive && member.host != own)
-    }
-
-    /// Returns up to `count` hosts that can hold copies of this host's journal.
-    ///
-    /// The first is of another zone where one is reachable; the others are of the own zone first.
-    pub fn replicas(&self, count: usize) -> Vec<&Member> {
-        self.reachable().take(count).collect()
-    }
-}
-
 /// Greatest size of the members in one heartbeat, in bytes.
 const MAX_PAGE_BYTES: usize = 900;
 
--- /dev/null
+++ b/crates/coordination/tests/common/fleet.rs
@@ -0,0 +1,156 @@
+//! Member tables of many hosts in one process, with a link between them that can fail.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use coordination::{
+    member::{Action, Event, PERIOD, Settings, Table},
+    message::{Holder, Message, State},
+};
+
+/// A heartbeat on its way.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// Holder that sent it.
+    pub from: Holder,
+    /// Zone of the sender.
+    pub zone: Arc<str>,
+    /// Address of the sender.
+    pub address: Arc<str>,
+    /// Address of the receiver.
+    pub to: Arc<str>,
+    /// Message.
+    pub message: Message,
+}
+
+/// One host of a fleet.
+pub struct Host {
+    /// Settings.
+    pub settings: Settings,
+    /// Member table.
+    pub table: Table,
+    /// Takes no step.
+    pub frozen: bool,
+}
+
+/// Many hosts.
+#[derive(Default)]
+pub struct Fleet {
+    /// Time.
+    pub now: Duration,
+    /// Hosts by address.
+    pub hosts: BTreeMap<Arc<str>, Host>,
+    /// Addresses that get and send nothing.
+    pub cut: BTreeSet<Arc<str>>,
+    /// Heartbeats sent, oldest first, while `record` is set.
+    pub sent: Vec<Sent>,
+    /// Whether `sent` is kept.
+    pub record: bool,
+}
+
+impl Fleet {
+    /// Returns a fleet of `hosts` hosts spread over `zones` zones; the first one is the seed.
+    pub fn new(hosts: usize, zones: usize) -> Self {
+        let mut fleet = Self::default();
+        for number in 0..hosts {
+            fleet.start(&name(number), &format!("zone-{:02}", number % zones), 1);
+        }
+        fleet
+    }
+
+    /// Starts a host, in place of an earlier process of it.
+    pub fn start(&mut self, host: &str, zone: &str, incarnation: u64) {
+        let settings = Settings {
+            host: host.into(),
+            zone: zone.into(),
+            address: address(host),
+            incarnation,
+            seeds: vec![address(&name(0)), address(&name(1))],
+        };
+        let table = Table::new(settings.clone());
+        self.hosts.insert(address(host), Host { settings, table, frozen: false });
+    }
+
+    /// Returns the table of a host.
+    pub fn table(&self, host: &str) -> &Table {
+        &self.hosts[&address(host)].table
+    }
+
+    /// Feeds one event to a host and delivers all that follows from it.
+    pub fn feed(&mut self, host: &str, event: Event) {
+        let sent = self.handle(&address(host), event);
+        self.deliver(sent);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += PERIOD / 4;
+            let addresses: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
+            for address in addresses {
+                let sent = self.handle(&address, Event::Tick);
+                self.deliver(sent);
+            }
+        }
+    }
+
+    /// Returns the state of `host` as the running hosts of a zone see it.
+    pub fn views(&self, zone: &str, host: &str) -> BTreeSet<Option<State>> {
+        let running = self.hosts.values().filter(|other| !other.frozen);
+        let running = running.filter(|other| &*other.settings.zone == zone);
+        let others = running.filter(|other| &*other.settings.host != host);
+        others.map(|other| other.table.get(host).map(|member| member.state)).collect()
+    }
+
+    fn handle(&mut self, address: &Arc<str>, event: Event) -> Vec<Sent> {
+        let Some(host) = self.hosts.get_mut(address).filter(|host| !host.frozen) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        host.table.handle(self.now, event, &mut actions);
+        let Settings { host, zone, incarnation, .. } = &host.settings;
+        let from: Holder = format!("{host}.{incarnation}").into();
+        let sent = actions.into_iter().filter_map(|action| match action {
+            Action::Send { to, message } => Some(Sent {
+                from: from.clone(),
+                zone: zone.clone(),
+                address: address.clone(),
+                to,
+                message,
+            }),
+            Action::Changed(_) => None,
+        });
+        sent.collect()
+    }
+
+    fn deliver(&mut self, mut sent: Vec<Sent>) {
+        while let Some(next) = sent.pop() {
+            if self.record {
+                self.sent.push(next.clone());
+            }
+            if self.cut.contains(&next.address) || self.cut.contains(&next.to) {
+                continue;
+            }
+            let Message::Heartbeat(heartbeat) = next.message else { continue };
+            let event = Event::Heartbeat { from: next.from, address: next.address, heartbeat };
+            sent.extend(self.handle(&next.to, event));
+        }
+    }
+}
+
+/// Returns the name of a host.
+pub fn name(number: usize) -> String {
+    format!("host-{number:03}")
+}
+
+/// Returns the address of a host.
+pub fn address(host: &str) -> Arc<str> {
+    let number: usize = host.trim_start_matches("host-").parse().unwrap_or(0);
+    Arc::from(format!("10.0.{}.{}:7000", number / 256, number % 256))
+}
