--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -67,6 +67,7 @@
             digest,
             request
         }),
+        any::<u64>().prop_map(|floor| Entry::TicketFloor { floor }),
         (any::<u64>(), outcome()).prop_map(|(ticket, outcome)| Entry::Outcome { ticket, outcome }),
     ]
 }
@@ -123,9 +124,21 @@
     ]
 }
 
+fn class() -> impl Strategy<Value = request::Class> {
+    prop_oneof![
+        Just(request::Class::Urgent),
+        Just(request::Class::Normal),
+        Just(request::Class::Long)
+    ]
+}
+
 fn transfer() -> impl Strategy<Value = Message> {
     prop_oneof![
-        (name(), any::<u64>()).prop_map(|(budget, tokens)| Message::TransferAsk { budget, tokens }),
+        (name(), any::<u64>(), class()).prop_map(|(budget, tokens, class)| Message::TransferAsk {
+            budget,
+            tokens,
+            class
+        }),
         (any::<(u64, u64)>(), name(), name()).prop_map(|((number, tokens), to, budget)| {
             Message::Transfer { number, to, budget, tokens }
         }),
