Follow the configuration; carry the bounds of a page in ConfigRows

The follower was a skeleton. It now reads the change log every 3 s, asks a neighbour that is ahead once the platform has been silent for 6.5 s, and takes only what is complete from where it stands, so that neither a row nor the revision goes back. An invalid row leaves the last valid one in force; neighbours hand on both. A host that only has a neighbour with a shorter memory of deletions reads the whole configuration anew and puts the difference into force at the end.

Ruled out: asking neighbours whenever one is ahead, since revisions move with every commit of the platform and the reads of 7 hosts are never in step; keeping every deletion for good.

tests/state_config.rs: 40 seeds of random commits, outages, freezes and restarts over a link that loses, repeats and reorders; a follower that takes the last message goes back in the same histories.

--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -49,8 +49,9 @@
             Message::ConfigAsk { after } => {
                 self.follower_event(config::Event::Ask { address, after });
             }
-            Message::ConfigRows { rows, through } => {
-                self.follower_event(config::Event::Rows { rows, through });
+            Message::ConfigRows { rows, after, through, current, deletions_after } => {
+                let page = config::Page { rows, after, through, current, deletions_after };
+                self.follower_event(config::Event::Rows { address, page });
             }
         }
     }
--- a/crates/coordination/src/member/merge.rs
+++ b/crates/coordination/src/member/merge.rs
@@ -166,6 +166,11 @@
         address: &Arc<str>,
         actions: &mut Vec<Action>,
     ) {
+        let told = self.corrected.get(host);
+        if told.is_some_and(|told| now.saturating_sub(*told) < PERIOD / 2) {
+            return;
+        }
+        self.corrected.insert(host.clone(), now);
         let entries = self.with_own(self.get(host).into_iter());
         let current = self.get(host).is_some_and(|member| member.address == *address);
         if current {
--- a/crates/coordination/src/member/table.rs
+++ b/crates/coordination/src/member/table.rs
@@ -26,6 +26,8 @@
     pub(super) heard: BTreeMap<Arc<str>, Duration>,
     /// Time of the last heartbeat to a host.
     pub(super) told: BTreeMap<Arc<str>, Duration>,
+    /// Time at which a host was last told what is held of it.
+    pub(super) corrected: BTreeMap<Arc<str>, Duration>,
     pub(super) unanswered: BTreeMap<Arc<str>, u32>,
     pub(super) differing: BTreeMap<Arc<str>, u32>,
     pub(super) watched: BTreeMap<Arc<str>, Duration>,
@@ -62,6 +64,7 @@
             gone: VecDeque::new(),
             heard: BTreeMap::new(),
             told: BTreeMap::new(),
+            corrected: BTreeMap::new(),
             unanswered: BTreeMap::new(),
             differing: BTreeMap::new(),
             watched: BTreeMap::new(),
@@ -210,6 +213,7 @@
             self.gone.push_back(member.host.clone());
             self.heard.remove(&member.host);
             self.told.remove(&member.host);
+            self.corrected.remove(&member.host);
             self.unanswered.remove(&member.host);
             self.differing.remove(&member.host);
         }
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -117,8 +117,14 @@
     ConfigRows {
         /// Changed rows, by revision.
         rows: Vec<Row>,
+        /// Revision after which the rows are complete.
+        after: u64,
         /// Revision up to which the rows are complete.
         through: u64,
+        /// Revision up to which the sender is current; it has more rows where that is greater.
+        current: u64,
+        /// Deletions up to this revision are left out.
+        deletions_after: u64,
     },
 }
 
--- /dev/null
+++ b/crates/coordination/tests/common/followers.rs
@@ -0,0 +1,324 @@
+//! Followers of one configuration over a platform and a link that fail.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use coordination::{
+    config::{Action, Event, Follower, Page},
+    message::Message,
+    table::{Op, Outcome, Revision, Row},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Rows under one prefix with their revisions, as the platform holds them.
+#[derive(Debug, Default)]
+pub struct Log {
+    rows: BTreeMap<Arc<str>, Row>,
+    valid: BTreeMap<Arc<str>, Row>,
+    /// Revision of the newest commit.
+    pub revision: Revision,
+}
+
+impl Log {
+    /// Commits a row; `None` deletes it.
+    pub fn commit(&mut self, key: &str, value: Option<&str>) {
+        self.revision += 1;
+        let key: Arc<str> = Arc::from(key);
+        let row = Row { key: key.clone(), value: value.map(Arc::from), revision: self.revision };
+        if validate(&row).is_ok() {
+            self.valid.insert(key.clone(), row.clone());
+        }
+        self.rows.insert(key, row);
+    }
+
+    /// Returns the newest valid rows that are not deleted.
+    pub fn in_force(&self) -> Vec<Row> {
+        self.valid.values().filter(|row| row.value.is_some()).cloned().collect()
+    }
+
+    /// Returns whether the newest row of a key is invalid.
+    pub fn is_invalid(&self, key: &str) -> bool {
+        self.rows.get(key).is_some_and(|row| validate(row).is_err())
+    }
+
+    /// Answers a read of the change log.
+    pub fn changes(&self, after: Revision, limit: u32) -> Outcome {
+        let mut rows: Vec<Row> =
+            self.rows.values().filter(|row| row.revision > after).cloned().collect();
+        rows.sort_by_key(|row| row.revision);
+        let is_whole = rows.len() <= limit as usize;
+        rows.truncate(limit as usize);
+        let through = match is_whole {
+            true => self.revision,
+            false => rows.last().map_or(self.revision, |row| row.revision),
+        };
+        Outcome::Changes { rows, through }
+    }
+}
+
+/// Refuses values that start with an exclamation mark.
+pub fn validate(row: &Row) -> Result<(), String> {
+    match row.value.as_ref().is_some_and(|value| value.starts_with('!')) {
+        true => Err("value".to_owned()),
+        false => Ok(()),
+    }
+}
+
+/// Something that follows the configuration.
+pub trait Subject {
+    /// Takes an event.
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>);
+    /// Returns the revision in force.
+    fn revision(&self) -> Revision;
+    /// Returns the rows in force.
+    fn rows(&self) -> Vec<Row>;
+}
+
+impl Subject for Follower {
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        Follower::handle(self, now, event, actions);
+    }
+
+    fn revision(&self) -> Revision {
+        Follower::revision(self)
+    }
+
+    fn rows(&self) -> Vec<Row> {
+        Follower::rows(self).cloned().collect()
+    }
+}
+
+/// Puts every row that comes into force, and asks whoever names another revision.
+#[derive(Default)]
+pub struct Naive {
+    rows: BTreeMap<Arc<str>, Row>,
+    through: Revision,
+}
+
+impl Naive {
+    fn take(&mut self, rows: Vec<Row>, through: Revision) {
+        for row in rows {
+            match row.value {
+                Some(_) => self.rows.insert(row.key.clone(), row),
+                None => self.rows.remove(&row.key),
+            };
+        }
+        self.through = through;
+    }
+}
+
+impl Subject for Naive {
+    fn handle(&mut self, _: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => actions.push(Action::Read(Op::Changes {
+                prefix: "config/".into(),
+                after: self.through,
+                limit: 1_000,
+            })),
+            Event::Outcome(Outcome::Changes { rows, through }) => self.take(rows, through),
+            Event::Outcome(_) => {}
+            Event::Heard { address, revision } if revision > self.through => {
+                let message = Message::ConfigAsk { after: self.through };
+                actions.push(Action::Send { to: address, message });
+            }
+            Event::Heard { .. } => {}
+            Event::Ask { address, after } => {
+                let rows = self.rows.values().filter(|row| row.revision > after).cloned().collect();
+                let (through, current) = (self.through, self.through);
+                let message =
+                    Message::ConfigRows { rows, after, through, current, deletions_after: 0 };
+                actions.push(Action::Send { to: address, message });
+            }
+            Event::Rows { page, .. } => self.take(page.rows, page.through),
+        }
+    }
+
+    fn revision(&self) -> Revision {
+        self.through
+    }
+
+    fn rows(&self) -> Vec<Row> {
+        self.rows.values().cloned().collect()
+    }
+}
+
+/// An event on its way to a follower.
+struct Pending {
+    at: Duration,
+    to: usize,
+    event: Event,
+}
+
+/// Followers, the platform and what is on its way between them.
+pub struct Net<S> {
+    /// Time.
+    pub now: Duration,
+    /// Platform.
+    pub log: Log,
+    /// Followers.
+    pub followers: Vec<S>,
+    /// Followers that the platform does not answer.
+    pub away: BTreeSet<usize>,
+    /// Followers that take no step.
+    pub frozen: BTreeSet<usize>,
+    /// Reads of the platform.
+    pub reads: usize,
+    /// Steps on which a follower went back.
+    pub reverts: usize,
+    /// Events are delayed, repeated and lost.
+    pub faulty: bool,
+    pending: Vec<Pending>,
+    seen: Vec<BTreeMap<Arc<str>, Revision>>,
+    revisions: Vec<Revision>,
+    rng: StdRng,
+}
+
+/// Time of one step.
+const STEP: Duration = Duration::from_millis(250);
+
+/// Steps between two heartbeats.
+const HEARTBEAT: u128 = 8;
+
+impl<S: Subject> Net<S> {
+    /// Returns a net of followers without rows.
+    pub fn new(followers: Vec<S>, seed: u64) -> Self {
+        let count = followers.len();
+        Self {
+            now: Duration::ZERO,
+            log: Log::default(),
+            followers,
+            away: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            reads: 0,
+            reverts: 0,
+            faulty: false,
+            pending: Vec::new(),
+            seen: vec![BTreeMap::new(); count],
+            revisions: vec![0; count],
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Puts a new process in place of a follower; it gets the messages that the old one was sent,
+    /// but no answers of the platform to it.
+    pub fn restart(&mut self, number: usize, follower: S) {
+        self.pending
+            .retain(|pending| pending.to != number || !matches!(pending.event, Event::Outcome(_)));
+        self.followers[number] = follower;
+        self.seen[number].clear();
+        self.revisions[number] = 0;
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Returns whether every follower has in force what the platform holds.
+    pub fn agrees(&self) -> bool {
+        let expected = self.log.in_force();
+        self.followers.iter().all(|follower| follower.rows() == expected)
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let due = |pending: &Pending| pending.at <= self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.pending).into_iter().partition(due);
+        self.pending = later;
+        for pending in due {
+            self.feed(pending.to, pending.event);
+        }
+        let is_heartbeat = (self.now.as_millis() / STEP.as_millis()).is_multiple_of(HEARTBEAT);
+        for number in 0..self.followers.len() {
+            self.feed(number, Event::Tick);
+            if is_heartbeat && !self.frozen.contains(&number) {
+                self.beat(number);
+            }
+        }
+    }
+
+    fn beat(&mut self, from: usize) {
+        let revision = self.followers[from].revision();
+        for to in (0..self.followers.len()).filter(|to| *to != from) {
+            self.post(to, Event::Heard { address: name(from), revision });
+        }
+    }
+
+    /// Hands an event to a follower and sends on what follows from it.
+    pub fn feed(&mut self, number: usize, event: Event) {
+        if self.frozen.contains(&number) {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.followers[number].handle(self.now, event, &mut actions);
+        self.watch(number);
+        for action in actions {
+            match action {
+                Action::Read(op) => self.read(number, &op),
+                Action::Send { to, message } => self.send(number, &to, message),
+                _ => {}
+            }
+        }
+    }
+
+    fn read(&mut self, number: usize, op: &Op) {
+        let Op::Changes { after, limit, .. } = op else { return };
+        if self.away.contains(&number) {
+            return self.post(number, Event::Outcome(Outcome::Unavailable));
+        }
+        self.reads += 1;
+        let outcome = self.log.changes(*after, *limit);
+        self.post(number, Event::Outcome(outcome));
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: Message) {
+        let address = name(from);
+        let event = match message {
+            Message::ConfigAsk { after } => Event::Ask { address, after },
+            Message::ConfigRows { rows, after, through, current, deletions_after } => Event::Rows {
+                address,
+                page: Page { rows, after, through, current, deletions_after },
+            },
+            _ => return,
+        };
+        self.post(to.parse().unwrap(), event);
+    }
+
+    fn post(&mut self, to: usize, event: Event) {
+        if !self.faulty {
+            return self.pending.push(Pending { at: self.now, to, event });
+        }
+        for _ in 0..self.rng.random_range(0..3) {
+            let at = self.now + STEP * self.rng.random_range(0..60);
+            self.pending.push(Pending { at, to, event: event.clone() });
+        }
+    }
+
+    /// Counts a row or a revision that went back.
+    fn watch(&mut self, number: usize) {
+        let follower = &self.followers[number];
+        let rows: BTreeMap<Arc<str>, Revision> =
+            follower.rows().into_iter().map(|row| (row.key, row.revision)).collect();
+        let went_back =
+            rows.iter().any(|(key, now)| self.seen[number].get(key).is_some_and(|old| old > now));
+        let fell = follower.revision() < self.revisions[number];
+        self.reverts += usize::from(went_back || fell);
+        // A deleted row that comes back has to come back newer.
+        self.seen[number].extend(rows);
+        self.revisions[number] = follower.revision();
+    }
+}
+
+/// Returns the address of a follower.
+pub fn name(number: usize) -> Arc<str> {
+    Arc::from(number.to_string())
+}
--- /dev/null
+++ b/crates/coordination/tests/state_config.rs
@@ -0,0 +1,288 @@
+//! Configuration under lost, late, repeated and reordered messages.
+
+#[path = "common/followers.rs"]
+mod followers;
+
+use std::{sync::Arc, time::Duration};
+
+use coordination::{
+    config::{Action, Event, Follower, POLL, Page},
+    message::Message,
+    table::{Outcome, Row},
+};
+use followers::{Log, Naive, Net, Subject, validate};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use test_case::test_case;
+
+/// Time in which an accepted change has to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(18);
+
+fn follower() -> Follower {
+    Follower::new(validate)
+}
+
+fn net(count: usize) -> Net<Follower> {
+    Net::new((0..count).map(|_| follower()).collect(), 1)
+}
+
+/// Random commits, outages, freezes and restarts over a faulty link.
+fn disturb<S: Subject>(net: &mut Net<S>, seed: u64, fresh: impl Fn() -> S) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    net.faulty = true;
+    for _ in 0..150 {
+        let key = format!("config/budget/{}", rng.random_range(0..6));
+        let number = rng.random_range(0..net.followers.len());
+        match rng.random_range(0..12) {
+            0..5 => net.log.commit(&key, Some(&rng.random_range(0..9).to_string())),
+            5 => net.log.commit(&key, None),
+            6 => net.log.commit(&key, Some("!")),
+            7 => _ = net.away.insert(number),
+            8 => _ = net.away.remove(&number),
+            9 => _ = net.frozen.insert(number),
+            10 => _ = net.frozen.remove(&number),
+            _ => net.restart(number, fresh()),
+        }
+        net.run(Duration::from_millis(rng.random_range(0..4_000)));
+    }
+    net.frozen.clear();
+    net.away.clear();
+}
+
+#[test]
+fn followers_never_go_back_and_agree_in_the_end() {
+    for seed in 0..40 {
+        let mut net = Net::new((0..4).map(|_| follower()).collect(), seed);
+        disturb(&mut net, seed, follower);
+        assert_eq!(net.reverts, 0, "seed {seed}");
+        net.faulty = false;
+        net.run(Duration::from_secs(60));
+        assert_eq!(net.reverts, 0, "seed {seed}");
+        let revision = net.log.revision;
+        assert!(net.followers.iter().all(|follower| follower.revision() == revision));
+        // What stands before an invalid row depends on which rows a process got to see.
+        let settled = |rows: Vec<Row>| -> Vec<Row> {
+            rows.into_iter().filter(|row| !net.log.is_invalid(&row.key)).collect()
+        };
+        for follower in &net.followers {
+            let rows = settled(follower.rows().cloned().collect());
+            assert_eq!(rows, settled(net.log.in_force()), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn last_message_wins_goes_back() {
+    let reverts = (0..40).map(|seed| {
+        let mut net = Net::new((0..4).map(|_| Naive::default()).collect(), seed);
+        disturb(&mut net, seed, Naive::default);
+        net.reverts
+    });
+    assert!(reverts.sum::<usize>() > 0);
+}
+
+#[test]
+fn last_valid_row_stays_in_force_on_followers_that_run_through() {
+    let mut net = net(3);
+    net.log.commit("config/budget/a", Some("1"));
+    net.run(IN_FORCE);
+    net.log.commit("config/budget/a", Some("!"));
+    net.run(IN_FORCE);
+    assert!(net.agrees());
+    assert_eq!(net.log.in_force().len(), 1);
+}
+
+struct Reach {
+    hosts: usize,
+    away: &'static [usize],
+}
+
+#[test_case(Reach { hosts: 7, away: &[] }; "platform reachable")]
+#[test_case(Reach { hosts: 7, away: &[1, 2, 3] }; "a zone without the platform")]
+#[test_case(Reach { hosts: 7, away: &[1, 2, 3, 4, 5, 6] }; "one host with the platform")]
+fn accepted_change_is_in_force_in_time(reach: Reach) {
+    let mut net = net(reach.hosts);
+    net.run(Duration::from_secs(30));
+    net.away.extend(reach.away);
+    net.run(Duration::from_secs(30));
+    for value in 0..20 {
+        net.log.commit("config/route/a", Some(&value.to_string()));
+        net.run(IN_FORCE);
+        assert!(net.agrees());
+    }
+}
+
+#[test]
+fn reads_stay_at_the_interval() {
+    let mut net = net(5);
+    net.log.commit("config/route/a", Some("1"));
+    net.run(POLL * 100);
+    assert!((490..=510).contains(&net.reads), "{}", net.reads);
+}
+
+#[test]
+fn many_rows_are_read_in_pages() {
+    let mut net = net(2);
+    for number in 0..3_500 {
+        net.log.commit(&format!("config/budget/{number}"), Some("1"));
+    }
+    net.away.insert(1);
+    net.run(Duration::from_secs(10));
+    assert!(net.agrees());
+}
+
+#[test]
+fn large_configuration_comes_from_a_neighbour_in_pages() {
+    let mut net = net(2);
+    let value = "x".repeat(10_000);
+    for number in 0..200 {
+        net.log.commit(&format!("config/budget/{number}"), Some(&value));
+    }
+    net.run(Duration::from_secs(10));
+    net.restart(1, follower());
+    net.away.insert(1);
+    net.run(Duration::from_secs(20));
+    assert!(net.agrees());
+    assert!(net.followers[1].ready());
+}
+
+#[test]
+fn host_that_reaches_nobody_is_not_ready() {
+    let mut net = net(3);
+    net.log.commit("config/budget/a", Some("1"));
+    net.away.extend([0, 1, 2]);
+    net.run(Duration::from_secs(600));
+    assert!(net.followers.iter().all(|follower| !follower.ready()));
+    net.away.remove(&0);
+    net.run(IN_FORCE);
+    assert!(net.followers.iter().all(Follower::ready));
+    assert!(net.agrees());
+}
+
+#[test]
+fn host_replaced_while_the_platform_is_away_starts_from_its_neighbours() {
+    let mut net = net(3);
+    for number in 0..9 {
+        net.log.commit(&format!("config/budget/{number}"), Some("1"));
+    }
+    net.run(IN_FORCE);
+    net.log.commit("config/budget/3", None);
+    net.log.commit("config/budget/4", Some("!"));
+    net.run(IN_FORCE);
+    net.away.extend([0, 1, 2]);
+    net.restart(2, follower());
+    net.run(IN_FORCE);
+    assert!(net.followers[2].ready());
+    assert!(net.agrees());
+}
+
+#[test]
+fn host_back_from_a_long_freeze_drops_what_its_new_neighbours_never_saw() {
+    let mut net = net(3);
+    net.log.commit("config/budget/a", Some("1"));
+    net.log.commit("config/budget/b", Some("1"));
+    net.run(IN_FORCE);
+    net.frozen.insert(2);
+    net.log.commit("config/budget/a", None);
+    net.log.commit("config/budget/c", Some("1"));
+    net.run(IN_FORCE);
+    // Processes that got the configuration from a neighbour know no deletion before it.
+    for number in [0, 1] {
+        net.away.insert(number);
+        net.restart(number, follower());
+        net.run(IN_FORCE);
+    }
+    net.away.insert(2);
+    net.frozen.clear();
+    net.run(IN_FORCE);
+    assert!(net.agrees());
+    assert_eq!(net.reverts, 0);
+}
+
+fn page(rows: Vec<Row>, after: u64, through: u64) -> Page {
+    Page { rows, after, through, current: through, deletions_after: 0 }
+}
+
+fn row(key: &str, value: Option<&str>, revision: u64) -> Row {
+    Row { key: key.into(), value: value.map(Arc::from), revision }
+}
+
+/// Returns a follower that is complete up to 10 and has asked neighbour `n`.
+fn asking() -> (Follower, Duration) {
+    let mut follower = follower();
+    let rows = vec![row("a", Some("1"), 4), row("b", Some("1"), 9), row("c", None, 10)];
+    let outcome = Outcome::Changes { rows, through: 10 };
+    follower.handle(Duration::ZERO, Event::Outcome(outcome), &mut Vec::new());
+    let now = Duration::from_secs(60);
+    let heard = Event::Heard { address: "n".into(), revision: 20 };
+    let mut actions = Vec::new();
+    follower.handle(now, heard, &mut actions);
+    let ask = Message::ConfigAsk { after: 10 };
+    assert_eq!(actions, [Action::Send { to: "n".into(), message: ask }]);
+    (follower, now)
+}
+
+struct Case {
+    from: &'static str,
+    page: Page,
+    applied: Vec<Row>,
+    revision: u64,
+}
+
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("2"), 12)], 10, 20), applied: vec![row("a", Some("2"), 12)], revision: 20 }; "newer row")]
+#[test_case(Case { from: "n", page: page(vec![row("a", None, 12)], 10, 20), applied: vec![row("a", None, 12)], revision: 20 }; "deletion")]
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("0"), 3)], 10, 20), applied: vec![], revision: 20 }; "older row")]
+#[test_case(Case { from: "n", page: page(vec![row("c", Some("0"), 8)], 10, 20), applied: vec![], revision: 20 }; "row from before its deletion")]
+#[test_case(Case { from: "n", page: page(vec![row("z", Some("0"), 8)], 10, 20), applied: vec![], revision: 20 }; "unknown row from before")]
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("!"), 12)], 10, 20), applied: vec![], revision: 20 }; "invalid row")]
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("2"), 12), row("a", Some("!"), 13)], 10, 20), applied: vec![row("a", Some("2"), 12)], revision: 20 }; "valid row before an invalid one")]
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("!"), 13), row("a", Some("2"), 12)], 10, 20), applied: vec![row("a", Some("2"), 12)], revision: 20 }; "valid row after a newer invalid one")]
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("2"), 18)], 15, 20), applied: vec![], revision: 10 }; "page that leaves a gap")]
+#[test_case(Case { from: "n", page: page(vec![row("a", Some("2"), 8)], 5, 9), applied: vec![], revision: 10 }; "page of an earlier question")]
+#[test_case(Case { from: "m", page: page(vec![row("a", Some("2"), 12)], 10, 20), applied: vec![], revision: 10 }; "page that nobody asked for")]
+fn page_of_a_neighbour(case: Case) {
+    let (mut follower, now) = asking();
+    let event = Event::Rows { address: case.from.into(), page: case.page };
+    let mut actions = Vec::new();
+    follower.handle(now, event.clone(), &mut actions);
+    let applied = |actions: &[Action]| -> Vec<Row> {
+        let rows = actions.iter().filter_map(|action| match action {
+            Action::Apply(row) => Some(row.clone()),
+            _ => None,
+        });
+        rows.collect()
+    };
+    assert_eq!(applied(&actions), case.applied);
+    assert_eq!(follower.revision(), case.revision);
+    let mut again = Vec::new();
+    follower.handle(now, event, &mut again);
+    assert_eq!(applied(&again), []);
+    assert_eq!(follower.revision(), case.revision);
+}
+
+#[test]
+fn invalid_row_is_reported_once() {
+    let mut follower = follower();
+    let rows = vec![row("a", Some("!"), 4)];
+    let outcome = Event::Outcome(Outcome::Changes { rows: rows.clone(), through: 10 });
+    let mut actions = Vec::new();
+    for _ in 0..3 {
+        follower.handle(Duration::ZERO, outcome.clone(), &mut actions);
+    }
+    let invalid = Action::Invalid { row: rows[0].clone(), reason: "value".into() };
+    assert_eq!(actions, [invalid, Action::Advanced(4)]);
+}
+
+#[test]
+fn late_answer_of_the_platform_changes_nothing() {
+    let mut log = Log::default();
+    log.commit("a", Some("1"));
+    let late = log.changes(0, 10);
+    log.commit("a", Some("2"));
+    let mut follower = follower();
+    let mut actions = Vec::new();
+    follower.handle(Duration::ZERO, Event::Outcome(log.changes(0, 10)), &mut actions);
+    let before = actions.len();
+    follower.handle(Duration::ZERO, Event::Outcome(late), &mut actions);
+    assert_eq!(actions.len(), before);
+    assert_eq!(follower.revision(), 2);
+}
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -166,7 +166,10 @@
 
 struct ConfigRows {
   1: required list<Row> rows
-  2: required i64 through
+  2: required i64 after
+  3: required i64 through
+  4: required i64 current
+  5: required i64 deletions_after
 }
 
 union Message {
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -2241,14 +2241,20 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ConfigRows {
   pub rows: Vec<Row>,
+  pub after: i64,
   pub through: i64,
+  pub current: i64,
+  pub deletions_after: i64,
 }
 
 impl ConfigRows {
-  pub fn new(rows: Vec<Row>, through: i64) -> ConfigRows {
+  pub fn new(rows: Vec<Row>, after: i64, through: i64, current: i64, deletions_after: i64) -> ConfigRows {
     ConfigRows {
       rows,
+      after,
       through,
+      current,
+      deletions_after,
     }
   }
 }
@@ -2258,6 +2264,9 @@
     i_prot.read_struct_begin()?;
     let mut f_1: Option<Vec<Row>> = None;
     let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<i64> = None;
+    let mut f_5: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2279,6 +2288,18 @@
           let val = i_prot.read_i64()?;
           f_2 = Some(val);
         },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2287,10 +2308,16 @@
     }
     i_prot.read_struct_end()?;
     verify_required_field_exists("ConfigRows.rows", &f_1)?;
-    verify_required_field_exists("ConfigRows.through", &f_2)?;
+    verify_required_field_exists("ConfigRows.after", &f_2)?;
+    verify_required_field_exists("ConfigRows.through", &f_3)?;
+    verify_required_field_exists("ConfigRows.current", &f_4)?;
+    verify_required_field_exists("ConfigRows.deletions_after", &f_5)?;
     let ret = ConfigRows {
       rows: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      through: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      after: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      through: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      current: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      deletions_after: f_5.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -2304,9 +2331,18 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("through", TType::I64, 2))?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("after", TType::I64, 2))?;
+    o_prot.write_i64(self.after)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("through", TType::I64, 3))?;
     o_prot.write_i64(self.through)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("current", TType::I64, 4))?;
+    o_prot.write_i64(self.current)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("deletions_after", TType::I64, 5))?;
+    o_prot.write_i64(self.deletions_after)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/wire/src/message/decode.rs
+++ b/crates/wire/src/message/decode.rs
@@ -65,7 +65,10 @@
             laburnum::Message::ConfigAsk(after) => Self::ConfigAsk { after: after as u64 },
             laburnum::Message::ConfigRows(config) => Self::ConfigRows {
                 rows: config.rows.into_iter().map(Into::into).collect(),
+                after: config.after as u64,
                 through: config.through as u64,
+                current: config.current as u64,
+                deletions_after: config.deletions_after as u64,
             },
         })
     }
--- a/crates/wire/src/message/encode.rs
+++ b/crates/wire/src/message/encode.rs
@@ -52,9 +52,15 @@
             Message::ClaimOutcomeAck { ticket } => Self::ClaimOutcomeAck(*ticket as i64),
             Message::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
             Message::ConfigAsk { after } => Self::ConfigAsk(*after as i64),
-            Message::ConfigRows { rows, through } => {
+            Message::ConfigRows { rows, after, through, current, deletions_after } => {
                 let rows = rows.iter().map(Into::into).collect();
-                Self::ConfigRows(laburnum::ConfigRows::new(rows, *through as i64))
+                Self::ConfigRows(laburnum::ConfigRows::new(
+                    rows,
+                    *after as i64,
+                    *through as i64,
+                    *current as i64,
+                    *deletions_after as i64,
+                ))
             }
         }
     }
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -176,7 +176,14 @@
         claim(),
         heartbeat(),
         any::<u64>().prop_map(|after| Message::ConfigAsk { after }),
-        (vec(row(), 0..9), any::<u64>())
-            .prop_map(|(rows, through)| Message::ConfigRows { rows, through }),
+        (vec(row(), 0..9), any::<[u64; 4]>()).prop_map(
+            |(rows, [after, through, current, deletions_after])| Message::ConfigRows {
+                rows,
+                after,
+                through,
+                current,
+                deletions_after,
+            }
+        ),
     ]
 }
