--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -309,9 +309,7 @@
         match action {
             StreamAction::Choose { avoid } => self.choose(id, avoid),
             StreamAction::Withdraw => self.withdraw(id),
-            StreamAction::Vacate(backend) => {
-                self.router_event(RouterEvent::Finished(backend));
-            }
+            StreamAction::Vacate(_) => self.vacate(id),
             StreamAction::Probe { backend, stream } => {
                 let inquiry = Inquiry::Probe { request: id, backend: backend.clone() };
                 self.inquire(&backend, stream, inquiry);
@@ -343,7 +341,7 @@
         let query = Query {
             route: request.work.route.clone(),
             class: request.work.class,
-            aged: false,
+            starved: false,
             prefixes: request.prompt.prefixes.clone(),
             avoid,
         };
--- a/crates/coordination/src/host/placement.rs
+++ b/crates/coordination/src/host/placement.rs
@@ -15,13 +15,14 @@
 
 impl Host {
     /// Asks for a back end; the answer reaches the request, at once or later.
-    pub(super) fn ask_for_backend(&mut self, id: request::Id, query: Query, expires: Duration) {
+    pub(super) fn ask_for_backend(&mut self, id: request::Id, query: Query, deadline: Duration) {
         self.withdraw(id);
+        self.vacate(id);
         let waiter = self.next_waiter;
         self.next_waiter += 1;
         self.waiters.insert(waiter, id);
         self.waiting.insert(id, waiter);
-        self.admission_event(AdmissionEvent::Ask { waiter, query, expires });
+        self.admission_event(AdmissionEvent::Ask { waiter, query, deadline });
     }
 
     /// Takes back what a request asked for.
@@ -31,6 +32,12 @@
         self.admission_event(AdmissionEvent::Withdraw(waiter));
     }
 
+    /// Tells that a request has ended at the back end that it was given.
+    pub(super) fn vacate(&mut self, id: request::Id) {
+        let Some(waiter) = self.placed.remove(&id) else { return };
+        self.admission_event(AdmissionEvent::Finished(waiter));
+    }
+
     pub(super) fn admission_event(&mut self, event: AdmissionEvent) {
         let mut actions = Vec::new();
         self.admission.handle(self.now, event, &mut actions);
@@ -53,8 +60,9 @@
 
     fn placed(&mut self, waiter: Waiter, backend: Arc<str>) {
         let Some(id) = self.served(waiter) else {
-            return self.router_event(RouterEvent::Finished(backend));
+            return self.admission_event(AdmissionEvent::Finished(waiter));
         };
+        self.placed.insert(id, waiter);
         match self.calls.contains_key(&id) {
             true => self.send_call(id, &backend),
             false => self.chosen(id, backend),
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -187,7 +187,7 @@
         let query = Query {
             route: request.work.route.clone(),
             class: request.work.class,
-            aged: false,
+            starved: false,
             prefixes: Vec::new(),
             avoid: request.avoid.clone(),
         };
@@ -244,7 +244,7 @@
     pub(super) fn call_report(&mut self, id: request::Id, backend: &Arc<str>, report: Report) {
         let served = matches!(report, Report::Answer { .. });
         self.router_event(RouterEvent::Health { backend: backend.clone(), served });
-        self.router_event(RouterEvent::Finished(backend.clone()));
+        self.vacate(id);
         match report {
             Report::Answer { status, body } => self.call_answered(id, status, body),
             Report::Failed { unsent: true, cause } => self.call_unsent(id, backend, &cause),
