Stop a fenced host once its requests have ended

Cause: the frozen host's process never exited after it woke, since it waited for a holder that gives back nothing once it was recovered. Ruled out: the wait for callers (none were left). Before: the test of the frozen host hung; after: it passes in 12 s.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -459,10 +459,7 @@
     /// Takes the next step of leaving once the current one is done.
     fn advance(&mut self) {
         match self.stage {
-            Stage::Finishing { until } if self.idle() || self.now >= until => {
-                self.stage = Stage::Returning;
-                self.holder_event(holder::Event::Drain);
-            }
+            Stage::Finishing { until } if self.idle() || self.now >= until => self.give_back(),
             Stage::Lingering { until } if self.now >= until => {
                 self.stage = Stage::Stopped;
                 self.note(None, Step::Stopped, "", String::new());
@@ -472,6 +469,16 @@
         }
     }
 
+    /// Gives back what is held; a host that was taken for dead holds nothing any more.
+    fn give_back(&mut self) {
+        if self.fenced {
+            self.stage = Stage::Lingering { until: self.now + LINGER };
+            return;
+        }
+        self.stage = Stage::Returning;
+        self.holder_event(holder::Event::Drain);
+    }
+
     /// Returns whether no request is in progress and no outcome of one is still to be kept.
     fn idle(&self) -> bool {
         self.callers.is_empty()
--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -51,6 +51,9 @@
             holder::Action::Fenced => {
                 self.fenced = true;
                 self.note(None, Step::Sealed, "", String::new());
+                if self.stage == Stage::Returning {
+                    return self.give_back();
+                }
                 self.drain();
             }
             holder::Action::Note(note) => self.holder_note(note),
