Give each free slot one owner among the hosts for long requests

Seven hosts that read the same report each sent a review for the one free slot, which filled the slot kept for urgent requests: p99 of their queue time was 5.2 s with room divided by chance.

--- a/crates/coordination/examples/routing/fleet.rs
+++ b/crates/coordination/examples/routing/fleet.rs
@@ -144,7 +144,8 @@
     pub fn open(policy: Policy, jobs: Vec<Job>, families: usize, seed: u64) -> Self {
         let urgent = jobs.iter().any(|job| job.class == Class::Urgent);
         let hosts = HOSTS.iter().zip(0..);
-        let hosts = hosts.map(|(zone, n)| Host::open(policy, zone, urgent, seed * 100 + n));
+        let hosts =
+            hosts.map(|(zone, n)| Host::open(policy, zone, urgent, n, seed * 100 + u64::from(n)));
         let mut fleet = Self {
             now: Duration::ZERO,
             policy,
@@ -201,7 +202,9 @@
             Event::Report(engine) => self.report(engine),
             Event::Reported { engine, queued, running } => {
                 self.reports[engine] = queued + running;
-                let load = Load { queued, running, slots: SLOTS as u32, leaving: false };
+                let slots = SLOTS as u32;
+                let at_ms = self.now.saturating_sub(REPORT).as_millis() as u64;
+                let load = Load { queued, running, slots, leaving: false, at_ms };
                 for host in 0..self.hosts.len() {
                     self.tell(host, RouterEvent::Load(name(engine), load));
                 }
@@ -394,7 +397,7 @@
 }
 
 impl Host {
-    fn open(policy: Policy, zone: &str, urgent: bool, seed: u64) -> Self {
+    fn open(policy: Policy, zone: &str, urgent: bool, index: u32, seed: u64) -> Self {
         let admission = policy.setting(zone, seed).map(|setting| {
             let mut router = Router::open(setting);
             let mut actions = Vec::new();
@@ -408,7 +411,8 @@
                 let route = RouterEvent::Route(route(class, model.clone()));
                 router.handle(Duration::ZERO, route, &mut actions);
             }
-            let hosts = RouterEvent::Hosts(HOSTS.len() as u32);
+            let count = HOSTS.len() as u32;
+            let hosts = RouterEvent::Hosts { count, index };
             router.handle(Duration::ZERO, hosts, &mut actions);
             Admission::open(Default::default(), router)
         });
--- a/crates/coordination/src/admit.rs
+++ b/crates/coordination/src/admit.rs
@@ -340,6 +340,6 @@
         | RouterEvent::Route(_)
         | RouterEvent::RouteDeleted(_)
         | RouterEvent::Cache { .. }
-        | RouterEvent::Hosts(_) => None,
+        | RouterEvent::Hosts { .. } => None,
     }
 }
--- a/crates/coordination/src/route.rs
+++ b/crates/coordination/src/route.rs
@@ -71,6 +71,8 @@
     pub slots: u32,
     /// It takes no new work.
     pub leaving: bool,
+    /// Time of the report by the back end's clock, in milliseconds.
+    pub at_ms: u64,
 }
 
 /// Why a back end refused a request without running it.
@@ -135,8 +137,13 @@
         /// Number of the last event that the back end has.
         next: u64,
     },
-    /// Number of entry hosts that take requests, this one included.
-    Hosts(u32),
+    /// The entry hosts that take requests have changed.
+    Hosts {
+        /// Their number, this one included.
+        count: u32,
+        /// Place of this one among them, in the order of their names, from 0.
+        index: u32,
+    },
 }
 
 /// What a router wants done.
--- a/crates/coordination/src/route/backend.rs
+++ b/crates/coordination/src/route/backend.rs
@@ -2,10 +2,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use rand::{RngExt, rngs::StdRng};
+use rand::rngs::StdRng;
 
 use super::{Load, Refusal, Setting};
 use crate::{
+    locate::{hash, spread},
     record::{self, Model},
     request::Class,
     retry,
@@ -29,6 +30,16 @@
 /// Thousandths of one.
 const MILLI: u64 = 1000;
 
+/// Time for which a free slot stays with one host, in milliseconds.
+const OWNER_TURN_MS: u64 = 2000;
+
+/// Entry hosts that take requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Hosts {
+    pub count: u32,
+    pub index: u32,
+}
+
 /// A request that was sent to a back end, or ended there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Change {
@@ -42,6 +53,7 @@
     pub record: record::Backend,
     /// Some route of urgent requests uses it.
     pub urgent: bool,
+    hash: u64,
     models: Option<Vec<Model>>,
     load: Option<Load>,
     /// Requests of this host in flight.
@@ -64,6 +76,7 @@
 impl Backend {
     pub fn open(record: record::Backend) -> Self {
         Self {
+            hash: hash(record.name.as_bytes()),
             record,
             urgent: false,
             models: None,
@@ -156,14 +169,17 @@
         self.share != Some(0)
     }
 
-    /// Divides the room that a report shows among all hosts, since each of them sees it; what does
-    /// not divide goes to each by chance. A long request in excess would block a slot for long.
-    pub fn share_room(&mut self, setting: &Setting, hosts: u32, rng: &mut StdRng) {
+    /// Divides the room that a report shows among all hosts, since each of them sees it. The owner of
+    /// each free slot changes only now and then, so that hosts that read reports of different age
+    /// agree on it. A long request in excess would block a slot for long.
+    pub fn share_room(&mut self, setting: &Setting, hosts: Hosts) {
+        let Some(load) = self.load else { return };
         let limit = self.limit_milli(setting, Class::Long, false);
         let room = limit.saturating_sub(self.occupancy_milli(setting, 1)).div_ceil(MILLI);
-        let hosts = u64::from(hosts.max(1));
-        let chance = u64::from(rng.random_range(0..hosts) < room % hosts);
-        self.share = Some(room / hosts + chance);
+        let turn = load.at_ms / OWNER_TURN_MS;
+        let owner = |slot| spread(self.hash ^ spread(turn) ^ slot) % u64::from(hosts.count);
+        let owned = (0..room).filter(|&slot| owner(slot) == u64::from(hosts.index));
+        self.share = Some(owned.count() as u64);
     }
 
     pub fn sent(&mut self, now: Duration, class: Class) {
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -8,7 +8,10 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use super::{Choice, Query, RouterAction, RouterEvent, Setting, backend::Backend};
+use super::{
+    Choice, Query, RouterAction, RouterEvent, Setting,
+    backend::{Backend, Hosts},
+};
 use crate::{
     prefix,
     record::{self, Model},
@@ -18,6 +21,9 @@
 /// Candidates compared for each choice within a group of zones.
 const CANDIDATES: usize = 2;
 
+/// Candidates compared for urgent requests, which are few and gain most.
+const URGENT_CANDIDATES: usize = 4;
+
 /// Random draws for the candidates before a scan.
 const DRAWS: usize = 6;
 
@@ -56,7 +62,7 @@
     pools: BTreeMap<Arc<str>, Pool>,
     routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     prefixes: prefix::Index,
-    hosts: u32,
+    hosts: Hosts,
     rng: StdRng,
 }
 
@@ -70,7 +76,7 @@
             pools: BTreeMap::new(),
             routes_of: BTreeMap::new(),
             prefixes: prefix::Index::default(),
-            hosts: 1,
+            hosts: Hosts { count: 1, index: 0 },
             rng,
         }
     }
@@ -97,18 +103,19 @@
             RouterEvent::BackendDeleted(name) => self.delete_backend(&name),
             RouterEvent::Route(record) => self.put_route(record),
             RouterEvent::RouteDeleted(name) => self.delete_route(&name),
-            RouterEvent::Hosts(hosts) => self.hosts = hosts.max(1),
+            RouterEvent::Hosts { count, index } => {
+                self.hosts = Hosts { count: count.max(1), index }
+            }
             RouterEvent::Cache { backend, after, events, next } => {
                 if !self.prefixes.apply(&backend, after, &events, next) {
                     actions.push(RouterAction::Resync(backend));
                 }
             }
             RouterEvent::Load(name, load) => {
-                let (setting, hosts) = (self.setting.clone(), self.hosts);
-                self.with(&name, |backend, rng| {
-                    backend.report(now, load, setting.report_lag);
-                    backend.share_room(&setting, hosts, rng);
-                });
+                if let Some(backend) = self.backends.get_mut(&name) {
+                    backend.report(now, load, self.setting.report_lag);
+                    backend.share_room(&self.setting, self.hosts);
+                }
             }
             RouterEvent::State { backend, models, leaving } => {
                 self.with(&backend, |backend, _| backend.state(models, leaving));
@@ -194,7 +201,11 @@
         if list.is_empty() {
             return None;
         }
-        let mut found: Vec<Candidate> = Vec::with_capacity(CANDIDATES);
+        let wanted = match query.class {
+            Class::Urgent => URGENT_CANDIDATES,
+            Class::Normal | Class::Long => CANDIDATES,
+        };
+        let mut found: Vec<Candidate> = Vec::with_capacity(wanted);
         let start = self.rng.random_range(0..list.len());
         let draws: Vec<usize> = (0..DRAWS).map(|_| self.rng.random_range(0..list.len())).collect();
         let scan = (0..list.len().min(MAX_SCAN)).map(|i| (start + i) % list.len());
@@ -208,7 +219,7 @@
                 Cost::Full => *full = true,
                 Cost::Milli(cost) => found.push(Candidate { cost, backend: name.clone() }),
             }
-            if found.len() == CANDIDATES {
+            if found.len() == wanted {
                 break;
             }
         }
@@ -246,7 +257,7 @@
         if !backend.eligible(now, model) {
             return Cost::Ineligible;
         }
-        let occupancy = backend.occupancy_milli(&self.setting, self.hosts);
+        let occupancy = backend.occupancy_milli(&self.setting, self.hosts.count);
         let limit = backend.limit_milli(&self.setting, query.class, query.starved);
         let shared = query.class == Class::Long && !query.starved && !backend.has_share();
         if occupancy >= limit || shared {
--- a/crates/coordination/tests/answers_route.rs
+++ b/crates/coordination/tests/answers_route.rs
@@ -58,7 +58,7 @@
 }
 
 fn load(running: u32, queued: u32) -> Load {
-    Load { queued, running, slots: SLOTS, leaving: false }
+    Load { queued, running, slots: SLOTS, leaving: false, at_ms: 0 }
 }
 
 /// Opens a router in zone `a` with back ends, named by zone and number.
@@ -220,6 +220,24 @@
     assert_eq!(chosen, Choice::Backend(Arc::from("a1")), "no urgent route");
 }
 
+#[test]
+fn hosts_divide_the_room_for_long_requests() {
+    const HOSTS: u32 = 7;
+    for at_ms in [0, 2000, 4000] {
+        let mut sent = 0;
+        for index in 0..HOSTS {
+            let mut router = router(&["a1"]);
+            tell(&mut router, secs(1), RouterEvent::Hosts { count: HOSTS, index });
+            let report = Load { at_ms, ..load(2, 0) };
+            tell(&mut router, secs(1), RouterEvent::Load(Arc::from("a1"), report));
+            while let Choice::Backend(_) = router.choose(secs(1), &query(Class::Long)) {
+                sent += 1;
+            }
+        }
+        assert_eq!(sent, 5, "all hosts together fill the room but for the slot kept free");
+    }
+}
+
 #[test]
 fn own_sends_since_a_report_count() {
     let mut router = router(&["a1", "a2"]);
