--- a/crates/coordination/src/order/issuer.rs
+++ b/crates/coordination/src/order/issuer.rs
@@ -76,7 +76,7 @@
 
     /// Returns the time at which [`Event::Tick`] is due.
     pub fn wake_at(&self) -> Option<Duration> {
-        let timer = self.timers.first().map(|(at, _)| *at);
+        let timer = self.timers.first().map(|(at, _)| *at).filter(|_| self.lease.is_held());
         [timer, self.lease.wake_at()].into_iter().flatten().min()
     }
 
@@ -153,6 +153,9 @@
         if let Some(op) = self.lease.tick(now) {
             self.send(Purpose::Lease, op, actions);
         }
+        if !self.lease.is_held() {
+            return;
+        }
         while let Some((at, _)) = self.timers.first()
             && *at <= now
         {
--- a/crates/coordination/src/order/lease.rs
+++ b/crates/coordination/src/order/lease.rs
@@ -104,6 +104,11 @@
         self.held.filter(|held| now < held.until).map(|held| held.epoch)
     }
 
+    /// Returns true where this host holds the lease, or did when it last heard of it.
+    pub fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     pub fn wake_at(&self) -> Option<Duration> {
         (!self.released && self.pending.is_none()).then_some(self.due)
     }
