--- /dev/null
+++ b/crates/coordination/src/journal.rs
@@ -0,0 +1,12 @@
+//! Journals of holders and the copies that other hosts keep.
+//!
+//! A holder numbers its entries from 1 and sends them to the processes of its ensemble. An entry
+//! is durable once every member that can be reached, and at least one, has acknowledged it.
+
+mod replica;
+mod state;
+mod writer;
+
+pub use replica::Replica;
+pub use state::{Reservation, Sent, Settlement, State};
+pub use writer::{Proposal, Writer};
--- /dev/null
+++ b/crates/coordination/src/ledger.rs
@@ -0,0 +1,54 @@
+//! Charges in the platform's table.
+//!
+//! A holder writes its charges in numbered segments, `ledger/<holder>/<segment>`, in the same
+//! transaction that counts them as settled. Budgets on the old ledger get a row for each charge.
+
+mod reconcile;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+pub use self::reconcile::{Balance, Disagreement, Reconciler};
+use crate::request;
+
+/// Prefix of the rows of segments.
+pub const PREFIX: &str = "ledger/";
+
+/// Prefix of the rows of refunds.
+pub const REFUND_PREFIX: &str = "refund/";
+
+/// A charge.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Charge {
+    /// Request.
+    pub request: request::Id,
+    /// Budget that it was charged to.
+    pub budget: Arc<str>,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// Charges that were written together.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Segment {
+    /// Charges, each of another request.
+    pub charges: Vec<Charge>,
+}
+
+/// Charges of a request that were repeated and so don't count.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refund {
+    /// Tokens of each refunded charge, by its place in the ledger.
+    pub charges: BTreeMap<Arc<str>, u64>,
+}
+
+/// Returns the key of the refunds of a request.
+pub fn refund_key(budget: &str, request: request::Id) -> Arc<str> {
+    Arc::from(format!("{REFUND_PREFIX}{budget}/{request}"))
+}
+
+/// Returns the key of a segment; keys of one holder sort by number.
+pub fn segment_key(holder: &str, segment: u64) -> Arc<str> {
+    Arc::from(format!("{PREFIX}{holder}/{segment:010}"))
+}
--- /dev/null
+++ b/crates/coordination/tests/money/main.rs
@@ -0,0 +1,9 @@
+//! Budgets under faults: contract with the table, hard cases of recovery, differential tests.
+
+mod contract;
+mod differential;
+mod fleet;
+mod guards;
+mod hard_cases;
+mod ledger;
+mod table;
