--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -195,6 +195,8 @@
     pub running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Time of the report by the back end's clock, in milliseconds.
+    pub at_ms: u64,
     /// Age of the report, in milliseconds.
     pub age_ms: u64,
     /// It leaves.
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -130,9 +130,11 @@
         let others = self.members.members().filter(|member| member.host != own);
         let known = others.filter(|member| member.state != State::Gone);
         self.peers = known.map(peer).collect();
-        let serving = self.members.reachable().count() + 1;
-        let hosts = u32::try_from(serving).unwrap_or(u32::MAX);
-        self.router_event(RouterEvent::Hosts(hosts));
+        let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let count = number(self.members.reachable().count() + 1);
+        let before = self.members.reachable().filter(|member| member.host < own);
+        let index = number(before.count());
+        self.router_event(RouterEvent::Hosts { count, index });
         let homes =
             self.peers.iter().map(|peer| peer.host.clone()).chain([self.settings.host.clone()]);
         self.locator.set_homes(locate::Homes::open(homes));
--- a/crates/coordination/src/host/placement.rs
+++ b/crates/coordination/src/host/placement.rs
@@ -83,8 +83,8 @@
 
     pub(super) fn load(&mut self, backend: Arc<str>, load: Option<Load>) {
         let Some(load) = load else { return };
-        let Load { queued, running, slots, leaving, .. } = load;
-        let load = route::Load { queued, running, slots, leaving };
+        let Load { queued, running, slots, at_ms, leaving, .. } = load;
+        let load = route::Load { queued, running, slots, leaving, at_ms };
         self.router_event(RouterEvent::Load(backend, load));
     }
 
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -35,6 +35,8 @@
     running: u32,
     slots: u32,
     #[serde(default)]
+    at_ms: u64,
+    #[serde(default)]
     age_ms: u64,
     #[serde(default)]
     leaving: bool,
@@ -96,6 +98,7 @@
         queued: report.queued,
         running: report.running,
         slots: report.slots,
+        at_ms: report.at_ms,
         age_ms: report.age_ms,
         leaving: report.leaving,
     });
