--- a/crates/coordination/src/answer/event.rs
+++ b/crates/coordination/src/answer/event.rs
@@ -41,7 +41,7 @@
 /// Where the tokens of an attempt come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Source {
-    /// Stream at the engine, see [`stream_id`].
+    /// Stream at the engine, see [`super::stream_id`].
     pub stream: request::Id,
     /// Delivered tokens that the driver appends to the prompt; they count against the greatest
     /// number of tokens.
