--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -78,14 +78,16 @@
 /// Claims of a holder whose journal was sealed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Recovered {
-    /// Lowest ticket number that the journal decides.
-    pub floor: u64,
+    /// Lowest ticket number that the journal decides; `None` where part of it may be missing, so
+    /// that the absence of a claim proves nothing.
+    pub floor: Option<u64>,
     /// Claims by ticket number.
     pub claims: BTreeMap<u64, Claim>,
 }
 
 impl Recovered {
     /// Rebuilds the claims from the entries of a sealed journal copy; other entries are ignored.
+    /// Only an [`Entry::TicketFloor`] among them makes the absence of a claim a proof.
     pub fn replay<'a>(entries: impl IntoIterator<Item = &'a Entry>) -> Self {
         let mut recovered = Self::default();
         for entry in entries {
@@ -96,10 +98,10 @@
 
     /// Returns the outcome of a ticket, final because the sealed journal takes no more claims.
     pub fn outcome(&self, ticket: u64, digest: &[u8; 32]) -> Outcome {
-        if ticket < self.floor {
-            return Outcome::Unknown(Doubt::Expired);
-        }
-        let Some(claim) = self.claims.get(&ticket) else { return Outcome::NotRun };
+        let decided = self.floor.is_some_and(|floor| ticket >= floor);
+        let Some(claim) = self.claims.get(&ticket) else {
+            return if decided { Outcome::NotRun } else { Outcome::Unknown(Doubt::Expired) };
+        };
         if claim.digest != *digest {
             return Outcome::Mismatch;
         }
@@ -121,8 +123,8 @@
                 }
             }
             Entry::TicketFloor { floor } => {
-                self.floor = self.floor.max(*floor);
-                self.claims = self.claims.split_off(&self.floor);
+                self.floor = self.floor.max(Some(*floor));
+                self.claims = self.claims.split_off(floor);
             }
             _ => {}
         }
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -605,6 +605,9 @@
         }
         if self.draining && self.holds_nothing() && txn.writes.is_empty() {
             next.state = State::Closed;
+            let key = escrow::claims_key(&self.settings.id);
+            let claims = self.journal.state().claim_entries();
+            txn.put(&Row { key, value: None, revision: 0 }, &claims);
         }
         if was.as_ref() == Some(&next) {
             if !txn.writes.is_empty() {
--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -109,7 +109,7 @@
         let recovery::Report { holder, settled, returned, stranded, .. } = report;
         let detail = format!("settled={settled} returned={returned} stranded={stranded}");
         self.replica.forget(holder);
-        if !report.incomplete {
+        if report.claims.floor.is_some() {
             let claims = Arc::new(report.claims.clone());
             self.runner_event(RunnerEvent::Recovered(holder.clone(), claims));
         }
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Host, Owner, Purpose,
+    Host, Owner, Purpose, Stage,
     action::{Action, Problem},
     event::{Caller, Report},
     intake::{self, Work},
@@ -361,6 +361,8 @@
 
     pub(super) fn claim_message(&mut self, from: Holder, message: Message) {
         match message {
+            // A leaving host takes no claims: the row with which it closes must hold them all.
+            Message::Claim { .. } if self.stage != Stage::Serving => {}
             Message::Claim { ticket, digest, request } => {
                 self.issuer_event(IssuerEvent::Claim(Ask { from, ticket, digest, request }));
             }
--- a/crates/coordination/src/recovery/job.rs
+++ b/crates/coordination/src/recovery/job.rs
@@ -15,7 +15,7 @@
     escrow::{self, Escrow, Grant, Registration, State},
     journal::{self, Sent},
     ledger::{self, Charge, Segment},
-    message::{Holder, Message, SealedCopy},
+    message::{Entry, Holder, Message, SealedCopy},
     record::Ledger,
     request,
     table::{Op, Outcome, Row, Txn},
@@ -208,7 +208,7 @@
         }
         let lost = self.copies.values().any(|copy| copy.is_none());
         self.report.incomplete = lost || self.registration.ensemble.is_empty();
-        self.report.claims = Recovered::replay(&self.state.claim_entries());
+        self.report.claims = Recovered::replay(&self.claims());
         self.budgets = self.state.budgets().cloned().collect();
         for (request, reservation) in self.state.open() {
             if reservation.backend.is_empty() {
@@ -220,6 +220,16 @@
         self.step = Step::Ask { until: now + ASK_TIMEOUT };
     }
 
+    /// Returns the entries that rebuild the claims. Without every copy they lack the floor, since a
+    /// claim that is not among them may still have been made.
+    fn claims(&self) -> Vec<Entry> {
+        let mut entries = self.state.claim_entries();
+        if self.report.incomplete {
+            entries.retain(|entry| !matches!(entry, Entry::TicketFloor { .. }));
+        }
+        entries
+    }
+
     /// Reads the segments that may hold settlements which the journal shows as unflushed.
     fn read_segments(&mut self) {
         let first = self.state.segment().max(1);
@@ -408,11 +418,8 @@
             effect.closes = true;
             next.state = State::Closed;
             next.incomplete = self.report.incomplete;
-            let claims = self.state.claim_entries();
-            if claims.len() > 1 {
-                let key = escrow::claims_key(&self.holder);
-                txn.put(&Row { key, value: None, revision: 0 }, &claims);
-            }
+            let key = escrow::claims_key(&self.holder);
+            txn.put(&Row { key, value: None, revision: 0 }, &self.claims());
         }
         if next == self.registration {
             txn.check(row);
--- /dev/null
+++ b/crates/coordination/tests/money/claims.rs
@@ -0,0 +1,143 @@
+//! What the table says about tickets after their issuer has ended.
+
+use std::time::Duration;
+
+use coordination::{
+    claim::{Doubt, Outcome, Recovered},
+    escrow::{self, Registration, State},
+    holder::Event,
+    message::{ClaimOutcome, Entry},
+    recovery,
+};
+
+use crate::fleet::{Fleet, id};
+
+const SECOND: Duration = Duration::from_secs(1);
+const DIGEST: [u8; 32] = [7; 32];
+
+/// How an issuer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Drained,
+    Died,
+    DiedWithItsCopies,
+}
+
+struct Case {
+    name: &'static str,
+    entries: Vec<Entry>,
+    end: End,
+    /// Outcomes of tickets 1 and 2.
+    outcomes: [Outcome; 2],
+}
+
+fn claim(ticket: u64) -> Entry {
+    Entry::Claim { ticket, digest: DIGEST, request: id(ticket) }
+}
+
+fn ended(ticket: u64) -> Entry {
+    Entry::Outcome { ticket, outcome: ClaimOutcome::NotRun }
+}
+
+fn open() -> Fleet {
+    let mut fleet = Fleet::open(7, &[("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")]);
+    fleet.run_for(SECOND);
+    fleet
+}
+
+fn finish(fleet: &mut Fleet, end: End) {
+    match end {
+        End::Drained => fleet.event(0, Event::Drain),
+        End::Died => fleet.kill(0),
+        End::DiedWithItsCopies => (0..3).for_each(|index| fleet.kill(index)),
+    }
+    if end != End::Drained {
+        for gone in ["b.1", "c.1"].into_iter().filter(|_| end == End::DiedWithItsCopies) {
+            fleet.recover(3, recovery::Event::Gone(gone.into()));
+        }
+        fleet.recover(3, recovery::Event::Dead("a.1".into()));
+    }
+    fleet.run_for(20 * SECOND);
+}
+
+fn recovered(fleet: &Fleet) -> Recovered {
+    let row = escrow::parse::<Vec<Entry>>(&fleet.table.row("claims/a.1")).expect("a row");
+    Recovered::replay(row.iter().flatten())
+}
+
+#[test]
+fn ended_issuer_never_denies_a_run() {
+    let unknown = || Outcome::Unknown(Doubt::NoAnswer);
+    let expired = || Outcome::Unknown(Doubt::Expired);
+    let cases = [
+        Case {
+            name: "drained",
+            entries: vec![claim(1)],
+            end: End::Drained,
+            outcomes: [unknown(), Outcome::NotRun],
+        },
+        Case {
+            name: "drained, with an outcome",
+            entries: vec![claim(1), ended(1), claim(2)],
+            end: End::Drained,
+            outcomes: [Outcome::NotRun, unknown()],
+        },
+        Case {
+            name: "drained, all claims forgotten",
+            entries: vec![claim(1), Entry::TicketFloor { floor: 2 }],
+            end: End::Drained,
+            outcomes: [expired(), Outcome::NotRun],
+        },
+        Case {
+            name: "died",
+            entries: vec![claim(1)],
+            end: End::Died,
+            outcomes: [unknown(), Outcome::NotRun],
+        },
+        Case {
+            name: "died, all claims forgotten",
+            entries: vec![claim(1), Entry::TicketFloor { floor: 2 }],
+            end: End::Died,
+            outcomes: [expired(), Outcome::NotRun],
+        },
+        Case {
+            name: "died with its copies",
+            entries: vec![claim(1)],
+            end: End::DiedWithItsCopies,
+            outcomes: [expired(), expired()],
+        },
+    ];
+    for case in cases {
+        let mut fleet = open();
+        for entry in case.entries {
+            fleet.append(0, entry);
+        }
+        fleet.run_for(SECOND);
+        finish(&mut fleet, case.end);
+        let registration: Option<Registration> =
+            escrow::parse(&fleet.table.row("holder/a.1")).expect("a row");
+        let state = registration.map(|registration| registration.state);
+        assert_eq!(state, Some(State::Closed), "{}", case.name);
+        let recovered = recovered(&fleet);
+        let outcomes = [1, 2].map(|ticket| recovered.outcome(ticket, &DIGEST));
+        assert_eq!(outcomes, case.outcomes, "{}", case.name);
+    }
+}
+
+#[test]
+fn recovery_that_finds_the_issuer_closed_proves_nothing() {
+    let mut fleet = open();
+    fleet.append(0, claim(1));
+    fleet.run_for(SECOND);
+    finish(&mut fleet, End::Drained);
+    fleet.recover(3, recovery::Event::Dead("a.1".into()));
+    fleet.run_for(10 * SECOND);
+    let report = fleet.reports.first().expect("a report");
+    assert_eq!(report.claims.outcome(1, &DIGEST), Outcome::Unknown(Doubt::Expired));
+}
+
+#[test]
+fn nothing_known_proves_nothing() {
+    let outcome = Recovered::default().outcome(1, &DIGEST);
+    assert_eq!(outcome, Outcome::Unknown(Doubt::Expired));
+}
--- a/crates/coordination/tests/money/fleet.rs
+++ b/crates/coordination/tests/money/fleet.rs
@@ -9,7 +9,7 @@
 use coordination::{
     holder::{Action, Event, Holder, Peer, Reason, Reserve, Settings},
     journal::Replica,
-    message::Message,
+    message::{Entry, Message},
     recovery::{self, Recovery},
     request::{self, Class},
     table::{Op, Outcome},
@@ -228,6 +228,13 @@
         self.perform(index, actions);
     }
 
+    /// Appends an entry to a host's journal.
+    pub fn append(&mut self, index: usize, entry: Entry) {
+        let mut actions = Vec::new();
+        self.hosts[index].holder.append(self.now, entry, &mut actions);
+        self.perform(index, actions);
+    }
+
     /// Gives an event to a host's recovery.
     pub fn recover(&mut self, index: usize, event: recovery::Event) {
         if self.hosts[index].dead {
--- a/crates/coordination/tests/money/main.rs
+++ b/crates/coordination/tests/money/main.rs
@@ -1,5 +1,6 @@
 //! Budgets under faults: contract with the table, hard cases of recovery, differential tests.
 
+mod claims;
 mod contract;
 mod differential;
 mod fleet;
