Measure how the cost of each part grows

Memory is taken in a process of its own for each point; in one process later parts use again what earlier ones freed and show nothing.

--- a/crates/coordination/examples/capacity/config.rs
+++ b/crates/coordination/examples/capacity/config.rs
@@ -14,7 +14,7 @@
 use wire::seal::Key;
 
 use crate::{
-    report::{Series, memory, nanos, print},
+    report::{Series, memory, nanos, print, print_memory},
     transport::size,
 };
 
@@ -48,16 +48,22 @@
     for count in RECORDS {
         let rows: Vec<Row> = (0..count).map(row).collect();
         let start = Instant::now();
-        let (used, follower) = memory(|| fill(rows));
+        let follower = fill(&rows);
         time.push(count, start.elapsed().as_nanos() as f64);
-        bytes.push(count, used);
+        bytes.push(count, memory("config", count));
         wire.push(count, pages(follower) as f64);
     }
     [time, bytes, wire].iter().for_each(Series::print);
     idle();
 }
 
-fn fill(rows: Vec<Row>) -> Follower {
+/// Prints the memory of a follower of so many records.
+pub fn memory_of(records: usize) {
+    let rows: Vec<Row> = (0..records).map(row).collect();
+    print_memory(|| fill(&rows));
+}
+
+fn fill(rows: &[Row]) -> Follower {
     let mut follower = Follower::new(validate);
     let mut actions = Vec::new();
     // Rows are copied, as if each answer of the platform had been parsed and dropped.
@@ -94,7 +100,7 @@
 }
 
 fn idle() {
-    let mut follower = fill((0..1_000).map(row).collect());
+    let mut follower = fill(&(0..1_000).map(row).collect::<Vec<_>>());
     let mut actions = Vec::new();
     let spent = nanos(IDLE_READS, |number| {
         let now = Duration::from_secs(3 * (number as u64 + 1));
--- a/crates/coordination/examples/capacity/holding.rs
+++ b/crates/coordination/examples/capacity/holding.rs
@@ -6,14 +6,14 @@
     holder::{Action, Event, Holder, Peer, Reserve, Settings},
     journal::Replica,
     message::Message,
-    record::{Budget, Ledger},
+    record::{self, Budget, Ledger, Record},
     request::{Class, Id},
 };
 use wire::seal::Key;
 
 use crate::{
     hot::table::Table,
-    report::{Series, memory, print},
+    report::{Series, memory, print_memory},
     transport::size,
 };
 
@@ -23,9 +23,18 @@
 /// Numbers of requests in progress.
 const OPEN: [usize; 3] = [0, 1_000, 10_000];
 
+/// Ticks that are measured.
+const TICKS: usize = 2_000;
+
 /// Requests that are measured.
 const REQUESTS: usize = 20_000;
 
+/// Number of the first request that draws the first grants.
+const WARM_UP_REQUEST: usize = 1 << 40;
+
+/// Budgets that requests use, where there are as many.
+const USED_BUDGETS: usize = 1_000;
+
 /// Tokens of a request.
 const TOKENS: u64 = 300;
 
@@ -44,6 +53,10 @@
 
 impl Host {
     fn new(budgets: usize) -> Self {
+        Self::with_table(budgets, records(budgets))
+    }
+
+    fn with_table(budgets: usize, table: Table) -> Self {
         let settings = Settings {
             id: "host-001.1".into(),
             host: "host-001".into(),
@@ -54,7 +67,7 @@
         let mut host = Self {
             holder: Holder::open(settings),
             replicas: replicas.iter().map(|id| (Arc::from(*id), Replica::default())).collect(),
-            table: Table::default(),
+            table,
             now: Duration::ZERO,
             key: Key::new("secret"),
             messages: 0,
@@ -137,8 +150,20 @@
         self.feed(Event::Settle { request, tokens: TOKENS / 2 });
     }
 
-    /// Reserves and settles requests at 49 a second; returns the nanoseconds of one.
+    /// Draws the first grants of the budgets.
+    fn warm_up(&mut self, budgets: usize) {
+        for round in 0..4 {
+            let first = WARM_UP_REQUEST + round * budgets;
+            (first..first + budgets).for_each(|number| self.reserve(number, budgets));
+            self.ticks(20);
+            (first..first + budgets).for_each(|number| self.settle(number));
+            self.ticks(20);
+        }
+    }
+
+    /// Reserves and settles requests at 50 a second; returns the nanoseconds of one.
     fn serve(&mut self, from: usize, count: usize, budgets: usize) -> f64 {
+        let reserved = self.reserved;
         let start = std::time::Instant::now();
         for number in from..from + count {
             if number % 5 == 0 {
@@ -147,8 +172,21 @@
             self.reserve(number, budgets);
             self.settle(number);
         }
-        start.elapsed().as_nanos() as f64 / count as f64
+        let nanos = start.elapsed().as_nanos() as f64;
+        let served = self.reserved - reserved;
+        assert!(served * 100 >= count * 99, "{served} of {count} reserved at once");
+        nanos / count as f64
+    }
+}
+
+fn records(budgets: usize) -> Table {
+    let mut table = Table::default();
+    for number in 0..budgets {
+        let budget = budget(number);
+        let text = record::render(&Record::Budget(budget.clone()));
+        table.put(&format!("config/budget/{}", budget.name), text);
     }
+    table
 }
 
 fn budget(number: usize) -> Budget {
@@ -161,19 +199,36 @@
     }
 }
 
+/// Prints the memory of a holder of so many budgets.
+pub fn memory_of_budgets(budgets: usize) {
+    let table = records(budgets);
+    print_memory(move || Host::with_table(budgets, table));
+}
+
+/// Prints the memory of so many requests in progress, with the copies of the journal.
+pub fn memory_of_open(open: usize) {
+    let mut host = Host::new(100);
+    host.warm_up(100);
+    print_memory(|| (0..open).for_each(|number| host.reserve(number, 100)));
+}
+
 /// Measures one reservation with its settlement, and memory.
 pub fn measure() {
     println!("## grants and journal");
     let mut time = Series::new("reservation and settlement, two copies, table", "budgets", "ns");
+    let mut tick = Series::new("tick of an idle holder", "budgets", "ns");
     let mut bytes = Series::new("memory of a holder", "budgets", "B");
     for budgets in BUDGETS {
-        let (used, mut host) = memory(|| Host::new(budgets));
-        bytes.push(budgets, used);
-        let used_budgets = budgets.min(1_000);
-        host.serve(0, REQUESTS, used_budgets);
-        time.push(budgets, host.serve(REQUESTS, REQUESTS, used_budgets));
+        let mut host = Host::new(budgets);
+        bytes.push(budgets, memory("budgets", budgets));
+        let start = std::time::Instant::now();
+        host.ticks(TICKS);
+        tick.push(budgets, start.elapsed().as_nanos() as f64 / TICKS as f64);
+        let used_budgets = budgets.min(USED_BUDGETS);
+        host.warm_up(used_budgets);
+        time.push(budgets, host.serve(0, REQUESTS, used_budgets));
     }
-    [time, bytes].iter().for_each(Series::print);
+    [time, tick, bytes].iter().for_each(Series::print);
     open_requests();
     traffic();
 }
@@ -183,30 +238,33 @@
     let mut bytes = Series::new("memory of holder and copies", "requests in progress", "B");
     for open in OPEN {
         let mut host = Host::new(100);
-        host.serve(1_000_000, 5_000, 100);
-        let (used, ()) = memory(|| (0..open).for_each(|number| host.reserve(number, 100)));
-        bytes.push(open, used);
+        host.warm_up(100);
+        (0..open).for_each(|number| host.reserve(number, 100));
+        bytes.push(open, memory("open", open));
         time.push(open, host.serve(2_000_000, REQUESTS, 100));
     }
     [time, bytes].iter().for_each(Series::print);
 }
 
 fn traffic() {
-    let mut host = Host::new(100);
-    host.serve(0, 5_000, 100);
-    let (commits, reads, reserved) = (host.table.commits, host.table.reads, host.reserved);
-    let start = host.now;
-    host.count = true;
-    host.serve(5_000, REQUESTS, 100);
-    let seconds = (host.now - start).as_secs_f64();
-    let requests = (host.reserved - reserved) as f64;
-    print("requests served", requests / seconds, "1/s");
-    print(
-        "journal messages, acknowledgements included",
-        host.messages as f64 / requests,
-        "a request",
-    );
-    print("journal bytes, acknowledgements included", host.bytes as f64 / requests, "a request");
-    print("table commits of the host", (host.table.commits - commits) as f64 / seconds, "1/s");
-    print("table reads of the host", (host.table.reads - reads) as f64 / seconds, "1/s");
+    let mut messages = Series::new("journal messages of a request", "budgets in use", "messages");
+    let mut bytes = Series::new("journal bytes of a request", "budgets in use", "B");
+    let mut commits =
+        Series::new("table commits of a host at 50 requests/s", "budgets in use", "1/s");
+    let mut reads = Series::new("table reads of a host at 50 requests/s", "budgets in use", "1/s");
+    for budgets in [10, 100, 1_000] {
+        let mut host = Host::new(budgets);
+        host.warm_up(budgets);
+        let before = (host.table.commits, host.table.reads, host.reserved);
+        let start = host.now;
+        host.count = true;
+        host.serve(0, REQUESTS, budgets);
+        let seconds = (host.now - start).as_secs_f64();
+        let requests = (host.reserved - before.2) as f64;
+        messages.push(budgets, host.messages as f64 / requests);
+        bytes.push(budgets, host.bytes as f64 / requests);
+        commits.push(budgets, (host.table.commits - before.0) as f64 / seconds);
+        reads.push(budgets, (host.table.reads - before.1) as f64 / seconds);
+    }
+    [messages, bytes, commits, reads].iter().for_each(Series::print);
 }
--- a/crates/coordination/examples/capacity/ledger.rs
+++ b/crates/coordination/examples/capacity/ledger.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     hot::table::Table,
-    report::{Series, memory},
+    report::{Series, memory, print_memory},
 };
 
 /// Numbers of charges.
@@ -29,22 +29,38 @@
     let mut time = Series::new("folding", "charges", "ns");
     let mut bytes = Series::new("memory of the fold", "charges", "B");
     for charges in CHARGES {
-        let mut table = Table::default();
-        for number in 0..charges / SEGMENT {
-            let segment = Segment { charges: (0..SEGMENT).map(|n| charge(number, n)).collect() };
-            let value = serde_json::to_string(&segment).expect("a segment is plain data");
-            table.put(&format!("ledger/host-{:03}.1/{number:012}", number % 350), value);
-        }
+        let mut table = ledger(charges);
         let start = Instant::now();
-        let (used, fold) = memory(|| fold(&mut table));
+        let fold = fold(&mut table);
         time.push(charges, start.elapsed().as_nanos() as f64);
-        bytes.push(charges, used);
+        bytes.push(charges, memory("fold", charges));
         assert!(fold.known() > 0);
     }
     [time, bytes].iter().for_each(Series::print);
     tickets();
 }
 
+/// Prints the memory of a fold that knows so many charges.
+pub fn memory_of_fold(charges: usize) {
+    let mut table = ledger(charges);
+    print_memory(|| fold(&mut table));
+}
+
+/// Prints the memory of an issuer of so many tickets.
+pub fn memory_of_tickets(tickets: usize) {
+    print_memory(|| issue(tickets));
+}
+
+fn ledger(charges: usize) -> Table {
+    let mut table = Table::default();
+    for number in 0..charges / SEGMENT {
+        let segment = Segment { charges: (0..SEGMENT).map(|n| charge(number, n)).collect() };
+        let value = serde_json::to_string(&segment).expect("a segment is plain data");
+        table.put(&format!("ledger/host-{:03}.1/{number:012}", number % 350), value);
+    }
+    table
+}
+
 fn charge(segment: usize, number: usize) -> Charge {
     let id = (segment * SEGMENT + number) as u128;
     Charge {
@@ -70,16 +86,17 @@
     let mut bytes = Series::new("memory of an issuer", "tickets that stand", "B");
     for tickets in TICKETS {
         let start = Instant::now();
-        let (used, issuer) = memory(|| {
-            let mut issuer = Issuer::open("host-001.1");
-            for _ in 0..tickets {
-                issuer.issue(Duration::from_secs(1));
-            }
-            issuer
-        });
+        drop(issue(tickets));
         time.push(tickets, start.elapsed().as_nanos() as f64);
-        bytes.push(tickets, used);
-        drop(issuer);
+        bytes.push(tickets, memory("tickets", tickets));
     }
     [time, bytes].iter().for_each(Series::print);
 }
+
+fn issue(tickets: usize) -> Issuer {
+    let mut issuer = Issuer::open("host-001.1");
+    for _ in 0..tickets {
+        issuer.issue(Duration::from_secs(1));
+    }
+    issuer
+}
--- a/crates/coordination/examples/capacity/main.rs
+++ b/crates/coordination/examples/capacity/main.rs
@@ -17,6 +17,15 @@
 mod transport;
 
 fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => measure(),
+        ["memory", part, count] => memory(part, count.parse().expect("a number")),
+        _ => eprintln!("no arguments are taken"),
+    }
+}
+
+fn measure() {
     println!("machine: {} threads", std::thread::available_parallelism().map_or(0, usize::from));
     transport::measure();
     members::measure();
@@ -27,3 +36,18 @@
     ledger::measure();
     routing::measure();
 }
+
+/// Prints the memory of one part; [`report::memory`] runs this in a process of its own.
+fn memory(part: &str, count: usize) {
+    match part {
+        "members" => members::memory_of(count),
+        "config" => config::memory_of(count),
+        "timeline" => timeline::memory_of(count),
+        "budgets" => holding::memory_of_budgets(count),
+        "open" => holding::memory_of_open(count),
+        "fold" => ledger::memory_of_fold(count),
+        "tickets" => ledger::memory_of_tickets(count),
+        "routing" => routing::memory_of(count),
+        _ => eprintln!("unknown part"),
+    }
+}
--- a/crates/coordination/examples/capacity/members.rs
+++ b/crates/coordination/examples/capacity/members.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     fleet::{Fleet, Sent, name},
-    report::{Series, memory, print},
+    report::{Series, memory, print, print_memory},
     transport::{HEADER_BYTES, size},
 };
 
@@ -35,12 +35,8 @@
     let mut time = Series::new("processor time with the test link", "hosts", "ns a host second");
     let mut bytes = Series::new("memory of a host's table", "hosts", "B");
     for (hosts, zones) in SIZES {
-        let (used, mut fleet) = memory(|| {
-            let mut fleet = Fleet::new(hosts, zones);
-            fleet.run(WARM_UP);
-            fleet
-        });
-        bytes.push(hosts, used / hosts as f64);
+        bytes.push(hosts, memory("members", hosts) / hosts as f64);
+        let mut fleet = settled(hosts, zones);
         let start = Instant::now();
         fleet.run(WINDOW);
         time.push(hosts, start.elapsed().as_nanos() as f64 / seconds() / hosts as f64);
@@ -56,6 +52,19 @@
     cold_start();
 }
 
+/// Prints the memory of a fleet of this size.
+pub fn memory_of(hosts: usize) {
+    let size = SIZES.iter().find(|size| size.0 == hosts);
+    let zones = size.map_or(1, |size| size.1);
+    print_memory(|| settled(hosts, zones));
+}
+
+fn settled(hosts: usize, zones: usize) -> Fleet {
+    let mut fleet = Fleet::new(hosts, zones);
+    fleet.run(WARM_UP);
+    fleet
+}
+
 fn seconds() -> f64 {
     WINDOW.as_secs_f64()
 }
@@ -75,8 +84,7 @@
 
 fn restarts() {
     let (hosts, zones) = SIZES[SIZES.len() - 1];
-    let mut fleet = Fleet::new(hosts, zones);
-    fleet.run(WARM_UP);
+    let mut fleet = settled(hosts, zones);
     fleet.record = true;
     for restart in 0..RESTARTS {
         fleet.run(WINDOW / RESTARTS as u32);
--- a/crates/coordination/examples/capacity/report.rs
+++ b/crates/coordination/examples/capacity/report.rs
@@ -1,6 +1,6 @@
 //! Points, fits and the memory of this process.
 
-use std::time::Instant;
+use std::{process::Command, time::Instant};
 
 /// Bytes of a page of memory.
 const PAGE_BYTES: u64 = 4_096;
@@ -76,11 +76,20 @@
     start.elapsed().as_nanos() as f64 / count as f64
 }
 
-/// Returns the bytes of memory that stay in use after `make`, and what it made.
-pub fn memory<T>(make: impl FnOnce() -> T) -> (f64, T) {
+/// Prints the bytes of memory that stay in use after `make`.
+pub fn print_memory<T>(make: impl FnOnce() -> T) {
     let before = resident();
     let made = make();
-    (resident().saturating_sub(before) as f64, made)
+    println!("{}", resident().saturating_sub(before));
+    drop(made);
+}
+
+/// Returns the bytes that a part takes in a process of its own, so that no memory is used again.
+pub fn memory(part: &str, count: usize) -> f64 {
+    let program = std::env::current_exe().expect("a path to this program");
+    let output = Command::new(program).args(["memory", part, &count.to_string()]).output();
+    let output = output.expect("this program can be run").stdout;
+    String::from_utf8_lossy(&output).trim().parse().expect("a number of bytes")
 }
 
 fn resident() -> u64 {
--- a/crates/coordination/examples/capacity/routing.rs
+++ b/crates/coordination/examples/capacity/routing.rs
@@ -8,7 +8,7 @@
     route::{Choice, Load, Query, Router, RouterEvent, Setting},
 };
 
-use crate::report::{Series, memory, nanos};
+use crate::report::{Series, memory, nanos, print_memory};
 
 /// Numbers of back ends.
 const BACKENDS: [usize; 3] = [30, 1_000, 12_000];
@@ -53,6 +53,11 @@
     router
 }
 
+/// Prints the memory of a router of so many back ends.
+pub fn memory_of(backends: usize) {
+    print_memory(|| router(backends));
+}
+
 /// Measures a choice, a load report and memory.
 pub fn measure() {
     println!("## routing state");
@@ -60,8 +65,8 @@
     let mut report = Series::new("load report", "back ends", "ns");
     let mut bytes = Series::new("memory of the router", "back ends", "B");
     for backends in BACKENDS {
-        let (used, mut router) = memory(|| router(backends));
-        bytes.push(backends, used);
+        let mut router = router(backends);
+        bytes.push(backends, memory("routing", backends));
         let mut actions = Vec::new();
         let load = Load { queued: 0, running: 8, slots: 64, leaving: false };
         let name = |number: usize| -> Arc<str> { format!("engine-{number:05}").into() };
@@ -75,7 +80,7 @@
         let query = Query {
             route: "chat".into(),
             class: Class::Normal,
-            aged: false,
+            starved: false,
             prefixes: Vec::new(),
             avoid: Vec::new(),
         };
--- a/crates/coordination/examples/capacity/timeline.rs
+++ b/crates/coordination/examples/capacity/timeline.rs
@@ -6,7 +6,7 @@
     timeline::{Entry, Query, Report, Ring, Step, merge},
 };
 
-use crate::report::{Series, memory, nanos};
+use crate::report::{Series, memory, nanos, print_memory};
 
 /// Events kept.
 const EVENTS: [usize; 3] = [1_000, 8_192, 65_536];
@@ -19,6 +19,11 @@
     ring
 }
 
+/// Prints the memory of a ring of so many events.
+pub fn memory_of(events: usize) {
+    print_memory(|| ring(events, "host-001"));
+}
+
 fn stamp(number: usize) -> Stamp {
     Stamp { wall_ms: 1_780_000_000_000 + number as u64, logical: 0 }
 }
@@ -41,8 +46,8 @@
     let mut query = Series::new("reading one request", "events", "ns");
     let mut merged = Series::new("merging 3 hosts", "events of each", "ns");
     for count in EVENTS {
-        let (used, mut full) = memory(|| ring(count, "host-001"));
-        bytes.push(count, used);
+        let mut full = ring(count, "host-001");
+        bytes.push(count, memory("timeline", count));
         push.push(count, nanos(100_000, |number| full.push(stamp(number), entry(number))));
         let request = Some(Id(1u128.to_le_bytes()));
         let one = Query { request, ..Query::all() };
