--- a/crates/coordination/examples/capacity/main.rs
+++ b/crates/coordination/examples/capacity/main.rs
@@ -7,12 +7,15 @@
 mod config;
 #[path = "../../tests/common/fleet.rs"]
 mod fleet;
+#[path = "../../tests/common/followers.rs"]
+mod followers;
 mod holding;
 mod hot;
 mod ledger;
 mod members;
 mod report;
 mod routing;
+mod spread;
 mod timeline;
 mod transport;
 
@@ -30,6 +33,7 @@
     transport::measure();
     members::measure();
     config::measure();
+    spread::measure();
     timeline::measure();
     holding::measure();
     hot::measure();
