--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -25,6 +25,9 @@
 /// Significant decimal digits of a latency.
 const DIGITS: u8 = 3;
 
+/// Longest latency that is told apart, in microseconds.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
 /// Requests that each worker sends before it measures.
 const WARM_UP: u64 = 2;
 
@@ -174,8 +177,10 @@
 
 impl Leg {
     fn new() -> Self {
-        // Three digits are within what a histogram can hold.
-        let empty = || Histogram::new(DIGITS).expect("a valid number of digits");
+        // The bounds and the digits are within what a histogram can hold.
+        let empty = || {
+            Histogram::new_with_bounds(1, LONGEST_MICROS, DIGITS).expect("valid bounds and digits")
+        };
         Self {
             first: empty(),
             between: empty(),
--- a/crates/standin/tests/contract/load.rs
+++ b/crates/standin/tests/contract/load.rs
@@ -1,5 +1,7 @@
 //! Load generator, against peers that answer well and badly.
 
+use std::time::Duration;
+
 use serde_json::json;
 use standin::{
     load::{Direct, Fleet, Plan, run, write_table},
@@ -9,6 +11,9 @@
 
 use crate::common::{PATIENT, engine};
 
+/// Time that the engine never sends a first token before.
+const FIRST_TIME: Duration = Duration::from_millis(20);
+
 const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
 const TOKENS: &str =
     "data: {\"offset\":0,\"token\":\"a\"}\n\ndata: {\"offset\":1,\"token\":\"b\"}\n\n";
@@ -51,11 +56,12 @@
     let events = format!("{TOKENS}{END}");
     let length = events.len();
     let peer = raw::spawn(format!("{HEAD}content-length: {length}\r\n\r\n{events}")).unwrap();
-    let engine = engine(|_| {});
+    let engine = engine(|settings| settings.first_time = FIRST_TIME);
     let direct = Direct { address: engine.address, model: "m".into() };
     let report = run(&plan(&peer, Some(direct))).unwrap();
     let leg = report.direct.as_ref().unwrap();
     assert_eq!((leg.whole, leg.first.len(), leg.between.len()), (10, 10, 10));
+    assert!(u128::from(leg.first.min()) + 100 > FIRST_TIME.as_micros(), "{}", leg.first.min());
     let counts = standin::control::get(engine.address, "/control/counts").unwrap();
     assert_eq!(counts, json!({"started": 10, "joined": 0, "cancelled": 0, "finished": 10}));
     let mut table = Vec::new();
