--- a/crates/coordination/examples/capacity/routing.rs
+++ b/crates/coordination/examples/capacity/routing.rs
@@ -68,7 +68,7 @@
         let mut router = router(backends);
         bytes.push(backends, memory("routing", backends));
         let mut actions = Vec::new();
-        let load = Load { queued: 0, running: 8, slots: 64, leaving: false };
+        let load = Load { queued: 0, running: 8, slots: 64, leaving: false, at_ms: 0 };
         let name = |number: usize| -> Arc<str> { format!("engine-{number:05}").into() };
         report.push(
             backends,
