--- /dev/null
+++ b/crates/coordination/tests/host/money.rs
@@ -0,0 +1,1 @@
+//! Budgets of whole hosts under faults.
