Charge a continued request for its own prompt only

Cause: an engine on which a request goes on counts the delivered tokens as a part of its prompt, at one token for each 4 bytes. The total took off one token for each delivered one, so with longer tokens the rest stayed on the bill. Ruled out: asking the engine of the first attempt, which may be gone.

--- a/crates/coordination/src/host/intake.rs
+++ b/crates/coordination/src/host/intake.rs
@@ -58,6 +58,13 @@
     pub prefixes: Vec<prefix::Key>,
 }
 
+impl Prompt {
+    /// Returns the number of tokens of the prompt.
+    pub fn tokens(&self) -> u64 {
+        (self.text.len() as u64).div_ceil(PROMPT_BYTES_PER_TOKEN)
+    }
+}
+
 /// Returns the work that a call asks for.
 ///
 /// # Errors
@@ -105,10 +112,11 @@
         let detail = format!("expected `max_tokens` from 1 to {}", route.max_tokens);
         return Err(refused(400, "bad_max_tokens", detail));
     }
-    let worst = (call.prompt.len() as u64).div_ceil(PROMPT_BYTES_PER_TOKEN) + max_tokens;
     let prefixes = prefix::keys(&model.name, call.prompt.as_bytes());
     let text = call.prompt.clone();
-    Ok((Ask::Model(Prompt { model: model.clone(), text, max_tokens, prefixes }), worst))
+    let prompt = Prompt { model: model.clone(), text, max_tokens, prefixes };
+    let worst = prompt.tokens() + max_tokens;
+    Ok((Ask::Model(prompt), worst))
 }
 
 fn plain(call: &Call, route: &Route) -> Result<(Ask, u64), Problem> {
--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -454,6 +454,7 @@
     fn finish(&mut self, id: request::Id, caller: Caller, usage: Usage) {
         self.begin(id, caller);
         self.callers.remove(&caller);
+        let usage = self.own_usage(id, usage);
         let charged = self.charge(id, usage);
         let Usage { prompt_tokens, tokens } = usage;
         self.note(Some(id), Step::Answered, "", format!("tokens={tokens} charged={charged}"));
@@ -468,6 +469,14 @@
         self.out.push(Action::Fail { caller, problem });
     }
 
+    /// Returns a usage whose prompt counts no more than the request's own: an engine on which the
+    /// request went on counts the delivered tokens as a part of its prompt.
+    fn own_usage(&self, id: request::Id, usage: Usage) -> Usage {
+        let Some(request) = self.models.get(&id) else { return usage };
+        let prompt_tokens = usage.prompt_tokens.min(request.prompt.tokens());
+        Usage { prompt_tokens, ..usage }
+    }
+
     /// Returns the tokens that a request is charged: what it used, at most its reservation.
     fn charge(&self, id: request::Id, usage: Usage) -> u64 {
         let worst = self.models.get(&id).map_or(0, |request| request.work.worst);
@@ -475,7 +484,7 @@
     }
 
     fn settle(&mut self, id: request::Id, usage: Usage) {
-        let tokens = self.charge(id, usage);
+        let tokens = self.charge(id, self.own_usage(id, usage));
         self.note(Some(id), Step::Settled, "", format!("tokens={tokens}"));
         self.holder_event(holder::Event::Settle { request: id, tokens });
     }
