Tell callers of a repeated call that it may have run

Cause: a repeatable call whose first attempt broke after it was sent, and whose next back end took no connection, was refused as not_run. Ruled out: charging it, since callers of repeatable calls pay for an answer.

--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -50,6 +50,8 @@
     avoid: Vec<Arc<str>>,
     attempts: u32,
     sent: bool,
+    /// An earlier attempt may have run.
+    ran: bool,
     deadline: Duration,
 }
 
@@ -139,6 +141,7 @@
             avoid: Vec::new(),
             attempts: 0,
             sent: false,
+            ran: false,
             deadline,
         };
         self.calls.insert(id, request);
@@ -223,10 +226,14 @@
         self.out.push(action);
     }
 
-    /// Ends a call of which not a byte was sent.
+    /// Ends a call that no back end takes, and of which not a byte was sent unless an earlier
+    /// attempt may have run.
     fn give_up(&mut self, id: request::Id, problem: Problem) {
         let Some(request) = self.remove_call(id) else { return };
         self.holder_event(holder::Event::Release { request: id });
+        if request.ran {
+            return self.end_incomplete(request);
+        }
         self.end_unsent(id, request, problem);
     }
 
@@ -291,6 +298,7 @@
         self.note(Some(id), Step::Failed, backend.clone(), format!("sent=yes cause={cause:?}"));
         let Some(request) = self.calls.get_mut(&id) else { return };
         request.avoid.push(backend.clone());
+        request.ran = true;
         let repeatable = request.ticketed.is_none();
         if repeatable && request.attempts < MAX_ATTEMPTS && self.retries.spend() {
             self.place_call(id);
@@ -304,6 +312,11 @@
             return self.runner_event(RunnerEvent::Ended { run: id, transport });
         }
         self.holder_event(holder::Event::Release { request: id });
+        self.end_incomplete(request);
+    }
+
+    /// Ends a repeatable call that may have run and has no answer.
+    fn end_incomplete(&mut self, request: Request) {
         for caller in request.callers {
             self.callers.remove(&caller);
             let failure = crate::answer::Failure::Incomplete { delivered: 0 };
