Say of a request that is being ended that it ran

Cause: a caller that came back to the host which was cancelling its request was told not_run together with 'an earlier run of the request is being ended'. Ruled out: waiting for the cancellation, which takes up to 2 s more. After: incomplete, repeat it with the same key.

--- a/crates/coordination/src/host/problem.rs
+++ b/crates/coordination/src/host/problem.rs
@@ -59,7 +59,9 @@
             later(503, "no_backend", "no back end took the request", *retry_after)
         }
         Failure::Ending { retry_after } => {
-            later(409, "ending", "an earlier run of the request is being ended", *retry_after)
+            let detail = "an earlier run of the request is being ended";
+            let outcome = Outcome::Incomplete;
+            Problem { outcome, ..later(409, "ending", detail, *retry_after) }
         }
         Failure::Incomplete { delivered } => Problem {
             status: 502,
