Test whole hosts in random histories of faults

Cuts of a zone, one-way cuts, freezes, deaths with and without restart, engine deaths, lost, late and repeated messages and commits; 7 hosts, 240 requests with a key, a ticket or neither, retried at other hosts.

--- /dev/null
+++ b/crates/coordination/tests/host/histories.rs
@@ -0,0 +1,195 @@
+//! Random histories: faults of every kind, then rest, then the accounts.
+
+use std::time::Duration;
+
+use coordination::{
+    host::event::Event,
+    record::{self, Ledger, Operator, Record},
+};
+use rand::RngExt;
+use test_case::test_case;
+
+use crate::{
+    callers::{Kind, Verdict, codes},
+    records::{self, ZONES},
+    world::{Faults, PLATFORM, Process, World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Time after which a fleet without faults has settled everything.
+const REST: Duration = Duration::from_secs(240);
+
+/// Time after which every host has each record, once nothing fails.
+const CONVERGENCE: Duration = Duration::from_secs(18);
+
+/// What may go wrong in a history.
+struct Case {
+    faults: Faults,
+    cuts: bool,
+    freezes: bool,
+    deaths: bool,
+    engine_deaths: bool,
+    /// Tokens bought, then bought during the history.
+    bought: [u64; 2],
+}
+
+const CALM: Faults = Faults { link: 0.0, late: 0.0, table: 0.0, backends: 0.0 };
+const ROUGH: Faults = Faults { link: 0.05, late: 0.1, table: 0.1, backends: 0.05 };
+const NONE: Case = Case {
+    faults: CALM,
+    cuts: false,
+    freezes: false,
+    deaths: false,
+    engine_deaths: false,
+    bought: [50_000, 50_000],
+};
+
+#[test_case(NONE; "calm")]
+#[test_case(Case { faults: ROUGH, ..NONE }; "lost and late")]
+#[test_case(Case { cuts: true, ..NONE }; "cuts")]
+#[test_case(Case { freezes: true, ..NONE }; "freezes")]
+#[test_case(Case { deaths: true, ..NONE }; "deaths")]
+#[test_case(Case { engine_deaths: true, ..NONE }; "engine deaths")]
+#[test_case(Case { faults: ROUGH, cuts: true, freezes: true, deaths: true, engine_deaths: true, ..NONE }; "all")]
+#[test_case(Case { faults: ROUGH, cuts: true, freezes: true, deaths: true, engine_deaths: true, bought: [3_000, 3_000] }; "all and scarce")]
+fn histories_end_with_whole_answers_and_true_accounts(case: Case) {
+    for seed in seeds() {
+        history(&case, seed);
+    }
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    match std::env::var("SEEDS").ok().and_then(|seeds| seeds.parse::<u64>().ok()) {
+        Some(seeds) if std::env::var("ONE").is_ok() => seeds..seeds + 1,
+        Some(seeds) => 1..seeds + 1,
+        None => 1..9,
+    }
+}
+
+fn history(case: &Case, seed: u64) {
+    let mut world = World::open(seed, 7);
+    let [first, second] = case.bought;
+    records::write_budget(&mut world.table, "new", &[first], Ledger::New);
+    records::write_budget(&mut world.table, "old", &[first], Ledger::Old);
+    world.run_for(20 * SECOND);
+    let kinds = [Kind::Model("review"), Kind::Single("letter"), Kind::Status, Kind::Pay];
+    for n in 0..240u32 {
+        let budget = if n % 5 == 0 { "old" } else { "new" };
+        world.add(SECOND / 2 * n, kinds[n as usize % 4], budget, 4);
+    }
+    world.faults = case.faults;
+    for step in 0..12 {
+        if step == 5 {
+            records::write_budget(&mut world.table, "new", &[first, second], Ledger::New);
+        }
+        write_operator(&mut world, step);
+        strike(&mut world, case);
+        world.run_for(10 * SECOND);
+    }
+    world.heal();
+    world.run_for(CONVERGENCE);
+    check_revisions(&world, seed);
+    world.run_for(REST);
+    check(&mut world, case, seed);
+}
+
+fn strike(world: &mut World, case: &Case) {
+    let hosts = world.hosts.len();
+    let host = world.random.random_range(0..hosts);
+    let zone = ZONES[world.random.random_range(0..3)];
+    let other = ZONES.into_iter().chain([PLATFORM]).filter(|other| *other != zone);
+    let other = other.collect::<Vec<_>>()[world.random.random_range(0..3)];
+    match world.random.random_range(0..8) {
+        0 if case.cuts => world.isolate(zone),
+        1 if case.cuts => world.cut_one_way(zone, other),
+        2 if case.cuts => world.cut_one_way(other, zone),
+        3 if case.cuts => world.cuts.clear(),
+        4 if case.freezes => world.hosts[host].frozen = true,
+        5 if case.freezes => (0..hosts).for_each(|host| world.thaw(host)),
+        6 if case.deaths => {
+            world.kill(host);
+            if world.random.random_bool(0.5) {
+                let incarnation = world.hosts.len() as u64 + 1;
+                let number = world.hosts[host].name[1..].parse().expect("a number");
+                let newest = world.hosts.iter().rposition(|p| p.name == world.hosts[host].name);
+                if newest == Some(host) {
+                    world.start(number, incarnation);
+                }
+            }
+        }
+        7 if case.engine_deaths => {
+            let engine = world.random.random_range(0..3);
+            world.kill_backend(engine);
+        }
+        _ => {}
+    }
+}
+
+/// Changes the records.
+fn write_operator(world: &mut World, step: u32) {
+    let name = format!("operator{step}").into();
+    let operator = Operator { name, token_hashes: Vec::new() };
+    records::write(&mut world.table, &Record::Operator(operator));
+}
+
+fn check_revisions(world: &World, seed: u64) {
+    let records = world.table.rows().filter(|row| row.key.starts_with(record::PREFIX));
+    let newest = records.map(|row| row.revision).max().expect("records");
+    for process in world.hosts.iter().filter(|process| process.live()) {
+        let Process { name, revision, .. } = process;
+        assert!(*revision >= newest, "seed {seed}: {name} is at {revision} of {newest}");
+    }
+}
+
+/// Checks a fleet at rest, drains it, and checks the accounts.
+fn check(world: &mut World, case: &Case, seed: u64) {
+    let live: Vec<usize> = (0..world.hosts.len()).filter(|n| world.hosts[*n].live()).collect();
+    for &host in &live {
+        let figures = world.hosts[host].host.figures();
+        assert_eq!(figures.requests, 0, "seed {seed}: requests at {host}");
+    }
+    for &host in &live {
+        world.event(host, Event::Drain);
+    }
+    world.run_for(60 * SECOND);
+    for &host in &live {
+        let process = &world.hosts[host];
+        let state = process.host.figures().state;
+        assert!(process.stopped, "seed {seed}: {} is {state}", process.name);
+    }
+    for budget in ["new", "old"] {
+        let balance = world.balance(budget);
+        assert_eq!(balance.disagreements, [], "seed {seed}: {budget}");
+        let spent = balance.ledger + balance.old_ledger - balance.refunds;
+        let accounted = spent + balance.escrow.stranded + balance.remaining;
+        let missing = balance.prepaid.checked_sub(accounted).unwrap_or_else(|| panic!("seed {seed}: {budget} {balance:?}"));
+        // What a dead process had set aside, or was on its way to it, may stay out of use.
+        assert!(missing == 0 || case.deaths && case.cuts, "seed {seed}: {missing} of {budget}");
+        assert!(spent <= balance.prepaid, "seed {seed}: {spent} of {budget} are charged");
+    }
+    check_jobs(world, case, seed);
+}
+
+fn check_jobs(world: &World, case: &Case, seed: u64) {
+    let charges = world.charges();
+    assert!(charges.values().all(|held| held.len() == 1), "seed {seed}: charged once");
+    for (name, runs) in &world.calls {
+        let number: usize = name[1..].parse().expect("a number");
+        let runs_once = world.jobs[number].kind != Kind::Pay || *runs == 1;
+        assert!(runs_once, "seed {seed}: {name} ran {runs} times");
+    }
+    for job in &world.jobs {
+        let ids = world.sent.get(&job.name).into_iter().flatten();
+        let held: Vec<u64> = ids.filter_map(|id| charges.get(id)).flatten().copied().collect();
+        let ran = world.started.contains(&job.name) || world.calls.contains_key(&job.name);
+        assert!(ran || held.is_empty(), "seed {seed}: {} is charged unrun {job:?}", job.name);
+        if matches!(job.verdicts.last(), Some((_, _, Verdict::Whole))) {
+            assert_eq!(held.len(), 1, "seed {seed}: {} is charged once {job:?}", job.name);
+        }
+        if !case.deaths && matches!(job.verdicts[..], [(_, _, Verdict::Whole)]) {
+            assert_eq!(held, [job.price()], "seed {seed}: price of {}", job.name);
+        }
+    }
+    println!("seed {seed}: {:?}", codes(&world.jobs));
+}
--- a/crates/coordination/tests/host/main.rs
+++ b/crates/coordination/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod backends;
 mod callers;
+mod histories;
 mod money;
 mod records;
 #[path = "../money/table.rs"]
