--- a/crates/coordination/tests/host/callers.rs
+++ b/crates/coordination/tests/host/callers.rs
@@ -38,6 +38,7 @@
     pub tries_left: u32,
     /// Number of the try in progress; earlier ones are over.
     pub current: u64,
+    pub began: Duration,
     /// Tokens of the try in progress.
     pub read: u64,
     pub verdicts: Vec<(Duration, usize, Verdict)>,
