Test records, leaving and tickets with whole hosts

Records at every host 18 s after faults end, and at one that starts while the platform is away; 1, 2 and 5 of 7 hosts leave under load: 400 requests answered but for those that reach a host in the millisecond in which it begins to leave; 12 tickets presented by 5 callers each, retried at any host.

--- a/crates/coordination/tests/host/main.rs
+++ b/crates/coordination/tests/host/main.rs
@@ -3,9 +3,12 @@
 mod answers;
 mod backends;
 mod callers;
+mod config;
 mod histories;
+mod leaving;
 mod money;
 mod records;
 #[path = "../money/table.rs"]
 mod table;
+mod tickets;
 mod world;
