--- /dev/null
+++ b/crates/coordination/examples/capacity/holding.rs
@@ -0,0 +1,270 @@
+//! Grants and journal of one host as its budgets and open requests grow.
+
+use std::{sync::Arc, time::Duration};
+
+use coordination::{
+    holder::{Action, Event, Holder, Peer, Reserve, Settings},
+    journal::Replica,
+    message::Message,
+    record::{self, Budget, Ledger, Record},
+    request::{Class, Id},
+};
+use wire::seal::Key;
+
+use crate::{
+    hot::table::Table,
+    report::{Series, memory, print_memory},
+    transport::size,
+};
+
+/// Numbers of budgets.
+const BUDGETS: [usize; 3] = [10, 1_000, 23_000];
+
+/// Numbers of requests in progress.
+const OPEN: [usize; 3] = [0, 1_000, 10_000];
+
+/// Ticks that are measured.
+const TICKS: usize = 2_000;
+
+/// Requests that are measured.
+const REQUESTS: usize = 20_000;
+
+/// Number of the first request that draws the first grants.
+const WARM_UP_REQUEST: usize = 1 << 40;
+
+/// Budgets that requests use, where there are as many.
+const USED_BUDGETS: usize = 1_000;
+
+/// Tokens of a request.
+const TOKENS: u64 = 300;
+
+/// A holder, the copies of its journal, and the table.
+struct Host {
+    holder: Holder,
+    replicas: Vec<(Arc<str>, Replica)>,
+    table: Table,
+    now: Duration,
+    key: Key,
+    messages: usize,
+    bytes: usize,
+    count: bool,
+    reserved: usize,
+}
+
+impl Host {
+    fn new(budgets: usize) -> Self {
+        Self::with_table(budgets, records(budgets))
+    }
+
+    fn with_table(budgets: usize, table: Table) -> Self {
+        let settings = Settings {
+            id: "host-001.1".into(),
+            host: "host-001".into(),
+            zone: "zone-01".into(),
+            seed: 1,
+        };
+        let replicas = ["host-002.1", "host-003.1"];
+        let mut host = Self {
+            holder: Holder::open(settings),
+            replicas: replicas.iter().map(|id| (Arc::from(*id), Replica::default())).collect(),
+            table,
+            now: Duration::ZERO,
+            key: Key::new("secret"),
+            messages: 0,
+            bytes: 0,
+            count: false,
+            reserved: 0,
+        };
+        let peers = replicas.iter().enumerate().map(|(number, id)| Peer {
+            id: Arc::from(*id),
+            host: Arc::from(id.trim_end_matches(".1")),
+            zone: Arc::from(format!("zone-0{}", number + 1)),
+            reachable: true,
+        });
+        host.feed(Event::Peers(peers.collect()));
+        for number in 0..budgets {
+            host.feed(Event::Budget(budget(number)));
+        }
+        host.ticks(100);
+        host
+    }
+
+    fn ticks(&mut self, count: usize) {
+        for _ in 0..count {
+            self.now += Duration::from_millis(50);
+            self.feed(Event::Tick);
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let mut actions = Vec::new();
+            self.holder.handle(self.now, event, &mut actions);
+            for action in actions {
+                events.extend(self.perform(action));
+            }
+        }
+    }
+
+    fn perform(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Table { id, op } => {
+                let outcome = self.table.run(&op, None);
+                Some(Event::Table { id, outcome })
+            }
+            Action::Send { to, message: Message::Append(append) } => {
+                if self.count {
+                    self.messages += 2;
+                    self.bytes += size(&self.key, &Message::Append(append.clone()));
+                }
+                let replicas = self.replicas.iter_mut();
+                let (from, replica) =
+                    replicas.into_iter().find(|(id, _)| id.starts_with(&*format!("{to}.")))?;
+                let message = replica.append(append);
+                if self.count {
+                    self.bytes += size(&self.key, &message);
+                }
+                Some(Event::Message { from: from.clone(), message })
+            }
+            Action::Reserved { .. } => {
+                self.reserved += 1;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn reserve(&mut self, number: usize, budgets: usize) {
+        self.feed(Event::Reserve(Reserve {
+            request: Id((number as u128).to_le_bytes()),
+            budget: Arc::from(format!("budget-{:05}", number % budgets)),
+            tokens: TOKENS,
+            class: Class::Normal,
+            backend: Arc::from("engine-0001"),
+        }));
+    }
+
+    fn settle(&mut self, number: usize) {
+        let request = Id((number as u128).to_le_bytes());
+        self.feed(Event::Settle { request, tokens: TOKENS / 2 });
+    }
+
+    /// Draws the first grants of the budgets.
+    fn warm_up(&mut self, budgets: usize) {
+        for round in 0..4 {
+            let first = WARM_UP_REQUEST + round * budgets;
+            (first..first + budgets).for_each(|number| self.reserve(number, budgets));
+            self.ticks(20);
+            (first..first + budgets).for_each(|number| self.settle(number));
+            self.ticks(20);
+        }
+    }
+
+    /// Reserves and settles requests at 50 a second; returns the nanoseconds of one.
+    fn serve(&mut self, from: usize, count: usize, budgets: usize) -> f64 {
+        let reserved = self.reserved;
+        let start = std::time::Instant::now();
+        for number in from..from + count {
+            if number % 5 == 0 {
+                self.ticks(2);
+            }
+            self.reserve(number, budgets);
+            self.settle(number);
+        }
+        let nanos = start.elapsed().as_nanos() as f64;
+        let served = self.reserved - reserved;
+        assert!(served * 100 >= count * 99, "{served} of {count} reserved at once");
+        nanos / count as f64
+    }
+}
+
+fn records(budgets: usize) -> Table {
+    let mut table = Table::default();
+    for number in 0..budgets {
+        let budget = budget(number);
+        let text = record::render(&Record::Budget(budget.clone()));
+        table.put(&format!("config/budget/{}", budget.name), text);
+    }
+    table
+}
+
+fn budget(number: usize) -> Budget {
+    Budget {
+        name: Arc::from(format!("budget-{number:05}")),
+        workspace: "w-001".into(),
+        top_ups: [(Arc::from("t1"), 1_000_000_000_000)].into(),
+        urgent_floor: 1_000,
+        ledger: Ledger::New,
+    }
+}
+
+/// Prints the memory of a holder of so many budgets.
+pub fn memory_of_budgets(budgets: usize) {
+    let table = records(budgets);
+    print_memory(move || Host::with_table(budgets, table));
+}
+
+/// Prints the memory of so many requests in progress, with the copies of the journal.
+pub fn memory_of_open(open: usize) {
+    let mut host = Host::new(100);
+    host.warm_up(100);
+    print_memory(|| (0..open).for_each(|number| host.reserve(number, 100)));
+}
+
+/// Measures one reservation with its settlement, and memory.
+pub fn measure() {
+    println!("## grants and journal");
+    let mut time = Series::new("reservation and settlement, two copies, table", "budgets", "ns");
+    let mut tick = Series::new("tick of an idle holder", "budgets", "ns");
+    let mut bytes = Series::new("memory of a holder", "budgets", "B");
+    for budgets in BUDGETS {
+        let mut host = Host::new(budgets);
+        bytes.push(budgets, memory("budgets", budgets));
+        let start = std::time::Instant::now();
+        host.ticks(TICKS);
+        tick.push(budgets, start.elapsed().as_nanos() as f64 / TICKS as f64);
+        let used_budgets = budgets.min(USED_BUDGETS);
+        host.warm_up(used_budgets);
+        time.push(budgets, host.serve(0, REQUESTS, used_budgets));
+    }
+    [time, tick, bytes].iter().for_each(Series::print);
+    open_requests();
+    traffic();
+}
+
+fn open_requests() {
+    let mut time = Series::new("reservation and settlement", "requests in progress", "ns");
+    let mut bytes = Series::new("memory of holder and copies", "requests in progress", "B");
+    for open in OPEN {
+        let mut host = Host::new(100);
+        host.warm_up(100);
+        (0..open).for_each(|number| host.reserve(number, 100));
+        bytes.push(open, memory("open", open));
+        time.push(open, host.serve(2_000_000, REQUESTS, 100));
+    }
+    [time, bytes].iter().for_each(Series::print);
+}
+
+fn traffic() {
+    let mut messages = Series::new("journal messages of a request", "budgets in use", "messages");
+    let mut bytes = Series::new("journal bytes of a request", "budgets in use", "B");
+    let mut commits =
+        Series::new("table commits of a host at 50 requests/s", "budgets in use", "1/s");
+    let mut reads = Series::new("table reads of a host at 50 requests/s", "budgets in use", "1/s");
+    for budgets in [10, 100, 1_000] {
+        let mut host = Host::new(budgets);
+        host.warm_up(budgets);
+        let before = (host.table.commits, host.table.reads, host.reserved);
+        let start = host.now;
+        host.count = true;
+        host.serve(0, REQUESTS, budgets);
+        let seconds = (host.now - start).as_secs_f64();
+        let requests = (host.reserved - before.2) as f64;
+        messages.push(budgets, host.messages as f64 / requests);
+        bytes.push(budgets, host.bytes as f64 / requests);
+        commits.push(budgets, (host.table.commits - before.0) as f64 / seconds);
+        reads.push(budgets, (host.table.reads - before.1) as f64 / seconds);
+    }
+    [messages, bytes, commits, reads].iter().for_each(Series::print);
+}
--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -11,6 +11,7 @@
 pub mod intake;
 mod model;
 mod money;
+mod orders;
 mod placement;
 mod plain;
 pub mod problem;
@@ -29,9 +30,9 @@
     admit::{self, Admission, AdmissionEvent, Waiter},
     answer::Attempt,
     claim::{Issuer, Runner},
-    config, fold, holder, journal, member,
+    config, fold, holder, journal, locate, member,
     message::Holder,
-    recovery, request, retry,
+    order, recovery, request, retry,
     route::{self, Router},
     table::{Op, Outcome},
     ticket,
@@ -87,10 +88,17 @@
     pub members: u64,
     /// Requests in progress.
     pub requests: u64,
-    /// Tokens that this host may spend.
-    pub held_tokens: u64,
+}
+
+/// What a host holds of a budget.
+#[derive(Debug, Clone)]
+pub struct Balance {
+    /// Budget.
+    pub budget: Arc<str>,
+    /// Tokens that are not set aside.
+    pub available: u64,
     /// Tokens set aside for requests in progress.
-    pub reserved_tokens: u64,
+    pub reserved: u64,
 }
 
 /// Decision that an operation of the table belongs to.
@@ -100,6 +108,7 @@
     Recovery(u64),
     Fold(u64),
     Follower,
+    Orders(u64),
     Claims(Holder),
     Announce,
 }
@@ -146,6 +155,9 @@
     issuer: Issuer,
     runner: Runner,
     admission: Admission,
+    locator: locate::Locator,
+    places: locate::Index,
+    orders: order::Issuer,
     retries: retry::Budget,
     ticket_key: ticket::Key,
     operations: BTreeMap<Operation, Owner>,
@@ -159,6 +171,7 @@
     callers: BTreeMap<Caller, request::Id>,
     waiters: BTreeMap<Waiter, request::Id>,
     waiting: BTreeMap<request::Id, Waiter>,
+    placed: BTreeMap<request::Id, Waiter>,
     next_waiter: Waiter,
     timers: BTreeSet<(Duration, request::Id)>,
     inquiries: BTreeMap<request::Id, VecDeque<model::Inquiry>>,
@@ -199,6 +212,9 @@
             issuer: Issuer::open(id.clone()),
             runner: Runner::open(id.clone()),
             admission: Admission::open(admit::Setting::default(), router),
+            locator: locate::Locator::open(),
+            places: locate::Index::default(),
+            orders: order::Issuer::open(order::Setting::new(id.clone())),
             retries: retry::Budget::open(retry::Setting::default(), settings.seed),
             ticket_key: ticket::Key::derive(&settings.secret),
             operations: BTreeMap::new(),
@@ -212,6 +228,7 @@
             callers: BTreeMap::new(),
             waiters: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            placed: BTreeMap::new(),
             next_waiter: 1,
             timers: BTreeSet::new(),
             inquiries: BTreeMap::new(),
@@ -243,6 +260,15 @@
         self.fenced
     }
 
+    /// Returns what this host holds of each budget; takes time for each budget in force.
+    pub fn balances(&self) -> impl Iterator<Item = Balance> {
+        self.catalog.budgets().map(|budget| Balance {
+            budget: budget.name.clone(),
+            available: self.holder.available(&budget.name),
+            reserved: self.holder.reserved(&budget.name),
+        })
+    }
+
     /// Returns the figures for status and metrics.
     pub fn figures(&self) -> Figures {
         Figures {
@@ -251,8 +277,6 @@
             revision: self.follower.revision(),
             members: self.members.reachable().count() as u64,
             requests: self.callers.len() as u64,
-            held_tokens: 0,
-            reserved_tokens: 0,
         }
     }
 
@@ -293,6 +317,7 @@
             Event::Message { from, address, message } => self.message(from, address, message),
             Event::Unreachable { address } => self.unreachable(&address),
             Event::Held { stream, held } => self.held(stream, held),
+            Event::Order(event) => self.order_event(event),
             Event::Tick => self.tick(),
             Event::Drain => self.drain(),
         }
@@ -399,6 +424,7 @@
             Owner::Recovery(id) => self.recovery_event(recovery::Event::Table { id, outcome }),
             Owner::Fold(id) => self.fold_event(fold::Event::Table { id, outcome }),
             Owner::Follower => self.follower_event(config::Event::Outcome(outcome)),
+            Owner::Orders(number) => self.order_event(order::Event::Table { number, outcome }),
             Owner::Claims(holder) => self.claims_read(holder, outcome),
             Owner::Announce => self.announced &= matches!(outcome, Outcome::Committed(_)),
         }
@@ -410,8 +436,10 @@
         self.holder_event(holder::Event::Tick);
         self.recovery_event(recovery::Event::Tick);
         self.fold_event(fold::Event::Tick);
+        self.order_event(order::Event::Tick);
         self.claim_tick();
         self.admission_event(AdmissionEvent::Tick);
+        self.locator_event(locate::Event::Tick);
         self.wake_streams();
         self.announce();
         self.advance();
@@ -423,6 +451,7 @@
         }
         self.note(None, Step::Draining, "", String::new());
         self.member_event(member::Event::Leave);
+        self.order_event(order::Event::Release);
         self.stage = Stage::Finishing { until: self.now + self.settings.drain };
         self.advance();
     }
@@ -430,10 +459,7 @@
     /// Takes the next step of leaving once the current one is done.
     fn advance(&mut self) {
         match self.stage {
-            Stage::Finishing { until } if self.idle() || self.now >= until => {
-                self.stage = Stage::Returning;
-                self.holder_event(holder::Event::Drain);
-            }
+            Stage::Finishing { until } if self.idle() || self.now >= until => self.give_back(),
             Stage::Lingering { until } if self.now >= until => {
                 self.stage = Stage::Stopped;
                 self.note(None, Step::Stopped, "", String::new());
@@ -443,6 +469,16 @@
         }
     }
 
+    /// Gives back what is held; a host that was taken for dead holds nothing any more.
+    fn give_back(&mut self) {
+        if self.fenced {
+            self.stage = Stage::Lingering { until: self.now + LINGER };
+            return;
+        }
+        self.stage = Stage::Returning;
+        self.holder_event(holder::Event::Drain);
+    }
+
     /// Returns whether no request is in progress and no outcome of one is still to be kept.
     fn idle(&self) -> bool {
         self.callers.is_empty()
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -6,7 +6,7 @@
     answer::Usage,
     member::Listed,
     message::{Holder, Message},
-    request,
+    order, request,
     table::Outcome,
 };
 
@@ -89,6 +89,8 @@
         /// What it holds; `None` where it did not answer.
         held: Option<Held>,
     },
+    /// A back end or the weight store answered the giver of orders.
+    Order(order::Event),
     /// Time passed.
     Tick,
     /// The host is to stop: take no new work, finish the rest, hand over what it holds.
@@ -193,6 +195,8 @@
     pub running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Time of the report by the back end's clock, in milliseconds.
+    pub at_ms: u64,
     /// Age of the report, in milliseconds.
     pub age_ms: u64,
     /// It leaves.
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -5,9 +5,9 @@
 use super::{Host, Owner, Stage, action::Action, catalog::Change, money::host_of};
 use crate::{
     claim::{IssuerEvent, RunnerEvent},
-    config, holder, member,
+    config, holder, locate, member,
     message::{Holder, Member, Message, State},
-    record, recovery,
+    order, record, recovery,
     route::RouterEvent,
     table::{Op, Row, Txn, Write},
     timeline::Step,
@@ -35,7 +35,10 @@
                 self.recovery_event(recovery::Event::Message { from, message });
             }
             Message::Sealed(_) => self.recovery_event(recovery::Event::Message { from, message }),
-            Message::Locate { .. } | Message::Located { .. } => {}
+            Message::Locate { request, backend } => self.locate(from, address, request, backend),
+            Message::Located { request, backend, .. } => {
+                self.locator_event(locate::Event::Located { request, backend });
+            }
             Message::Claim { .. }
             | Message::ClaimReply { .. }
             | Message::ClaimOutcome { .. }
@@ -46,8 +49,9 @@
             Message::ConfigAsk { after } => {
                 self.follower_event(config::Event::Ask { address, after });
             }
-            Message::ConfigRows { rows, through } => {
-                self.follower_event(config::Event::Rows { rows, through });
+            Message::ConfigRows { rows, after, through, current, deletions_after } => {
+                let page = config::Page { rows, after, through, current, deletions_after };
+                self.follower_event(config::Event::Rows { address, page });
             }
         }
     }
@@ -126,9 +130,14 @@
         let others = self.members.members().filter(|member| member.host != own);
         let known = others.filter(|member| member.state != State::Gone);
         self.peers = known.map(peer).collect();
-        let serving = self.members.reachable().count() + 1;
-        let hosts = u32::try_from(serving).unwrap_or(u32::MAX);
-        self.router_event(RouterEvent::Hosts(hosts));
+        let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let count = number(self.members.reachable().count() + 1);
+        let before = self.members.reachable().filter(|member| member.host < own);
+        let index = number(before.count());
+        self.router_event(RouterEvent::Hosts { count, index });
+        let homes =
+            self.peers.iter().map(|peer| peer.host.clone()).chain([self.settings.host.clone()]);
+        self.locator.set_homes(locate::Homes::open(homes));
         self.holder_event(holder::Event::Peers(self.peers.clone()));
     }
 
@@ -181,10 +190,12 @@
                 false
             }
             Change::Backend(backend) => {
+                self.want(&backend);
                 self.router_event(RouterEvent::Backend(backend));
                 true
             }
             Change::BackendDeleted(name) => {
+                self.order_event(order::Event::Forget(name.clone()));
                 self.router_event(RouterEvent::BackendDeleted(name));
                 true
             }
--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -4,7 +4,11 @@
 
 use super::{Host, Owner, Stage, action::Action, problem};
 use crate::{
-    answer::Usage, claim::IssuerEvent, fold, holder, message::Message, recovery, request,
+    answer::Usage,
+    claim::{IssuerEvent, RunnerEvent},
+    fold, holder,
+    message::{Entry, Message},
+    recovery, request,
     timeline::Step,
 };
 
@@ -15,6 +19,13 @@
         self.holder_actions(actions);
     }
 
+    /// Appends an entry to the journal without waiting for its copies.
+    pub(super) fn append(&mut self, entry: Entry) {
+        let mut actions = Vec::new();
+        self.holder.append(self.now, entry, &mut actions);
+        self.holder_actions(actions);
+    }
+
     pub(super) fn holder_actions(&mut self, actions: Vec<holder::Action>) {
         for action in actions {
             self.holder_action(action);
@@ -40,6 +51,9 @@
             holder::Action::Fenced => {
                 self.fenced = true;
                 self.note(None, Step::Sealed, "", String::new());
+                if self.stage == Stage::Returning {
+                    return self.give_back();
+                }
                 self.drain();
             }
             holder::Action::Note(note) => self.holder_note(note),
@@ -98,6 +112,10 @@
         let recovery::Report { holder, settled, returned, stranded, .. } = report;
         let detail = format!("settled={settled} returned={returned} stranded={stranded}");
         self.replica.forget(holder);
+        if report.claims.floor.is_some() {
+            let claims = Arc::new(report.claims.clone());
+            self.runner_event(RunnerEvent::Recovered(holder.clone(), claims));
+        }
         self.note(None, Step::Recovered, host_of(holder), detail);
     }
 
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Host, Owner, Purpose,
+    Host, Owner, Purpose, Stage,
     action::{Action, Problem},
     event::{Caller, Report},
     intake::{self, Work},
@@ -187,7 +187,7 @@
         let query = Query {
             route: request.work.route.clone(),
             class: request.work.class,
-            aged: false,
+            starved: false,
             prefixes: Vec::new(),
             avoid: request.avoid.clone(),
         };
@@ -244,7 +244,7 @@
     pub(super) fn call_report(&mut self, id: request::Id, backend: &Arc<str>, report: Report) {
         let served = matches!(report, Report::Answer { .. });
         self.router_event(RouterEvent::Health { backend: backend.clone(), served });
-        self.router_event(RouterEvent::Finished(backend.clone()));
+        self.vacate(id);
         match report {
             Report::Answer { status, body } => self.call_answered(id, status, body),
             Report::Failed { unsent: true, cause } => self.call_unsent(id, backend, &cause),
@@ -345,7 +345,7 @@
             RunnerAction::Dispatch { caller, run, .. } => self.dispatch(caller, run),
             RunnerAction::Reply(caller, outcome) => self.reply(caller, outcome),
             RunnerAction::Recover(holder) => {
-                let keys = vec![escrow::holder_key(&holder), claims_key(&holder)];
+                let keys = vec![escrow::holder_key(&holder), escrow::claims_key(&holder)];
                 self.table(Owner::Claims(holder), Op::Read(keys));
             }
         }
@@ -361,6 +361,8 @@
 
     pub(super) fn claim_message(&mut self, from: Holder, message: Message) {
         match message {
+            // A leaving host takes no claims: the row with which it closes must hold them all.
+            Message::Claim { .. } if self.stage != Stage::Serving => {}
             Message::Claim { ticket, digest, request } => {
                 self.issuer_event(IssuerEvent::Claim(Ask { from, ticket, digest, request }));
             }
@@ -382,13 +384,13 @@
         self.issuer.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                IssuerAction::Append(entry) => self.append(entry),
+                IssuerAction::Append(entry) => self.append_claim(entry),
                 IssuerAction::Send(holder, message) => self.send_claim(&holder, message),
             }
         }
     }
 
-    fn append(&mut self, entry: Entry) {
+    fn append_claim(&mut self, entry: Entry) {
         let mut actions = Vec::new();
         let number = self.holder.append(self.now, entry, &mut actions);
         if let Some(number) = number {
@@ -439,8 +441,3 @@
         self.runner_event(RunnerEvent::Recovered(holder, Arc::new(recovered)));
     }
 }
-
-/// Returns the key of the row with the claims of a closed holder.
-fn claims_key(holder: &str) -> Arc<str> {
-    format!("claims/{holder}").into()
-}
--- a/crates/coordination/src/route/backend.rs
+++ b/crates/coordination/src/route/backend.rs
@@ -6,6 +6,7 @@
 
 use super::{Load, Refusal, Setting};
 use crate::{
+    locate::{hash, spread},
     record::{self, Model},
     request::Class,
     retry,
@@ -29,6 +30,16 @@
 /// Thousandths of one.
 const MILLI: u64 = 1000;
 
+/// Time for which a free slot stays with one host, in milliseconds.
+const OWNER_TURN_MS: u64 = 2000;
+
+/// Entry hosts that take requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Hosts {
+    pub count: u32,
+    pub index: u32,
+}
+
 /// A request that was sent to a back end, or ended there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Change {
@@ -40,6 +51,9 @@
 #[derive(Debug)]
 pub(super) struct Backend {
     pub record: record::Backend,
+    /// Some route of urgent requests uses it.
+    pub urgent: bool,
+    hash: u64,
     models: Option<Vec<Model>>,
     load: Option<Load>,
     /// Requests of this host in flight.
@@ -48,6 +62,8 @@
     recent: VecDeque<(Duration, Change)>,
     recent_sent: u64,
     recent_finished: u64,
+    /// Long requests that this host may send by its share of the room.
+    share: Option<u64>,
     listed_leaving: bool,
     state_leaving: bool,
     refused_leaving: Option<Duration>,
@@ -60,13 +76,16 @@
 impl Backend {
     pub fn open(record: record::Backend) -> Self {
         Self {
+            hash: hash(record.name.as_bytes()),
             record,
+            urgent: false,
             models: None,
             load: None,
             own: 0,
             recent: VecDeque::new(),
             recent_sent: 0,
             recent_finished: 0,
+            share: None,
             listed_leaving: false,
             state_leaving: false,
             refused_leaving: None,
@@ -130,11 +149,14 @@
 
     /// Returns how many requests may be at the back end for another one of a class to be sent, in
     /// thousandths.
-    pub fn limit_milli(&self, setting: &Setting, class: Class, aged: bool) -> u64 {
+    pub fn limit_milli(&self, setting: &Setting, class: Class, starved: bool) -> u64 {
         let slots = u64::from(self.slots()) * MILLI;
-        if class == Class::Urgent || aged {
+        if class == Class::Urgent || starved {
             return slots + slots * u64::from(setting.urgent_queue_milli) / MILLI;
         }
+        if !self.urgent {
+            return slots + slots * u64::from(setting.queue_milli) / MILLI;
+        }
         if self.slots() < 2 {
             return slots;
         }
@@ -142,8 +164,29 @@
         slots - kept.max(MILLI).min(slots - MILLI)
     }
 
-    pub fn sent(&mut self, now: Duration) {
+    /// Returns true where this host may send a long request by its share of the room.
+    pub fn has_share(&self) -> bool {
+        self.share != Some(0)
+    }
+
+    /// Divides the room that a report shows among all hosts, since each of them sees it. The owner of
+    /// each free slot changes only now and then, so that hosts that read reports of different age
+    /// agree on it. A long request in excess would block a slot for long.
+    pub fn share_room(&mut self, setting: &Setting, hosts: Hosts) {
+        let Some(load) = self.load else { return };
+        let limit = self.limit_milli(setting, Class::Long, false);
+        let room = limit.saturating_sub(self.occupancy_milli(setting, 1)).div_ceil(MILLI);
+        let turn = load.at_ms / OWNER_TURN_MS;
+        let owner = |slot| spread(self.hash ^ spread(turn) ^ slot) % u64::from(hosts.count);
+        let owned = (0..room).filter(|&slot| owner(slot) == u64::from(hosts.index));
+        self.share = Some(owned.count() as u64);
+    }
+
+    pub fn sent(&mut self, now: Duration, class: Class) {
         self.own += 1;
+        if class == Class::Long {
+            self.share = self.share.map(|share| share.saturating_sub(1));
+        }
         self.note(now, Change::Sent);
         if self.failures > 0 {
             self.trial = Some(now + TRIAL_TIMEOUT);
@@ -153,6 +196,7 @@
     pub fn finished(&mut self, now: Duration) {
         let Some(own) = self.own.checked_sub(1) else { return };
         self.own = own;
+        self.share = self.share.map(|share| share + 1);
         self.note(now, Change::Finished);
     }
 
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -8,15 +8,22 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use super::{Choice, Query, RouterAction, RouterEvent, Setting, backend::Backend};
+use super::{
+    Choice, Query, RouterAction, RouterEvent, Setting,
+    backend::{Backend, Hosts},
+};
 use crate::{
     prefix,
     record::{self, Model},
+    request::Class,
 };
 
 /// Candidates compared for each choice within a group of zones.
 const CANDIDATES: usize = 2;
 
+/// Candidates compared for urgent requests, which are few and gain most.
+const URGENT_CANDIDATES: usize = 4;
+
 /// Random draws for the candidates before a scan.
 const DRAWS: usize = 6;
 
@@ -55,7 +62,7 @@
     pools: BTreeMap<Arc<str>, Pool>,
     routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     prefixes: prefix::Index,
-    hosts: u32,
+    hosts: Hosts,
     rng: StdRng,
 }
 
@@ -69,7 +76,7 @@
             pools: BTreeMap::new(),
             routes_of: BTreeMap::new(),
             prefixes: prefix::Index::default(),
-            hosts: 1,
+            hosts: Hosts { count: 1, index: 0 },
             rng,
         }
     }
@@ -96,15 +103,19 @@
             RouterEvent::BackendDeleted(name) => self.delete_backend(&name),
             RouterEvent::Route(record) => self.put_route(record),
             RouterEvent::RouteDeleted(name) => self.delete_route(&name),
-            RouterEvent::Hosts(hosts) => self.hosts = hosts.max(1),
+            RouterEvent::Hosts { count, index } => {
+                self.hosts = Hosts { count: count.max(1), index }
+            }
             RouterEvent::Cache { backend, after, events, next } => {
                 if !self.prefixes.apply(&backend, after, &events, next) {
                     actions.push(RouterAction::Resync(backend));
                 }
             }
             RouterEvent::Load(name, load) => {
-                let lag = self.setting.report_lag;
-                self.with(&name, |backend, _| backend.report(now, load, lag));
+                if let Some(backend) = self.backends.get_mut(&name) {
+                    backend.report(now, load, self.setting.report_lag);
+                    backend.share_room(&self.setting, self.hosts);
+                }
             }
             RouterEvent::State { backend, models, leaving } => {
                 self.with(&backend, |backend, _| backend.state(models, leaving));
@@ -138,7 +149,7 @@
         }
         self.pools.insert(query.route.clone(), pool);
         if let Choice::Backend(name) = &choice {
-            self.with(name, |backend, _| backend.sent(now));
+            self.with(name, |backend, _| backend.sent(now, query.class));
             self.prefixes.expect(name, &query.prefixes);
         }
         choice
@@ -190,7 +201,11 @@
         if list.is_empty() {
             return None;
         }
-        let mut found: Vec<Candidate> = Vec::with_capacity(CANDIDATES);
+        let wanted = match query.class {
+            Class::Urgent => URGENT_CANDIDATES,
+            Class::Normal | Class::Long => CANDIDATES,
+        };
+        let mut found: Vec<Candidate> = Vec::with_capacity(wanted);
         let start = self.rng.random_range(0..list.len());
         let draws: Vec<usize> = (0..DRAWS).map(|_| self.rng.random_range(0..list.len())).collect();
         let scan = (0..list.len().min(MAX_SCAN)).map(|i| (start + i) % list.len());
@@ -204,7 +219,7 @@
                 Cost::Full => *full = true,
                 Cost::Milli(cost) => found.push(Candidate { cost, backend: name.clone() }),
             }
-            if found.len() == CANDIDATES {
+            if found.len() == wanted {
                 break;
             }
         }
@@ -242,8 +257,10 @@
         if !backend.eligible(now, model) {
             return Cost::Ineligible;
         }
-        let occupancy = backend.occupancy_milli(&self.setting, self.hosts);
-        if occupancy >= backend.limit_milli(&self.setting, query.class, query.aged) {
+        let occupancy = backend.occupancy_milli(&self.setting, self.hosts.count);
+        let limit = backend.limit_milli(&self.setting, query.class, query.starved);
+        let shared = query.class == Class::Long && !query.starved && !backend.has_share();
+        if occupancy >= limit || shared {
             return Cost::Full;
         }
         let load = i64::try_from(occupancy / u64::from(backend.slots())).unwrap_or(i64::MAX / 2);
@@ -266,6 +283,7 @@
             _ => {
                 self.prefixes.forget(&name);
                 self.backends.insert(name.clone(), Backend::open(record));
+                self.mark_urgent(&name);
             }
         }
         if moved {
@@ -289,7 +307,11 @@
         for backend in pool.route.backends.clone() {
             self.place_in(&mut pool, &backend);
         }
+        let backends = pool.route.backends.clone();
         self.pools.insert(name, pool);
+        for backend in &backends {
+            self.mark_urgent(backend);
+        }
     }
 
     fn delete_route(&mut self, name: &Arc<str>) {
@@ -301,6 +323,9 @@
                 self.routes_of.remove(backend);
             }
         }
+        for backend in &pool.route.backends {
+            self.mark_urgent(backend);
+        }
     }
 
     /// Sorts a back end into the lists of its routes anew.
@@ -310,6 +335,18 @@
             self.place_in(&mut pool, backend);
             self.pools.insert(route, pool);
         }
+        self.mark_urgent(backend);
+    }
+
+    /// Notes whether some route of urgent requests uses a back end.
+    fn mark_urgent(&mut self, name: &Arc<str>) {
+        let mut routes = self.routes_of.get(name).into_iter().flatten();
+        let urgent = routes.any(|route| {
+            self.pools.get(route).is_some_and(|pool| pool.route.class == Class::Urgent)
+        });
+        if let Some(backend) = self.backends.get_mut(name) {
+            backend.urgent = urgent;
+        }
     }
 
     fn place_in(&self, pool: &mut Pool, name: &Arc<str>) {
