--- /dev/null
+++ b/crates/coordination/src/holder/plan.rs
@@ -0,0 +1,177 @@
+//! What a round writes.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use super::{Holder, Phase, Then, policy};
+use crate::{
+    escrow::{self, Escrow, Grant, Registration, State},
+    journal::Proposal,
+    ledger::{self, Charge, Segment},
+    message::{Entry, Source},
+    table::{Row, Txn},
+};
+
+/// What a transaction makes of this holder's rows.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    pub registration: Option<Registration>,
+    pub grants: Vec<(Arc<str>, Grant)>,
+}
+
+/// Rows of a budget as read.
+pub(super) struct Rows<'a> {
+    pub record: &'a Row,
+    pub escrow: &'a Row,
+    pub grant: &'a Row,
+}
+
+impl Holder {
+    /// Plans what a budget needs.
+    pub(super) fn plan_budget(
+        &mut self,
+        now: Duration,
+        budget: &Arc<str>,
+        rows: &Rows<'_>,
+        charged: &BTreeSet<Arc<str>>,
+        txn: &mut Txn,
+        plan: &mut Plan,
+    ) {
+        let (Ok(record), Ok(escrow), Ok(grant)) = (
+            escrow::budget(rows.record),
+            escrow::parse::<Escrow>(rows.escrow),
+            escrow::parse::<Grant>(rows.grant),
+        ) else {
+            return;
+        };
+        let mut escrow = escrow.unwrap_or_default();
+        let mut grant = grant.unwrap_or_default();
+        let (was_escrow, was_grant) = (escrow.clone(), grant.clone());
+        self.plan_settled(budget, charged, &mut escrow, &mut grant);
+        let prepaid = record.map_or(0, |record| record.prepaid());
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        let spent = (escrow.settled + escrow.old_settled).saturating_sub(escrow.refunded);
+        let unspent = prepaid.saturating_sub(spent + escrow.stranded);
+        account.pool.observe(now, unspent, escrow.remaining(prepaid), spent);
+        let excess = if self.draining { account.available } else { policy::excess(account, now) };
+        if account.returning == 0 && excess > 0 {
+            account.available -= excess;
+            account.returning = excess;
+        }
+        escrow.returned += account.returning;
+        grant.returned += account.returning;
+        let refill = if self.draining { 0 } else { policy::refill(account, now) };
+        if refill > 0 && account.announced && self.phase == Phase::Registered {
+            escrow.granted += refill;
+            grant.granted += refill;
+        }
+        if !account.announced && !account.announcing {
+            account.announcing = true;
+            let source = Source::Table(0);
+            let entry = Entry::Credit { budget: budget.clone(), tokens: 0, source };
+            let number = self.journal.append(entry);
+            self.then.insert(number, Then::Announced(budget.clone()));
+        }
+        if escrow == was_escrow && grant == was_grant {
+            return;
+        }
+        grant.number += 1;
+        txn.check(rows.record);
+        txn.put(rows.escrow, &escrow);
+        txn.put(rows.grant, &grant);
+        plan.grants.push((budget.clone(), grant));
+    }
+
+    /// Counts the charges of a budget that are on their way to the ledger.
+    pub(super) fn plan_settled(
+        &self,
+        budget: &Arc<str>,
+        charged: &BTreeSet<Arc<str>>,
+        escrow: &mut Escrow,
+        grant: &mut Grant,
+    ) {
+        let Some(flush) = &self.flush else {
+            return;
+        };
+        let mut counted = BTreeSet::new();
+        for charge in flush.charges.iter().filter(|charge| charge.budget == *budget) {
+            if !charge.old {
+                escrow.settled += charge.tokens;
+                grant.settled += charge.tokens;
+                continue;
+            }
+            let key = escrow::charge_key(budget, charge.request);
+            if counted.insert(charge.request) && !charged.contains(&key) {
+                escrow.old_settled += charge.tokens;
+                grant.settled += charge.tokens;
+            }
+        }
+    }
+
+    /// Writes the charges that are on their way to the ledger.
+    pub(super) fn plan_charges(&self, rows: &[Row], txn: &mut Txn) {
+        let Some(flush) = &self.flush else {
+            return;
+        };
+        let mut segment = Segment::default();
+        for charge in &flush.charges {
+            let entry = Charge {
+                request: charge.request,
+                budget: charge.budget.clone(),
+                tokens: charge.tokens,
+            };
+            if !charge.old {
+                segment.charges.push(entry);
+                continue;
+            }
+            let key = escrow::charge_key(&charge.budget, charge.request);
+            let row = rows.iter().find(|row| row.key == key);
+            let taken = txn.writes.iter().any(|write| write.key == key);
+            if let Some(row) = row
+                && row.value.is_none()
+                && !taken
+            {
+                txn.put(row, &entry);
+            }
+        }
+        let key = ledger::segment_key(&self.settings.id, flush.segment);
+        let row = Row { key, value: None, revision: 0 };
+        txn.put(&row, &segment);
+    }
+
+    /// Plans this holder's own row: its first state, its ensemble, its last segment, its end.
+    pub(super) fn plan_registration(
+        &self,
+        row: &Row,
+        was: Option<Registration>,
+        ensemble: &Option<Proposal>,
+        txn: &mut Txn,
+        plan: &mut Plan,
+    ) {
+        let mut next = was.clone().unwrap_or_else(Registration::first);
+        if let Some(ensemble) = ensemble
+            && (was.is_none() || next.ensemble != *ensemble)
+        {
+            next.ensemble = ensemble.clone();
+            next.epoch += 1;
+        }
+        if let Some(flush) = &self.flush {
+            next.segment = flush.segment;
+        }
+        if self.draining && self.holds_nothing() && txn.writes.is_empty() {
+            next.state = State::Closed;
+            let key = escrow::claims_key(&self.settings.id);
+            let claims = self.journal.state().claim_entries();
+            txn.put(&Row { key, value: None, revision: 0 }, &claims);
+        }
+        if was.as_ref() == Some(&next) {
+            if !txn.writes.is_empty() {
+                txn.check(row);
+            }
+            return;
+        }
+        txn.put(row, &next);
+        plan.registration = Some(next);
+    }
+}
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -11,12 +11,13 @@
     time::Duration,
 };
 
-use super::{Action, Holder, Phase, Then, event::Note, policy};
+use super::{
+    Action, Holder, Phase,
+    plan::{Plan, Rows},
+};
 use crate::{
-    escrow::{self, Escrow, Grant, Registration, State},
+    escrow::{self, Grant, Registration, State},
     journal::Proposal,
-    ledger::{self, Charge, Segment},
-    message::{Entry, Source},
     record::Ledger,
     request,
     table::{Op, Outcome, Row, Txn},
@@ -64,10 +65,10 @@
 /// Charges on their way to the ledger; they stay together until the segment is known to stand.
 #[derive(Debug)]
 pub(super) struct Flush {
-    segment: u64,
-    through: u64,
-    charges: Vec<Unflushed>,
-    totals: BTreeMap<Arc<str>, u64>,
+    pub segment: u64,
+    pub through: u64,
+    pub charges: Vec<Unflushed>,
+    pub totals: BTreeMap<Arc<str>, u64>,
 }
 
 /// A round at the table.
@@ -88,13 +89,6 @@
     Commit(Plan),
 }
 
-/// What a transaction makes of this holder's rows.
-#[derive(Debug, Default)]
-struct Plan {
-    registration: Option<Registration>,
-    grants: Vec<(Arc<str>, Grant)>,
-}
-
 /// When the next round may start, and how large it may be.
 #[derive(Debug)]
 pub(super) struct Pace {
@@ -137,13 +131,6 @@
     }
 }
 
-/// Rows of a budget as read.
-struct Rows<'a> {
-    record: &'a Row,
-    escrow: &'a Row,
-    grant: &'a Row,
-}
-
 impl Holder {
     /// Starts a round if there is need and none is under way.
     pub(super) fn start_round(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -256,12 +243,12 @@
         old.map(|charge| escrow::charge_key(&charge.budget, charge.request)).collect()
     }
 
-    fn is_old(&self, budget: &str) -> bool {
+    pub(super) fn is_old(&self, budget: &str) -> bool {
         let record = self.accounts.get(budget).and_then(|account| account.record.as_ref());
         record.is_some_and(|record| record.ledger == Ledger::Old)
     }
 
-    fn holds_nothing(&self) -> bool {
+    pub(super) fn holds_nothing(&self) -> bool {
         self.reservations.is_empty()
             && self.unflushed.is_empty()
             && self.flush.is_none()
@@ -390,273 +377,6 @@
         let id = self.operate(Op::Commit(txn), actions);
         self.round = Some(Round { id, step: Step::Commit(plan), ..round });
     }
-
-    /// Takes this holder's row as it stands; returns whether the round goes on.
-    fn observe_registration(
-        &mut self,
-        now: Duration,
-        registration: Option<&Registration>,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let Some(registration) = registration else {
-            if self.phase == Phase::Registered {
-                self.fence(actions);
-            }
-            return self.phase == Phase::Unregistered;
-        };
-        if registration.state != State::Open {
-            self.close(registration.state, actions);
-            return false;
-        }
-        if self.phase == Phase::Unregistered || registration.epoch > self.epoch {
-            self.phase = Phase::Registered;
-            self.epoch = registration.epoch;
-            self.journal.commit(registration.ensemble.clone());
-            actions.push(Action::Note(Note::Ensemble(registration.ensemble.clone())));
-        }
-        if registration.segment > self.segment {
-            self.segment = registration.segment;
-            self.flushed(now, actions);
-        }
-        true
-    }
-
-    /// Takes a row that says that this holder no longer is open.
-    fn close(&mut self, state: State, actions: &mut Vec<Action>) {
-        if state == State::Closed && self.draining && self.holds_nothing() {
-            self.phase = Phase::Drained;
-            actions.push(Action::Drained);
-            return;
-        }
-        self.fence(actions);
-    }
-
-    /// Takes a grant row as it stands: what changed since it was last seen was done by this
-    /// holder's own transactions.
-    fn observe(&mut self, now: Duration, budget: &Arc<str>, row: Grant, actions: &mut Vec<Action>) {
-        let Some(account) = self.accounts.get_mut(budget) else {
-            return;
-        };
-        if row.number <= account.row.number {
-            return;
-        }
-        let granted = row.granted.saturating_sub(account.row.granted);
-        let returned = row.returned.saturating_sub(account.row.returned);
-        let settled = row.settled.saturating_sub(account.row.settled);
-        account.available += granted;
-        account.returning = account.returning.saturating_sub(returned);
-        let planned = self.flush.as_mut().and_then(|flush| flush.totals.get_mut(budget));
-        if let Some(planned) = planned
-            && settled > 0
-        {
-            *planned = planned.saturating_sub(settled);
-        }
-        account.row = row;
-        if granted > 0 || returned > 0 {
-            account.relevel();
-        }
-        let name = budget.clone();
-        if granted > 0 {
-            actions.push(Action::Note(Note::Granted { budget: name.clone(), tokens: granted }));
-        }
-        if returned > 0 {
-            actions.push(Action::Note(Note::Returned { budget: name, tokens: returned }));
-        }
-        self.serve(now, budget);
-    }
-
-    /// Ends the flush whose segment stands. Tokens of charges that the old ledger had already
-    /// become available again.
-    fn flushed(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let Some(flush) = self.flush.take() else {
-            return;
-        };
-        let (segment, through) = (flush.segment, flush.through);
-        self.journal.append(Entry::Flushed { segment, through });
-        actions.push(Action::Note(Note::Flushed { segment, charges: flush.charges.len() }));
-        for (budget, left) in flush.totals {
-            if let Some(account) = self.accounts.get_mut(&budget) {
-                account.available += left;
-                if self.draining {
-                    self.make_due(&budget, false);
-                }
-                self.serve(now, &budget);
-            }
-        }
-    }
-
-    /// Plans what a budget needs.
-    fn plan_budget(
-        &mut self,
-        now: Duration,
-        budget: &Arc<str>,
-        rows: &Rows<'_>,
-        charged: &BTreeSet<Arc<str>>,
-        txn: &mut Txn,
-        plan: &mut Plan,
-    ) {
-        let (Ok(record), Ok(escrow), Ok(grant)) = (
-            escrow::budget(rows.record),
-            escrow::parse::<Escrow>(rows.escrow),
-            escrow::parse::<Grant>(rows.grant),
-        ) else {
-            return;
-        };
-        let mut escrow = escrow.unwrap_or_default();
-        let mut grant = grant.unwrap_or_default();
-        let (was_escrow, was_grant) = (escrow.clone(), grant.clone());
-        self.plan_settled(budget, charged, &mut escrow, &mut grant);
-        let prepaid = record.map_or(0, |record| record.prepaid());
-        let Some(account) = self.accounts.get_mut(budget) else {
-            return;
-        };
-        let spent = (escrow.settled + escrow.old_settled).saturating_sub(escrow.refunded);
-        let unspent = prepaid.saturating_sub(spent + escrow.stranded);
-        account.pool.observe(now, unspent, escrow.remaining(prepaid), spent);
-        let excess = if self.draining { account.available } else { policy::excess(account, now) };
-        if account.returning == 0 && excess > 0 {
-            account.available -= excess;
-            account.returning = excess;
-        }
-        escrow.returned += account.returning;
-        grant.returned += account.returning;
-        let refill = if self.draining { 0 } else { policy::refill(account, now) };
-        if refill > 0 && account.announced && self.phase == Phase::Registered {
-            escrow.granted += refill;
-            grant.granted += refill;
-        }
-        if !account.announced && !account.announcing {
-            account.announcing = true;
-            let source = Source::Table(0);
-            let entry = Entry::Credit { budget: budget.clone(), tokens: 0, source };
-            let number = self.journal.append(entry);
-            self.then.insert(number, Then::Announced(budget.clone()));
-        }
-        if escrow == was_escrow && grant == was_grant {
-            return;
-        }
-        grant.number += 1;
-        txn.check(rows.record);
-        txn.put(rows.escrow, &escrow);
-        txn.put(rows.grant, &grant);
-        plan.grants.push((budget.clone(), grant));
-    }
-
-    /// Counts the charges of a budget that are on their way to the ledger.
-    fn plan_settled(
-        &self,
-        budget: &Arc<str>,
-        charged: &BTreeSet<Arc<str>>,
-        escrow: &mut Escrow,
-        grant: &mut Grant,
-    ) {
-        let Some(flush) = &self.flush else {
-            return;
-        };
-        let mut counted = BTreeSet::new();
-        for charge in flush.charges.iter().filter(|charge| charge.budget == *budget) {
-            if !charge.old {
-                escrow.settled += charge.tokens;
-                grant.settled += charge.tokens;
-                continue;
-            }
-            let key = escrow::charge_key(budget, charge.request);
-            if counted.insert(charge.request) && !charged.contains(&key) {
-                escrow.old_settled += charge.tokens;
-                grant.settled += charge.tokens;
-            }
-        }
-    }
-
-    /// Writes the charges that are on their way to the ledger.
-    fn plan_charges(&self, rows: &[Row], txn: &mut Txn) {
-        let Some(flush) = &self.flush else {
-            return;
-        };
-        let mut segment = Segment::default();
-        for charge in &flush.charges {
-            let entry = Charge {
-                request: charge.request,
-                budget: charge.budget.clone(),
-                tokens: charge.tokens,
-            };
-            if !charge.old {
-                segment.charges.push(entry);
-                continue;
-            }
-            let key = escrow::charge_key(&charge.budget, charge.request);
-            let row = rows.iter().find(|row| row.key == key);
-            let taken = txn.writes.iter().any(|write| write.key == key);
-            if let Some(row) = row
-                && row.value.is_none()
-                && !taken
-            {
-                txn.put(row, &entry);
-            }
-        }
-        let key = ledger::segment_key(&self.settings.id, flush.segment);
-        let row = Row { key, value: None, revision: 0 };
-        txn.put(&row, &segment);
-    }
-
-    /// Plans this holder's own row: its first state, its ensemble, its last segment, its end.
-    fn plan_registration(
-        &self,
-        row: &Row,
-        was: Option<Registration>,
-        ensemble: &Option<Proposal>,
-        txn: &mut Txn,
-        plan: &mut Plan,
-    ) {
-        let mut next = was.clone().unwrap_or_else(Registration::first);
-        if let Some(ensemble) = ensemble
-            && (was.is_none() || next.ensemble != *ensemble)
-        {
-            next.ensemble = ensemble.clone();
-            next.epoch += 1;
-        }
-        if let Some(flush) = &self.flush {
-            next.segment = flush.segment;
-        }
-        if self.draining && self.holds_nothing() && txn.writes.is_empty() {
-            next.state = State::Closed;
-            let key = escrow::claims_key(&self.settings.id);
-            let claims = self.journal.state().claim_entries();
-            txn.put(&Row { key, value: None, revision: 0 }, &claims);
-        }
-        if was.as_ref() == Some(&next) {
-            if !txn.writes.is_empty() {
-                txn.check(row);
-            }
-            return;
-        }
-        txn.put(row, &next);
-        plan.registration = Some(next);
-    }
-
-    /// Takes the effects of a transaction that was committed.
-    fn apply(&mut self, now: Duration, plan: Plan, actions: &mut Vec<Action>) {
-        for (budget, grant) in plan.grants {
-            self.observe(now, &budget, grant, actions);
-            let waits = self.accounts.get(&budget).is_some_and(|account| {
-                !account.waiting.is_empty() || self.draining && account.available > 0
-            });
-            if waits {
-                self.make_due(&budget, true);
-            }
-        }
-        if let Some(registration) = plan.registration {
-            self.observe_registration(now, Some(&registration), actions);
-        }
-    }
-
-    /// Lets a budget be asked for, now that a recovery would know of it.
-    pub(super) fn announced(&mut self, budget: &Arc<str>) {
-        if let Some(account) = self.accounts.get_mut(budget) {
-            account.announced = true;
-            self.make_due(budget, true);
-        }
-    }
 }
 
 fn doubled(pause: Duration, times: u32, limit: Duration) -> Duration {
