Make the quickstart show a recovery, and end quickly

A budget that was lowered past the tool no longer comes into force. Each log line names host and zone. Ruled out for the lowered budget: the check in the follower, which sees one row at a time.

--- a/crates/coordination/src/host/catalog.rs
+++ b/crates/coordination/src/host/catalog.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     credential::Index,
-    record::{self, Backend, Budget, Kind, Record, Route, Workspace},
+    record::{self, Backend, Budget, Fault, Kind, Record, Route, Workspace},
     table::Row,
 };
 
@@ -51,14 +51,22 @@
         }
     }
 
-    /// Puts a row into force; a row that holds no valid record changes nothing.
-    pub fn apply(&mut self, row: &Row) -> Change {
-        let Some((kind, name)) = record::split_key(&row.key) else { return Change::None };
-        let Some(value) = &row.value else { return self.delete(kind, name) };
-        match record::parse(&row.key, value) {
-            Ok(record) => self.set(record),
-            Err(_) => Change::None,
+    /// Puts a row into force.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault of a row that holds no valid record, or one that takes back what was
+    /// bought; the record in force stays.
+    pub fn apply(&mut self, row: &Row) -> Result<Change, Fault> {
+        let Some((kind, name)) = record::split_key(&row.key) else { return Ok(Change::None) };
+        let Some(value) = &row.value else { return Ok(self.delete(kind, name)) };
+        let record = record::parse(&row.key, value)?;
+        if let Some(old) = self.budgets.get(name)
+            && kind == Kind::Budget
+        {
+            record.succeeds(&Record::Budget(old.clone()))?;
         }
+        Ok(self.set(record))
     }
 
     fn set(&mut self, record: Record) -> Change {
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -152,10 +152,7 @@
                     self.out.push(Action::Send { address: to, message });
                 }
                 config::Action::Apply(row) => backends |= self.apply(&row),
-                config::Action::Invalid { row, reason } => {
-                    let detail = format!("record={} reason={reason:?}", row.key);
-                    self.note(None, Step::RecordInvalid, "", detail);
-                }
+                config::Action::Invalid { row, reason } => self.record_invalid(&row.key, &reason),
                 config::Action::Advanced(revision) => self.advanced(revision),
             }
         }
@@ -164,6 +161,11 @@
         }
     }
 
+    fn record_invalid(&mut self, key: &str, reason: &str) {
+        let detail = format!("record={key} reason={reason:?}");
+        self.note(None, Step::RecordInvalid, "", detail);
+    }
+
     fn advanced(&mut self, revision: u64) {
         self.note(None, Step::Configured, "", format!("revision={revision}"));
         self.member_event(member::Event::Revision(revision));
@@ -171,7 +173,14 @@
 
     /// Puts a row into force; returns whether it changed the back ends.
     fn apply(&mut self, row: &Row) -> bool {
-        match self.catalog.apply(row) {
+        let change = match self.catalog.apply(row) {
+            Ok(change) => change,
+            Err(fault) => {
+                self.record_invalid(&row.key, &fault.to_string());
+                Change::None
+            }
+        };
+        match change {
             Change::None => false,
             Change::Budget(budget) => {
                 self.holder_event(holder::Event::Budget(budget));
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -13,7 +13,7 @@
     /// address of the platform, ip:port
     #[argh(option)]
     pub platform: Option<SocketAddr>,
-    /// settings of the tool, an INI file with the section [tool]
+    /// settings of the tool, an INI file with the section `[tool]`
     #[argh(option)]
     pub settings: Option<PathBuf>,
     /// file that holds the operator's bearer token
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,7 +18,7 @@
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use coordination::{
@@ -194,7 +194,7 @@
 
 /// Waits for the host to stop, or for a service to end before it.
 fn supervise(kernel: &Kernel, stop: &flag::Sender<bool>) -> eyre::Result<()> {
-    let stopping = || *stop.borrow();
+    let mut edge_closed = false;
     loop {
         let Exit { service, fault } = kernel.exited().recv().wrap_err("step=supervise")?;
         if let Some(fault) = fault {
@@ -202,24 +202,19 @@
             eyre::bail!("step=supervise peer={service} {fault}");
         }
         if service == driver::NAME {
-            let _ = stop.send(true);
-            close_edge(kernel);
-            return Ok(());
+            break;
         }
-        if !stopping() {
+        if !*stop.borrow() {
             tracing::error!(event = "service_ended", service);
             eyre::bail!("step=supervise peer={service} ended by itself");
         }
-        if service == edge::NAME {
-            tracing::info!(event = "edge_closed");
-        }
+        edge_closed |= service == edge::NAME;
     }
-}
-
-fn close_edge(kernel: &Kernel) {
-    while let Ok(exit) = kernel.exited().recv_timeout(EDGE_CLOSE) {
-        if exit.service == edge::NAME {
-            return;
-        }
+    let _ = stop.send(true);
+    let until = Instant::now() + EDGE_CLOSE;
+    while !edge_closed {
+        let Ok(exit) = kernel.exited().recv_deadline(until) else { break };
+        edge_closed = exit.service == edge::NAME;
     }
+    Ok(())
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -43,7 +43,9 @@
             return ExitCode::from(WRONG_USE);
         }
     };
-    match log::open(&settings.log.filter).and_then(|()| daemon::run(&settings)) {
+    let host = &settings.host;
+    let log = log::open(&settings.log.filter, &host.name, &host.zone);
+    match log.and_then(|()| daemon::run(&settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("laburnumd: {error:#}");
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,6 +3,7 @@
 mod call;
 mod measure;
 mod serve;
+mod steer;
 
 use std::{io, process::ExitCode};
 
@@ -32,6 +33,7 @@
     Service(serve::Service),
     Call(call::Call),
     Load(measure::Load),
+    Control(steer::Control),
 }
 
 fn main() -> ExitCode {
@@ -54,6 +56,7 @@
         Command::Service(args) => serve::run(|| args.spawn()).map(|()| true),
         Command::Call(args) => call::run(&args),
         Command::Load(args) => measure::run(&args),
+        Command::Control(args) => steer::run(&args),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
