Let aged requests pass even while everything that waits has aged

Taking the rule of aged requests out failed no test. A test for it then failed with the rule in place: each placement of an aged request set the count back, so under overload, when all that wait have aged, a long request went only after a minute without a placement of its class. Only a placement that passed others sets the count back now.

--- a/crates/coordination/src/admit/queue.rs
+++ b/crates/coordination/src/admit/queue.rs
@@ -121,7 +121,8 @@
 
     /// Notes that a head was placed.
     pub fn placed(&mut self, now: Duration, head: &Head) {
-        self.placed_since_aged = if head.aged { 0 } else { self.placed_since_aged + 1 };
+        let passed = head.aged && self.placed_since_aged >= AGED_EVERY;
+        self.placed_since_aged = if passed { 0 } else { self.placed_since_aged.saturating_add(1) };
         let line = self.line_mut(head.class);
         if let Some(before) = line.placed_at {
             let latest = (now - before).min(MAX_INTERVAL);
--- a/crates/coordination/tests/answers_route.rs
+++ b/crates/coordination/tests/answers_route.rs
@@ -489,6 +489,22 @@
     }
 }
 
+#[test]
+fn aged_long_request_passes_a_steady_normal_load() {
+    let mut desk = Desk::open();
+    (0..7).for_each(|waiter| desk.ask(waiter, Class::Normal, secs(600)));
+    desk.ask(7, Class::Long, secs(600));
+    desk.now += secs(1);
+    (8..68).for_each(|waiter| desk.ask(waiter, Class::Normal, secs(600)));
+    for _ in 0..45 {
+        desk.now += secs(1);
+        desk.finish();
+    }
+    let place = desk.placed.iter().position(|waiter| *waiter == 7);
+    assert!(place.is_some_and(|place| place > 20), "number {place:?}, after others and not last");
+    assert!(desk.admission.waiting() > 0, "others still wait");
+}
+
 #[test]
 fn request_that_would_end_past_its_deadline_is_refused_at_once() {
     let mut desk = Desk::open();
