Merge timelines without looking at every host for each event

The merge compared the oldest events of all hosts for each event it put out, so 350 hosts would have cost 350 looks an event.

The place of a connection is given back also when its thread panics, and altered and random frames are a test of the link.

--- a/crates/coordination/examples/capacity/timeline.rs
+++ b/crates/coordination/examples/capacity/timeline.rs
@@ -1,5 +1,7 @@
 //! Timeline of one process as its ring grows.
 
+use std::time::Instant;
+
 use coordination::{
     clock::Stamp,
     request::Id,
@@ -11,6 +13,9 @@
 /// Events kept.
 const EVENTS: [usize; 3] = [1_000, 8_192, 65_536];
 
+/// Hosts whose events are merged.
+const HOSTS: [usize; 3] = [3, 50, 350];
+
 fn ring(events: usize, host: &str) -> Ring {
     let mut ring = Ring::new(host.into(), events);
     for number in 0..events {
@@ -45,6 +50,7 @@
     let mut push = Series::new("recording one event", "events", "ns");
     let mut query = Series::new("reading one request", "events", "ns");
     let mut merged = Series::new("merging 3 hosts", "events of each", "ns");
+    let mut hosts = Series::new("merging 1,000 events of each host", "hosts", "ns");
     for count in EVENTS {
         let mut full = ring(count, "host-001");
         bytes.push(count, memory("timeline", count));
@@ -52,15 +58,25 @@
         let request = Some(Id(1u128.to_le_bytes()));
         let one = Query { request, ..Query::all() };
         query.push(count, nanos(50, |_| assert!(full.query(&one).len() <= count)));
-        let reports: Vec<Report> = ["a", "b", "c"]
-            .iter()
-            .map(|host| Report {
-                host: (*host).into(),
-                events: Some(ring(count, host).query(&Query::all())),
-            })
-            .collect();
-        merged
-            .push(count, nanos(1, |_| assert_eq!(merge(reports.clone()).events.len(), 3 * count)));
+        merged.push(count, merging(3, count));
+    }
+    for count in HOSTS {
+        hosts.push(count, merging(count, 1_000));
     }
-    [bytes, push, query, merged].iter().for_each(Series::print);
+    [bytes, push, query, merged, hosts].iter().for_each(Series::print);
+}
+
+/// Returns the nanoseconds of merging the rings of some hosts.
+fn merging(hosts: usize, events: usize) -> f64 {
+    let report = |number: usize| {
+        let host = format!("host-{number:03}");
+        let events = ring(events, &host).query(&Query::all());
+        Report { host: host.into(), events: Some(events) }
+    };
+    let reports: Vec<Report> = (0..hosts).map(report).collect();
+    let start = Instant::now();
+    let merged = merge(reports);
+    let spent = start.elapsed().as_nanos() as f64;
+    assert_eq!(merged.events.len(), hosts * events);
+    spent
 }
--- a/crates/coordination/src/timeline.rs
+++ b/crates/coordination/src/timeline.rs
@@ -5,7 +5,7 @@
 //! token, a key or a body.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     fmt,
     sync::Arc,
 };
@@ -264,31 +264,75 @@
             None => missing.push(report.host),
         }
     }
-    for queue in queues.values_mut() {
-        queue.make_contiguous().sort_by_key(|event| event.sequence);
-    }
     missing.sort();
     missing.dedup();
     let mut events = Vec::new();
-    while let Some(host) = first(&queues) {
-        events.extend(queues.get_mut(&host).and_then(VecDeque::pop_front));
+    let mut merge = Merge::new(queues);
+    while let Some(event) = merge.next() {
+        events.push(event);
     }
     Merged { events, missing }
 }
 
-/// Returns the host whose oldest event comes next.
-fn first(queues: &BTreeMap<Arc<str>, VecDeque<Event>>) -> Option<Arc<str>> {
-    let heads = || queues.iter().filter_map(|(host, queue)| Some((host, queue.front()?)));
-    let ready = heads().filter(|(_, event)| !waits(event, queues));
-    let next = ready.min_by_key(|(_, event)| event.stamp);
-    // Only contradictory reports leave no event ready.
-    let next = next.or_else(|| heads().min_by_key(|(_, event)| event.stamp));
-    next.map(|(host, _)| host.clone())
+/// Events of several hosts that still have to be put in order.
+struct Merge {
+    queues: BTreeMap<Arc<str>, VecDeque<Event>>,
+    /// Hosts whose oldest event waits for nothing, by its stamp.
+    ready: BTreeSet<(Stamp, Arc<str>)>,
+    /// Hosts whose oldest event waits, by its stamp.
+    waiting: BTreeSet<(Stamp, Arc<str>)>,
+    /// Hosts whose oldest event waits for an event of the host in the key.
+    waiting_for: BTreeMap<Arc<str>, Vec<Arc<str>>>,
 }
 
-/// Returns whether an event that may have caused this one is still to come.
-fn waits(event: &Event, queues: &BTreeMap<Arc<str>, VecDeque<Event>>) -> bool {
-    let Some(cause) = event.cause else { return false };
-    let head = queues.get(&event.peer).and_then(VecDeque::front);
-    head.is_some_and(|head| head.stamp <= cause)
+impl Merge {
+    fn new(mut queues: BTreeMap<Arc<str>, VecDeque<Event>>) -> Self {
+        for queue in queues.values_mut() {
+            queue.make_contiguous().sort_by_key(|event| event.sequence);
+        }
+        let hosts: Vec<Arc<str>> = queues.keys().cloned().collect();
+        let mut merge = Self {
+            queues,
+            ready: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            waiting_for: BTreeMap::new(),
+        };
+        hosts.into_iter().for_each(|host| merge.place(host));
+        merge
+    }
+
+    /// Returns the next event.
+    fn next(&mut self) -> Option<Event> {
+        // Only contradictory reports leave no event ready.
+        let (_, host) = self.ready.pop_first().or_else(|| self.waiting.pop_first())?;
+        let event = self.queues.get_mut(&host).and_then(VecDeque::pop_front);
+        let waiting = self.waiting_for.remove(&host).unwrap_or_default();
+        self.place(host);
+        waiting.into_iter().for_each(|waiting| self.place(waiting));
+        event
+    }
+
+    /// Puts a host where its oldest event belongs.
+    fn place(&mut self, host: Arc<str>) {
+        let Some(event) = self.head(&host) else { return };
+        let (stamp, peer) = (event.stamp, event.peer.clone());
+        let waits = self.waits(event);
+        self.waiting.remove(&(stamp, host.clone()));
+        if waits {
+            self.waiting.insert((stamp, host.clone()));
+            self.waiting_for.entry(peer).or_default().push(host);
+        } else {
+            self.ready.insert((stamp, host));
+        }
+    }
+
+    /// Returns whether an event that may have caused this one is still to come.
+    fn waits(&self, event: &Event) -> bool {
+        let Some(cause) = event.cause else { return false };
+        event.peer != event.host && self.head(&event.peer).is_some_and(|head| head.stamp <= cause)
+    }
+
+    fn head(&self, host: &str) -> Option<&Event> {
+        self.queues.get(host).and_then(VecDeque::front)
+    }
 }
--- a/crates/wire/src/link/listen.rs
+++ b/crates/wire/src/link/listen.rs
@@ -98,19 +98,29 @@
         return;
     }
     let Ok(number) = shared.connections.insert(&stream) else { return };
-    let owner = shared.clone();
+    let slot = Slot { shared: shared.clone(), number };
     let spawned = thread::Builder::new()
         .name(format!("link-{number}"))
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            if let Err(error) = serve(stream, &owner, number) {
+            if let Err(error) = serve(stream, &slot.shared, number) {
                 debug!(step = "serve", connection = number, error = %error);
             }
-            owner.connections.remove(number);
         });
     if let Err(error) = spawned {
         warn!(step = "accept", error = %error);
-        shared.connections.remove(number);
+    }
+}
+
+/// Place of a connection among those that are open; given back however its thread ends.
+struct Slot {
+    shared: Arc<Shared>,
+    number: u64,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.shared.connections.remove(self.number);
     }
 }
 
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{ErrorKind, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -16,6 +16,7 @@
     request, timeline,
 };
 use crossbeam::channel::{Receiver, unbounded};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use thrift::{
     protocol::{TCompactInputProtocol, TCompactOutputProtocol},
     server::TProcessor,
@@ -302,6 +303,37 @@
     recorded.expect_refusal(&mut far, &again);
 }
 
+#[test]
+fn altered_and_random_frames_leave_the_host_serving() {
+    let recorded = Recorded::new();
+    let before = recorded.host.counts();
+    let mut rng = StdRng::seed_from_u64(41);
+    for round in 0..300 {
+        let mut bytes = recorded.bytes.clone();
+        if round % 3 == 0 {
+            let body: Vec<u8> = (0..rng.random_range(0..200)).map(|_| rng.random()).collect();
+            bytes = Vec::new();
+            frame::write(&mut bytes, &body).unwrap();
+        }
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(4..bytes.len().max(5));
+            if let Some(byte) = bytes.get_mut(at) {
+                *byte = rng.random();
+            }
+        }
+        let mut stream = TcpStream::connect(recorded.host.address()).unwrap();
+        let _ = stream.write_all(&bytes);
+        let _ = stream.shutdown(Shutdown::Write);
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let ended = stream.read_to_end(&mut Vec::new());
+        let reset = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionReset;
+        assert!(ended.is_ok() || ended.is_err_and(|error| reset(&error)), "round {round}");
+    }
+    assert!(recorded.inbox.is_empty());
+    assert_eq!(recorded.host.counts().received, before.received);
+    assert!(client::status(recorded.host.address(), "right", PATIENCE).is_ok());
+}
+
 #[test]
 fn oversized_first_frame_ends_the_connection() {
     let host = Host::new("a1", "s");
