--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -51,6 +51,9 @@
             holder::Action::Fenced => {
                 self.fenced = true;
                 self.note(None, Step::Sealed, "", String::new());
+                if self.stage == Stage::Returning {
+                    return self.give_back();
+                }
                 self.drain();
             }
             holder::Action::Note(note) => self.holder_note(note),
@@ -109,7 +112,7 @@
         let recovery::Report { holder, settled, returned, stranded, .. } = report;
         let detail = format!("settled={settled} returned={returned} stranded={stranded}");
         self.replica.forget(holder);
-        if !report.incomplete {
+        if report.claims.floor.is_some() {
             let claims = Arc::new(report.claims.clone());
             self.runner_event(RunnerEvent::Recovered(holder.clone(), claims));
         }
