Free the back end of a request that ends while its home is asked

The request was counted at the back end until the process ended, since only an accepted choice was vacated. No test at the host's level covers it yet.

--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -308,7 +308,11 @@
     fn stream_action(&mut self, id: request::Id, action: StreamAction) {
         match action {
             StreamAction::Choose { avoid } => self.choose(id, avoid),
-            StreamAction::Withdraw => self.withdraw(id),
+            StreamAction::Withdraw => {
+                self.withdraw(id);
+                // A back end may have been given while the request's home was being asked.
+                self.vacate(id);
+            }
             StreamAction::Vacate(_) => self.vacate(id),
             StreamAction::Probe { backend, stream } => {
                 let inquiry = Inquiry::Probe { request: id, backend: backend.clone() };
