Take the own close of a holder for what it is; bound the time for giving back

Ruled out: the fence itself. A host that can't reach the platform now leaves what it holds to a recovery after 30 s.

--- a/crates/coordination/src/holder/observe.rs
+++ b/crates/coordination/src/holder/observe.rs
@@ -41,7 +41,7 @@
 
     /// Takes a row that says that this holder no longer is open.
     pub(super) fn close(&mut self, state: State, actions: &mut Vec<Action>) {
-        if state == State::Closed && self.draining && self.holds_nothing() {
+        if state == State::Closed && self.draining && self.owes_nothing() {
             self.phase = Phase::Drained;
             actions.push(Action::Drained);
             return;
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -249,10 +249,14 @@
     }
 
     pub(super) fn holds_nothing(&self) -> bool {
+        self.owes_nothing() && self.due.is_empty()
+    }
+
+    /// Returns whether no request, charge or transfer is open; budgets may be due for a look.
+    pub(super) fn owes_nothing(&self) -> bool {
         self.reservations.is_empty()
             && self.unflushed.is_empty()
             && self.flush.is_none()
-            && self.due.is_empty()
             && self.outgoing.is_empty()
     }
 
--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -43,6 +43,9 @@
 /// move the copies of their journals elsewhere.
 const LINGER: Duration = Duration::from_millis(1_500);
 
+/// Time after which a host that can't give back what it holds leaves that to a recovery.
+const RETURN_LIMIT: Duration = Duration::from_secs(30);
+
 /// Settings of a host.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -128,7 +131,9 @@
     Finishing {
         until: Duration,
     },
-    Returning,
+    Returning {
+        until: Duration,
+    },
     Lingering {
         until: Duration,
     },
@@ -295,7 +300,7 @@
             Stage::Serving if self.follower.ready() => "serving",
             Stage::Serving => "starting",
             Stage::Finishing { .. } => "finishing",
-            Stage::Returning => "returning",
+            Stage::Returning { .. } => "returning",
             Stage::Lingering { .. } => "lingering",
             Stage::Stopped => "stopped",
         }
@@ -460,6 +465,10 @@
     fn advance(&mut self) {
         match self.stage {
             Stage::Finishing { until } if self.idle() || self.now >= until => self.give_back(),
+            Stage::Returning { until } if self.now >= until => {
+                self.note(None, Step::Returned, "", "incomplete=yes".to_owned());
+                self.stage = Stage::Lingering { until: self.now + LINGER };
+            }
             Stage::Lingering { until } if self.now >= until => {
                 self.stage = Stage::Stopped;
                 self.note(None, Step::Stopped, "", String::new());
@@ -475,7 +484,7 @@
             self.stage = Stage::Lingering { until: self.now + LINGER };
             return;
         }
-        self.stage = Stage::Returning;
+        self.stage = Stage::Returning { until: self.now + RETURN_LIMIT };
         self.holder_event(holder::Event::Drain);
     }
 
--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -44,14 +44,14 @@
             holder::Action::Table { id, op } => self.table(Owner::Holder(id), op),
             holder::Action::Send { to, message } => self.send_to_host(&to, message),
             holder::Action::Drained => {
-                if self.stage == Stage::Returning {
+                if matches!(self.stage, Stage::Returning { .. }) {
                     self.stage = Stage::Lingering { until: self.now + super::LINGER };
                 }
             }
             holder::Action::Fenced => {
                 self.fenced = true;
                 self.note(None, Step::Sealed, "", String::new());
-                if self.stage == Stage::Returning {
+                if matches!(self.stage, Stage::Returning { .. }) {
                     return self.give_back();
                 }
                 self.drain();
--- a/crates/coordination/tests/host/backends.rs
+++ b/crates/coordination/tests/host/backends.rs
@@ -64,13 +64,7 @@
 
 impl Backend {
     /// Starts a stream or joins one; returns whether it is new.
-    pub fn open(
-        &mut self,
-        ask: &Stream,
-        host: usize,
-        run: u64,
-        stall_at: Option<u64>,
-    ) -> bool {
+    pub fn open(&mut self, ask: &Stream, host: usize, run: u64, stall_at: Option<u64>) -> bool {
         let reader = Reader { host, run, attempt: ask.attempt, next: ask.offset };
         if let Some(running) = self.streams.get_mut(&ask.stream)
             && !running.cancelled
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -225,8 +225,12 @@
         for stream in self.backends.iter_mut().flat_map(|b| b.streams.values_mut()) {
             stream.readers.retain(|reader| reader.host != index);
         }
-        let lost: Vec<u64> =
-            self.callers.iter().filter(|(_, at)| at.1 == index).map(|(caller, _)| *caller).collect();
+        let lost: Vec<u64> = self
+            .callers
+            .iter()
+            .filter(|(_, at)| at.1 == index)
+            .map(|(caller, _)| *caller)
+            .collect();
         for caller in lost {
             self.verdict(caller, Verdict::Lost);
         }
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -73,8 +73,19 @@
 
 impl Process {
     /// Waits for its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not end.
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("wait")
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("wait") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the process does not end");
+            thread::sleep(LOOK);
+        }
     }
 }
 
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -230,6 +230,17 @@
     wait_spent(&fleet, 42);
 }
 
+#[test]
+fn an_idle_host_stops_with_and_without_the_platform() {
+    let mut fleet = Fleet::open(Plan::default());
+    for (host, fault) in [("host-a", "up"), ("host-b", "down")] {
+        fleet.fail_platform(&json!({"kind": fault}));
+        fleet.signal(host, Signal::TERM);
+        let mut process = fleet.hosts.remove(host).expect("host");
+        assert_eq!(process.wait().code(), Some(0), "{host} with the platform {fault}");
+    }
+}
+
 #[test]
 fn a_platform_outage_does_not_stop_requests_that_the_hosts_can_pay() {
     let fleet = Fleet::open(Plan::default());
