Drop two settings that nothing read

heartbeat_ms and poll_ms were parsed, documented and used nowhere; the periods belong to the membership and to the follower of the configuration. Their test cases now name load_ms and hosts_ms, which are bounded and defaulted in the same way. Ruled out: passing them down, since all hosts must agree on the period.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -134,20 +134,6 @@
         default: Default::Value("20"),
         doc: "Time between two runs of the timers.",
     },
-    Key {
-        section: "timing",
-        name: "heartbeat_ms",
-        kind: Kind::Number(10, 60_000, "ms"),
-        default: Default::Value("1000"),
-        doc: "Time between two heartbeats to a neighbour.",
-    },
-    Key {
-        section: "timing",
-        name: "poll_ms",
-        kind: Kind::Number(10, 60_000, "ms"),
-        default: Default::Value("1000"),
-        doc: "Time between two reads of the records' change log.",
-    },
     Key {
         section: "timing",
         name: "hosts_ms",
@@ -262,10 +248,6 @@
 pub struct Timing {
     /// Between two runs of the timers.
     pub tick: Duration,
-    /// Between two heartbeats to a neighbour.
-    pub heartbeat: Duration,
-    /// Between two reads of the records' change log.
-    pub poll: Duration,
     /// Between two reads of the platform's list of hosts.
     pub hosts: Duration,
     /// Between two reads of a back end's load.
@@ -333,8 +315,6 @@
 fn timing(values: &Values) -> Result<Timing, Fault> {
     Ok(Timing {
         tick: values.millis("timing", "tick_ms")?,
-        heartbeat: values.millis("timing", "heartbeat_ms")?,
-        poll: values.millis("timing", "poll_ms")?,
         hosts: values.millis("timing", "hosts_ms")?,
         load: values.millis("timing", "load_ms")?,
         client: values.millis("timing", "client_ms")?,
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -32,7 +32,7 @@
 key = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 peers = 127.0.0.1:7102, 127.0.0.1:7103
 [timing]
-poll_ms = 50
+load_ms = 50
 ";
 
 /// Writes a file of settings and returns its path.
@@ -52,8 +52,8 @@
     assert_eq!(settings.host.advertise, None);
     assert_eq!(settings.fleet.peers.len(), 2);
     assert_eq!(settings.fleet.key.0[1], 0x11);
-    assert_eq!(settings.timing.poll.as_millis(), 50);
-    assert_eq!(settings.timing.heartbeat.as_millis(), 1000);
+    assert_eq!(settings.timing.load.as_millis(), 50);
+    assert_eq!(settings.timing.hosts.as_millis(), 2000);
     assert_eq!(settings.limits.max_body_bytes, 1_048_576);
     assert_eq!(settings.log.filter, "info");
     let shown = format!("{:?}", settings.fleet.key);
@@ -87,16 +87,16 @@
             got this one",
 }; "key before any section")]
 #[test_case("type", Case {
-    replace: "poll_ms = 50", by: "poll_ms = soon",
-    fault: "14: [timing] poll_ms: expected 10 to 60000 ms, got \"soon\"",
+    replace: "load_ms = 50", by: "load_ms = soon",
+    fault: "14: [timing] load_ms: expected 10 to 60000 ms, got \"soon\"",
 }; "wrong type")]
 #[test_case("range", Case {
-    replace: "poll_ms = 50", by: "poll_ms = 9",
-    fault: "14: [timing] poll_ms: expected 10 to 60000 ms, got \"9\"",
+    replace: "load_ms = 50", by: "load_ms = 9",
+    fault: "14: [timing] load_ms: expected 10 to 60000 ms, got \"9\"",
 }; "out of range")]
 #[test_case("negative", Case {
-    replace: "poll_ms = 50", by: "poll_ms = -50",
-    fault: "14: [timing] poll_ms: expected 10 to 60000 ms, got \"-50\"",
+    replace: "load_ms = 50", by: "load_ms = -50",
+    fault: "14: [timing] load_ms: expected 10 to 60000 ms, got \"-50\"",
 }; "negative number")]
 #[test_case("missing", Case {
     replace: "name = entry-1\n", by: "",
@@ -223,9 +223,9 @@
 
 #[test]
 fn daemon_with_faulty_settings_starts_nothing() {
-    let path = file("daemon-faulty", &WHOLE.replace("poll_ms = 50", "poll_ms = soon"));
+    let path = file("daemon-faulty", &WHOLE.replace("load_ms = 50", "load_ms = soon"));
     let output = daemon(&path).wait_with_output().unwrap();
-    let fault = "14: [timing] poll_ms: expected 10 to 60000 ms, got \"soon\"";
+    let fault = "14: [timing] load_ms: expected 10 to 60000 ms, got \"soon\"";
     assert_eq!(output.status.code(), Some(2));
     assert_eq!(String::from_utf8(output.stdout).unwrap(), "");
     let stderr = String::from_utf8(output.stderr).unwrap();
