Charge nothing for a call that its service failed; tighten the process tests

A call answered with a server error was charged. Ruled out: to say not_run, since the service's word is no proof.

--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -26,6 +26,9 @@
 /// Wait that a caller is told where no back end could be reached.
 const UNREACHED_RETRY: Duration = Duration::from_secs(1);
 
+/// Lowest HTTP status by which a service says that it failed; such a call is not charged.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// Back ends tried for one call.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -264,7 +267,10 @@
 
     fn call_answered(&mut self, id: request::Id, status: u16, body: Arc<str>) {
         let Some(request) = self.remove_call(id) else { return };
-        self.settle_call(id, request.work.worst);
+        match status {
+            FIRST_SERVER_ERROR.. => self.holder_event(holder::Event::Release { request: id }),
+            _ => self.settle_call(id, request.work.worst),
+        }
         self.note(Some(id), Step::Answered, "", format!("status={status}"));
         for caller in request.callers {
             self.callers.remove(&caller);
--- a/crates/coordination/tests/host/histories.rs
+++ b/crates/coordination/tests/host/histories.rs
@@ -163,7 +163,10 @@
         assert_eq!(balance.disagreements, [], "seed {seed}: {budget}");
         let spent = balance.ledger + balance.old_ledger - balance.refunds;
         let accounted = spent + balance.escrow.stranded + balance.remaining;
-        let missing = balance.prepaid.checked_sub(accounted).unwrap_or_else(|| panic!("seed {seed}: {budget} {balance:?}"));
+        let missing = balance
+            .prepaid
+            .checked_sub(accounted)
+            .unwrap_or_else(|| panic!("seed {seed}: {budget} {balance:?}"));
         // What a dead process had set aside, or was on its way to it, may stay out of use.
         assert!(missing == 0 || case.deaths && case.cuts, "seed {seed}: {missing} of {budget}");
         assert!(spent <= balance.prepaid, "seed {seed}: {spent} of {budget} are charged");
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -17,7 +17,7 @@
     timeline::{Entry, Ring},
 };
 use crossbeam::{
-    channel::{Receiver, Sender, after, bounded},
+    channel::{Receiver, Sender, bounded},
     select,
 };
 use tokio::sync::mpsc::error::TrySendError;
@@ -189,7 +189,7 @@
             select! {
                 recv(inbox) -> inbound => self.take(inbound?, &mut actions),
                 recv(peers) -> inbound => self.take_link(inbound?, &mut actions),
-                recv(after(wait)) -> _ => {}
+                default(wait) => {}
             }
             let now = Instant::now();
             if now >= next_tick {
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -70,9 +70,17 @@
     }
 }
 
-/// Waits until the charges of all requests are in the ledger.
+/// Waits until all charges are in the ledger and repeated ones are refunded.
+///
+/// One request more at each host marks the end of its charges: a host writes them in their order.
 fn wait_spent(fleet: &Fleet, tokens: u64) {
-    fleet.wait(&format!("{tokens} tokens spent"), || escrow(fleet).spent() == tokens);
+    let mut spent = tokens;
+    for host in fleet.hosts.keys() {
+        let reply = call(&fleet.caller(host), "status", None, &prompt("mark", 1));
+        assert!(reply.whole(), "mark at {host}: {reply:?}");
+        spent += reply.end.expect("end").charged;
+    }
+    fleet.wait(&format!("{spent} tokens spent"), || escrow(fleet).spent() == spent);
 }
 
 #[test]
@@ -138,6 +146,22 @@
     assert_eq!(fleet.runs().into_values().sum::<u64>(), 1);
 }
 
+#[test]
+fn a_call_that_its_service_refused_costs_nothing() {
+    let fleet = Fleet::open(Plan::default());
+    let ticket = fleet.caller("host-a").ticket().expect("ticket");
+    let body = json!({"input": {"centre": 7}});
+    let fault = json!({"kind": "refuse", "count": 1});
+    control::post(fleet.service.address, "/control/fault", &fault).expect("fault");
+    for host in ["host-a", "host-b"] {
+        assert_eq!(call(&fleet.caller(host), "disburse", Some(&ticket), &body).status, 503);
+    }
+    assert_eq!(fleet.runs().into_values().sum::<u64>(), 0);
+    let ticket = fleet.caller("host-a").ticket().expect("ticket");
+    assert!(call(&fleet.caller("host-a"), "disburse", Some(&ticket), &body).whole());
+    wait_spent(&fleet, 5);
+}
+
 #[test]
 fn a_request_past_the_budget_is_refused_and_says_when_to_come_back() {
     let fleet = Fleet::open(Plan { prepaid: 100, ..Plan::default() });
