Note at a replica which reservations it holds; test what operators see

Cause: nothing in the timeline of a request named the host that keeps the copy of its reservation, so a timeline over several processes showed only the hosts that callers had asked.

Entries past a gap aren't noted. One note for each reservation and copy, besides what a repeated message brings again.

Ruled out: a note for the acknowledgement; the holder's `reserved` is noted once the copies stand, and so says the same.

--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -7,7 +7,7 @@
     answer::Usage,
     claim::{IssuerEvent, RunnerEvent},
     fold, holder,
-    message::{Entry, Message},
+    message::{Append, Entry, Message},
     recovery, request,
     timeline::Step,
 };
@@ -143,12 +143,38 @@
 
     pub(super) fn journal_message(&mut self, address: Arc<str>, message: Message) {
         let answer = match message {
-            Message::Append(append) => self.replica.append(append),
+            Message::Append(append) => self.hold(append),
             Message::Seal { holder } => self.replica.seal(&holder),
             _ => return,
         };
         self.out.push(Action::Send { address, message: answer });
     }
+
+    /// Takes journal entries of another host, and notes each reservation that it then holds.
+    fn hold(&mut self, append: Append) -> Message {
+        let peer = host_of(&append.holder);
+        let reservations = reservations(&append);
+        let answer = self.replica.append(append);
+        let Message::Appended { through, .. } = answer else { return answer };
+        for (number, request) in reservations.into_iter().filter(|(number, _)| *number <= through) {
+            self.note(Some(request), Step::Held, peer.clone(), format!("entry={number}"));
+        }
+        answer
+    }
+}
+
+/// Returns the reservations among journal entries, with their numbers; none of a snapshot, whose
+/// entries have no numbers of their own.
+fn reservations(append: &Append) -> Vec<(u64, request::Id)> {
+    if append.snapshot {
+        return Vec::new();
+    }
+    let numbered = (append.first..).zip(&append.entries);
+    let reservations = numbered.filter_map(|(number, entry)| match entry {
+        Entry::Reserve { request, .. } => Some((number, *request)),
+        _ => None,
+    });
+    reservations.collect()
 }
 
 /// Returns the host of a process.
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -29,6 +29,9 @@
 /// Token of the callers and the operator.
 pub const TOKEN: &str = "token-of-the-tests";
 
+/// Byte of which the fleet's key is made, in hexadecimal.
+pub const KEY_BYTE: &str = "7a";
+
 /// Hosts of a fleet that spans three zones.
 pub const THREE: &[(&str, &str)] = &[("host-a", "a"), ("host-b", "b"), ("host-c", "c")];
 
@@ -133,7 +136,7 @@
             hosts: BTreeMap::new(),
             plan,
         };
-        fs::write(fleet.dir.path().join("key"), "7a".repeat(32)).expect("key");
+        fs::write(fleet.dir.path().join("key"), KEY_BYTE.repeat(32)).expect("key");
         fleet.write_records();
         for (name, zone) in fleet.plan.hosts {
             fleet.start(name, zone);
@@ -346,6 +349,11 @@
         }
     }
 
+    /// Returns a host's whole log.
+    pub fn log(&self, host: &str) -> String {
+        fs::read_to_string(self.dir.path().join(format!("{host}.log"))).expect("log")
+    }
+
     /// Returns the last lines of every host's log.
     pub fn logs(&self) -> String {
         let mut text = String::new();
