Keep of a budget's record what a holder needs; hand a host its own messages

Cause: each account held a copy of the whole record, though the catalog holds it too. Ruled out: accounts for used budgets only, since the floor is filled before the first use. A recovery that seals a copy on its own host no longer depends on a link to itself.

--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -24,7 +24,7 @@
 
 pub use self::event::{Action, Event, Note, Peer, Reason, Reserve, Settings};
 use self::{
-    account::{Account, Reservation, Stage},
+    account::{Account, Reservation, Stage, Terms},
     round::{Flush, Round},
     transfer::Outgoing,
 };
@@ -284,9 +284,9 @@
     }
 
     fn set_budget(&mut self, now: Duration, budget: record::Budget) {
-        let name = budget.name.clone();
+        let record::Budget { name, urgent_floor, ledger, .. } = budget;
         let account = self.accounts.entry(name.clone()).or_default();
-        account.record = Some(budget);
+        account.terms = Some(Terms { urgent_floor, ledger });
         let (used, waits) = (account.used.is_used(), !account.waiting.is_empty());
         if !std::mem::replace(&mut account.checked, true) {
             self.checks.insert((now + CHECK_EVERY, name.clone()));
@@ -298,7 +298,7 @@
 
     fn delete_budget(&mut self, name: &Arc<str>) {
         if let Some(account) = self.accounts.get_mut(name) {
-            account.record = None;
+            account.terms = None;
             self.make_due(name, false);
         }
     }
--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -6,19 +6,28 @@
     event::Reserve,
     policy::{Pool, Use},
 };
-use crate::{escrow::Grant, record, request::Class};
+use crate::{escrow::Grant, record::Ledger, request::Class};
 
 /// A reservation that waits for tokens, by class and then by arrival.
 pub(super) type Turn = (Class, u64);
 
+/// What a budget's record says that a holder needs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Terms {
+    /// Tokens that only urgent requests may use.
+    pub urgent_floor: u64,
+    /// Format of the ledger entries.
+    pub ledger: Ledger,
+}
+
 /// What this process holds of a budget.
 ///
 /// Tokens granted or received are available, reserved, settled but not yet in the ledger, or on
 /// their way back to the table.
 #[derive(Debug, Default)]
 pub(super) struct Account {
-    /// The operators' record; `None` where it was deleted.
-    pub record: Option<record::Budget>,
+    /// What the operators' record says; `None` where it was deleted.
+    pub terms: Option<Terms>,
     /// The grant row as last seen.
     pub row: Grant,
     /// Tokens that may be reserved.
@@ -62,7 +71,7 @@
 impl Account {
     /// Returns the tokens that only urgent requests may reserve.
     pub fn floor(&self) -> u64 {
-        let floor = self.record.as_ref().map_or(0, |record| record.urgent_floor);
+        let floor = self.terms.map_or(0, |terms| terms.urgent_floor);
         floor.min(self.level / FLOOR_SHARE)
     }
 
--- a/crates/coordination/src/holder/policy.rs
+++ b/crates/coordination/src/holder/policy.rs
@@ -128,7 +128,7 @@
     };
     let fair = unspent as f64 * POOL_SHARE * share;
     let wanted = (rate * HORIZON_S).min(fair) as u64;
-    let floor = account.record.as_ref().map_or(0, |record| record.urgent_floor);
+    let floor = account.terms.map_or(0, |terms| terms.urgent_floor);
     let idle = match account.used.since {
         Some(_) => (floor * 2).min(unspent / IDLE_SHARE),
         None => 0,
@@ -166,7 +166,7 @@
     if !account.waiting.is_empty() {
         return 0;
     }
-    if account.record.is_none() {
+    if account.terms.is_none() {
         return account.available;
     }
     let target = target(account, now);
--- a/crates/coordination/src/holder/reserve.rs
+++ b/crates/coordination/src/holder/reserve.rs
@@ -36,7 +36,7 @@
             refuse(request, Reason::UnknownBudget, RETRY_ELSEWHERE, actions);
             return;
         };
-        if account.record.is_none() {
+        if account.terms.is_none() {
             refuse(request, Reason::UnknownBudget, RETRY_ELSEWHERE, actions);
             return;
         }
@@ -197,7 +197,7 @@
         account.reserved -= reserved;
         account.available += unused;
         account.used.add(now, -(unused as f64));
-        if account.record.is_none() || self.draining {
+        if account.terms.is_none() || self.draining {
             self.make_due(budget, false);
         }
         self.serve(now, budget);
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -244,8 +244,8 @@
     }
 
     pub(super) fn is_old(&self, budget: &str) -> bool {
-        let record = self.accounts.get(budget).and_then(|account| account.record.as_ref());
-        record.is_some_and(|record| record.ledger == Ledger::Old)
+        let terms = self.accounts.get(budget).and_then(|account| account.terms);
+        terms.is_some_and(|terms| terms.ledger == Ledger::Old)
     }
 
     pub(super) fn holds_nothing(&self) -> bool {
--- a/crates/coordination/src/holder/transfer.rs
+++ b/crates/coordination/src/holder/transfer.rs
@@ -212,7 +212,7 @@
         self.then.insert(entry, Then::Acknowledge { to: host, number });
         let account = self.accounts.entry(budget.clone()).or_default();
         account.available += tokens;
-        let unwanted = account.record.is_none() || self.draining;
+        let unwanted = account.terms.is_none() || self.draining;
         actions.push(Action::Note(Note::Received {
             budget: budget.clone(),
             tokens,
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -73,11 +73,20 @@
     }
 
     pub(super) fn send_to_host(&mut self, host: &str, message: Message) {
+        if *host == *self.settings.host {
+            return self.loop_back(message);
+        }
         let Some(member) = self.members.get(host) else { return };
         let address = member.address.clone();
         self.out.push(Action::Send { address, message });
     }
 
+    /// Hands a message to this host itself.
+    pub(super) fn loop_back(&mut self, message: Message) {
+        let (from, address) = (self.id.clone(), self.settings.address.clone());
+        self.message(from, address, message);
+    }
+
     pub(super) fn member_event(&mut self, event: member::Event) {
         let mut actions = Vec::new();
         self.members.handle(self.now, event, &mut actions);
--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -147,6 +147,9 @@
             Message::Seal { holder } => self.replica.seal(&holder),
             _ => return,
         };
+        if address == self.settings.address {
+            return self.loop_back(answer);
+        }
         self.out.push(Action::Send { address, message: answer });
     }
 
