Don't note an ensemble as under way that the table already holds

After a lost answer the ensemble was recognised as committed and then noted as under way again by a commit that didn't write it, so it was never replaced when its members died; a neighbour's drain then waited for an acknowledgement that needed a durable entry. A drained holder now also acknowledges repeats of transfers that it took. ensemble_is_replaced_after_a_lost_answer_and_the_drain_ends fails before and passes now.

--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -200,8 +200,16 @@
     }
 
     fn handle_closed(&mut self, event: Event, actions: &mut Vec<Action>) {
-        let Event::Reserve(reserve) = event else {
-            return;
+        let reserve = match event {
+            Event::Reserve(reserve) => reserve,
+            Event::Message { from, message: Message::Transfer { number, .. } }
+                if self.phase == Phase::Drained && self.incoming.contains(&number) =>
+            {
+                let message = Message::TransferAck { number };
+                actions.push(Action::Send { to: transfer::host_of(&from), message });
+                return;
+            }
+            _ => return,
         };
         let reason = if self.draining { Reason::Draining } else { Reason::Fenced };
         refuse(reserve.request, reason, RETRY_ELSEWHERE, actions);
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -375,8 +375,10 @@
             self.pace.resolve();
             return;
         }
-        if let Some(ensemble) = &round.ensemble {
-            self.journal.begin(ensemble.clone());
+        if let Some(next) = &plan.registration
+            && self.journal.ensemble() != Some(&next.ensemble[..])
+        {
+            self.journal.begin(next.ensemble.clone());
         }
         let id = self.operate(Op::Commit(txn), actions);
         self.round = Some(Round { id, step: Step::Commit(plan), ..round });
--- a/crates/coordination/tests/money/differential.rs
+++ b/crates/coordination/tests/money/differential.rs
@@ -326,6 +326,33 @@
     Ok(())
 }
 
+/// An answer lost on a change of the ensemble, followed by the loss of both its members.
+#[test]
+fn ensemble_is_replaced_after_a_lost_answer_and_the_drain_ends() {
+    let reserve = |host, class| Step::Reserve { host, tokens: 1, class };
+    let mut steps = vec![
+        reserve(0, Class::Urgent),
+        Step::Fault { host: 0, fault: Fault::AnswerLost },
+        Step::Cut { zone: 0, platform: true },
+        reserve(2, Class::Urgent),
+        reserve(0, Class::Normal),
+        Step::Run { millis: 1 },
+        Step::Run { millis: 6 },
+        Step::Freeze { host: 2 },
+        Step::Declare { host: 1 },
+        Step::Loss { percent: 4 },
+        Step::Loss { percent: 0 },
+    ];
+    steps.extend(vec![reserve(0, Class::Urgent); 2]);
+    steps.extend([Step::Run { millis: 100 }, Step::Run { millis: 100 }]);
+    steps.extend(vec![reserve(0, Class::Urgent); 3]);
+    steps.extend([Step::Heal, reserve(0, Class::Urgent), Step::Run { millis: 385 }]);
+    steps.extend(vec![reserve(0, Class::Urgent); 3]);
+    steps.extend([Step::Kill { host: 3 }, reserve(0, Class::Urgent)]);
+    steps.extend([Step::Kill { host: 1 }, reserve(0, Class::Urgent)]);
+    check(&steps).expect("no difference");
+}
+
 #[test]
 fn random_histories_agree_with_a_naive_ledger() {
     let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
