--- a/crates/coordination/tests/money/differential.rs
+++ b/crates/coordination/tests/money/differential.rs
@@ -24,6 +24,7 @@
 
 const HOSTS: [(&str, &str); 4] = [("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")];
 const CASES: u32 = 400;
+const LONG_CASES: u32 = 6_000;
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -353,11 +354,21 @@
     check(&steps).expect("no difference");
 }
 
-#[test]
-fn random_histories_agree_with_a_naive_ledger() {
-    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+/// Compares random histories of up to `steps` steps with the naive ledger.
+fn compare(cases: u32, steps: usize) {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
     let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, random);
-    let histories = prop::collection::vec(step(), 1..60);
+    let histories = prop::collection::vec(step(), 1..steps);
     runner.run(&histories, |steps| check(&steps)).expect("no counterexample");
 }
+
+#[test]
+fn random_histories_agree_with_a_naive_ledger() {
+    compare(CASES, 60);
+}
+
+#[test]
+fn long_random_histories_agree_with_a_naive_ledger() {
+    compare(LONG_CASES, 120);
+}
