--- a/crates/coordination/tests/host/tickets.rs
+++ b/crates/coordination/tests/host/tickets.rs
@@ -7,7 +7,7 @@
 use test_case::test_case;
 
 use crate::{
-    callers::{Kind, codes},
+    callers::codes,
     histories::{CALM, ROUGH},
     records::{self, ZONES},
     world::{Faults, World},
