List ended hosts as gone in the tests, and frozen ones at times

A host that gives up giving back after 30 s leaves its accounts to a recovery, which begins when the host list shows it as gone; the test's list left it out. Frozen hosts that the list shows as gone are recovered while they live on.

--- a/crates/coordination/tests/host/histories.rs
+++ b/crates/coordination/tests/host/histories.rs
@@ -105,7 +105,10 @@
         1 if case.cuts => world.cut_one_way(zone, other),
         2 if case.cuts => world.cut_one_way(other, zone),
         3 if case.cuts => world.cuts.clear(),
-        4 if case.freezes => world.hosts[host].frozen = true,
+        4 if case.freezes => {
+            world.hosts[host].frozen = true;
+            world.hosts[host].taken_for_dead |= case.deaths && world.random.random_bool(0.3);
+        }
         5 if case.freezes => (0..hosts).for_each(|host| world.thaw(host)),
         6 if case.deaths => {
             world.kill(host);
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -70,9 +70,12 @@
     pub host: Host,
     pub name: Arc<str>,
     pub zone: Arc<str>,
-    pub dead: Option<Duration>,
+    pub ended: Option<Duration>,
+    /// It has left.
     pub stopped: bool,
     pub frozen: bool,
+    /// The host list shows it as gone.
+    pub taken_for_dead: bool,
     /// It was told to leave.
     pub leaving: bool,
     pub revision: u64,
@@ -84,7 +87,7 @@
 
 impl Process {
     pub fn live(&self) -> bool {
-        self.dead.is_none() && !self.stopped
+        self.ended.is_none()
     }
 }
 
@@ -189,9 +192,10 @@
             name,
             zone,
             address,
-            dead: None,
+            ended: None,
             stopped: false,
             frozen: false,
+            taken_for_dead: false,
             leaving: false,
             revision: 0,
             watched: Vec::new(),
@@ -244,7 +248,7 @@
         if !self.hosts[index].live() {
             return;
         }
-        self.hosts[index].dead = Some(self.now);
+        self.hosts[index].ended = Some(self.now);
         for stream in self.backends.iter_mut().flat_map(|b| b.streams.values_mut()) {
             stream.readers.retain(|reader| reader.host != index);
         }
@@ -384,7 +388,8 @@
             newest.insert(process.name.clone(), process);
         }
         let entry = |process: &Process| {
-            let ended = process.dead.is_some_and(|at| self.now >= at + LIST_LAG);
+            let ended =
+                process.taken_for_dead || process.ended.is_some_and(|at| self.now >= at + LIST_LAG);
             Listed {
                 host: process.name.clone(),
                 zone: process.zone.clone(),
@@ -393,7 +398,7 @@
                 incarnation: ended.then_some(process.host.settings().incarnation),
             }
         };
-        newest.into_values().filter(|process| !process.stopped).map(entry).collect()
+        newest.into_values().map(entry).collect()
     }
 
     fn load(&self, zone: &str, address: &str) -> Option<Load> {
@@ -449,7 +454,10 @@
                 self.after(MILLISECOND, Arrival::Host(index, event));
             }
             Action::Weights { .. } | Action::Order { .. } => {}
-            Action::Stopped => self.hosts[index].stopped = true,
+            Action::Stopped => {
+                self.hosts[index].stopped = true;
+                self.hosts[index].ended = Some(self.now);
+            }
         }
     }
 
