--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -331,7 +331,7 @@
     fn call(&mut self, call: Call) {
         let caller = call.caller;
         if let Some(problem) = self.closed() {
-            return self.refuse(caller, None, problem);
+            return self.refuse(caller, None, problem.of_try(call.key.as_ref()));
         }
         match intake::check(&self.catalog, &call) {
             Ok(work) => self.start(caller, work),
--- a/crates/coordination/src/host/action.rs
+++ b/crates/coordination/src/host/action.rs
@@ -198,11 +198,24 @@
     pub retry_after_ms: Option<u64>,
 }
 
+impl Problem {
+    /// Returns the problem as told to a request with this key. Nobody was asked what became of
+    /// earlier tries with it, so that only this try is known not to have run.
+    pub fn of_try(self, key: Option<&Arc<str>>) -> Self {
+        match self.outcome {
+            Outcome::NotRun if key.is_some() => Self { outcome: Outcome::NotRunHere, ..self },
+            _ => self,
+        }
+    }
+}
+
 /// Whether a failed request ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
     /// It did not run and will not.
     NotRun,
+    /// This try did not run; an earlier one with the same key or ticket may have.
+    NotRunHere,
     /// It may have run; it will not be run again.
     Unknown,
     /// It ran in part; an idempotent request may be repeated.
@@ -214,6 +227,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotRun => "not_run",
+            Self::NotRunHere => "not_run_here",
             Self::Unknown => "unknown",
             Self::Incomplete => "incomplete",
         }
--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -141,6 +141,7 @@
     /// Ends a request whose reservation was refused.
     pub(super) fn refuse_model(&mut self, id: request::Id, problem: &super::action::Problem) {
         let Some(request) = self.models.remove(&id) else { return };
+        let problem = problem.clone().of_try(request.work.key.as_ref());
         for caller in request.joining {
             self.refuse(caller, Some(id), problem.clone());
         }
@@ -467,7 +468,11 @@
 
     fn fail(&mut self, id: request::Id, caller: Caller, failure: &Failure) {
         self.callers.remove(&caller);
-        let problem = problem::stream(failure);
+        let key = self.models.get(&id).and_then(|request| request.work.key.as_ref());
+        let problem = match failure {
+            Failure::NotRun { .. } => problem::stream(failure).of_try(key),
+            _ => problem::stream(failure),
+        };
         let detail = format!("code={} outcome={}", problem.code, problem.outcome.as_str());
         self.note(Some(id), Step::Failed, "", detail);
         self.out.push(Action::Fail { caller, problem });
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -241,8 +241,9 @@
     }
 
     fn end_unsent(&mut self, id: request::Id, request: Request, problem: Problem) {
+        let told = problem.clone().of_try(request.work.key.as_ref());
         for caller in request.callers {
-            self.refuse(caller, Some(id), problem.clone());
+            self.refuse(caller, Some(id), told.clone());
         }
         let Some(caller) = request.ticketed else { return };
         if let Some(ticketed) = self.tickets.get_mut(&caller) {
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -263,8 +263,12 @@
             None => Event::Ticket { caller, token },
         };
         let (reply, parts) = mpsc::channel(CALLER_QUEUE);
+        let key = match &event {
+            Event::Call(call) => call.key.clone(),
+            _ => None,
+        };
         let inbound = Inbound::Caller { caller, reply, event };
-        self.core.try_send(inbound).map_err(|_| overloaded())?;
+        self.core.try_send(inbound).map_err(|_| overloaded().of_try(key.as_ref()))?;
         Ok((caller, parts))
     }
 
@@ -304,7 +308,8 @@
 async fn reject(mut stream: TcpStream) {
     use tokio::io::AsyncWriteExt as _;
 
-    let body = document(&overloaded());
+    // The request was not read, so it may be a retry of one that ran.
+    let body = document(&Problem { outcome: Outcome::NotRunHere, ..overloaded() });
     let head = format!(
         "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\n\
          content-type: application/problem+json\r\ncontent-length: {}\r\n\r\n",
