--- a/crates/coordination/examples/routing/fleet.rs
+++ b/crates/coordination/examples/routing/fleet.rs
@@ -12,7 +12,7 @@
     prefix,
     record::{self, Model, empty},
     request::Class,
-    route::{Load, Query, Router, RouterAction, RouterEvent, Setting},
+    route::{Load, Query, Router, RouterAction, RouterEvent, Setting, subset},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -278,7 +278,7 @@
                 AdmissionAction::Refuse { waiter, .. } => {
                     self.fates[waiter as usize].refused = true;
                 }
-                AdmissionAction::Router(RouterAction::Resync(_)) => {}
+                AdmissionAction::Router(RouterAction::Resync(_) | RouterAction::Watch) => {}
             }
         }
     }
@@ -414,6 +414,13 @@
             let count = HOSTS.len() as u32;
             let hosts = RouterEvent::Hosts { count, index };
             router.handle(Duration::ZERO, hosts, &mut actions);
+            let entry = |(number, zone): (usize, &&str)| subset::Entry {
+                host: format!("h{number}").into(),
+                zone: Arc::from(*zone),
+            };
+            let hosts = HOSTS.iter().enumerate().map(entry).collect();
+            let own = format!("h{index}").into();
+            router.handle(Duration::ZERO, RouterEvent::Fleet { own, hosts }, &mut actions);
             Admission::open(Default::default(), router)
         });
         Self { admission, next: seed as usize % ENGINES.len(), tick: None }
--- a/crates/coordination/src/admit.rs
+++ b/crates/coordination/src/admit.rs
@@ -340,6 +340,8 @@
         | RouterEvent::Route(_)
         | RouterEvent::RouteDeleted(_)
         | RouterEvent::Cache { .. }
+        | RouterEvent::Fleet { .. }
+        | RouterEvent::Settle
         | RouterEvent::Hosts { .. } => None,
     }
 }
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -8,7 +8,7 @@
     config, holder, locate, member,
     message::{Holder, Member, Message, State},
     order, record, recovery,
-    route::RouterEvent,
+    route::{RouterEvent, subset},
     table::{Op, Row, Txn, Write},
     timeline::Step,
 };
@@ -135,30 +135,39 @@
         let before = self.members.reachable().filter(|member| member.host < own);
         let index = number(before.count());
         self.router_event(RouterEvent::Hosts { count, index });
+        self.router_event(RouterEvent::Fleet { own: own.clone(), hosts: self.takers() });
+        self.router_event(RouterEvent::Settle);
         let homes =
             self.peers.iter().map(|peer| peer.host.clone()).chain([self.settings.host.clone()]);
         self.locator.set_homes(locate::Homes::open(homes));
         self.holder_event(holder::Event::Peers(self.peers.clone()));
     }
 
+    /// Returns the hosts that take requests.
+    fn takers(&self) -> Vec<subset::Entry> {
+        let own =
+            subset::Entry { host: self.settings.host.clone(), zone: self.settings.zone.clone() };
+        let others = self.members.reachable().filter(|member| member.host != own.host);
+        let others = others
+            .map(|member| subset::Entry { host: member.host.clone(), zone: member.zone.clone() });
+        others.chain([own.clone()]).collect()
+    }
+
     pub(super) fn follower_event(&mut self, event: config::Event) {
         let mut actions = Vec::new();
         self.follower.handle(self.now, event, &mut actions);
-        let mut backends = false;
         for action in actions {
             match action {
                 config::Action::Read(op) => self.table(Owner::Follower, op),
                 config::Action::Send { to, message } => {
                     self.out.push(Action::Send { address: to, message });
                 }
-                config::Action::Apply(row) => backends |= self.apply(&row),
+                config::Action::Apply(row) => self.apply(&row),
                 config::Action::Invalid { row, reason } => self.record_invalid(&row.key, &reason),
                 config::Action::Advanced(revision) => self.advanced(revision),
             }
         }
-        if backends {
-            self.watch();
-        }
+        self.router_event(RouterEvent::Settle);
     }
 
     fn record_invalid(&mut self, key: &str, reason: &str) {
@@ -171,8 +180,8 @@
         self.member_event(member::Event::Revision(revision));
     }
 
-    /// Puts a row into force; returns whether it changed the back ends.
-    fn apply(&mut self, row: &Row) -> bool {
+    /// Puts a row into force.
+    fn apply(&mut self, row: &Row) {
         let change = match self.catalog.apply(row) {
             Ok(change) => change,
             Err(fault) => {
@@ -181,39 +190,27 @@
             }
         };
         match change {
-            Change::None => false,
-            Change::Budget(budget) => {
-                self.holder_event(holder::Event::Budget(budget));
-                false
-            }
-            Change::BudgetDeleted(name) => {
-                self.holder_event(holder::Event::BudgetDeleted(name));
-                false
-            }
-            Change::Route(route) => {
-                self.router_event(RouterEvent::Route(route));
-                false
-            }
-            Change::RouteDeleted(name) => {
-                self.router_event(RouterEvent::RouteDeleted(name));
-                false
-            }
+            Change::None => {}
+            Change::Budget(budget) => self.holder_event(holder::Event::Budget(budget)),
+            Change::BudgetDeleted(name) => self.holder_event(holder::Event::BudgetDeleted(name)),
+            Change::Route(route) => self.router_event(RouterEvent::Route(route)),
+            Change::RouteDeleted(name) => self.router_event(RouterEvent::RouteDeleted(name)),
             Change::Backend(backend) => {
                 self.want(&backend);
                 self.router_event(RouterEvent::Backend(backend));
-                true
             }
             Change::BackendDeleted(name) => {
                 self.order_event(order::Event::Forget(name.clone()));
                 self.router_event(RouterEvent::BackendDeleted(name));
-                true
             }
         }
     }
 
     /// Names the engines whose reports are to be read.
-    fn watch(&mut self) {
+    pub(super) fn watch(&mut self) {
+        let router = self.admission.router();
         let engines = self.catalog.backends().filter(|b| b.role == record::Role::Engine);
+        let engines = engines.filter(|engine| router.reads(&engine.name));
         let backends = engines.map(|b| (b.name.clone(), b.address.clone())).collect();
         self.out.push(Action::Watch { backends });
     }
--- a/crates/coordination/src/host/placement.rs
+++ b/crates/coordination/src/host/placement.rs
@@ -48,6 +48,7 @@
                     self.not_placed(waiter, retry_after);
                 }
                 AdmissionAction::Router(route::RouterAction::Resync(_)) => {}
+                AdmissionAction::Router(route::RouterAction::Watch) => self.watch(),
             }
         }
     }
@@ -97,6 +98,7 @@
             let leaving = entry.standing != crate::member::Standing::Live;
             self.router_event(RouterEvent::Listed { backend: entry.host.clone(), leaving });
         }
+        self.router_event(RouterEvent::Settle);
     }
 
     pub(super) fn cache(&mut self, backend: Arc<str>, changes: &[CacheChange], next: u64) {
--- a/crates/coordination/src/route.rs
+++ b/crates/coordination/src/route.rs
@@ -6,6 +6,7 @@
 
 mod backend;
 mod router;
+pub mod subset;
 
 use std::{sync::Arc, time::Duration};
 
@@ -137,6 +138,16 @@
         /// Number of the last event that the back end has.
         next: u64,
     },
+    /// The hosts among which the reading of back ends is divided have changed. Without this event a
+    /// host reads all of them.
+    Fleet {
+        /// Name of this host.
+        own: Arc<str>,
+        /// All hosts, this one included.
+        hosts: Vec<subset::Entry>,
+    },
+    /// A batch of changes is in force; see [`RouterAction::Watch`].
+    Settle,
     /// The entry hosts that take requests have changed.
     Hosts {
         /// Their number, this one included.
@@ -151,6 +162,8 @@
 pub enum RouterAction {
     /// Read all cache events of a back end, after number 0.
     Resync(Arc<str>),
+    /// Read the back ends for which [`Router::reads`] is true, and no others.
+    Watch,
 }
 
 /// A request that needs a back end.
--- a/crates/coordination/src/route/backend.rs
+++ b/crates/coordination/src/route/backend.rs
@@ -53,6 +53,10 @@
     pub record: record::Backend,
     /// Some route of urgent requests uses it.
     pub urgent: bool,
+    /// This host reads its reports.
+    pub read: bool,
+    /// Hosts that read its reports, where not all do.
+    readers: Option<Hosts>,
     hash: u64,
     models: Option<Vec<Model>>,
     load: Option<Load>,
@@ -79,6 +83,8 @@
             hash: hash(record.name.as_bytes()),
             record,
             urgent: false,
+            read: true,
+            readers: None,
             models: None,
             load: None,
             own: 0,
@@ -96,6 +102,34 @@
         }
     }
 
+    /// Returns the hash of the name.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Returns true where a source that all hosts share says that the back end takes no new work.
+    pub fn shared_leaving(&self) -> bool {
+        self.record.leaving || self.listed_leaving
+    }
+
+    /// Returns the requests of this host in flight, where it doesn't read the back end.
+    pub fn unread_own(&self) -> u64 {
+        if self.read { 0 } else { u64::from(self.own) }
+    }
+
+    /// Sets whether this host reads the back end, and among which hosts; returns whether the first
+    /// has changed. A report that is not renewed counts no more.
+    pub fn divide(&mut self, read: bool, readers: Option<Hosts>) -> bool {
+        let changed = self.read != read;
+        self.read = read;
+        self.readers = readers;
+        if !read {
+            self.load = None;
+            self.share = None;
+        }
+        changed
+    }
+
     /// Returns true where any source says that the back end takes no new work.
     pub fn leaving(&self, now: Duration) -> bool {
         self.record.leaving
@@ -137,6 +171,7 @@
 
     /// Returns the estimated number of requests at the back end, in thousandths.
     pub fn occupancy_milli(&self, setting: &Setting, hosts: u32) -> u64 {
+        let hosts = self.readers.map_or(hosts, |readers| readers.count);
         let others = u64::from(hosts.saturating_sub(1));
         let own = u64::from(self.own) * MILLI;
         let Some(load) = self.load else { return own * (others + 1) };
@@ -176,6 +211,7 @@
         let Some(load) = self.load else { return };
         let limit = self.limit_milli(setting, Class::Long, false);
         let room = limit.saturating_sub(self.occupancy_milli(setting, 1)).div_ceil(MILLI);
+        let hosts = self.readers.unwrap_or(hosts);
         let turn = load.at_ms / OWNER_TURN_MS;
         let owner = |slot| spread(self.hash ^ spread(turn) ^ slot) % u64::from(hosts.count);
         let owned = (0..room).filter(|&slot| owner(slot) == u64::from(hosts.index));
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -1,6 +1,7 @@
 //! Chooses among the back ends of a route.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
@@ -11,6 +12,7 @@
 use super::{
     Choice, Query, RouterAction, RouterEvent, Setting,
     backend::{Backend, Hosts},
+    subset::{self, Ranking, Readers},
 };
 use crate::{
     prefix,
@@ -45,6 +47,20 @@
     route: record::Route,
     near: Vec<Arc<str>>,
     far: Vec<Arc<str>>,
+    /// Back ends of the own zone that this host reads.
+    near_read: Vec<Arc<str>>,
+    /// Back ends of other zones that this host reads.
+    far_read: Vec<Arc<str>>,
+    /// Back ends that it doesn't read.
+    rest: Vec<Arc<str>>,
+}
+
+impl Pool {
+    fn open(route: record::Route) -> Self {
+        let (near, far) = (Vec::new(), Vec::new());
+        let (near_read, far_read, rest) = (Vec::new(), Vec::new(), Vec::new());
+        Self { route, near, far, near_read, far_read, rest }
+    }
 }
 
 /// A back end that may be chosen, with its cost.
@@ -63,6 +79,16 @@
     routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     prefixes: prefix::Index,
     hosts: Hosts,
+    /// Hosts among which the reading of back ends is divided; `None` where this host reads all.
+    ranking: Option<Ranking>,
+    /// Back ends, routes or hosts have changed since the reading was divided.
+    dirty: bool,
+    /// The back ends to read have changed since that was told.
+    reads_changed: bool,
+    /// Requests of this host at back ends that it doesn't read.
+    unread: u64,
+    /// Greatest number of them, the share of this host in their slots.
+    unread_limit: u64,
     rng: StdRng,
 }
 
@@ -77,6 +103,11 @@
             routes_of: BTreeMap::new(),
             prefixes: prefix::Index::default(),
             hosts: Hosts { count: 1, index: 0 },
+            ranking: None,
+            dirty: false,
+            reads_changed: false,
+            unread: 0,
+            unread_limit: 0,
             rng,
         }
     }
@@ -96,6 +127,11 @@
         self.backends.get(backend).is_none_or(|backend| backend.leaving(now))
     }
 
+    /// Returns true where this host reads the reports of a back end.
+    pub fn reads(&self, backend: &str) -> bool {
+        self.backends.get(backend).is_some_and(|backend| backend.read)
+    }
+
     /// Takes an event and pushes the actions that follow from it.
     pub fn handle(&mut self, now: Duration, event: RouterEvent, actions: &mut Vec<RouterAction>) {
         match event {
@@ -104,7 +140,20 @@
             RouterEvent::Route(record) => self.put_route(record),
             RouterEvent::RouteDeleted(name) => self.delete_route(&name),
             RouterEvent::Hosts { count, index } => {
-                self.hosts = Hosts { count: count.max(1), index }
+                let hosts = Hosts { count: count.max(1), index };
+                self.dirty |= self.hosts != hosts;
+                self.hosts = hosts;
+            }
+            RouterEvent::Fleet { own, hosts } => {
+                let ranking = Some(Ranking::open(&own, &hosts));
+                self.dirty |= self.ranking != ranking;
+                self.ranking = ranking;
+            }
+            RouterEvent::Settle => {
+                self.divide();
+                if std::mem::take(&mut self.reads_changed) {
+                    actions.push(RouterAction::Watch);
+                }
             }
             RouterEvent::Cache { backend, after, events, next } => {
                 if !self.prefixes.apply(&backend, after, &events, next) {
@@ -112,7 +161,9 @@
                 }
             }
             RouterEvent::Load(name, load) => {
-                if let Some(backend) = self.backends.get_mut(&name) {
+                if let Some(backend) = self.backends.get_mut(&name)
+                    && backend.read
+                {
                     backend.report(now, load, self.setting.report_lag);
                     backend.share_room(&self.setting, self.hosts);
                 }
@@ -121,7 +172,10 @@
                 self.with(&backend, |backend, _| backend.state(models, leaving));
             }
             RouterEvent::Listed { backend, leaving } => {
+                let before = self.backends.get(&backend).map(Backend::shared_leaving);
                 self.with(&backend, |backend, _| backend.listed(leaving));
+                let after = self.backends.get(&backend).map(Backend::shared_leaving);
+                self.dirty |= before != after;
             }
             RouterEvent::Refused(name, refusal) => {
                 self.with(&name, |backend, _| backend.refused(now, refusal));
@@ -133,13 +187,17 @@
                 self.with(&backend, |backend, rng| backend.failed(now, rng));
             }
             RouterEvent::Finished(name) => {
-                self.with(&name, |backend, _| backend.finished(now));
+                let Some(backend) = self.backends.get_mut(&name) else { return };
+                let before = backend.unread_own();
+                backend.finished(now);
+                self.unread -= before - backend.unread_own();
             }
         }
     }
 
     /// Chooses a back end and counts the request there.
     pub fn choose(&mut self, now: Duration, query: &Query) -> Choice {
+        self.divide();
         let Some(pool) = self.pools.remove(&query.route) else {
             return Choice::None { retry_after: RETRY_AFTER };
         };
@@ -150,6 +208,7 @@
         self.pools.insert(query.route.clone(), pool);
         if let Choice::Backend(name) = &choice {
             self.with(name, |backend, _| backend.sent(now, query.class));
+            self.unread += u64::from(!self.reads(name));
             self.prefixes.expect(name, &query.prefixes);
         }
         choice
@@ -170,17 +229,18 @@
     ) -> Choice {
         let model = pool.route.model.as_ref();
         let mut full = false;
-        let near = self.best(now, &pool.near, model, query, avoid, &mut full);
+        let near = self.best(now, &pool.near_read, model, query, avoid, &mut full);
         let roomy = near.as_ref().is_some_and(|near| near.cost < MILLI);
         let far = match roomy {
             true => None,
-            false => self.best(now, &pool.far, model, query, avoid, &mut full),
+            false => self.best(now, &pool.far_read, model, query, avoid, &mut full),
         };
         let mut best = near.into_iter().chain(far).min_by_key(|candidate| candidate.cost);
         if let Some(hinted) = self.hinted(now, pool, query, avoid) {
             let better = best.as_ref().is_none_or(|best| hinted.cost <= best.cost);
             best = if better { Some(hinted) } else { best };
         }
+        let best = best.or_else(|| self.beyond(now, pool, query, avoid, &mut full));
         match best {
             Some(candidate) => Choice::Backend(candidate.backend),
             None if full => Choice::Full,
@@ -226,6 +286,30 @@
         found.into_iter().min_by_key(|candidate| candidate.cost)
     }
 
+    /// Returns a back end that this host doesn't read, for a request that no other can take.
+    fn beyond(
+        &mut self,
+        now: Duration,
+        pool: &Pool,
+        query: &Query,
+        avoid: &[Arc<str>],
+        full: &mut bool,
+    ) -> Option<Candidate> {
+        let model = pool.route.model.as_ref();
+        let found = self.best(now, &pool.rest, model, query, avoid, full);
+        if found.is_some() || *full {
+            return found;
+        }
+        for name in pool.rest.iter().filter(|name| !avoid.contains(name)) {
+            match self.cost(now, name, model, query) {
+                Cost::Ineligible => {}
+                Cost::Full => *full = true,
+                Cost::Milli(cost) => return Some(Candidate { cost, backend: name.clone() }),
+            }
+        }
+        None
+    }
+
     /// Returns the best back end that is likely to hold the prompt's prefix.
     fn hinted(
         &self,
@@ -257,6 +341,9 @@
         if !backend.eligible(now, model) {
             return Cost::Ineligible;
         }
+        if !backend.read && self.unread >= self.unread_limit {
+            return Cost::Full;
+        }
         let occupancy = backend.occupancy_milli(&self.setting, self.hosts.count);
         let limit = backend.limit_milli(&self.setting, query.class, query.starved);
         let shared = query.class == Class::Long && !query.starved && !backend.has_share();
@@ -275,7 +362,88 @@
         wait.clamp(RETRY_AFTER, RETRY_AFTER_MAX)
     }
 
+    /// Divides the reading of back ends among the hosts anew, if anything has changed.
+    fn divide(&mut self) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let mut places = self.places();
+        let (mut rest_slots, mut unread) = (0, 0);
+        for (name, backend) in &mut self.backends {
+            let place = match self.ranking {
+                None => Some(self.hosts),
+                Some(_) => places.remove(name),
+            };
+            let some = place.filter(|place| place.count < self.hosts.count);
+            self.reads_changed |= backend.divide(place.is_some(), some);
+            unread += backend.unread_own();
+            if !backend.read && !backend.shared_leaving() {
+                rest_slots += u64::from(backend.slots());
+            }
+        }
+        self.unread = unread;
+        self.unread_limit = rest_slots.div_ceil(u64::from(self.hosts.count));
+        for pool in self.pools.values_mut() {
+            let read = |name: &&Arc<str>| self.backends.get(*name).is_some_and(|b| b.read);
+            pool.near_read = pool.near.iter().filter(read).cloned().collect();
+            pool.far_read = pool.far.iter().filter(read).cloned().collect();
+            let all = pool.near.iter().chain(&pool.far);
+            pool.rest = all.filter(|name| !read(name)).cloned().collect();
+        }
+    }
+
+    /// Returns the back ends to read, with the place of this host among their readers.
+    fn places(&self) -> BTreeMap<Arc<str>, Hosts> {
+        let mut places = BTreeMap::new();
+        let Some(ranking) = &self.ranking else { return places };
+        let readers = self.readers(ranking);
+        for pool in self.pools.values() {
+            for (list, most) in [(&pool.near, subset::MAX_NEAR), (&pool.far, subset::MAX_FAR)] {
+                let mut ranked = Vec::new();
+                for name in list {
+                    let Some(backend) = self.backends.get(name) else { continue };
+                    let (hash, zone) = (backend.hash(), &backend.record.zone);
+                    let wanted = readers.get(name).copied().unwrap_or_default();
+                    let Some(place) = ranking.place(hash, zone, wanted) else { continue };
+                    ranked.push((Reverse(ranking.weight(hash)), name, place));
+                }
+                ranked.sort_by_key(|(weight, ..)| *weight);
+                let kept = ranked.into_iter().take(most);
+                places.extend(kept.map(|(_, name, place)| (name.clone(), place)));
+            }
+        }
+        places
+    }
+
+    /// Returns how many hosts are to read each back end that some route uses.
+    fn readers(&self, ranking: &Ranking) -> BTreeMap<Arc<str>, Readers> {
+        let mut readers = BTreeMap::<Arc<str>, Readers>::new();
+        for pool in self.pools.values() {
+            let names = pool.near.iter().chain(&pool.far);
+            let records = names.filter_map(|name| self.backends.get(name));
+            let mut zones = BTreeMap::<&str, usize>::new();
+            let mut in_all = 0;
+            for backend in records.clone() {
+                let counts = usize::from(!backend.shared_leaving());
+                *zones.entry(&backend.record.zone).or_default() += counts;
+                in_all += counts;
+            }
+            let needed: BTreeMap<&str, Readers> = zones
+                .into_iter()
+                .map(|(zone, count)| (zone, Readers::needed(ranking.count(zone), count, in_all)))
+                .collect();
+            for backend in records {
+                let wanted = needed.get(&*backend.record.zone).copied().unwrap_or_default();
+                let entry = readers.entry(backend.record.name.clone()).or_default();
+                *entry = entry.max(wanted);
+            }
+        }
+        readers
+    }
+
     fn put_backend(&mut self, record: record::Backend) {
+        self.dirty = true;
+        self.reads_changed = true;
         let name = record.name.clone();
         let moved = self.backends.get(&name).is_none_or(|old| old.record.zone != record.zone);
         match self.backends.get_mut(&name) {
@@ -292,6 +460,8 @@
     }
 
     fn delete_backend(&mut self, name: &Arc<str>) {
+        self.dirty = true;
+        self.reads_changed = true;
         self.backends.remove(name);
         self.prefixes.forget(name);
         self.place(name);
@@ -300,7 +470,7 @@
     fn put_route(&mut self, route: record::Route) {
         self.delete_route(&route.name.clone());
         let name = route.name.clone();
-        let mut pool = Pool { route, near: Vec::new(), far: Vec::new() };
+        let mut pool = Pool::open(route);
         for backend in &pool.route.backends {
             self.routes_of.entry(backend.clone()).or_default().insert(name.clone());
         }
@@ -315,6 +485,7 @@
     }
 
     fn delete_route(&mut self, name: &Arc<str>) {
+        self.dirty = true;
         let Some(pool) = self.pools.remove(name) else { return };
         for backend in &pool.route.backends {
             let Some(routes) = self.routes_of.get_mut(backend) else { continue };
