--- a/crates/coordination/examples/capacity/main.rs
+++ b/crates/coordination/examples/capacity/main.rs
@@ -23,6 +23,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         [] => measure(),
+        ["reads"] => routing::measure_divided(),
         ["memory", part, count] => memory(part, count.parse().expect("a number")),
         _ => eprintln!("no arguments are taken"),
     }
@@ -39,6 +40,7 @@
     hot::measure();
     ledger::measure();
     routing::measure();
+    routing::measure_divided();
 }
 
 /// Prints the memory of one part; [`report::memory`] runs this in a process of its own.
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -286,7 +286,8 @@
         found.into_iter().min_by_key(|candidate| candidate.cost)
     }
 
-    /// Returns a back end that this host doesn't read, for a request that no other can take.
+    /// Returns a back end that this host doesn't read, for a request that no other can take. Looks at
+    /// each back end of the route before it returns that none can serve the request.
     fn beyond(
         &mut self,
         now: Duration,
@@ -300,7 +301,8 @@
         if found.is_some() || *full {
             return found;
         }
-        for name in pool.rest.iter().filter(|name| !avoid.contains(name)) {
+        let all = pool.near_read.iter().chain(&pool.far_read).chain(&pool.rest);
+        for name in all.filter(|name| !avoid.contains(name)) {
             match self.cost(now, name, model, query) {
                 Cost::Ineligible => {}
                 Cost::Full => *full = true,
