--- a/crates/coordination/examples/capacity/main.rs
+++ b/crates/coordination/examples/capacity/main.rs
@@ -23,9 +23,12 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         [] => measure(),
-        ["reads"] => routing::measure_divided(),
+        ["routing"] => {
+            routing::measure();
+            routing::measure_divided();
+        }
         ["memory", part, count] => memory(part, count.parse().expect("a number")),
-        _ => eprintln!("no arguments are taken"),
+        _ => eprintln!("the only argument taken is `routing`"),
     }
 }
 
--- a/crates/coordination/tests/answers_subset.rs
+++ b/crates/coordination/tests/answers_subset.rs
@@ -7,6 +7,8 @@
 };
 
 use coordination::{
+    host::{Host, Settings, action::Action, event::Event},
+    message::{Heartbeat, Member, Message, State},
     prefix,
     record::{Backend, Model, Role, Route, empty},
     request::Class,
@@ -14,6 +16,7 @@
         Choice, Load, Query, Router, RouterAction, RouterEvent, Setting,
         subset::{Entry, MAX_FAR, MAX_NEAR},
     },
+    table::{Op, Outcome, Row},
 };
 use proptest::prelude::*;
 
@@ -27,7 +30,7 @@
 fn backend(number: usize, zones: usize) -> Backend {
     Backend {
         name: format!("engine-{number:05}").into(),
-        address: Arc::from("http://engine"),
+        address: Arc::from("http://127.0.0.1:1"),
         zone: format!("zone-{}", number % zones).into(),
         role: Role::Engine,
         models: vec![model()],
@@ -299,6 +302,87 @@
     assert!(!router.reads(&chosen), "an old report is kept");
 }
 
+/// Configuration rows of the back ends and of one route over them.
+fn rows(backends: &[Backend]) -> Vec<Row> {
+    let row = |(key, value): (String, serde_json::Value)| Row {
+        key: key.into(),
+        value: Some(value.to_string().into()),
+        revision: 1,
+    };
+    let records = backends.iter().map(|backend| {
+        let value = serde_json::json!({
+            "kind": "backend", "version": 2, "name": backend.name, "address": backend.address,
+            "zone": backend.zone, "slots": SLOTS,
+            "models": [{ "name": "assess", "adapter": "", "version": "" }],
+        });
+        (format!("config/backend/{}", backend.name), value)
+    });
+    let names: Vec<&str> = backends.iter().map(|backend| &*backend.name).collect();
+    let route = serde_json::json!({
+        "kind": "route", "version": 2, "name": "chat", "backends": names, "idempotent": true,
+        "class": "normal", "model": { "name": "assess", "adapter": "" }, "max_tokens": 100,
+        "timeout_ms": 1000,
+    });
+    records.chain([("config/route/chat".to_string(), route)]).map(row).collect()
+}
+
+/// Takes an event, answers what the host reads of the configuration, and returns the back ends that
+/// it last named to be read.
+fn step(host: &mut Host, now: Duration, event: Event, rows: &[Row]) -> Option<usize> {
+    let mut events = vec![event];
+    let mut watched = None;
+    while let Some(event) = events.pop() {
+        let mut actions = Vec::new();
+        host.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Watch { backends } => watched = Some(backends.len()),
+                Action::Table { operation, op: Op::Changes { after: 0, .. } } => {
+                    let outcome = Outcome::Changes { rows: rows.to_vec(), through: 1 };
+                    events.push(Event::Table { operation, outcome });
+                }
+                _ => {}
+            }
+        }
+    }
+    watched
+}
+
+#[test]
+fn host_names_only_its_part_once_it_knows_others() {
+    let fleet = Fleet { hosts: 40, backends: 800, zones: 4 };
+    let own = host(0, 4);
+    let mut alone = Host::open(Settings {
+        host: own.host.clone(),
+        zone: own.zone.clone(),
+        incarnation: 1,
+        address: "127.0.0.1:1".into(),
+        seeds: Vec::new(),
+        secret: vec![1; 32],
+        key: [1; 32],
+        seed: 1,
+        max_requests: 10,
+        drain: NOW,
+    });
+    let rows = rows(&fleet.backends());
+    assert_eq!(step(&mut alone, NOW, Event::Tick, &rows), Some(800), "no other host is known");
+    let members = fleet.hosts().into_iter().enumerate().skip(1).map(|(number, entry)| Member {
+        address: format!("127.0.0.1:{}", number + 1).into(),
+        host: entry.host,
+        zone: entry.zone,
+        incarnation: 1,
+        state: State::Alive,
+        revision: 1,
+        refuted: 0,
+    });
+    let heartbeat = Heartbeat { number: 1, revision: 1, digest: 0, members: members.collect() };
+    let message = Message::Heartbeat(heartbeat);
+    let event =
+        Event::Message { from: "host-001.1".into(), address: "127.0.0.1:2".into(), message };
+    let part = reads(&fleet.router(0), &fleet.backends()).len();
+    assert_eq!(step(&mut alone, NOW, event, &rows), Some(part));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..Default::default() })]
 
