--- a/crates/coordination/examples/capacity/routing.rs
+++ b/crates/coordination/examples/capacity/routing.rs
@@ -154,10 +154,11 @@
             mean.push(backends, (total * CALLS) as f64 / HOSTS as f64);
             most.push(backends, (reads.iter().max().unwrap_or(&0) * CALLS) as f64);
             let fewest = reads.iter().min().unwrap_or(&0) * CALLS;
-            let (low, high) = (readers.iter().min(), readers.iter().max());
+            let low = readers.iter().min().unwrap_or(&0);
+            let high = readers.iter().max().unwrap_or(&0);
             println!(
                 "{routes} routes, {backends} back ends: fewest calls {fewest}/s, hosts of a back \
-                 end {low:?} to {high:?}, mean {:.2}",
+                 end {low} to {high}, mean {:.2}",
                 total as f64 / backends as f64
             );
         }
