--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -244,8 +244,8 @@
     }
 
     pub(super) fn is_old(&self, budget: &str) -> bool {
-        let record = self.accounts.get(budget).and_then(|account| account.record.as_ref());
-        record.is_some_and(|record| record.ledger == Ledger::Old)
+        let terms = self.accounts.get(budget).and_then(|account| account.terms);
+        terms.is_some_and(|terms| terms.ledger == Ledger::Old)
     }
 
     pub(super) fn holds_nothing(&self) -> bool {
@@ -375,8 +375,10 @@
             self.pace.resolve();
             return;
         }
-        if let Some(ensemble) = &round.ensemble {
-            self.journal.begin(ensemble.clone());
+        if let Some(next) = &plan.registration
+            && self.journal.ensemble() != Some(&next.ensemble[..])
+        {
+            self.journal.begin(next.ensemble.clone());
         }
         let id = self.operate(Op::Commit(txn), actions);
         self.round = Some(Round { id, step: Step::Commit(plan), ..round });
--- a/crates/coordination/tests/host/callers.rs
+++ b/crates/coordination/tests/host/callers.rs
@@ -17,6 +17,8 @@
     Status,
     /// A call that may run at most once.
     Pay,
+    /// A ticket, for others to use.
+    Ticket,
 }
 
 /// How a try ended.
@@ -38,21 +40,13 @@
     pub tries_left: u32,
     /// Number of the try in progress; earlier ones are over.
     pub current: u64,
+    pub began: Duration,
     /// Tokens of the try in progress.
     pub read: u64,
     pub verdicts: Vec<(Duration, usize, Verdict)>,
 }
 
 impl Job {
-    pub fn whole(&self) -> bool {
-        self.verdicts.iter().any(|(_, _, verdict)| *verdict == Verdict::Whole)
-    }
-
-    /// Returns whether the last word is that it did not run.
-    pub fn not_run(&self) -> bool {
-        self.verdicts.iter().any(|(_, _, verdict)| is_not_run(verdict))
-    }
-
     /// Takes a token of the answer.
     pub fn token(&mut self, offset: u64, text: &str) {
         assert_eq!(offset, self.read, "{} in order", self.name);
@@ -63,7 +57,7 @@
     /// Returns the tokens charged for its whole answer.
     pub fn price(&self) -> u64 {
         match self.kind {
-            Kind::Status | Kind::Pay => CALL_TOKENS,
+            Kind::Status | Kind::Pay | Kind::Ticket => CALL_TOKENS,
             Kind::Model(_) | Kind::Single(_) => {
                 let prompt = crate::backends::prompt(&self.name).len() as u64;
                 prompt.div_ceil(4) + crate::backends::answer_tokens(&self.name)
