--- a/crates/coordination/examples/capacity/main.rs
+++ b/crates/coordination/examples/capacity/main.rs
@@ -23,8 +23,12 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         [] => measure(),
+        ["routing"] => {
+            routing::measure();
+            routing::measure_divided();
+        }
         ["memory", part, count] => memory(part, count.parse().expect("a number")),
-        _ => eprintln!("no arguments are taken"),
+        _ => eprintln!("the only argument taken is `routing`"),
     }
 }
 
@@ -39,6 +43,7 @@
     hot::measure();
     ledger::measure();
     routing::measure();
+    routing::measure_divided();
 }
 
 /// Prints the memory of one part; [`report::memory`] runs this in a process of its own.
