Name the request in every answer; one type for exchanges with back ends

The header laburnum-request lets a caller or an operator ask the time line for one request; the quickstart does.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -7,6 +7,7 @@
 pub mod action;
 pub mod catalog;
 pub mod event;
+pub mod exchange;
 mod fleet;
 pub mod intake;
 mod model;
@@ -25,6 +26,7 @@
 use action::{Action, Problem};
 use catalog::Catalog;
 use event::{Call, Caller, Event, Operation, Report, Run};
+use exchange::Exchange;
 
 use crate::{
     admit::{self, Admission, AdmissionEvent, Waiter},
@@ -380,7 +382,7 @@
         self.callers.remove(&caller);
         let detail = format!("code={} outcome={}", problem.code, problem.outcome.as_str());
         self.note(request, Step::Refused, "", detail);
-        self.out.push(Action::Fail { caller, problem });
+        self.out.push(Action::Fail { caller, request, problem });
     }
 
     fn left(&mut self, caller: Caller) {
@@ -415,6 +417,10 @@
         run
     }
 
+    fn exchange(&mut self, exchange: Exchange) {
+        self.out.push(Action::Exchange(exchange));
+    }
+
     fn table(&mut self, owner: Owner, op: Op) {
         let operation = self.next_operation;
         self.next_operation += 1;
--- a/crates/coordination/src/host/action.rs
+++ b/crates/coordination/src/host/action.rs
@@ -2,15 +2,11 @@
 
 use std::sync::Arc;
 
-use super::event::{Caller, Operation, Run};
-use crate::{
-    message::Message,
-    order::Order,
-    record::Model,
-    request::{self, Class},
-    table::Op,
-    timeline::Entry,
+use super::{
+    event::{Caller, Operation},
+    exchange::Exchange,
 };
+use crate::{message::Message, record::Model, request, table::Op, timeline::Entry};
 
 /// An action of [`Host`](super::Host), for the driver to carry out.
 #[derive(Debug, Clone)]
@@ -19,6 +15,8 @@
     Begin {
         /// Caller.
         caller: Caller,
+        /// Request.
+        request: request::Id,
     },
     /// Sends a token of a streamed answer.
     Token {
@@ -44,6 +42,8 @@
     Answer {
         /// Caller.
         caller: Caller,
+        /// Request; `None` for a ticket.
+        request: Option<request::Id>,
         /// HTTP status.
         status: u16,
         /// JSON body.
@@ -53,66 +53,18 @@
     Fail {
         /// Caller.
         caller: Caller,
+        /// Request, where it came to one.
+        request: Option<request::Id>,
         /// What went wrong.
         problem: Problem,
     },
-    /// Starts or resumes a stream at a back end.
-    Stream {
-        /// Run.
-        run: Run,
-        /// Base address of the back end.
-        address: Arc<str>,
-        /// What to ask for.
-        stream: Stream,
-    },
-    /// Calls a plain service.
-    Request {
-        /// Run.
-        run: Run,
-        /// Base address of the back end.
-        address: Arc<str>,
-        /// Name of the service.
-        service: Arc<str>,
-        /// Request.
-        request: request::Id,
-        /// JSON body.
-        body: Arc<str>,
-        /// Longest wait for the answer, in milliseconds.
-        timeout_ms: u64,
-    },
-    /// Drops the exchange of a run; reports that still come are ignored.
-    Abandon {
-        /// Run.
-        run: Run,
-    },
-    /// Cancels a stream at a back end; answered by [`super::event::Event::Held`].
-    Cancel {
-        /// Base address of the back end.
-        address: Arc<str>,
-        /// Stream.
-        stream: request::Id,
-    },
-    /// Asks a back end what it holds of a request; answered by [`super::event::Event::Held`].
-    Inquire {
-        /// Base address of the back end.
-        address: Arc<str>,
-        /// Stream.
-        stream: request::Id,
-    },
+    /// Carries out an exchange with a back end.
+    Exchange(Exchange),
     /// Sets the back ends whose load and cache changes are to be read.
     Watch {
         /// Names and base addresses.
         backends: Vec<(Arc<str>, Arc<str>)>,
     },
-    /// Reads the models and the role of a back end; answered by [`order::Event::State`](crate::order::Event::State).
-    ReadState {
-        /// Base address of the back end.
-        address: Arc<str>,
-        /// Back end.
-        backend: Arc<str>,
-        /// Number of the request.
-        number: u64,
-    },
     /// Asks the weight store for a model; answered by [`order::Event::Weights`](crate::order::Event::Weights).
     Weights {
         /// Back end that is to load it.
@@ -122,17 +74,6 @@
         /// Model.
         model: Model,
     },
-    /// Sends an order to a back end, once; answered by [`order::Event::Ordered`](crate::order::Event::Ordered).
-    Order {
-        /// Base address of the back end.
-        address: Arc<str>,
-        /// Back end.
-        backend: Arc<str>,
-        /// Fencing number.
-        fence: u64,
-        /// Order.
-        order: Order,
-    },
     /// Runs an operation of the platform's table.
     Table {
         /// Operation.
@@ -160,29 +101,6 @@
     Stopped,
 }
 
-/// A stream to start or resume.
-#[derive(Debug, Clone)]
-pub struct Stream {
-    /// Stream.
-    pub stream: request::Id,
-    /// Attempt, counted from 1.
-    pub attempt: u32,
-    /// Model.
-    pub model: Arc<str>,
-    /// Adapter; empty for none.
-    pub adapter: Arc<str>,
-    /// Version; empty for any.
-    pub version: Arc<str>,
-    /// Prompt.
-    pub prompt: Arc<str>,
-    /// Greatest number of tokens to generate.
-    pub max_tokens: u64,
-    /// Priority.
-    pub class: Class,
-    /// Tokens already held.
-    pub offset: u64,
-}
-
 /// Why a request failed, as the caller is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Problem {
--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -8,8 +8,9 @@
 
 use super::{
     Host, Purpose,
-    action::{Action, Stream as Ask},
+    action::Action,
     event::{Caller, Held, Refusal, Report, Run},
+    exchange::{Exchange, Stream as Ask},
     intake::{self, Prompt, Work},
     problem,
 };
@@ -383,14 +384,14 @@
         let step = if attempt == 1 { Step::Dispatched } else { Step::Resumed };
         let detail = format!("attempt={attempt} offset={}", source.base + source.offset);
         self.note(Some(id), step, backend, detail);
-        self.out.push(Action::Stream { run, address, stream: ask });
+        self.exchange(Exchange::Stream { run, address, stream: ask });
     }
 
     fn close_attempt(&mut self, id: request::Id, attempt: Attempt) {
         let Some(request) = self.models.get_mut(&id) else { return };
         let Some(run) = request.runs.remove(&attempt) else { return };
         if self.runs.remove(&run).is_some() {
-            self.out.push(Action::Abandon { run });
+            self.exchange(Exchange::Abandon { run });
         }
     }
 
@@ -401,9 +402,9 @@
         };
         let address = record.address.clone();
         self.inquiries.entry(stream).or_default().push_back(inquiry);
-        self.out.push(match cancels {
-            true => Action::Cancel { address, stream },
-            false => Action::Inquire { address, stream },
+        self.exchange(match cancels {
+            true => Exchange::Cancel { address, stream },
+            false => Exchange::Inquire { address, stream },
         });
     }
 
@@ -451,7 +452,7 @@
         let Some(request) = self.models.get_mut(&id) else { return false };
         let first = request.began.insert(caller);
         if first {
-            self.out.push(Action::Begin { caller });
+            self.out.push(Action::Begin { caller, request: id });
         }
         first
     }
@@ -475,7 +476,7 @@
         };
         let detail = format!("code={} outcome={}", problem.code, problem.outcome.as_str());
         self.note(Some(id), Step::Failed, "", detail);
-        self.out.push(Action::Fail { caller, problem });
+        self.out.push(Action::Fail { caller, request: Some(id), problem });
     }
 
     /// Returns a usage whose prompt counts no more than the request's own: an engine on which the
--- a/crates/coordination/src/host/orders.rs
+++ b/crates/coordination/src/host/orders.rs
@@ -1,6 +1,6 @@
 //! Orders to back ends, given by the host that holds the lease.
 
-use super::{Host, Owner, action::Action};
+use super::{Host, Owner, action::Action, exchange::Exchange};
 use crate::{
     order::{self, Want},
     record::{Backend, Role},
@@ -45,7 +45,7 @@
             order::Action::Read { backend, number } => match self.catalog.backend(&backend) {
                 Some(record) => {
                     let address = record.address.clone();
-                    self.out.push(Action::ReadState { address, backend, number });
+                    self.exchange(Exchange::ReadState { address, backend, number });
                 }
                 None => {
                     self.order_event(order::Event::State { backend, number, state: None });
@@ -59,7 +59,7 @@
                 let address = record.address.clone();
                 let detail = format!("fence={fence} order={order:?}");
                 self.note(None, Step::Ordered, backend.clone(), detail);
-                self.out.push(Action::Order { address, backend, fence, order });
+                self.exchange(Exchange::Order { address, backend, fence, order });
             }
         }
     }
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -6,6 +6,7 @@
     Host, Owner, Purpose, Stage,
     action::{Action, Problem},
     event::{Caller, Report},
+    exchange::Exchange,
     intake::{self, Work},
     problem,
 };
@@ -216,7 +217,7 @@
         let Some(request) = self.calls.get_mut(&id) else { return };
         request.sent = true;
         request.attempts += 1;
-        let action = Action::Request {
+        let exchange = Exchange::Request {
             run,
             address,
             service: request.work.route.clone(),
@@ -226,7 +227,7 @@
         };
         let detail = format!("attempt={}", request.attempts);
         self.note(Some(id), Step::Dispatched, backend.clone(), detail);
-        self.out.push(action);
+        self.exchange(exchange);
     }
 
     /// Ends a call that no back end takes, and of which not a byte was sent unless an earlier
@@ -235,7 +236,7 @@
         let Some(request) = self.remove_call(id) else { return };
         self.holder_event(holder::Event::Release { request: id });
         if request.ran {
-            return self.end_incomplete(request);
+            return self.end_incomplete(id, request);
         }
         self.end_unsent(id, request, problem);
     }
@@ -275,7 +276,7 @@
         self.note(Some(id), Step::Answered, "", format!("status={status}"));
         for caller in request.callers {
             self.callers.remove(&caller);
-            self.out.push(Action::Answer { caller, status, body: body.clone() });
+            self.out.push(Action::Answer { caller, request: Some(id), status, body: body.clone() });
         }
         if request.ticketed.is_some() {
             let transport = Transport::Answer { status, body };
@@ -319,15 +320,19 @@
             return self.runner_event(RunnerEvent::Ended { run: id, transport });
         }
         self.holder_event(holder::Event::Release { request: id });
-        self.end_incomplete(request);
+        self.end_incomplete(id, request);
     }
 
     /// Ends a repeatable call that may have run and has no answer.
-    fn end_incomplete(&mut self, request: Request) {
+    fn end_incomplete(&mut self, id: request::Id, request: Request) {
         for caller in request.callers {
             self.callers.remove(&caller);
             let failure = crate::answer::Failure::Incomplete { delivered: 0 };
-            self.out.push(Action::Fail { caller, problem: problem::stream(&failure) });
+            self.out.push(Action::Fail {
+                caller,
+                request: Some(id),
+                problem: problem::stream(&failure),
+            });
         }
     }
 
@@ -343,7 +348,7 @@
         let text = ticket.encode(&workspace, &self.ticket_key);
         self.note(None, Step::TicketIssued, "", format!("number={}", ticket.number));
         let body = serde_json::json!({ "ticket": text }).to_string().into();
-        self.out.push(Action::Answer { caller, status: 201, body });
+        self.out.push(Action::Answer { caller, request: None, status: 201, body });
     }
 
     pub(super) fn claim_tick(&mut self) {
@@ -436,7 +441,7 @@
         let problem = match outcome {
             Outcome::Answer { status, body } => {
                 self.note(request, Step::ClaimEnded, "", format!("status={status}"));
-                return self.out.push(Action::Answer { caller, status, body });
+                return self.out.push(Action::Answer { caller, request, status, body });
             }
             Outcome::NotRun => {
                 ticketed.and_then(|ticketed| ticketed.problem).unwrap_or_else(problem::spent)
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -17,8 +17,8 @@
 use coordination::{
     answer::Usage,
     host::{
-        action::Stream,
         event::{Event, Held, Refusal, Report, Run},
+        exchange::{Exchange, Stream},
     },
     order::{self, Order},
     record::Model,
@@ -54,74 +54,6 @@
 /// Stack of an exchange's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
-/// What the service is asked to do.
-#[derive(Debug)]
-pub enum Job {
-    /// Starts or resumes a stream.
-    Stream {
-        /// Run.
-        run: Run,
-        /// Base address.
-        address: Arc<str>,
-        /// What to ask for.
-        stream: Stream,
-    },
-    /// Calls a plain service.
-    Request {
-        /// Run.
-        run: Run,
-        /// Base address.
-        address: Arc<str>,
-        /// Name of the service.
-        service: Arc<str>,
-        /// Request.
-        request: request::Id,
-        /// JSON body.
-        body: Arc<str>,
-        /// Longest wait for the answer.
-        timeout: Duration,
-    },
-    /// Drops a run.
-    Abandon {
-        /// Run.
-        run: Run,
-    },
-    /// Cancels a stream and asks for its usage.
-    Cancel {
-        /// Base address.
-        address: Arc<str>,
-        /// Stream.
-        stream: request::Id,
-    },
-    /// Reads the models and the role of a back end.
-    ReadState {
-        /// Base address.
-        address: Arc<str>,
-        /// Back end.
-        backend: Arc<str>,
-        /// Number of the request.
-        number: u64,
-    },
-    /// Sends an order, once.
-    Order {
-        /// Base address.
-        address: Arc<str>,
-        /// Back end.
-        backend: Arc<str>,
-        /// Fencing number.
-        fence: u64,
-        /// Order.
-        order: Order,
-    },
-    /// Asks for the usage of a stream.
-    Inquire {
-        /// Base address.
-        address: Arc<str>,
-        /// Stream.
-        stream: request::Id,
-    },
-}
-
 /// Limits of the service.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -161,18 +93,22 @@
     limits: Limits,
 }
 
-/// Takes jobs until the channel closes.
+/// Takes exchanges until the channel closes.
 ///
 /// # Errors
 ///
 /// Never returns an error; a failed exchange is reported to the core.
-pub fn run(jobs: &Receiver<Job>, core: Sender<Inbound>, limits: Limits) -> eyre::Result<()> {
+pub fn run(
+    exchanges: &Receiver<Exchange>,
+    core: Sender<Inbound>,
+    limits: Limits,
+) -> eyre::Result<()> {
     let shared =
         Arc::new(Shared { core, live: Mutex::default(), running: AtomicUsize::new(0), limits });
-    for job in jobs {
-        match job {
-            Job::Abandon { run } => shared.abandon(run),
-            job => shared.start(job),
+    for exchange in exchanges {
+        match exchange {
+            Exchange::Abandon { run } => shared.abandon(run),
+            exchange => shared.start(exchange),
         }
     }
     Ok(())
@@ -186,11 +122,11 @@
         }
     }
 
-    fn start(self: &Arc<Self>, job: Job) {
-        let run = job.run();
+    fn start(self: &Arc<Self>, exchange: Exchange) {
+        let run = run_of(&exchange);
         if self.running.fetch_add(1, Ordering::Relaxed) >= self.limits.exchanges {
             self.running.fetch_sub(1, Ordering::Relaxed);
-            return self.send(job.unstarted("too many exchanges"));
+            return self.send(unstarted(&exchange, "too many exchanges"));
         }
         let abandoned = Arc::new(AtomicBool::new(false));
         if let Some(run) = run {
@@ -198,10 +134,10 @@
             live.insert(run, abandoned.clone());
         }
         let shared = self.clone();
-        let failure = job.unstarted("no thread");
+        let failure = unstarted(&exchange, "no thread");
         let thread = thread::Builder::new().name("exchange".into()).stack_size(STACK_BYTES);
         let started = thread.spawn(move || {
-            shared.perform(job, &abandoned);
+            shared.perform(exchange, &abandoned);
             shared.finish(run);
         });
         if started.is_err() {
@@ -225,29 +161,30 @@
         let _ = self.core.send(Inbound::Event(event));
     }
 
-    fn perform(&self, job: Job, abandoned: &AtomicBool) {
-        match job {
-            Job::Stream { run, address, stream } => {
+    fn perform(&self, exchange: Exchange, abandoned: &AtomicBool) {
+        match exchange {
+            Exchange::Stream { run, address, stream } => {
                 let report = self.stream(run, &address, &stream, abandoned);
                 if let Some(report) = report {
                     self.report(run, report);
                 }
             }
-            Job::Request { run, address, service, request, body, timeout } => {
+            Exchange::Request { run, address, service, request, body, timeout_ms } => {
+                let timeout = Duration::from_millis(timeout_ms);
                 let report = call(&address, &service, request, &body, timeout);
                 self.report(run, report);
             }
-            Job::Cancel { address, stream } => self.ask(Method::DELETE, &address, stream),
-            Job::Inquire { address, stream } => self.ask(Method::GET, &address, stream),
-            Job::ReadState { address, backend, number } => {
+            Exchange::Cancel { address, stream } => self.ask(Method::DELETE, &address, stream),
+            Exchange::Inquire { address, stream } => self.ask(Method::GET, &address, stream),
+            Exchange::ReadState { address, backend, number } => {
                 let state = read_state(&address);
                 self.send(Event::Order(order::Event::State { backend, number, state }));
             }
-            Job::Order { address, backend, fence, order } => {
+            Exchange::Order { address, backend, fence, order } => {
                 let outcome = give_order(&address, fence, &order);
                 self.send(Event::Order(order::Event::Ordered { backend, fence, outcome }));
             }
-            Job::Abandon { .. } => {}
+            Exchange::Abandon { .. } => {}
         }
     }
 
@@ -293,37 +230,35 @@
     }
 }
 
-impl Job {
-    /// Returns what the core hears of a job that was not started.
-    fn unstarted(&self, cause: &str) -> Event {
-        match self {
-            Self::Stream { run, .. } | Self::Request { run, .. } | Self::Abandon { run } => {
-                Event::Backend { run: *run, report: unsent(cause) }
-            }
-            Self::Cancel { stream, .. } | Self::Inquire { stream, .. } => {
-                Event::Held { stream: *stream, held: None }
-            }
-            Self::ReadState { backend, number, .. } => {
-                let (backend, number) = (backend.clone(), *number);
-                Event::Order(order::Event::State { backend, number, state: None })
-            }
-            Self::Order { backend, fence, .. } => {
-                let (backend, fence, outcome) = (backend.clone(), *fence, order::Outcome::Failed);
-                Event::Order(order::Event::Ordered { backend, fence, outcome })
-            }
+/// Returns what the core hears of an exchange that was not started.
+fn unstarted(exchange: &Exchange, cause: &str) -> Event {
+    match exchange {
+        Exchange::Stream { run, .. }
+        | Exchange::Request { run, .. }
+        | Exchange::Abandon { run } => Event::Backend { run: *run, report: unsent(cause) },
+        Exchange::Cancel { stream, .. } | Exchange::Inquire { stream, .. } => {
+            Event::Held { stream: *stream, held: None }
+        }
+        Exchange::ReadState { backend, number, .. } => {
+            let (backend, number) = (backend.clone(), *number);
+            Event::Order(order::Event::State { backend, number, state: None })
+        }
+        Exchange::Order { backend, fence, .. } => {
+            let (backend, fence, outcome) = (backend.clone(), *fence, order::Outcome::Failed);
+            Event::Order(order::Event::Ordered { backend, fence, outcome })
         }
     }
+}
 
-    fn run(&self) -> Option<Run> {
-        match self {
-            Self::Stream { run, .. } | Self::Request { run, .. } | Self::Abandon { run } => {
-                Some(*run)
-            }
-            Self::Cancel { .. }
-            | Self::Inquire { .. }
-            | Self::ReadState { .. }
-            | Self::Order { .. } => None,
-        }
+fn run_of(exchange: &Exchange) -> Option<Run> {
+    match exchange {
+        Exchange::Stream { run, .. }
+        | Exchange::Request { run, .. }
+        | Exchange::Abandon { run } => Some(*run),
+        Exchange::Cancel { .. }
+        | Exchange::Inquire { .. }
+        | Exchange::ReadState { .. }
+        | Exchange::Order { .. } => None,
     }
 }
 
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -12,6 +12,7 @@
         Host,
         action::Action,
         event::{Caller, Event},
+        exchange::Exchange,
     },
     message::Message,
     timeline::{Entry, Ring},
@@ -110,7 +111,7 @@
 /// Where actions go.
 #[derive(Debug)]
 struct Ports {
-    backend: Sender<backend::Job>,
+    backend: Sender<Exchange>,
     table: Sender<table::Job>,
     watch: Sender<watch::Backends>,
 }
@@ -277,7 +278,7 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Begin { caller } => self.reply(caller, Part::Begin),
+            Action::Begin { caller, request } => self.reply(caller, Part::Begin { request }),
             Action::Token { caller, offset, token } => {
                 self.reply(caller, Part::Token { offset, token });
             }
@@ -285,27 +286,16 @@
                 self.metrics.answered(charged);
                 self.reply(caller, Part::End { tokens, prompt_tokens, charged });
             }
-            Action::Answer { caller, status, body } => {
-                self.reply(caller, Part::Answer { status, body });
+            Action::Answer { caller, request, status, body } => {
+                self.reply(caller, Part::Answer { request, status, body });
             }
-            Action::Fail { caller, problem } => {
+            Action::Fail { caller, request, problem } => {
                 self.metrics.refused(problem.code, problem.outcome.as_str());
-                self.reply(caller, Part::Fail(problem));
+                self.reply(caller, Part::Fail { request, problem });
             }
-            Action::Stream { run, address, stream } => {
-                self.exchange(backend::Job::Stream { run, address, stream });
-            }
-            Action::Request { run, address, service, request, body, timeout_ms } => {
-                let timeout = Duration::from_millis(timeout_ms);
-                let job = backend::Job::Request { run, address, service, request, body, timeout };
-                self.exchange(job);
-            }
-            Action::Abandon { run } => self.exchange(backend::Job::Abandon { run }),
-            Action::Cancel { address, stream } => {
-                self.exchange(backend::Job::Cancel { address, stream });
-            }
-            Action::Inquire { address, stream } => {
-                self.exchange(backend::Job::Inquire { address, stream });
+            Action::Exchange(exchange) => {
+                // The service's end is reported by the kernel.
+                let _ = self.ports.backend.send(exchange);
             }
             Action::Watch { backends } => drop(self.ports.watch.send(backends)),
             Action::Table { operation, op } => {
@@ -314,12 +304,6 @@
             Action::Weights { backend, number, model } => {
                 drop(self.ports.table.send(table::Job::Weights { backend, number, model }));
             }
-            Action::ReadState { address, backend, number } => {
-                self.exchange(backend::Job::ReadState { address, backend, number });
-            }
-            Action::Order { address, backend, fence, order } => {
-                self.exchange(backend::Job::Order { address, backend, fence, order });
-            }
             Action::Send { address, message } | Action::Datagram { address, message } => {
                 self.send(address, message);
             }
@@ -329,7 +313,7 @@
     }
 
     fn reply(&mut self, caller: Caller, part: Part) {
-        let last = !matches!(part, Part::Begin | Part::Token { .. });
+        let last = !matches!(part, Part::Begin { .. } | Part::Token { .. });
         let Some(reply) = self.callers.get(&caller) else { return };
         let sent = reply.try_send(part);
         if let Err(TrySendError::Full(_)) = sent {
@@ -340,11 +324,6 @@
         }
     }
 
-    fn exchange(&self, job: backend::Job) {
-        // The service's end is reported by the kernel.
-        let _ = self.ports.backend.send(job);
-    }
-
     fn send(&self, to: Arc<str>, message: Message) {
         let stamp = self.timeline.tick();
         let request = request_of(&message);
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -13,9 +13,12 @@
 };
 
 use bytes::Bytes;
-use coordination::host::{
-    action::{Outcome, Problem},
-    event::{Call, Caller, Event},
+use coordination::{
+    host::{
+        action::{Outcome, Problem},
+        event::{Call, Caller, Event},
+    },
+    request,
 };
 use crossbeam::channel::Sender;
 use eyre::WrapErr as _;
@@ -43,6 +46,9 @@
 /// Pieces that wait for a slow caller before its request is given up.
 const CALLER_QUEUE: usize = 4_096;
 
+/// Header that names the request in an answer.
+const REQUEST_HEADER: &str = "laburnum-request";
+
 /// Path of service calls.
 const SERVICES: &str = "/v1/services/";
 
@@ -69,7 +75,10 @@
 #[derive(Debug)]
 pub enum Part {
     /// A streamed answer starts.
-    Begin,
+    Begin {
+        /// Request.
+        request: request::Id,
+    },
     /// A token.
     Token {
         /// Offset.
@@ -88,13 +97,20 @@
     },
     /// A whole answer.
     Answer {
+        /// Request; `None` for a ticket.
+        request: Option<request::Id>,
         /// HTTP status.
         status: u16,
         /// JSON body.
         body: Arc<str>,
     },
     /// No answer, or none any more.
-    Fail(Problem),
+    Fail {
+        /// Request, where it came to one.
+        request: Option<request::Id>,
+        /// Why.
+        problem: Problem,
+    },
 }
 
 /// The way back to a caller.
@@ -289,9 +305,11 @@
     async fn relay(self: Arc<Self>, caller: Caller, parts: mpsc::Receiver<Part>) -> Answer {
         let mut parts = Parts { caller, parts, core: self.core.clone(), ended: false };
         match parts.next().await {
-            Some(Part::Answer { status, body }) => whole(status, "application/json", &body),
-            Some(Part::Fail(problem)) => refuse(&problem),
-            Some(Part::Begin) => stream(parts),
+            Some(Part::Answer { request, status, body }) => {
+                named(whole(status, "application/json", &body), request)
+            }
+            Some(Part::Fail { request, problem }) => named(refuse(&problem), request),
+            Some(Part::Begin { request }) => named(stream(parts), Some(request)),
             Some(Part::Token { .. } | Part::End { .. }) | None => refuse(&lost()),
         }
     }
@@ -411,6 +429,15 @@
     answer
 }
 
+/// Names the request in the head of its answer, for the time line.
+fn named(mut answer: Answer, request: Option<request::Id>) -> Answer {
+    let value = request.and_then(|id| header::HeaderValue::from_str(&id.to_string()).ok());
+    if let Some(value) = value {
+        answer.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    answer
+}
+
 fn stream(parts: Parts) -> Answer {
     let mut answer = Response::new(Either::Right(parts));
     let headers = answer.headers_mut();
@@ -432,7 +459,7 @@
 impl Parts {
     async fn next(&mut self) -> Option<Part> {
         let part = self.parts.recv().await;
-        self.ended = !matches!(part, Some(Part::Begin | Part::Token { .. }));
+        self.ended = !matches!(part, Some(Part::Begin { .. } | Part::Token { .. }));
         part
     }
 }
@@ -449,8 +476,8 @@
             return Poll::Ready(None);
         }
         self.parts.poll_recv(context).map(|part| {
-            let part = part.unwrap_or_else(|| Part::Fail(lost()));
-            self.ended = !matches!(part, Part::Begin | Part::Token { .. });
+            let part = part.unwrap_or_else(|| Part::Fail { request: None, problem: lost() });
+            self.ended = !matches!(part, Part::Begin { .. } | Part::Token { .. });
             Some(Ok(Frame::data(event(&part))))
         })
     }
@@ -476,7 +503,7 @@
 
 fn event(part: &Part) -> Bytes {
     let text = match part {
-        Part::Begin => ": begin\n\n".to_owned(),
+        Part::Begin { .. } => ": begin\n\n".to_owned(),
         Part::Token { offset, token } => {
             format!("data: {}\n\n", serde_json::json!({ "offset": offset, "token": token }))
         }
@@ -487,7 +514,7 @@
             format!("event: end\ndata: {end}\n\n")
         }
         Part::Answer { body, .. } => format!("data: {body}\n\n"),
-        Part::Fail(problem) => format!("event: error\ndata: {}\n\n", document(problem)),
+        Part::Fail { problem, .. } => format!("event: error\ndata: {}\n\n", document(problem)),
     };
     text.into()
 }
--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -57,6 +57,9 @@
     let mut count = 0;
     let reply = caller.call(service, call.key.as_deref(), &body.into(), |_| count += 1)?;
     println!("status={} tokens={count} whole={}", reply.status, reply.whole());
+    if !reply.request.is_empty() {
+        println!("request={}", reply.request);
+    }
     if let Some(end) = &reply.end {
         println!("charged={} text={:?}", end.charged, reply.text());
     }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -58,6 +58,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
+    /// Request as the host named it; empty where it did not.
+    pub request: String,
     /// Tokens of a stream.
     pub tokens: Vec<Token>,
     /// End of a stream, where it is whole.
@@ -152,7 +154,9 @@
             .wrap_err_with(|| format!("step=call peer={}", self.address))?;
         let status = answer.status();
         let kind = answer.headers().get(header::CONTENT_TYPE).cloned();
-        let mut reply = Reply { status: status.as_u16(), ..Reply::default() };
+        let request = answer.headers().get("laburnum-request");
+        let request = request.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned();
+        let mut reply = Reply { status: status.as_u16(), request, ..Reply::default() };
         if kind.is_some_and(|kind| kind == "text/event-stream") && status == StatusCode::OK {
             read_events(answer.into_body(), &mut reply, on_token);
             return Ok(reply);
