--- a/crates/coordination/tests/host/backends.rs
+++ b/crates/coordination/tests/host/backends.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use coordination::{answer::Usage, host::action::Stream, request};
+use coordination::{answer::Usage, host::exchange::Stream, request};
 
 /// Returns the tokens of the answer to a prompt.
 pub fn answer_tokens(name: &str) -> u64 {
--- a/crates/coordination/tests/host/callers.rs
+++ b/crates/coordination/tests/host/callers.rs
@@ -66,8 +66,12 @@
     }
 }
 
-pub fn is_not_run(verdict: &Verdict) -> bool {
-    matches!(verdict, Verdict::Failed(problem) if problem.outcome == Outcome::NotRun)
+/// Returns the outcome that a caller was told.
+pub fn outcome(verdict: &Verdict) -> Option<Outcome> {
+    match verdict {
+        Verdict::Failed(problem) => Some(problem.outcome),
+        _ => None,
+    }
 }
 
 /// Counts failures by code.
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -11,8 +11,9 @@
     escrow::{self, Escrow, Registration},
     host::{
         Host, Settings,
-        action::{Action, Problem, Stream},
+        action::{self, Action, Problem},
         event::{Call, Event, Held, Load, Refusal, Report},
+        exchange::{Exchange, Stream},
     },
     ledger::{self, Reconciler, Refund, Segment},
     member::{Listed, Standing},
@@ -24,7 +25,7 @@
 
 use crate::{
     backends::{Backend, Reader, prompt, token},
-    callers::{Job, Kind, Verdict, is_not_run},
+    callers::{Job, Kind, Verdict, outcome},
     records::{self, TOKEN, ZONES},
     table::{Fault, Table},
 };
@@ -418,39 +419,25 @@
         Some(Load { queued: 0, running, slots: 8, at_ms, age_ms: 0, leaving: false })
     }
 
-    fn act(&mut self, index: usize, action: Action) {
-        match action {
-            Action::Begin { .. } | Action::Note(_) => {}
-            Action::Token { caller, offset, token } => {
-                if let Some((job, _)) = self.callers.get(&caller) {
-                    self.jobs[*job].token(offset, &token);
-                }
-            }
-            Action::End { caller, tokens, charged, .. } => self.end(caller, tokens, charged),
-            Action::Answer { caller, status, body } => self.answer(caller, status, &body),
-            Action::Fail { caller, problem } => self.failed(caller, problem),
-            Action::Stream { run, address, stream } => {
+    fn exchange(&mut self, index: usize, exchange: Exchange) {
+        match exchange {
+            Exchange::Stream { run, address, stream } => {
                 let backend = backend_index(&address);
                 if let Some((name, "")) = stream.prompt.split_once('|') {
                     self.sent.entry(name.into()).or_default().insert(stream.stream);
                 }
                 self.after(MILLISECOND, Arrival::Open { host: index, run, backend, stream });
             }
-            Action::Request { run, address, request, body, timeout_ms, .. } => {
+            Exchange::Request { run, address, request, body, timeout_ms, .. } => {
                 self.sent.entry(body.clone()).or_default().insert(request);
                 let backend = backend_index(&address);
                 let timeout = Duration::from_millis(timeout_ms);
                 self.after(MILLISECOND, Arrival::Call { host: index, run, backend, body, timeout });
             }
-            Action::Abandon { run } => self.abandon(index, run),
-            Action::Cancel { address, stream } => self.inquire(index, &address, stream, true),
-            Action::Inquire { address, stream } => self.inquire(index, &address, stream, false),
-            Action::Watch { backends } => self.hosts[index].watched = backends,
-            Action::Table { operation, op } => self.send_operation(index, operation, op),
-            Action::Send { address, message } | Action::Datagram { address, message } => {
-                self.send(index, &address, &message);
-            }
-            Action::ReadState { backend, number, .. } => {
+            Exchange::Abandon { run } => self.abandon(index, run),
+            Exchange::Cancel { address, stream } => self.inquire(index, &address, stream, true),
+            Exchange::Inquire { address, stream } => self.inquire(index, &address, stream, false),
+            Exchange::ReadState { backend, number, .. } => {
                 let model = coordination::record::Model {
                     name: "model".into(),
                     adapter: "".into(),
@@ -460,7 +447,28 @@
                 let event = Event::Order(order::Event::State { backend, number, state });
                 self.after(MILLISECOND, Arrival::Host(index, event));
             }
-            Action::Weights { .. } | Action::Order { .. } => {}
+            Exchange::Order { .. } => {}
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Begin { .. } | Action::Note(_) => {}
+            Action::Token { caller, offset, token } => {
+                if let Some((job, _)) = self.callers.get(&caller) {
+                    self.jobs[*job].token(offset, &token);
+                }
+            }
+            Action::End { caller, tokens, charged, .. } => self.end(caller, tokens, charged),
+            Action::Answer { caller, status, body, .. } => self.answer(caller, status, &body),
+            Action::Fail { caller, problem, .. } => self.failed(caller, problem),
+            Action::Exchange(exchange) => self.exchange(index, exchange),
+            Action::Watch { backends } => self.hosts[index].watched = backends,
+            Action::Table { operation, op } => self.send_operation(index, operation, op),
+            Action::Send { address, message } | Action::Datagram { address, message } => {
+                self.send(index, &address, &message);
+            }
+            Action::Weights { .. } => {}
             Action::Stopped => {
                 self.hosts[index].stopped = true;
                 self.hosts[index].ended = Some(self.now);
@@ -776,8 +784,10 @@
 
     fn verdict(&mut self, caller: u64, verdict: Verdict) {
         let Some((number, host)) = self.callers.remove(&caller) else { return };
-        if is_not_run(&verdict) {
-            self.check_not_run(number, host, &verdict);
+        match outcome(&verdict) {
+            Some(action::Outcome::NotRun) => self.check_not_run(number, host, &verdict),
+            Some(action::Outcome::NotRunHere) => self.check_not_run_here(number, host, &verdict),
+            _ => {}
         }
         let retry = verdict != Verdict::Whole;
         let job = &mut self.jobs[number];
@@ -789,18 +799,25 @@
         }
     }
 
-    /// Checks that a request did not run that is said not to have run: with a ticket at any time and
-    /// place, with a key on behalf of this try, since its host may know of no other.
+    /// Checks that a request did not run that is said not to have run, at any time and place.
     fn check_not_run(&self, number: usize, host: usize, verdict: &Verdict) {
-        let Job { name, kind, verdicts, began, .. } = &self.jobs[number];
+        let Job { name, kind, verdicts, .. } = &self.jobs[number];
         let ran = match kind {
             Kind::Pay => self.calls.contains_key(name),
-            _ => self.ran_for.get(&(name.clone(), host)).is_some_and(|at| at >= began),
+            _ => self.ran_for.keys().any(|(ran, _)| ran == name),
         };
         let at = &self.hosts[host].name;
         assert!(!ran, "{name} ran before {verdict:?} of {at}, after {verdicts:?}");
     }
 
+    /// Checks that a try did not run of which its host says so.
+    fn check_not_run_here(&self, number: usize, host: usize, verdict: &Verdict) {
+        let Job { name, verdicts, began, .. } = &self.jobs[number];
+        let ran = self.ran_for.get(&(name.clone(), host)).is_some_and(|at| at >= began);
+        let at = &self.hosts[host].name;
+        assert!(!ran, "{name} ran before {verdict:?} of {at}, after {verdicts:?}");
+    }
+
     fn end(&mut self, caller: u64, tokens: u64, charged: u64) {
         let Some((job, _)) = self.callers.get(&caller) else { return };
         let job = &self.jobs[*job];
--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -127,15 +127,15 @@
         let parts = match event {
             Event::Ticket { .. } => {
                 let body = format!(r#"{{"ticket":"{TICKET}"}}"#).into();
-                vec![Part::Answer { status: 201, body }]
+                vec![Part::Answer { request: None, status: 201, body }]
             }
             Event::Call(call) if !call.prompt.is_empty() => vec![
-                Part::Begin,
+                Part::Begin { request: coordination::request::Id([7; 16]) },
                 Part::Token { offset: 0, token: "The".into() },
                 Part::Token { offset: 1, token: " roof".into() },
                 Part::End { tokens: 2, prompt_tokens: 6, charged: 8 },
             ],
-            Event::Call(call) => vec![Part::Answer { status: 200, body: call.body }],
+            Event::Call(call) => vec![Part::Answer { request: None, status: 200, body: call.body }],
             other => panic!("{other:?}"),
         };
         for part in parts {
