Keep the number of hosts instead of counting them at each tick

Cause: the fold's election and the figures walked the member list at every tick, against the rule that an event's cost does not grow with the number of hosts.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -183,6 +183,10 @@
     timers: BTreeSet<(Duration, request::Id)>,
     inquiries: BTreeMap<request::Id, VecDeque<model::Inquiry>>,
     announced: bool,
+    /// Other hosts heard of lately.
+    reachable: usize,
+    /// No other host that is heard of sorts before this one.
+    first: bool,
 }
 
 impl Host {
@@ -240,6 +244,8 @@
             timers: BTreeSet::new(),
             inquiries: BTreeMap::new(),
             announced: false,
+            reachable: 0,
+            first: true,
             id,
             settings,
         }
@@ -282,7 +288,7 @@
             ready: self.ready(),
             state: self.state(),
             revision: self.follower.revision(),
-            members: self.members.reachable().count() as u64,
+            members: self.reachable as u64,
             requests: self.callers.len() as u64,
         }
     }
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -139,10 +139,11 @@
         let others = self.members.members().filter(|member| member.host != own);
         let known = others.filter(|member| member.state != State::Gone);
         self.peers = known.map(peer).collect();
+        let before = self.members.reachable().filter(|member| member.host < own).count();
+        self.reachable = self.members.reachable().count();
+        self.first = before == 0;
         let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
-        let count = number(self.members.reachable().count() + 1);
-        let before = self.members.reachable().filter(|member| member.host < own);
-        let index = number(before.count());
+        let (count, index) = (number(self.reachable + 1), number(before));
         self.router_event(RouterEvent::Hosts { count, index });
         self.router_event(RouterEvent::Fleet { own: own.clone(), hosts: self.takers() });
         self.router_event(RouterEvent::Settle);
--- a/crates/coordination/src/host/money.rs
+++ b/crates/coordination/src/host/money.rs
@@ -138,7 +138,7 @@
     /// Returns whether this host folds the ledger: the first of those heard of. Two that fold at
     /// once cost reads, since a refund is written once.
     fn folds(&self) -> bool {
-        self.ready() && self.members.reachable().all(|member| *member.host > *self.settings.host)
+        self.first && self.ready()
     }
 
     pub(super) fn journal_message(&mut self, address: Arc<str>, message: Message) {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each module holds one decision as a plain object. It takes the time and an event, and returns
 //! actions; it owns no clock, thread or socket. A driver carries the actions out and reports what
-//! came of them. `host::Host` composes the decisions of one host.
+//! came of them. [`host::Host`] composes the decisions of one host.
 //!
 //! Times are [`std::time::Duration`]s since the process started, unless a name says otherwise.
 
