--- a/crates/coordination/src/host/intake.rs
+++ b/crates/coordination/src/host/intake.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 
 use super::{action::Problem, catalog::Catalog, event::Call, problem::refused};
-use crate::{prefix, record::Model, record::Route, request::Class};
+use crate::{
+    holder, prefix,
+    record::{Model, Route},
+    request::{self, Class},
+};
 
 /// Bytes of a prompt that make a token; a prompt's last token may cover fewer.
 pub const PROMPT_BYTES_PER_TOKEN: u64 = 4;
@@ -31,6 +35,19 @@
     pub ask: Ask,
 }
 
+impl Work {
+    /// Returns the reservation of its worst case.
+    pub fn reserve(&self, request: request::Id) -> holder::Reserve {
+        holder::Reserve {
+            request,
+            budget: self.budget.clone(),
+            tokens: self.worst,
+            class: self.class,
+            backend: Arc::from(""),
+        }
+    }
+}
+
 /// What a request asks for.
 #[derive(Debug, Clone)]
 pub enum Ask {
--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -77,13 +77,7 @@
         if self.models.contains_key(&id) {
             return self.join(id, caller, digest);
         }
-        let reserve = holder::Reserve {
-            request: id,
-            budget: work.budget.clone(),
-            tokens: work.worst,
-            class: work.class,
-            backend: Arc::from(""),
-        };
+        let reserve = work.reserve(id);
         let request = Request {
             work,
             prompt,
--- a/crates/coordination/src/host/plain.rs
+++ b/crates/coordination/src/host/plain.rs
@@ -128,13 +128,7 @@
         callers: Vec<Caller>,
         ticketed: Option<Caller>,
     ) {
-        let reserve = holder::Reserve {
-            request: id,
-            budget: work.budget.clone(),
-            tokens: work.worst,
-            class: work.class,
-            backend: Arc::from(""),
-        };
+        let reserve = work.reserve(id);
         let deadline = self.now + Duration::from_millis(work.timeout_ms);
         let request = Request {
             work,
