Let hosts find each other through the table

Cause: hosts announced their addresses in rows that only the tool read. Ruled out: longer lists of peers in the settings, since hosts are replaced at any time. Rows are read every 10 s by revision, and used only for hosts that the platform lists as live.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -116,6 +116,7 @@
     Orders(u64),
     Claims(Holder),
     Announce,
+    Announced,
 }
 
 /// What a run at a back end is for.
@@ -183,6 +184,9 @@
     timers: BTreeSet<(Duration, request::Id)>,
     inquiries: BTreeMap<request::Id, VecDeque<model::Inquiry>>,
     announced: bool,
+    addresses: fleet::Addresses,
+    /// The platform's host list as last read.
+    listed: Vec<member::Listed>,
     /// Other hosts heard of lately.
     reachable: usize,
     /// No other host that is heard of sorts before this one.
@@ -244,6 +248,8 @@
             timers: BTreeSet::new(),
             inquiries: BTreeMap::new(),
             announced: false,
+            addresses: fleet::Addresses::default(),
+            listed: Vec::new(),
             reachable: 0,
             first: true,
             id,
@@ -323,10 +329,7 @@
             Event::Load { backend, load } => self.load(backend, load),
             Event::Cache { backend, changes, next } => self.cache(backend, &changes, next),
             Event::Table { operation, outcome } => self.table_done(operation, outcome),
-            Event::Hosts(listed) => {
-                self.backends_listed(&listed);
-                self.member_event(member::Event::HostList(listed));
-            }
+            Event::Hosts(listed) => self.hosts_listed(listed),
             Event::Message { from, address, message } => self.message(from, address, message),
             Event::Unreachable { address } => self.unreachable(&address),
             Event::Held { stream, held } => self.held(stream, held),
@@ -444,6 +447,7 @@
             Owner::Orders(number) => self.order_event(order::Event::Table { number, outcome }),
             Owner::Claims(holder) => self.claims_read(holder, outcome),
             Owner::Announce => self.announced &= matches!(outcome, Outcome::Committed(_)),
+            Owner::Announced => self.announced_read(outcome),
         }
     }
 
@@ -459,6 +463,7 @@
         self.locator_event(locate::Event::Tick);
         self.wake_streams();
         self.announce();
+        self.read_announced();
         self.advance();
     }
 
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -1,15 +1,16 @@
 //! Other hosts, and the configuration that all share.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{Host, Owner, Stage, action::Action, catalog::Change, money::host_of};
 use crate::{
     claim::{IssuerEvent, RunnerEvent},
-    config, holder, locate, member,
+    config, holder, locate,
+    member::{self, Listed},
     message::{Holder, Member, Message, State},
     order, record, recovery,
     route::{RouterEvent, subset},
-    table::{Op, Row, Txn, Write},
+    table::{Op, Outcome, Row, Txn, Write},
     timeline::Step,
 };
 
@@ -19,7 +20,68 @@
     record::parse(&row.key, value).map(drop).map_err(|fault| fault.to_string())
 }
 
+/// Start of the keys of the rows in which hosts announce themselves.
+const ANNOUNCED_PREFIX: &str = "member/";
+
+/// Time between two reads of what hosts announced.
+const ANNOUNCED_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Rows of one read of what hosts announced.
+const ANNOUNCED_ROWS: u32 = 1_000;
+
+/// Addresses of peer ports as hosts announced them in the table.
+#[derive(Debug, Default)]
+pub(super) struct Addresses {
+    by_host: BTreeMap<Arc<str>, Arc<str>>,
+    through: u64,
+    next: Duration,
+}
+
+impl Addresses {
+    fn apply(&mut self, row: &Row) {
+        let Some(host) = row.key.strip_prefix(ANNOUNCED_PREFIX) else { return };
+        let value = row.value.as_deref().and_then(|value| serde_json::from_str(value).ok());
+        let value: serde_json::Value = value.unwrap_or_default();
+        match value["address"].as_str() {
+            Some(address) => self.by_host.insert(host.into(), address.into()),
+            None => self.by_host.remove(host),
+        };
+    }
+}
+
 impl Host {
+    /// Reads what hosts announced since the last read.
+    pub(super) fn read_announced(&mut self) {
+        if self.now < self.addresses.next {
+            return;
+        }
+        self.addresses.next = self.now + ANNOUNCED_INTERVAL;
+        let (prefix, after) = (ANNOUNCED_PREFIX.into(), self.addresses.through);
+        self.table(Owner::Announced, Op::Changes { prefix, after, limit: ANNOUNCED_ROWS });
+    }
+
+    pub(super) fn announced_read(&mut self, outcome: Outcome) {
+        let Outcome::Changes { rows, through } = outcome else { return };
+        rows.iter().for_each(|row| self.addresses.apply(row));
+        self.addresses.through = through;
+        if !rows.is_empty() {
+            self.hosts_listed(self.listed.clone());
+        }
+    }
+
+    /// Takes the platform's list, which names hosts but not where they are reached.
+    pub(super) fn hosts_listed(&mut self, listed: Vec<Listed>) {
+        self.backends_listed(&listed);
+        self.listed.clone_from(&listed);
+        let with_address = listed.into_iter().map(|mut entry| {
+            let announced = self.addresses.by_host.get(&entry.host).cloned();
+            entry.address = entry.address.or(announced);
+            entry
+        });
+        let listed = with_address.collect();
+        self.member_event(member::Event::HostList(listed));
+    }
+
     pub(super) fn message(&mut self, from: Holder, address: Arc<str>, message: Message) {
         match message {
             Message::Append(_) | Message::Seal { .. } => self.journal_message(address, message),
@@ -236,7 +298,7 @@
             "holder": self.id,
             "zone": self.settings.zone,
         });
-        let key = format!("member/{}", self.settings.host).into();
+        let key = format!("{ANNOUNCED_PREFIX}{}", self.settings.host).into();
         let write = Write { key, value: Some(value.to_string().into()) };
         let txn = Txn { checks: Vec::new(), writes: vec![write] };
         self.table(Owner::Announce, Op::Commit(txn));
--- a/crates/daemon/tests/edge.rs
+++ b/crates/daemon/tests/edge.rs
@@ -146,6 +146,7 @@
     prepaid: 1_000_000,
     token: Duration::from_millis(2),
     slots: 8,
+    peers: true,
     settings: "[limits]\nmax_body_bytes = 4096\nmax_header_bytes = 8192\n\
                [timing]\nclient_ms = 500\n",
 };
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -46,6 +46,8 @@
     pub token: Duration,
     /// Slots of each engine.
     pub slots: usize,
+    /// The settings name the peers that run already.
+    pub peers: bool,
     /// Further lines of each host's settings.
     pub settings: &'static str,
 }
@@ -57,6 +59,7 @@
             prepaid: 1_000_000,
             token: Duration::from_millis(2),
             slots: 8,
+            peers: true,
             settings: "",
         }
     }
@@ -240,7 +243,7 @@
     pub fn start(&mut self, name: &'static str, zone: &'static str) {
         let peers: Vec<String> =
             self.hosts.values().map(|process| process.peers.to_string()).collect();
-        let peers = match peers.is_empty() {
+        let peers = match peers.is_empty() || !self.plan.peers {
             true => String::new(),
             false => format!("peers = {}", peers.join(",")),
         };
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -265,6 +265,14 @@
     }
 }
 
+#[test]
+fn hosts_find_each_other_through_the_platform() {
+    let fleet = Fleet::open(Plan { peers: false, ..Plan::default() });
+    let reply = call(&fleet.caller("host-a"), "draft", Some("k"), &prompt("A letter", 10));
+    assert!(reply.whole(), "{reply:?}");
+    wait_spent(&fleet, 12);
+}
+
 #[test]
 fn a_platform_outage_does_not_stop_requests_that_the_hosts_can_pay() {
     let fleet = Fleet::open(Plan::default());
