--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -196,7 +196,8 @@
             if now >= next_tick {
                 next_tick = now + self.tick;
                 self.feed(Event::Tick, &mut actions);
-                self.metrics.observe(&self.host, self.callers.len(), self.inbox.len());
+                let (callers, queue) = (self.callers.len(), self.inbox.len());
+                self.metrics.observe(&self.host, callers, queue, self.link.counts());
             }
             if now >= next_balance {
                 next_balance = now + BALANCE_INTERVAL;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -13,6 +13,7 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use wire::link;
 
 /// Metrics of one process.
 #[derive(Debug)]
@@ -34,6 +35,8 @@
     held: AtomicU64,
     reserved: AtomicU64,
     members: AtomicU64,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
 }
 
 impl Metrics {
@@ -77,7 +80,7 @@
     }
 
     /// Takes the gauges of the host.
-    pub fn observe(&self, host: &Host, callers: usize, queue: usize) {
+    pub fn observe(&self, host: &Host, callers: usize, queue: usize, peers: link::Counts) {
         let figures = host.figures();
         let gauges = &self.gauges;
         gauges.ready.store(figures.ready, Ordering::Relaxed);
@@ -85,6 +88,8 @@
         gauges.queue.store(queue as u64, Ordering::Relaxed);
         gauges.revision.store(figures.revision, Ordering::Relaxed);
         gauges.members.store(figures.members, Ordering::Relaxed);
+        gauges.sent_bytes.store(peers.sent_bytes, Ordering::Relaxed);
+        gauges.received_bytes.store(peers.received_bytes, Ordering::Relaxed);
     }
 
     /// Takes the sums over all budgets.
@@ -116,7 +121,7 @@
 
 fn publish(meter: &Meter, gauges: &Arc<Gauges>) {
     type Read = fn(&Gauges) -> u64;
-    let all: [(&'static str, &'static str, Read); 7] = [
+    let all: [(&'static str, &'static str, Read); 9] = [
         ("laburnum_ready", "1 while the host takes requests", |gauges| {
             u64::from(gauges.ready.load(Ordering::Relaxed))
         }),
@@ -138,6 +143,12 @@
         ("laburnum_members", "Hosts heard of lately", |gauges| {
             gauges.members.load(Ordering::Relaxed)
         }),
+        ("laburnum_peer_sent_bytes", "Bytes of messages sent to other hosts", |gauges| {
+            gauges.sent_bytes.load(Ordering::Relaxed)
+        }),
+        ("laburnum_peer_received_bytes", "Bytes of messages from other hosts", |gauges| {
+            gauges.received_bytes.load(Ordering::Relaxed)
+        }),
     ];
     for (name, text, read) in all {
         let gauges = gauges.clone();
