--- a/crates/coordination/examples/capacity/routing.rs
+++ b/crates/coordination/examples/capacity/routing.rs
@@ -117,7 +117,11 @@
                 let Choice::Backend(chosen) = router.choose(Duration::ZERO, &query) else {
                     return;
                 };
-                router.handle(Duration::ZERO, RouterEvent::Finished(chosen), &mut actions);
+                router.handle(
+                    Duration::ZERO,
+                    RouterEvent::Finished { backend: chosen, sent: Duration::ZERO },
+                    &mut actions,
+                );
             }),
         );
     }
--- a/crates/coordination/src/admit.rs
+++ b/crates/coordination/src/admit.rs
@@ -224,7 +224,8 @@
         if let Some(queue) = self.queues.get_mut(&placed.route) {
             queue.ran(placed.class, now - placed.since);
         }
-        self.routed(now, RouterEvent::Finished(placed.backend), actions);
+        let Placed { backend, since, .. } = placed;
+        self.routed(now, RouterEvent::Finished { backend, sent: since }, actions);
     }
 
     fn remove(&mut self, waiter: Waiter) -> Option<Waiting> {
@@ -335,7 +336,7 @@
         | RouterEvent::Listed { backend, .. }
         | RouterEvent::Refused(backend, _)
         | RouterEvent::Health { backend, .. }
-        | RouterEvent::Finished(backend) => Some(backend),
+        | RouterEvent::Finished { backend, .. } => Some(backend),
         RouterEvent::BackendDeleted(_)
         | RouterEvent::Route(_)
         | RouterEvent::RouteDeleted(_)
--- a/crates/coordination/src/route.rs
+++ b/crates/coordination/src/route.rs
@@ -126,7 +126,12 @@
         served: bool,
     },
     /// A request that was sent to a back end has ended, however it ended.
-    Finished(Arc<str>),
+    Finished {
+        /// Back end.
+        backend: Arc<str>,
+        /// Time at which it was chosen.
+        sent: Duration,
+    },
     /// A back end published cache events.
     Cache {
         /// Back end.
--- a/crates/coordination/src/route/backend.rs
+++ b/crates/coordination/src/route/backend.rs
@@ -1,6 +1,9 @@
 //! What a router knows of one back end.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use rand::rngs::StdRng;
 
@@ -66,6 +69,12 @@
     recent: VecDeque<(Duration, Change)>,
     recent_sent: u64,
     recent_finished: u64,
+    /// Requests of this host in flight, by the time at which they were sent.
+    flights: BTreeMap<Duration, u32>,
+    /// Time up to which the load report shows what was sent.
+    shown: Duration,
+    /// Requests of this host in flight that the load report may not show.
+    fresh: u64,
     /// Long requests that this host may send by its share of the room.
     share: Option<u64>,
     listed_leaving: bool,
@@ -91,6 +100,9 @@
             recent: VecDeque::new(),
             recent_sent: 0,
             recent_finished: 0,
+            flights: BTreeMap::new(),
+            shown: Duration::ZERO,
+            fresh: 0,
             share: None,
             listed_leaving: false,
             state_leaving: false,
@@ -177,7 +189,8 @@
         let Some(load) = self.load else { return own * (others + 1) };
         let (sent, finished) = (self.recent_sent, self.recent_finished);
         let reported = u64::from(load.queued) + u64::from(load.running);
-        let expected = sent * others * u64::from(setting.others_milli);
+        // Others are taken to send as this host does; what has ended here has ended there too.
+        let expected = self.fresh * others * u64::from(setting.others_milli);
         let estimate = ((reported + sent) * MILLI + expected).saturating_sub(finished * MILLI);
         estimate.max(own)
     }
@@ -220,6 +233,8 @@
 
     pub fn sent(&mut self, now: Duration, class: Class) {
         self.own += 1;
+        *self.flights.entry(now).or_default() += 1;
+        self.fresh += 1;
         if class == Class::Long {
             self.share = self.share.map(|share| share.saturating_sub(1));
         }
@@ -229,13 +244,26 @@
         }
     }
 
-    pub fn finished(&mut self, now: Duration) {
+    /// Takes the end of a request that was sent at a time.
+    pub fn finished(&mut self, now: Duration, sent: Duration) {
         let Some(own) = self.own.checked_sub(1) else { return };
         self.own = own;
+        self.land(sent);
         self.share = self.share.map(|share| share + 1);
         self.note(now, Change::Finished);
     }
 
+    fn land(&mut self, sent: Duration) {
+        let Some(count) = self.flights.get_mut(&sent) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.flights.remove(&sent);
+        }
+        if sent >= self.shown {
+            self.fresh -= 1;
+        }
+    }
+
     fn note(&mut self, now: Duration, change: Change) {
         self.recent.push_back((now, change));
         *self.recent_count(change) += 1;
@@ -262,6 +290,8 @@
         while self.recent.front().is_some_and(|(at, _)| *at < shown) {
             self.forget_oldest();
         }
+        self.shown = shown;
+        self.fresh = self.flights.range(shown..).map(|(_, count)| u64::from(*count)).sum();
         self.load = Some(load);
     }
 
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -186,10 +186,10 @@
             RouterEvent::Health { backend, served: false } => {
                 self.with(&backend, |backend, rng| backend.failed(now, rng));
             }
-            RouterEvent::Finished(name) => {
+            RouterEvent::Finished { backend: name, sent } => {
                 let Some(backend) = self.backends.get_mut(&name) else { return };
                 let before = backend.unread_own();
-                backend.finished(now);
+                backend.finished(now, sent);
                 self.unread -= before - backend.unread_own();
             }
         }
--- a/crates/coordination/tests/answers_route.rs
+++ b/crates/coordination/tests/answers_route.rs
@@ -88,7 +88,7 @@
     let mut counts = BTreeMap::new();
     for _ in 0..times {
         if let Choice::Backend(name) = router.choose(now, query) {
-            tell(router, now, RouterEvent::Finished(name.clone()));
+            tell(router, now, RouterEvent::Finished { backend: name.clone(), sent: now });
             *counts.entry(name).or_default() += 1;
         }
     }
@@ -532,3 +532,17 @@
     desk.event(AdmissionEvent::Tick);
     assert_eq!(desk.refused, [(8, Reason::Overload)]);
 }
+
+#[test]
+fn short_requests_are_not_held_back_by_what_others_are_taken_to_send() {
+    let name: Arc<str> = Arc::from("a1");
+    for hosts in [1, 3, 7] {
+        let mut router = router(&["a1"]);
+        tell(&mut router, secs(0), RouterEvent::Hosts { count: hosts, index: 0 });
+        let load = Load { queued: 0, running: 0, slots: 8, leaving: false, at_ms: 0 };
+        tell(&mut router, secs(1), RouterEvent::Load(name.clone(), load));
+        let query = query(Class::Normal);
+        let served = counts(&mut router, secs(1), &query, 1_000);
+        assert_eq!(served.get(&name), Some(&1_000), "{hosts} hosts, each ends before the next");
+    }
+}
--- a/crates/coordination/tests/answers_subset.rs
+++ b/crates/coordination/tests/answers_subset.rs
@@ -264,7 +264,7 @@
     let share = ((records.len() - read.len()) * SLOTS as usize).div_ceil(fleet.hosts);
     assert_eq!(sent.len(), share);
     assert_eq!(router.choose(NOW, &query(Class::Normal)), Choice::Full, "waits, is not refused");
-    tell(&mut router, RouterEvent::Finished(sent[0].clone()));
+    tell(&mut router, RouterEvent::Finished { backend: sent[0].clone(), sent: NOW });
     assert!(matches!(router.choose(NOW, &query(Class::Normal)), Choice::Backend(_)));
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod watch;
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -40,7 +40,7 @@
     edge::Edge,
     kernel::{Exit, Kernel},
     metrics::Metrics,
-    operator::Desk,
+    operator::{Desk, Scraping},
     settings::Settings,
 };
 
@@ -73,15 +73,13 @@
     let incarnation = driver::wall_ms();
     let desk = Desk::new(core.clone(), timeline.clone());
     let link = bind_link(settings, incarnation, desk, to_driver)?;
-    let operator = free(settings.host.operator_address)?;
+    let scraping = Scraping::bind(settings.host.operator_address, &metrics)?;
     let callers = edge.address()?;
-    println!("listening callers={callers} peers={} operators={operator}", link.address());
+    let (peers_address, operators) = (link.address(), scraping.address());
+    println!("listening callers={callers} peers={peers_address} operators={operators}");
     let host = Host::open(host_settings(settings, incarnation, link.address()));
     start_services(&kernel, settings, &core)?;
-    kernel.spawn(OPERATOR, {
-        let metrics = metrics.clone();
-        move || operator::serve(operator, metrics)
-    })?;
+    kernel.spawn(OPERATOR, move || scraping.run())?;
     kernel.spawn(edge::NAME, move || edge.run(stopped))?;
     timeline.push(started(&host));
     let tick = settings.timing.tick;
@@ -169,16 +167,6 @@
     kernel.spawn(watch::NAME, move || watch::run(&received, &to_core, interval))
 }
 
-/// Returns the address with its port chosen where it is 0.
-fn free(address: SocketAddr) -> eyre::Result<SocketAddr> {
-    if address.port() != 0 {
-        return Ok(address);
-    }
-    let listener = TcpListener::bind(address)
-        .wrap_err_with(|| format!("step=bind peer={address} operators' address"))?;
-    Ok(listener.local_addr()?)
-}
-
 fn stop_on_signal(core: Sender<Inbound>, stop: flag::Sender<bool>) -> eyre::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("step=signals")?;
     thread::Builder::new().name("signals".into()).spawn(move || {
