--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -175,11 +175,11 @@
         })
     }
 
-    /// Runs until the host has stopped; returns whether it was taken for dead meanwhile.
+    /// Runs until the host has stopped.
     ///
     /// # Errors
     ///
-    /// Returns an error if all senders are gone.
+    /// Returns an error if all senders are gone or the host was taken for dead.
     pub fn run(mut self) -> eyre::Result<()> {
         let mut actions = Vec::new();
         let mut next_tick = Instant::now();
