Make the sender of a message known at once

Cause: a call with a ticket at a host that had just been restarted ended as unknown, 'the host that decides this ticket can't be reached', after 2 s.

Now a message of any kind makes a later incarnation of its sender a member, by its authenticated name, zone and address. An earlier or equal incarnation changes nothing, so neither a late message nor a process that was taken for dead comes back.

Table test: sender_of_a_message_is_known_at_once.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -330,7 +330,10 @@
             Event::Cache { backend, changes, next } => self.cache(backend, &changes, next),
             Event::Table { operation, outcome } => self.table_done(operation, outcome),
             Event::Hosts(listed) => self.hosts_listed(listed),
-            Event::Message { from, address, message } => self.message(from, address, message),
+            Event::Message { from, zone, address, message } => {
+                self.contact(&from, zone, &address, &message);
+                self.message(from, address, message);
+            }
             Event::Unreachable { address } => self.unreachable(&address),
             Event::Held { stream, held } => self.held(stream, held),
             Event::Order(event) => self.order_event(event),
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -72,6 +72,8 @@
     Message {
         /// Holder that sent it.
         from: Holder,
+        /// Availability zone of the sender.
+        zone: Arc<str>,
         /// Address of its peer port.
         address: Arc<str>,
         /// Message.
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -82,6 +82,21 @@
         self.member_event(member::Event::HostList(listed));
     }
 
+    /// Makes a sender known that started a moment ago, so that it can be answered.
+    pub(super) fn contact(
+        &mut self,
+        from: &Holder,
+        zone: Arc<str>,
+        address: &Arc<str>,
+        message: &Message,
+    ) {
+        if matches!(message, Message::Heartbeat(_)) {
+            return;
+        }
+        let (from, address) = (from.clone(), address.clone());
+        self.member_event(member::Event::Contact { from, zone, address });
+    }
+
     pub(super) fn message(&mut self, from: Holder, address: Arc<str>, message: Message) {
         match message {
             Message::Append(_) | Message::Seal { .. } => self.journal_message(address, message),
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -102,6 +102,15 @@
         /// Heartbeat.
         heartbeat: Heartbeat,
     },
+    /// A message of another kind came in.
+    Contact {
+        /// Holder that sent it.
+        from: Holder,
+        /// Availability zone of the sender.
+        zone: Arc<str>,
+        /// Address of the sender's peer port.
+        address: Arc<str>,
+    },
     /// The platform's host list was read.
     HostList(Vec<Listed>),
     /// The configuration revision in force here changed.
--- a/crates/coordination/src/member/merge.rs
+++ b/crates/coordination/src/member/merge.rs
@@ -50,6 +50,25 @@
         }
     }
 
+    /// Takes that a process runs which may have started before any heartbeat told of it.
+    pub(super) fn contact(
+        &mut self,
+        from: &str,
+        zone: Arc<str>,
+        address: Arc<str>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some((host, incarnation)) = split(from) else { return };
+        if self.is_own(host) || self.get(host).is_some_and(|known| known.incarnation >= incarnation)
+        {
+            return;
+        }
+        let state = State::Alive;
+        let host = host.into();
+        let member = Member { host, zone, address, incarnation, state, revision: 0, refuted: 0 };
+        self.apply(member, actions);
+    }
+
     /// Takes the platform's view of a host.
     pub(super) fn list(&mut self, listed: Listed, actions: &mut Vec<Action>) {
         if listed.standing == Standing::Live {
--- a/crates/coordination/src/member/table.rs
+++ b/crates/coordination/src/member/table.rs
@@ -90,6 +90,7 @@
             Event::Heartbeat { from, address, heartbeat } => {
                 self.receive(now, &from, &address, heartbeat, actions);
             }
+            Event::Contact { from, zone, address } => self.contact(&from, zone, address, actions),
             Event::HostList(listed) => {
                 self.listed.clear();
                 listed.into_iter().for_each(|listed| self.list(listed, actions));
--- a/crates/coordination/tests/answers_subset.rs
+++ b/crates/coordination/tests/answers_subset.rs
@@ -377,8 +377,8 @@
     });
     let heartbeat = Heartbeat { number: 1, revision: 1, digest: 0, members: members.collect() };
     let message = Message::Heartbeat(heartbeat);
-    let event =
-        Event::Message { from: "host-001.1".into(), address: "127.0.0.1:2".into(), message };
+    let (from, zone) = ("host-001.1".into(), fleet.hosts()[1].zone.clone());
+    let event = Event::Message { from, zone, address: "127.0.0.1:2".into(), message };
     let part = reads(&fleet.router(0), &fleet.backends()).len();
     assert_eq!(step(&mut alone, NOW, event, &rows), Some(part));
 }
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -493,10 +493,12 @@
             return;
         }
         let copies = if self.chance(self.faults.link) { 2 } else { 1 };
+        let zone = self.hosts[from].zone.clone();
         for _ in 0..copies {
             let delay = self.link_delay();
             let (from, address) = sender.clone();
-            let event = Event::Message { from, address, message: message.clone() };
+            let (zone, message) = (zone.clone(), message.clone());
+            let event = Event::Message { from, zone, address, message };
             self.after(delay, Arrival::Host(target, event));
         }
     }
--- a/crates/coordination/tests/state_member.rs
+++ b/crates/coordination/tests/state_member.rs
@@ -223,6 +223,36 @@
     assert_eq!(table.get("host-004").map(|member| member.state), proof.expected);
 }
 
+/// A message from a process, and what is then known of its host.
+struct Sender {
+    known: Option<(u64, State)>,
+    from: &'static str,
+    expected: Option<(u64, State)>,
+}
+
+#[test_case(Sender { known: None, from: "host-004.5", expected: Some((5, State::Alive)) }; "unknown host")]
+#[test_case(Sender { known: Some((4, State::Leaving)), from: "host-004.5", expected: Some((5, State::Alive)) }; "host started anew")]
+#[test_case(Sender { known: Some((4, State::Gone)), from: "host-004.5", expected: Some((5, State::Alive)) }; "host replaced after its death")]
+#[test_case(Sender { known: Some((5, State::Gone)), from: "host-004.5", expected: Some((5, State::Gone)) }; "process taken for dead")]
+#[test_case(Sender { known: Some((5, State::Suspect)), from: "host-004.5", expected: Some((5, State::Suspect)) }; "suspect")]
+#[test_case(Sender { known: Some((6, State::Alive)), from: "host-004.5", expected: Some((6, State::Alive)) }; "late message of an earlier process")]
+#[test_case(Sender { known: None, from: "host-004", expected: None }; "no incarnation")]
+#[test_case(Sender { known: None, from: "host-000.5", expected: None }; "own name")]
+fn sender_of_a_message_is_known_at_once(sender: Sender) {
+    let mut table = Table::new(settings());
+    if let Some((incarnation, state)) = sender.known {
+        receive(&mut table, vec![entry(incarnation, 0, State::Alive)]);
+        let rumour = Member { host: "host-003".into(), ..entry(1, 0, State::Alive) };
+        receive(&mut table, vec![rumour, entry(incarnation, 0, state)]);
+    }
+    let (from, zone) = (sender.from.into(), "zone-00".into());
+    let event = Event::Contact { from, zone, address: address("host-004") };
+    table.handle(Duration::from_secs(2), event, &mut Vec::new());
+    let known = table.get("host-004").map(|member| (member.incarnation, member.state));
+    assert_eq!(known, sender.expected);
+    assert_eq!(table.get("host-000").map(|own| own.incarnation), Some(1));
+}
+
 #[test]
 fn listed_address_is_contacted() {
     let mut table = Table::new(settings());
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -251,8 +251,8 @@
         self.timeline.merge(delivery.stamp);
         let host = delivery.from.rsplit_once('.').map_or(&*delivery.from, |(host, _)| host);
         self.cause = Some((host.into(), delivery.stamp));
-        let link::Delivery { from, address, message, .. } = delivery;
-        self.feed(Event::Message { from, address, message }, actions);
+        let link::Delivery { from, zone, address, message, .. } = delivery;
+        self.feed(Event::Message { from, zone, address, message }, actions);
     }
 
     fn status(&self) -> Status {
