Replace the fleet's key in steps, without a gap

Cause: hosts accepted one key only, so that a new one meant to stop the whole fleet at once: hosts with different keys refuse each other's messages and tickets.

Ruled out: a key record in the platform's table, which would hold the secret where operators' tools read it; an order to all hosts at once, which a cut-off host would miss.

Now a host seals with its key and accepts a second one, accept_key_file. Hashes under both keys are compared in constant time, and both are always tried.

After: the process test restarts three hosts one by one through two steps, and tickets of hosts a step behind or ahead run at once at the one just restarted.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -63,6 +63,8 @@
     pub seeds: Vec<Arc<str>>,
     /// Secret that all hosts of the fleet share.
     pub secret: Vec<u8>,
+    /// Second secret with which tickets are accepted while the secret is replaced.
+    pub accepted_secret: Option<Vec<u8>>,
     /// Key drawn at the start of the process.
     pub key: [u8; 32],
     /// Seed of all random choices.
@@ -193,6 +195,14 @@
     first: bool,
 }
 
+fn ticket_key(settings: &Settings) -> ticket::Key {
+    let key = ticket::Key::derive(&settings.secret);
+    match &settings.accepted_secret {
+        Some(secret) => key.accepting(secret),
+        None => key,
+    }
+}
+
 impl Host {
     /// Opens a host that knows nothing yet.
     pub fn open(settings: Settings) -> Self {
@@ -231,7 +241,7 @@
             places: locate::Index::default(),
             orders: order::Issuer::open(order::Setting::new(id.clone())),
             retries: retry::Budget::open(retry::Setting::default(), settings.seed),
-            ticket_key: ticket::Key::derive(&settings.secret),
+            ticket_key: ticket_key(&settings),
             operations: BTreeMap::new(),
             next_operation: 1,
             runs: BTreeMap::new(),
--- a/crates/coordination/src/ticket.rs
+++ b/crates/coordination/src/ticket.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-use subtle::ConstantTimeEq;
+use subtle::{Choice, ConstantTimeEq};
 
 use crate::message::Holder;
 
@@ -15,17 +15,29 @@
 /// Greatest length of a ticket's text, in bytes.
 pub const MAX_TEXT_BYTES: usize = 256;
 
-/// Key with which all hosts of a fleet authenticate tickets.
+/// Key with which all hosts of a fleet authenticate tickets, and a second one while it is replaced.
 #[derive(Clone)]
-pub struct Key([u8; 32]);
+pub struct Key {
+    own: [u8; 32],
+    accepted: Option<[u8; 32]>,
+}
 
 impl Key {
     /// Derives the key from the fleet's secret.
     pub fn derive(secret: &[u8]) -> Self {
-        Self(blake3::derive_key("laburnumcove ticket key v1", secret))
+        Self { own: derive(secret), accepted: None }
+    }
+
+    /// Returns the key, which now accepts also tickets made with a second secret.
+    pub fn accepting(self, secret: &[u8]) -> Self {
+        Self { accepted: Some(derive(secret)), ..self }
     }
 }
 
+fn derive(secret: &[u8]) -> [u8; 32] {
+    blake3::derive_key("laburnumcove ticket key v1", secret)
+}
+
 impl fmt::Debug for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Key(..)")
@@ -55,7 +67,7 @@
 impl Ticket {
     /// Returns the text of the ticket, valid for one workspace.
     pub fn encode(&self, workspace: &str, key: &Key) -> String {
-        let mac = self.mac(workspace, key);
+        let mac = self.mac(workspace, &key.own);
         format!("{}.{}.{}", self.holder, self.number, hex::encode(mac))
     }
 
@@ -80,14 +92,16 @@
         let mut given = [0; MAC_BYTES];
         hex::decode_to_slice(mac, &mut given).map_err(|_| Error::Malformed)?;
         let ticket = Self { holder: holder.into(), number };
-        if !bool::from(given.ct_eq(&ticket.mac(workspace, key))) {
-            return Err(Error::Forged);
+        let keys = std::iter::once(&key.own).chain(&key.accepted);
+        let fits = |key| ticket.mac(workspace, key).ct_eq(&given);
+        match keys.fold(Choice::from(0), |any, key| any | fits(key)).into() {
+            true => Ok(ticket),
+            false => Err(Error::Forged),
         }
-        Ok(ticket)
     }
 
-    fn mac(&self, workspace: &str, key: &Key) -> [u8; MAC_BYTES] {
-        let mut hasher = blake3::Hasher::new_keyed(&key.0);
+    fn mac(&self, workspace: &str, key: &[u8; 32]) -> [u8; MAC_BYTES] {
+        let mut hasher = blake3::Hasher::new_keyed(key);
         hasher.update(&(workspace.len() as u64).to_le_bytes());
         hasher.update(workspace.as_bytes());
         hasher.update(&self.number.to_le_bytes());
--- a/crates/coordination/tests/answers_claim.rs
+++ b/crates/coordination/tests/answers_claim.rs
@@ -37,7 +37,12 @@
     let other_holder = text.replacen("entry.a.7", "entry.a.8", 1);
     let padded = text.replacen(".42.", ".042.", 1);
     let short = &text[..text.len() - 2];
+    let replaced = Key::derive(b"new secret");
+    let accepting = replaced.clone().accepting(b"fleet secret");
     let cases = [
+        ("key replaced", text.as_str(), "grants", &replaced, Err(Error::Forged)),
+        ("key replaced, the old one accepted", &text, "grants", &accepting, Ok(ticket.clone())),
+        ("other workspace, the old key accepted", &text, "gr4nts", &accepting, Err(Error::Forged)),
         ("valid", text.as_str(), "grants", &key, Ok(ticket.clone())),
         ("other workspace", &text, "gr4nts", &key, Err(Error::Forged)),
         ("other key", &text, "grants", &Key::derive(b"other"), Err(Error::Forged)),
--- a/crates/coordination/tests/answers_subset.rs
+++ b/crates/coordination/tests/answers_subset.rs
@@ -359,6 +359,7 @@
         address: "127.0.0.1:1".into(),
         seeds: Vec::new(),
         secret: vec![1; 32],
+        accepted_secret: None,
         key: [1; 32],
         seed: 1,
         max_requests: 10,
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -184,6 +184,7 @@
             address: address.clone(),
             seeds: (0..3).map(|n| format!("10.0.0.{n}:7000").into()).collect(),
             secret: b"secret".to_vec(),
+            accepted_secret: None,
             key: [7; 32],
             seed: self.random.random(),
             max_requests: 1_000,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -116,7 +116,10 @@
         incarnation,
         address: settings.host.advertise.map(|address| address.to_string().into()),
     };
-    let key = seal::Key::new(&hex::encode(settings.fleet.key.0));
+    let mut key = seal::Key::new(&hex::encode(settings.fleet.key.0));
+    if let Some(accepted) = &settings.fleet.accept_key {
+        key = key.accepting(&hex::encode(accepted.0));
+    }
     link::bind(settings.host.peer_address, key, identity, Arc::new(desk), inbox)
 }
 
@@ -132,6 +135,7 @@
         address: address.to_string().into(),
         seeds: settings.fleet.peers.iter().map(|peer| peer.to_string().into()).collect(),
         secret: settings.fleet.key.0.to_vec(),
+        accepted_secret: settings.fleet.accept_key.as_ref().map(|key| key.0.to_vec()),
         key,
         seed: rng.next_u64(),
         max_requests: settings.limits.max_streams,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -78,6 +78,13 @@
         default: Default::Absent,
         doc: "The key itself, for trials.",
     },
+    Key {
+        section: "fleet",
+        name: "accept_key_file",
+        kind: Kind::Path,
+        default: Default::Absent,
+        doc: "File with a second key, with which messages of other hosts and tickets are accepted while the key is replaced.",
+    },
     Key {
         section: "fleet",
         name: "peers",
@@ -212,6 +219,8 @@
 pub struct Fleet {
     /// Key that all hosts share.
     pub key: Secret,
+    /// Second key that is accepted while the key is replaced.
+    pub accept_key: Option<Secret>,
     /// Peer addresses to ask while the platform is away.
     pub peers: Vec<SocketAddr>,
 }
@@ -279,6 +288,7 @@
             },
             fleet: Fleet {
                 key: Secret(values.secret("fleet")?),
+                accept_key: values.secret_file("fleet", "accept_key_file")?.map(Secret),
                 peers: values.addresses("fleet", "peers"),
             },
             limits: limits(&values)?,
--- a/crates/daemon/src/settings/ini.rs
+++ b/crates/daemon/src/settings/ini.rs
@@ -270,23 +270,30 @@
     ///
     /// Returns a fault where neither or both are given, or the file holds no secret.
     pub fn secret(&self, section: &str) -> Result<[u8; KEY_BYTES], Fault> {
-        match (self.text(section, "key"), self.text(section, "key_file")) {
-            (Some(_), Some(_)) => {
-                Err(self.fault_at(section, "key_file", "expected key or key_file, got both"))
-            }
-            (None, None) => {
-                Err(self.missing(section, "key_file", "expected key or key_file, got neither"))
-            }
-            (Some(text), None) => self.decode(section, "key", text),
-            (None, Some(path)) => {
-                let path = self.beside(path);
-                let text = fs::read_to_string(&path).map_err(|err| {
-                    let reason = format!("{} can't be read: {err}", path.display());
-                    self.fault_at(section, "key_file", reason)
-                })?;
-                self.decode(section, "key_file", text.trim())
-            }
+        let Some(text) = self.text(section, "key") else {
+            let reason = "expected key or key_file, got neither";
+            let secret = self.secret_file(section, "key_file")?;
+            return secret.ok_or_else(|| self.missing(section, "key_file", reason));
+        };
+        if self.text(section, "key_file").is_some() {
+            return Err(self.fault_at(section, "key_file", "expected key or key_file, got both"));
         }
+        self.decode(section, "key", text)
+    }
+
+    /// Returns the secret in the file that a key names, or `None` where the key is left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault where the file can't be read or holds no secret.
+    pub fn secret_file(&self, section: &str, name: &str) -> Result<Option<[u8; KEY_BYTES]>, Fault> {
+        let Some(path) = self.text(section, name) else { return Ok(None) };
+        let path = self.beside(path);
+        let text = fs::read_to_string(&path).map_err(|err| {
+            let reason = format!("{} can't be read: {err}", path.display());
+            self.fault_at(section, name, reason)
+        })?;
+        self.decode(section, name, text.trim()).map(Some)
     }
 
     fn decode(&self, section: &str, name: &str, text: &str) -> Result<[u8; KEY_BYTES], Fault> {
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -280,6 +280,21 @@
         self.list(name, zone, "live");
     }
 
+    /// Writes a file beside the settings.
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.dir.path().join(name), text).expect(name);
+    }
+
+    /// Restarts a host in good order, with further lines in its settings.
+    pub fn restart(&mut self, name: &'static str, zone: &'static str, settings: &'static str) {
+        self.signal(name, Signal::TERM);
+        let mut process = self.hosts.remove(name).expect("host");
+        assert_eq!(process.wait().code(), Some(0), "{name}\n{}", self.logs());
+        self.plan.settings = settings;
+        self.start(name, zone);
+        self.wait_ready(name);
+    }
+
     /// Sets a host's state in the platform's list.
     pub fn list(&self, host: &str, zone: &str, state: &str) {
         let entry = json!({"host": host, "zone": zone, "state": state});
--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -19,6 +19,9 @@
 /// Token that replaces [`TOKEN`].
 const NEXT_TOKEN: &str = "token-that-replaces-it";
 
+/// Byte of which the key is made that replaces the fleet's key.
+const NEXT_KEY_BYTE: &str = "7b";
+
 /// Token that nobody was given.
 const WRONG_TOKEN: &str = "token-of-a-stranger";
 
@@ -238,3 +241,25 @@
     fleet.fail_platform(&json!({"kind": "up"}));
     fleet.wait("host-c is healthy", || healthy(&fleet, "host-c") == (1, true));
 }
+
+#[test]
+fn the_fleet_s_key_is_replaced_without_a_gap() {
+    let mut fleet = Fleet::open(Plan::default());
+    let (old, new) = (KEY_BYTE.repeat(32), NEXT_KEY_BYTE.repeat(32));
+    let steps = [(&old, &new), (&new, &old)];
+    for (key, accepted) in steps {
+        fleet.write("key", key);
+        fleet.write("accepted", accepted);
+        for (host, zone) in THREE {
+            fleet.restart(host, zone, "accept_key_file = accepted");
+            // The ticket of a host that is a step behind or ahead runs at any other.
+            for issuer in ["host-a", "host-b", "host-c"] {
+                let ticket = fleet.caller(issuer).ticket().expect("ticket");
+                let body = json!({"input": {"centre": 7}});
+                let reply = fleet.caller(host).call("disburse", Some(&ticket), &body, |_| {});
+                let reply = reply.expect("reply");
+                assert!(reply.whole(), "{issuer} to {host}: {reply:?}\n{}", fleet.logs());
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -151,6 +151,10 @@
     by: "key_file = absent.key",
     fault: "11: [fleet] key_file: ",
 }; "absent key file")]
+#[test_case("no-accepted-file", Case {
+    replace: "[timing]", by: "accept_key_file = absent.key\n[timing]",
+    fault: "13: [fleet] accept_key_file: ",
+}; "absent accepted key file")]
 #[test_case("filter", Case {
     replace: "[timing]", by: "[log]\nfilter = daemon=loud\n[timing]",
     fault: "14: [log] filter: expected a level or target=level,…, got \"daemon=loud\"",
@@ -183,6 +187,14 @@
     assert_eq!(Settings::load(&path).unwrap().fleet.key.0[15], 0xff);
 }
 
+#[test]
+fn accepted_key_is_read_beside_the_key() {
+    let path = file("accepted", &WHOLE.replace("[timing]", "accept_key_file = next.key\n[timing]"));
+    fs::write(path.with_file_name("next.key"), KEY.replace("ff", "ee")).unwrap();
+    let fleet = Settings::load(&path).unwrap().fleet;
+    assert_eq!((fleet.key.0[15], fleet.accept_key.unwrap().0[15]), (0xff, 0xee));
+}
+
 #[test]
 fn absent_file_is_a_fault() {
     let path = PathBuf::from("/absent/entry.ini");
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -13,7 +13,7 @@
     message::{Holder, Message},
     request,
 };
-use subtle::ConstantTimeEq;
+use subtle::{Choice, ConstantTimeEq};
 
 use crate::{
     laburnum::{Clock, Envelope, Greeting},
@@ -35,63 +35,35 @@
 const GREETING: &[u8] = b"greeting";
 const SESSION: &[u8] = b"session";
 
-/// Key that all hosts of the fleet share.
+/// Key that all hosts of the fleet share, and a second one while it is replaced.
 #[derive(Clone)]
-pub struct Key([u8; 32]);
+pub struct Key {
+    own: [u8; 32],
+    accepted: Option<[u8; 32]>,
+}
 
 impl Key {
     /// Derives the key from the secret in the settings.
     pub fn new(secret: &str) -> Self {
-        Self(blake3::derive_key("laburnumcove peer key v1", secret.as_bytes()))
-    }
-
-    fn mac(&self, purpose: &[u8], fields: &[&[u8]]) -> [u8; 32] {
-        let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        for field in std::iter::once(&purpose).chain(fields) {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        *hasher.finalize().as_bytes()
+        Self { own: derive(secret), accepted: None }
     }
 
-    fn envelope_mac(&self, envelope: &Envelope) -> [u8; 32] {
-        let request = envelope.request.as_deref();
-        self.mac(
-            ENVELOPE,
-            &[
-                envelope.holder.as_bytes(),
-                envelope.zone.as_bytes(),
-                envelope.address.as_bytes(),
-                envelope.to.as_bytes(),
-                &envelope.session.to_le_bytes(),
-                &envelope.incarnation.to_le_bytes(),
-                &envelope.number.to_le_bytes(),
-                &envelope.clock.wall_ms.to_le_bytes(),
-                &envelope.clock.logical.to_le_bytes(),
-                &[u8::from(request.is_some())],
-                request.unwrap_or_default(),
-                &envelope.body,
-            ],
-        )
+    /// Returns the key, which now accepts also what was sealed with a second secret.
+    pub fn accepting(self, secret: &str) -> Self {
+        Self { accepted: Some(derive(secret)), ..self }
     }
 
-    fn greeting_mac(&self, question: &[u8], greeting: &Greeting) -> [u8; 32] {
-        self.mac(
-            GREETING,
-            &[
-                question,
-                greeting.holder.as_bytes(),
-                &greeting.incarnation.to_le_bytes(),
-                &greeting.session.to_le_bytes(),
-            ],
-        )
+    /// Returns whether a hash was made by `mac` with one of the keys. Both are tried always.
+    fn verify(&self, given: &[u8], mac: impl Fn(&[u8; 32]) -> [u8; 32]) -> bool {
+        let keys = std::iter::once(&self.own).chain(&self.accepted);
+        let fits = keys.fold(Choice::from(0), |fits, key| fits | mac(key).ct_eq(given));
+        fits.into()
     }
-
     /// Returns the session of a connection; it can't be foretold without the key.
     pub(crate) fn session(&self, holder: &str, start: u64, connection: u64) -> u64 {
         let fields: [&[u8]; 3] =
             [holder.as_bytes(), &start.to_le_bytes(), &connection.to_le_bytes()];
-        let mac = self.mac(SESSION, &fields);
+        let mac = mac(&self.own, SESSION, &fields);
         let mut session = [0; 8];
         session.copy_from_slice(&mac[..8]);
         u64::from_le_bytes(session).max(NO_SESSION + 1)
@@ -102,17 +74,64 @@
         let holder = identity.holder.to_string();
         let mut greeting =
             Greeting::new(holder, identity.incarnation as i64, session as i64, Vec::new());
-        greeting.mac = self.greeting_mac(&question.mac, &greeting).to_vec();
+        greeting.mac = greeting_mac(&self.own, &question.mac, &greeting).to_vec();
         greeting
     }
 
     /// Returns whether a greeting answers the question and comes from a holder of the key.
     pub(crate) fn greeted(&self, question: &Envelope, greeting: &Greeting) -> bool {
-        let mac = self.greeting_mac(&question.mac, greeting);
-        mac.ct_eq(&greeting.mac).into()
+        self.verify(&greeting.mac, |key| greeting_mac(key, &question.mac, greeting))
     }
 }
 
+fn derive(secret: &str) -> [u8; 32] {
+    blake3::derive_key("laburnumcove peer key v1", secret.as_bytes())
+}
+
+fn mac(key: &[u8; 32], purpose: &[u8], fields: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    for field in std::iter::once(&purpose).chain(fields) {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    *hasher.finalize().as_bytes()
+}
+
+fn envelope_mac(key: &[u8; 32], envelope: &Envelope) -> [u8; 32] {
+    let request = envelope.request.as_deref();
+    mac(
+        key,
+        ENVELOPE,
+        &[
+            envelope.holder.as_bytes(),
+            envelope.zone.as_bytes(),
+            envelope.address.as_bytes(),
+            envelope.to.as_bytes(),
+            &envelope.session.to_le_bytes(),
+            &envelope.incarnation.to_le_bytes(),
+            &envelope.number.to_le_bytes(),
+            &envelope.clock.wall_ms.to_le_bytes(),
+            &envelope.clock.logical.to_le_bytes(),
+            &[u8::from(request.is_some())],
+            request.unwrap_or_default(),
+            &envelope.body,
+        ],
+    )
+}
+
+fn greeting_mac(key: &[u8; 32], question: &[u8], greeting: &Greeting) -> [u8; 32] {
+    mac(
+        key,
+        GREETING,
+        &[
+            question,
+            greeting.holder.as_bytes(),
+            &greeting.incarnation.to_le_bytes(),
+            &greeting.session.to_le_bytes(),
+        ],
+    )
+}
+
 impl fmt::Debug for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Key(..)")
@@ -181,18 +200,17 @@
         body: body.unwrap_or_default(),
         mac: Vec::new(),
     };
-    envelope.mac = key.envelope_mac(&envelope).to_vec();
+    envelope.mac = envelope_mac(&key.own, &envelope).to_vec();
     Ok(envelope)
 }
 
-/// Checks that an envelope was sealed with the key and sent to this address.
+/// Checks that an envelope was sealed with a key that is accepted and sent to this address.
 ///
 /// # Errors
 ///
 /// Returns an error when either does not hold.
 pub fn verify(key: &Key, address: &str, envelope: &Envelope) -> Result<(), Refusal> {
-    let mac = key.envelope_mac(envelope);
-    if !bool::from(mac.ct_eq(&envelope.mac)) {
+    if !key.verify(&envelope.mac, |key| envelope_mac(key, envelope)) {
         return Err(Refusal::Forged);
     }
     if envelope.to != address {
--- a/crates/wire/tests/seal.rs
+++ b/crates/wire/tests/seal.rs
@@ -151,6 +151,44 @@
     assert!(matches!(refused, Err(Refusal::Forged)));
 }
 
+/// Keys of two hosts, of which one restarts in the next step of a replacement.
+struct Step {
+    sender: fn() -> Key,
+    receiver: fn() -> Key,
+    accepted: bool,
+}
+
+fn old() -> Key {
+    Key::new("old")
+}
+
+fn old_accepting() -> Key {
+    Key::new("old").accepting("new")
+}
+
+fn new_accepting() -> Key {
+    Key::new("new").accepting("old")
+}
+
+fn new() -> Key {
+    Key::new("new")
+}
+
+#[test_case(Step { sender: old, receiver: old_accepting, accepted: true }; "first step")]
+#[test_case(Step { sender: old_accepting, receiver: old, accepted: true }; "first step, back")]
+#[test_case(Step { sender: old_accepting, receiver: new_accepting, accepted: true }; "second step")]
+#[test_case(Step { sender: new_accepting, receiver: old_accepting, accepted: true }; "second step, back")]
+#[test_case(Step { sender: new_accepting, receiver: new, accepted: true }; "third step")]
+#[test_case(Step { sender: new, receiver: new_accepting, accepted: true }; "third step, back")]
+#[test_case(Step { sender: old, receiver: new, accepted: false }; "all steps at once")]
+#[test_case(Step { sender: new_accepting, receiver: old, accepted: false }; "a step left out")]
+fn key_is_replaced_in_steps(step: Step) {
+    let sealed = seal::seal(&(step.sender)(), &identity(), HERE, &content(1, &sample())).unwrap();
+    let datagram = to_datagram(&sealed).unwrap();
+    let opened = open_datagram(&(step.receiver)(), THERE, &mut Windows::default(), &datagram);
+    assert_eq!(opened.is_ok(), step.accepted, "{opened:?}");
+}
+
 #[test]
 fn other_receiver_is_refused() {
     let datagram = to_datagram(&envelope(1, &sample())).unwrap();
