Keep reported outcomes of claims in a module of their own

Cause: claim/runner.rs had grown to 447 lines with two jobs: to ask and dispatch, and to repeat outcomes until an issuer acknowledges them. Both shared one set of timers, and an outcome that was acknowledged left its timer behind for up to 10 s.

Ruled out: a trait for things that are repeated; there is one.

Behaviour is the same: the differential test of claims and the ticket histories pass unchanged.

--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -7,6 +7,7 @@
 
 mod event;
 mod issuer;
+mod report;
 mod runner;
 
 use std::{collections::BTreeMap, sync::Arc};
--- a/crates/coordination/src/claim/runner.rs
+++ b/crates/coordination/src/claim/runner.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Call, Caller, Doubt, MAX_KEPT_BODY_BYTES, Outcome, Reach, Recovered, RunnerAction, RunnerEvent,
-    Transport,
+    Transport, report::Reports,
 };
 use crate::{
     message::{ClaimOutcome, Holder, Message, Verdict},
@@ -24,15 +24,6 @@
 /// Time after which an issuer that has not answered counts as unreachable.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time between the first two reports of an outcome; doubles up to [`REPORT_INTERVAL_MAX`].
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Greatest time between two reports of an outcome.
-const REPORT_INTERVAL_MAX: Duration = Duration::from_secs(10);
-
-/// Time for which an outcome is kept that its issuer did not acknowledge.
-const REPORT_LIFETIME: Duration = Duration::from_secs(3600);
-
 /// Greatest number of abandoned runs remembered.
 const MAX_ABANDONED: usize = 65_536;
 
@@ -63,17 +54,6 @@
     next: Duration,
 }
 
-/// An outcome on its way to the issuer.
-#[derive(Debug)]
-struct Report {
-    digest: [u8; 32],
-    outcome: Outcome,
-    kept: ClaimOutcome,
-    interval: Duration,
-    next: Duration,
-    expires: Duration,
-}
-
 /// Runs calls with tickets that arrive at one host.
 #[derive(Debug)]
 pub struct Runner {
@@ -84,7 +64,7 @@
     /// Runs that wait for a verdict.
     asking: BTreeMap<request::Id, Key>,
     running: BTreeMap<request::Id, Key>,
-    reports: BTreeMap<Ticket, Report>,
+    reports: Reports,
     /// Runs that must not be dispatched any more.
     abandoned: BTreeMap<request::Id, Key>,
     abandoned_order: VecDeque<request::Id>,
@@ -101,7 +81,7 @@
             callers: BTreeMap::new(),
             asking: BTreeMap::new(),
             running: BTreeMap::new(),
-            reports: BTreeMap::new(),
+            reports: Reports::default(),
             abandoned: BTreeMap::new(),
             abandoned_order: VecDeque::new(),
             timers: BTreeSet::new(),
@@ -110,7 +90,8 @@
 
     /// Returns the time at which [`RunnerEvent::Tick`] is due.
     pub fn wake_at(&self) -> Option<Duration> {
-        self.timers.first().map(|(at, _)| *at)
+        let calls = self.timers.first().map(|(at, _)| *at);
+        calls.into_iter().chain(self.reports.wake_at()).min()
     }
 
     /// Returns the number of dispatched runs that have not ended.
@@ -128,7 +109,7 @@
                 self.reply(now, &ticket, request, verdict, actions);
             }
             RunnerEvent::Acked { from, ticket } => {
-                self.reports.remove(&Ticket { holder: from, number: ticket });
+                self.reports.acked(&Ticket { holder: from, number: ticket });
             }
             RunnerEvent::Unreachable(holder) => self.unreachable(&holder, actions),
             RunnerEvent::Recovered(holder, recovered) => {
@@ -140,9 +121,7 @@
     }
 
     fn call(&mut self, now: Duration, call: Call, actions: &mut Vec<RunnerAction>) {
-        if let Some(report) = self.reports.get(&call.ticket) {
-            let same = report.digest == call.digest;
-            let outcome = if same { report.outcome.clone() } else { Outcome::Mismatch };
+        if let Some(outcome) = self.reports.outcome(&call.ticket, &call.digest) {
             actions.push(RunnerAction::Reply(call.caller, outcome));
             return;
         }
@@ -261,7 +240,8 @@
         let Some(key) = self.abandoned.remove(&run) else { return false };
         if key.ticket == *ticket {
             self.finish(&key, &Outcome::NotRun, actions);
-            self.report(now, key, Outcome::NotRun, ClaimOutcome::NotRun, actions);
+            let Key { ticket, digest } = key;
+            self.reports.push(now, ticket, digest, Outcome::NotRun, ClaimOutcome::NotRun, actions);
         }
         true
     }
@@ -285,7 +265,7 @@
         let Some(key) = self.running.remove(&run) else { return };
         let (outcome, kept) = outcomes(transport);
         self.finish(&key, &outcome, actions);
-        self.report(now, key, outcome, kept, actions);
+        self.reports.push(now, key.ticket, key.digest, outcome, kept, actions);
     }
 
     /// Gives all callers of a call its outcome and forgets the call.
@@ -302,27 +282,6 @@
         }
     }
 
-    fn report(
-        &mut self,
-        now: Duration,
-        key: Key,
-        outcome: Outcome,
-        kept: ClaimOutcome,
-        actions: &mut Vec<RunnerAction>,
-    ) {
-        let report = Report {
-            digest: key.digest,
-            outcome,
-            kept,
-            interval: REPORT_INTERVAL,
-            next: now + REPORT_INTERVAL,
-            expires: now + REPORT_LIFETIME,
-        };
-        send_report(&key.ticket, &report, actions);
-        self.reports.insert(key.ticket.clone(), report);
-        self.timers.insert((now + REPORT_INTERVAL, key));
-    }
-
     fn unreachable(&mut self, holder: &Holder, actions: &mut Vec<RunnerAction>) {
         for key in self.undispatched(holder) {
             self.give_up(&key, actions);
@@ -379,8 +338,8 @@
         {
             let Some((at, key)) = self.timers.pop_first() else { return };
             self.retry_call(now, at, &key, actions);
-            self.retry_report(now, at, &key, actions);
         }
+        self.reports.tick(now, actions);
     }
 
     fn retry_call(
@@ -402,32 +361,6 @@
             Phase::Asking { .. } | Phase::Recovering { .. } => self.ask(now, key, actions),
         }
     }
-
-    fn retry_report(
-        &mut self,
-        now: Duration,
-        at: Duration,
-        key: &Key,
-        actions: &mut Vec<RunnerAction>,
-    ) {
-        let Some(report) = self.reports.get_mut(&key.ticket) else { return };
-        if report.next != at {
-            return;
-        }
-        if now >= report.expires {
-            self.reports.remove(&key.ticket);
-            return;
-        }
-        report.interval = (report.interval * 2).min(REPORT_INTERVAL_MAX);
-        report.next = now + report.interval;
-        send_report(&key.ticket, report, actions);
-        self.timers.insert((report.next, key.clone()));
-    }
-}
-
-fn send_report(ticket: &Ticket, report: &Report, actions: &mut Vec<RunnerAction>) {
-    let message = Message::ClaimOutcome { ticket: ticket.number, outcome: report.kept.clone() };
-    actions.push(RunnerAction::Send(ticket.holder.clone(), message));
 }
 
 /// Returns the caller's outcome, and the one that the issuer keeps.
