Have the daemon read an engine's cache events anew after a gap or a restart

Cause: the host dropped the router's Resync, and it told the router the router's own cursor, not the one that the watch service had read with. A gap was so neither told nor mended, and an engine whose numbers began anew was never read again until it had passed the old cursor.

Event::Cache now carries the number after which the events were asked for, and Action::Reread sets the watch service's cursor back. A reader that was under way does not undo that. Cursors of back ends that are no longer read or have moved are forgotten. Reports are read up to 1 MiB.

The index dropped every event after a gap until the full read. Full reads are now at most one every 30 s for each engine, since an engine that loses events for good would otherwise be read in full (up to 4,096 events) twice a second; so later events are taken as hints in the meantime. The table of gaps says so: "gap before" expected the events past the gap to be left out, and now expects both to be kept, still not applied and still to be read after 0.

The stand-in's `next` repeated the asked number where it had nothing newer, so that a restart could not be told; it now is the last number shown. It can leave events out of answers on command.

Seen failing without the guard: action dropped: both whole-host tests and both process cases ("waited in vain"); the index's cursor in place of the one used: the whole-host table ("read in full"); no check for a restart: the whole-host table, the index's table and the process case of the restart; no pause: 240 full reads in place of 4 in 120 s.

Not seen: a restarted engine that passes the old cursor before the next read.

--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -327,7 +327,9 @@
             Event::Left { caller } => self.left(caller),
             Event::Backend { run, report } => self.report(run, report),
             Event::Load { backend, load } => self.load(backend, load),
-            Event::Cache { backend, changes, next } => self.cache(backend, &changes, next),
+            Event::Cache { backend, after, changes, next } => {
+                self.cache(backend, after, &changes, next);
+            }
             Event::Table { operation, outcome } => self.table_done(operation, outcome),
             Event::Hosts(listed) => self.hosts_listed(listed),
             Event::Message { from, address, message } => self.message(from, address, message),
--- a/crates/coordination/src/host/action.rs
+++ b/crates/coordination/src/host/action.rs
@@ -65,6 +65,11 @@
         /// Names and base addresses.
         backends: Vec<(Arc<str>, Arc<str>)>,
     },
+    /// Has all cache changes of a back end read again, after number 0.
+    Reread {
+        /// Back end.
+        backend: Arc<str>,
+    },
     /// Asks the weight store for a model; answered by [`order::Event::Weights`](crate::order::Event::Weights).
     Weights {
         /// Back end that is to load it.
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -54,9 +54,11 @@
     Cache {
         /// Back end.
         backend: Arc<str>,
+        /// Number after which they were asked for.
+        after: u64,
         /// Changes by number.
         changes: Vec<CacheChange>,
-        /// Number up to which the back end has reported.
+        /// Number up to which the back end has reported; below `after` where it has restarted.
         next: u64,
     },
     /// An operation of the table ended.
--- a/crates/coordination/src/host/placement.rs
+++ b/crates/coordination/src/host/placement.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Host,
+    action::Action,
     event::{CacheChange, Load},
 };
 use crate::{
@@ -47,7 +48,9 @@
                 AdmissionAction::Refuse { waiter, retry_after, .. } => {
                     self.not_placed(waiter, retry_after);
                 }
-                AdmissionAction::Router(route::RouterAction::Resync(_)) => {}
+                AdmissionAction::Router(route::RouterAction::Resync(backend)) => {
+                    self.out.push(Action::Reread { backend });
+                }
                 AdmissionAction::Router(route::RouterAction::Watch) => self.watch(),
             }
         }
@@ -101,13 +104,18 @@
         self.router_event(RouterEvent::Settle);
     }
 
-    pub(super) fn cache(&mut self, backend: Arc<str>, changes: &[CacheChange], next: u64) {
+    pub(super) fn cache(
+        &mut self,
+        backend: Arc<str>,
+        after: u64,
+        changes: &[CacheChange],
+        next: u64,
+    ) {
         let events = changes.iter().filter_map(|change| {
             let key = prefix::Key::parse(&change.model, &change.prefix)?;
             Some(prefix::Event { seq: change.number, key, cached: change.cached })
         });
         let events = events.collect();
-        let after = self.admission.router().cache_after(&backend);
         self.router_event(RouterEvent::Cache { backend, after, events, next });
     }
 }
--- a/crates/coordination/src/prefix.rs
+++ b/crates/coordination/src/prefix.rs
@@ -80,7 +80,7 @@
 struct Cache {
     /// Number of the last event seen.
     seq: u64,
-    /// A full read was asked for.
+    /// Events are missing since the last full read.
     resyncing: bool,
     /// Entries in the order in which they came, evicted ones included.
     order: VecDeque<Key>,
@@ -103,34 +103,35 @@
         }
     }
 
+    /// Returns whether events of a back end are missing and all are to be read again.
+    pub fn resyncing(&self, backend: &str) -> bool {
+        self.caches.get(backend).is_some_and(|cache| cache.resyncing)
+    }
+
     /// Takes the events that a back end published after a number. Returns false where some are
-    /// missing, and all are to be read again.
+    /// missing, and all are to be read again; until then later ones are taken all the same.
     pub fn apply(&mut self, backend: &Arc<str>, after: u64, events: &[Event], next: u64) -> bool {
-        if after == 0 {
-            self.forget(backend);
-        }
-        let cache = self.caches.entry(backend.clone()).or_default();
         let full = after == 0;
-        if cache.resyncing && !full {
-            return false;
+        let restarted = next < after;
+        let mut missing = restarted || (!full && self.resyncing(backend));
+        if full || restarted {
+            self.forget(backend);
         }
-        cache.resyncing = false;
+        self.caches.entry(backend.clone()).or_default();
         for event in events {
-            if event.seq <= self.seq(backend) && !full {
+            let seen = self.seq(backend);
+            if event.seq <= seen && !full {
                 continue;
             }
-            if event.seq != self.seq(backend) + 1 && !full {
-                return self.resync(backend);
-            }
+            missing |= event.seq != seen + 1 && !full;
             self.change(backend, event);
         }
-        if next > self.seq(backend) && !full {
-            return self.resync(backend);
-        }
+        missing |= next > self.seq(backend) && !full;
         if let Some(cache) = self.caches.get_mut(backend) {
             cache.seq = cache.seq.max(next);
+            cache.resyncing = missing;
         }
-        true
+        !missing
     }
 
     /// Notes that a back end is about to compute a prompt, ahead of its own events.
@@ -172,13 +173,6 @@
         self.caches.get(backend).map_or(0, |cache| cache.seq)
     }
 
-    fn resync(&mut self, backend: &Arc<str>) -> bool {
-        if let Some(cache) = self.caches.get_mut(backend) {
-            cache.resyncing = true;
-        }
-        false
-    }
-
     fn change(&mut self, backend: &Arc<str>, event: &Event) {
         if let Some(cache) = self.caches.get_mut(backend) {
             cache.seq = cache.seq.max(event.seq);
--- a/crates/coordination/src/route.rs
+++ b/crates/coordination/src/route.rs
@@ -5,6 +5,7 @@
 //! prefers a back end that is likely to hold the prompt's prefix, the own zone first.
 
 mod backend;
+mod resync;
 mod router;
 pub mod subset;
 
@@ -140,7 +141,7 @@
         after: u64,
         /// Events.
         events: Vec<prefix::Event>,
-        /// Number of the last event that the back end has.
+        /// Number of the last event that the back end has; below `after` where it has restarted.
         next: u64,
     },
     /// The hosts among which the reading of back ends is divided have changed. Without this event a
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -12,6 +12,7 @@
 use super::{
     Choice, Query, RouterAction, RouterEvent, Setting,
     backend::{Backend, Hosts},
+    resync::Pace,
     subset::{self, Ranking, Readers},
 };
 use crate::{
@@ -78,6 +79,7 @@
     pools: BTreeMap<Arc<str>, Pool>,
     routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     prefixes: prefix::Index,
+    resyncs: Pace,
     hosts: Hosts,
     /// Hosts among which the reading of back ends is divided; `None` where this host reads all.
     ranking: Option<Ranking>,
@@ -102,6 +104,7 @@
             pools: BTreeMap::new(),
             routes_of: BTreeMap::new(),
             prefixes: prefix::Index::default(),
+            resyncs: Pace::default(),
             hosts: Hosts { count: 1, index: 0 },
             ranking: None,
             dirty: false,
@@ -156,11 +159,13 @@
                 }
             }
             RouterEvent::Cache { backend, after, events, next } => {
-                if !self.prefixes.apply(&backend, after, &events, next) {
-                    actions.push(RouterAction::Resync(backend));
+                if self.backends.contains_key(&backend) {
+                    self.prefixes.apply(&backend, after, &events, next);
+                    self.resync(now, &backend, actions);
                 }
             }
             RouterEvent::Load(name, load) => {
+                self.resync(now, &name, actions);
                 if let Some(backend) = self.backends.get_mut(&name)
                     && backend.read
                 {
@@ -214,6 +219,13 @@
         choice
     }
 
+    /// Asks for all cache events of a back end where some are missing and the pause is over.
+    fn resync(&mut self, now: Duration, name: &Arc<str>, actions: &mut Vec<RouterAction>) {
+        if self.reads(name) && self.prefixes.resyncing(name) && self.resyncs.allow(now, name) {
+            actions.push(RouterAction::Resync(name.clone()));
+        }
+    }
+
     fn with(&mut self, name: &str, change: impl FnOnce(&mut Backend, &mut StdRng)) {
         if let Some(backend) = self.backends.get_mut(name) {
             change(backend, &mut self.rng);
@@ -466,6 +478,7 @@
         self.reads_changed = true;
         self.backends.remove(name);
         self.prefixes.forget(name);
+        self.resyncs.forget(name);
         self.place(name);
     }
 
--- a/crates/coordination/tests/answers_route.rs
+++ b/crates/coordination/tests/answers_route.rs
@@ -345,10 +345,10 @@
         Case {
             name: "gap before",
             after: 2,
-            events: vec![event(4, true)],
-            next: 4,
+            events: vec![event(4, true), event(5, true)],
+            next: 5,
             applied: false,
-            entries: 2,
+            entries: 4,
             read_after: 0,
         },
         Case {
@@ -360,6 +360,24 @@
             entries: 3,
             read_after: 0,
         },
+        Case {
+            name: "engine restarted, nothing yet",
+            after: 2,
+            events: vec![],
+            next: 0,
+            applied: false,
+            entries: 0,
+            read_after: 0,
+        },
+        Case {
+            name: "engine restarted, some events",
+            after: 2,
+            events: vec![],
+            next: 1,
+            applied: false,
+            entries: 0,
+            read_after: 0,
+        },
         Case {
             name: "full read with gaps",
             after: 0,
@@ -388,6 +406,26 @@
     assert_eq!(actions, [RouterAction::Resync(backend)]);
 }
 
+#[test]
+fn events_after_a_gap_stay_hints_until_the_full_read() {
+    let event = |seq| prefix::Event { seq, key: prefix::Key::new("m", seq), cached: true };
+    let mut index = prefix::Index::default();
+    let name: Arc<str> = Arc::from("a1");
+    let steps: &[(u64, &[u64], u64, bool, usize)] = &[
+        (0, &[1, 2], 2, true, 2),
+        (2, &[5], 5, false, 3),
+        (5, &[6], 6, false, 4),
+        (0, &[1, 2, 3, 4, 5, 6], 6, true, 6),
+        (5, &[6], 6, true, 6),
+        (6, &[7], 7, true, 7),
+    ];
+    for &(after, events, next, applied, entries) in steps {
+        let events: Vec<_> = events.iter().map(|&seq| event(seq)).collect();
+        assert_eq!(index.apply(&name, after, &events, next), applied, "after {after} to {next}");
+        assert_eq!(index.len(), entries, "after {after} to {next}");
+    }
+}
+
 #[test]
 fn retry_budget_bounds_retries_to_a_share() {
     let setting = retry::Setting::default();
--- a/crates/coordination/tests/answers_subset.rs
+++ b/crates/coordination/tests/answers_subset.rs
@@ -1,5 +1,8 @@
 //! Tests of the back ends that a host reads and sends to first.
 
+#[path = "common/alone.rs"]
+mod alone;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -7,7 +10,7 @@
 };
 
 use coordination::{
-    host::{Host, Settings, action::Action, event::Event},
+    host::{Host, action::Action, event::Event},
     message::{Heartbeat, Member, Message, State},
     prefix,
     record::{Backend, Model, Role, Route, empty},
@@ -352,18 +355,7 @@
 fn host_names_only_its_part_once_it_knows_others() {
     let fleet = Fleet { hosts: 40, backends: 800, zones: 4 };
     let own = host(0, 4);
-    let mut alone = Host::open(Settings {
-        host: own.host.clone(),
-        zone: own.zone.clone(),
-        incarnation: 1,
-        address: "127.0.0.1:1".into(),
-        seeds: Vec::new(),
-        secret: vec![1; 32],
-        key: [1; 32],
-        seed: 1,
-        max_requests: 10,
-        drain: NOW,
-    });
+    let mut alone = alone::open(&own.host, &own.zone);
     let rows = rows(&fleet.backends());
     assert_eq!(step(&mut alone, NOW, Event::Tick, &rows), Some(800), "no other host is known");
     let members = fleet.hosts().into_iter().enumerate().skip(1).map(|(number, entry)| Member {
--- /dev/null
+++ b/crates/coordination/tests/common/alone.rs
@@ -0,0 +1,21 @@
+//! A host by itself.
+
+use std::{sync::Arc, time::Duration};
+
+use coordination::host::{Host, Settings};
+
+/// Opens the host that a test drives alone.
+pub fn open(host: &Arc<str>, zone: &Arc<str>) -> Host {
+    Host::open(Settings {
+        host: host.clone(),
+        zone: zone.clone(),
+        incarnation: 1,
+        address: "127.0.0.1:1".into(),
+        seeds: Vec::new(),
+        secret: vec![1; 32],
+        key: [1; 32],
+        seed: 1,
+        max_requests: 10,
+        drain: Duration::from_secs(1),
+    })
+}
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -464,6 +464,7 @@
             Action::Fail { caller, problem, .. } => self.failed(caller, problem),
             Action::Exchange(exchange) => self.exchange(index, exchange),
             Action::Watch { backends } => self.hosts[index].watched = backends,
+            Action::Reread { .. } => {}
             Action::Table { operation, op } => self.send_operation(index, operation, op),
             Action::Send { address, message } | Action::Datagram { address, message } => {
                 self.send(index, &address, &message);
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -113,7 +113,7 @@
 struct Ports {
     backend: Sender<Exchange>,
     table: Sender<table::Job>,
-    watch: Sender<watch::Backends>,
+    watch: Sender<watch::Job>,
 }
 
 /// What a driver is made of, besides its host.
@@ -298,7 +298,12 @@
                 // The service's end is reported by the kernel.
                 let _ = self.ports.backend.send(exchange);
             }
-            Action::Watch { backends } => drop(self.ports.watch.send(backends)),
+            Action::Watch { backends } => {
+                drop(self.ports.watch.send(watch::Job::Watch(backends)));
+            }
+            Action::Reread { backend } => {
+                drop(self.ports.watch.send(watch::Job::Reread(backend)));
+            }
             Action::Table { operation, op } => {
                 drop(self.ports.table.send(table::Job::Run { operation, op }));
             }
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -2,9 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    io::Read as _,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use coordination::host::event::{CacheChange, Event, Load};
@@ -26,9 +27,21 @@
 /// Longest wait for a report.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Greatest size of a report.
+const MAX_REPORT_BYTES: u64 = 1024 * 1024;
+
 /// Names and base addresses of the back ends to read.
 pub type Backends = Vec<(Arc<str>, Arc<str>)>;
 
+/// A job for this service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Job {
+    /// Reads these back ends from now on.
+    Watch(Backends),
+    /// Reads all cache changes of a back end with its next report.
+    Reread(Arc<str>),
+}
+
 #[derive(Debug, Deserialize)]
 struct LoadReport {
     queued: u32,
@@ -58,16 +71,12 @@
 
 type Cursors = Arc<Mutex<BTreeMap<Arc<str>, u64>>>;
 
-/// Reads the back ends last named on `backends` until that channel closes.
+/// Reads the back ends last named on `jobs` until that channel closes.
 ///
 /// # Errors
 ///
 /// Returns an error if a thread can't be started.
-pub fn run(
-    backends: &Receiver<Backends>,
-    core: &Sender<Inbound>,
-    interval: Duration,
-) -> eyre::Result<()> {
+pub fn run(jobs: &Receiver<Job>, core: &Sender<Inbound>, interval: Duration) -> eyre::Result<()> {
     let (queue, work) = bounded::<(Arc<str>, Arc<str>)>(WORKERS);
     let cursors = Cursors::default();
     for _ in 0..WORKERS {
@@ -79,9 +88,17 @@
         })?;
     }
     let mut current = Backends::new();
+    let mut due = Instant::now();
     loop {
-        match backends.recv_timeout(interval) {
-            Ok(changed) => current = changed,
+        match jobs.recv_deadline(due) {
+            Ok(Job::Watch(changed)) => {
+                forget(&cursors, &current, &changed);
+                current = changed;
+            }
+            Ok(Job::Reread(backend)) => {
+                lock(&cursors).remove(&backend);
+                continue;
+            }
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return Ok(()),
         }
@@ -90,6 +107,18 @@
                 return Ok(());
             }
         }
+        due = Instant::now() + interval;
+    }
+}
+
+/// Forgets how far back ends were read that are no longer read, or have moved.
+fn forget(cursors: &Cursors, current: &Backends, changed: &Backends) {
+    let changed: BTreeMap<_, _> = changed.iter().map(|(name, address)| (name, address)).collect();
+    let mut cursors = lock(cursors);
+    for (name, address) in current {
+        if changed.get(name) != Some(&address) {
+            cursors.remove(name);
+        }
     }
 }
 
@@ -115,8 +144,8 @@
     let Some(report) = get::<CacheReport>(&format!("{address}/cache?after={after}")) else {
         return;
     };
-    lock(cursors).insert(name.clone(), report.next);
-    if report.events.is_empty() {
+    advance(cursors, name, after, report.next);
+    if report.events.is_empty() && report.next == after {
         return;
     }
     let changes = report.events.into_iter().map(|event| CacheChange {
@@ -125,12 +154,24 @@
         prefix: event.prefix,
         cached: event.cached,
     });
-    let event =
-        Event::Cache { backend: name.clone(), changes: changes.collect(), next: report.next };
+    let event = Event::Cache {
+        backend: name.clone(),
+        after,
+        changes: changes.collect(),
+        next: report.next,
+    };
     let _ = core.send(Inbound::Event(event));
 }
 
-fn lock(cursors: &Cursors) -> std::sync::MutexGuard<'_, BTreeMap<Arc<str>, u64>> {
+/// Moves the cursor on, unless it was set back or moved by another reader meanwhile.
+fn advance(cursors: &Cursors, name: &Arc<str>, after: u64, next: u64) {
+    let mut cursors = lock(cursors);
+    if cursors.get(name).copied().unwrap_or(0) == after {
+        cursors.insert(name.clone(), next);
+    }
+}
+
+fn lock(cursors: &Cursors) -> MutexGuard<'_, BTreeMap<Arc<str>, u64>> {
     cursors.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -140,6 +181,7 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    let body = response.into_body().to_vec().ok()?;
+    let mut body = Vec::new();
+    response.into_body().take(MAX_REPORT_BYTES).read_to_end(&mut body).ok()?;
     serde_json::from_slice(&body).ok()
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -115,6 +115,13 @@
     after: u64,
 }
 
+/// Number of cache events that answers leave out.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Lose {
+    events: usize,
+}
+
 #[derive(Debug)]
 struct Engine {
     start: Instant,
@@ -318,6 +325,10 @@
                 let hold: Hold = call.json()?;
                 state.batch.hold(Some(hold.after), Instant::now());
             }
+            ("POST", ["control", "cache"]) => {
+                let lose: Lose = call.json()?;
+                state.cache.lose(lose.events);
+            }
             ("POST", ["control", "release"]) => state.batch.hold(None, Instant::now()),
             ("GET", ["control", "counts"]) => return Ok(ok(state.batch.counts())),
             ("GET", ["control", "orders"]) => return Ok(ok(state.models.applied())),
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -47,6 +47,8 @@
     use_number: u64,
     seq: u64,
     events: VecDeque<(Instant, Event)>,
+    /// Events that answers still leave out, but for those that begin at the first event.
+    lose: usize,
 }
 
 impl Cache {
@@ -60,6 +62,7 @@
             use_number: 0,
             seq: 0,
             events: VecDeque::new(),
+            lose: 0,
         }
     }
 
@@ -79,12 +82,23 @@
         missing
     }
 
+    /// Leaves the next events out of answers, but for those that begin at the first event.
+    pub(super) fn lose(&mut self, events: usize) {
+        self.lose = events;
+    }
+
     /// Returns the events after number `after` that are old enough to show.
-    pub(super) fn events(&self, after: u64, now: Instant) -> Events {
+    pub(super) fn events(&mut self, after: u64, now: Instant) -> Events {
         let shown = self.events.iter().take_while(|(at, _)| *at + self.lag <= now);
-        let events: Vec<Event> =
-            shown.map(|(_, event)| event).filter(|event| event.seq > after).cloned().collect();
-        let next = events.last().map_or(after, |event| event.seq);
+        let shown: Vec<&Event> = shown.map(|(_, event)| event).collect();
+        let next = shown.last().map_or(0, |event| event.seq);
+        let mut events: Vec<Event> =
+            shown.into_iter().filter(|event| event.seq > after).cloned().collect();
+        if after > 0 {
+            let lost = self.lose.min(events.len());
+            self.lose -= lost;
+            events.drain(..lost);
+        }
         Events { events, next }
     }
 
--- a/crates/standin/tests/contract/engine.rs
+++ b/crates/standin/tests/contract/engine.rs
@@ -170,9 +170,11 @@
     json!({"seq": seq, "prefix": hash, "model": "m", "cached": cached})
 }
 
+#[derive(Clone)]
 struct Events {
     blocks: usize,
     gap: u64,
+    lose: usize,
     lag: Duration,
     after: u64,
     events: Vec<Value>,
@@ -180,24 +182,32 @@
 }
 
 /// Cases for the prompts `ab` and `ac` and the rest of a block, one after the other.
-fn cache_cases() -> [Events; 5] {
+fn cache_cases() -> [Events; 9] {
     let all = [event(1, "ab", true), event(2, "a", true), event(3, "ac", true)];
     let no_lag = Duration::ZERO;
+    let none =
+        Events { blocks: 9, gap: 0, lose: 0, lag: no_lag, after: 0, events: vec![], next: 3 };
     [
-        Events { blocks: 9, gap: 0, lag: no_lag, after: 0, events: all.to_vec(), next: 3 },
-        Events { blocks: 9, gap: 0, lag: no_lag, after: 2, events: all[2..].to_vec(), next: 3 },
+        Events { events: all.to_vec(), ..none.clone() },
+        Events { after: 2, events: all[2..].to_vec(), ..none.clone() },
+        Events { lose: 1, after: 1, events: all[2..].to_vec(), ..none.clone() },
+        Events { lose: 9, after: 1, ..none.clone() },
+        Events { lose: 9, events: all.to_vec(), ..none.clone() },
+        Events { after: 7, ..none.clone() },
         Events {
             blocks: 9,
             gap: 2,
+            lose: 0,
             lag: no_lag,
             after: 0,
             events: vec![all[0].clone(), all[2].clone()],
             next: 3,
         },
-        Events { blocks: 9, gap: 0, lag: PATIENT * 99, after: 0, events: vec![], next: 0 },
+        Events { lag: PATIENT * 99, next: 0, ..none },
         Events {
             blocks: 2,
             gap: 0,
+            lose: 0,
             lag: no_lag,
             after: 2,
             events: vec![all[2].clone(), event(4, "ab", false)],
@@ -208,15 +218,17 @@
 
 #[test]
 fn cache_events_come_late_and_with_gaps() {
-    for Events { blocks, gap, lag, after, events, next } in cache_cases() {
+    for Events { blocks, gap, lose, lag, after, events, next } in cache_cases() {
         let engine = engine(|settings| {
             (settings.cache_blocks, settings.cache_gap, settings.cache_lag) = (blocks, gap, lag);
         });
         for letters in ["ab", "ac"] {
             stream(engine.address, letters, json!({"prompt": prompt(letters) + "rest"}));
         }
+        control::post(engine.address, "/control/cache", &json!({"events": lose})).unwrap();
         let answer = control::get(engine.address, &format!("/cache?after={after}")).unwrap();
-        assert_eq!(answer, json!({"events": events, "next": next}), "{blocks} {gap} {lag:?}");
+        let case = format!("{blocks} {gap} {lose} {lag:?} {after}");
+        assert_eq!(answer, json!({"events": events, "next": next}), "{case}");
     }
 }
 
