Measure prefix-cache hits through whole processes

The share of hits was known only for the router's decision, in a queue model.

Engines beside those of the fleet get a module that the tests share.

--- a/crates/daemon/tests/resync.rs
+++ b/crates/daemon/tests/resync.rs
@@ -2,15 +2,12 @@
 
 #[allow(dead_code)]
 mod fleet;
+#[path = "fleet/side.rs"]
+mod side;
 
 use std::{net::SocketAddr, thread, time::Duration};
 
-use coordination::record::{Model, empty};
 use fleet::{Fleet, Plan};
-use oxhttp::{
-    Client,
-    model::{Body, Method, Request},
-};
 use serde_json::json;
 use standin::{control, engine, http};
 use test_case::test_case;
@@ -27,19 +24,13 @@
 const BLOCKS: usize = 4;
 
 fn spawn(name: &str, zone: &str, listen: SocketAddr) -> http::Handle {
-    let model = Model { name: "assess".into(), adapter: empty(), version: empty() };
-    let handle = engine::spawn(engine::Settings {
+    side::spawn(engine::Settings {
         listen,
         name: name.into(),
         zone: zone.into(),
-        models: vec![model],
-        token_time: Duration::ZERO,
-        first_time: Duration::ZERO,
-        cache_lag: Duration::ZERO,
         cache_gap: 0,
         ..engine::Settings::default()
-    });
-    handle.expect("engine")
+    })
 }
 
 /// Returns a prompt that shares no block with any other.
@@ -50,17 +41,7 @@
 /// Sends prompts to an engine past the host.
 fn fill(engine: SocketAddr, set: &str, count: usize) {
     for number in 0..count {
-        let ask = json!({
-            "attempt": 1, "model": "assess", "prompt": prompt(set, number), "max_tokens": 1,
-            "priority": "normal",
-        });
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{engine}/streams/{set}-{number}"))
-            .body(Body::from(ask.to_string()))
-            .expect("request");
-        let answer = Client::new().request(request).expect("answer");
-        answer.into_body().to_vec().expect("whole answer");
+        side::stream(engine, &format!("{set}-{number}"), &prompt(set, number));
     }
 }
 
@@ -78,7 +59,7 @@
         let Some(number) = numbers.next() else { return false };
         let before = started(engine);
         let body = json!({"prompt": prompt(set, number), "max_tokens": 1});
-        let reply = fleet.caller("host-a").call("far", None, &body, |_| {}).expect("reply");
+        let reply = fleet.caller("host-a").call("side", None, &body, |_| {}).expect("reply");
         assert!(reply.whole(), "{reply:?}");
         started(engine) > before
     });
@@ -91,23 +72,10 @@
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let near = spawn("engine-near", "a", any);
     let mut far = spawn("engine-far", "b", any);
-    for (name, zone, url) in [("engine-near", "a", near.url()), ("engine-far", "b", far.url())] {
-        fleet.put(&json!({
-            "kind": "backend", "version": 2, "name": name, "zone": zone, "role": "engine",
-            "address": url, "models": [{"name": "assess"}], "slots": 8, "fencing": true,
-        }));
-    }
-    fleet.put(&json!({
-        "kind": "route", "version": 2, "name": "far", "class": "normal", "idempotent": true,
-        "backends": ["engine-near", "engine-far"], "model": {"name": "assess"},
-        "max_tokens": 10, "timeout_ms": 60_000,
-    }));
+    side::record(&fleet, "engine-near", "a", &near);
+    side::record(&fleet, "engine-far", "b", &far);
+    side::route(&fleet, &["engine-near", "engine-far"]);
     let address = far.address;
-    fleet.wait("the host reads the route", || {
-        let body = json!({"prompt": "x", "max_tokens": 1});
-        let reply = fleet.caller("host-a").call("far", None, &body, |_| {});
-        reply.is_ok_and(|reply| reply.whole())
-    });
     fill(address, "first", FIRST);
     wait_learnt(&fleet, address, "first", FIRST);
     match restart {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -331,6 +331,7 @@
             }
             ("POST", ["control", "release"]) => state.batch.hold(None, Instant::now()),
             ("GET", ["control", "counts"]) => return Ok(ok(state.batch.counts())),
+            ("GET", ["control", "cache"]) => return Ok(ok(state.cache.counts())),
             ("GET", ["control", "orders"]) => return Ok(ok(state.models.applied())),
             _ => return Err(Answer::not_found()),
         }
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -36,6 +36,13 @@
     next: u64,
 }
 
+/// Prompt blocks since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Counts {
+    blocks: usize,
+    cached_blocks: usize,
+}
+
 /// Cache that evicts the block used longest ago.
 #[derive(Debug)]
 pub(super) struct Cache {
@@ -49,6 +56,7 @@
     events: VecDeque<(Instant, Event)>,
     /// Events that answers still leave out, but for those that begin at the first event.
     lose: usize,
+    counts: Counts,
 }
 
 impl Cache {
@@ -63,6 +71,7 @@
             seq: 0,
             events: VecDeque::new(),
             lose: 0,
+            counts: Counts::default(),
         }
     }
 
@@ -74,6 +83,8 @@
         }
         let keys: Vec<Key> = prefixes.into_iter().map(|prefix| (model.clone(), prefix)).collect();
         let hits = keys.iter().take_while(|key| self.blocks.contains_key(*key)).count();
+        self.counts.blocks += keys.len();
+        self.counts.cached_blocks += hits;
         let missing = (keys.len() - hits) as f64 / keys.len() as f64;
         // The last block is touched first, so that it is evicted before the ones it builds on.
         for key in keys.into_iter().rev() {
@@ -82,6 +93,10 @@
         missing
     }
 
+    pub(super) fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     /// Leaves the next events out of answers, but for those that begin at the first event.
     pub(super) fn lose(&mut self, events: usize) {
         self.lose = events;
