Move long streams away from engines that leave, with the engine's cache

Cause: a leaving engine stayed in use until its longest answer had ended; GET and PUT /kv of engines were used by nobody.

A stream that hears, with its next token, that its engine leaves seeks another back end with the same version of the model, has the cache copied there, and goes on after the delivered token under the same stream id; the old stream is cancelled. Lines that come during the copy are kept back: those that the copy holds are delivered, later ones dropped, since the new engine may make other tokens there. The new engine counts the whole stream, so the charge and the reservation stay as they are. On any failure the stream stays, or continues from the prefix as after a death. Copies have at most 16 MiB and 5 s, eight streams of a host move at once, and 512 tokens (64 where the platform's list takes the engine away) must still be possible.

Answers to questions about a stream are now told apart by the engine's address: a moved stream has the same id at two engines, and the answer of one could be taken for the other's.

Ruled out: going on from the prefix (computes all anew); reading on during the copy (other tokens); an index of streams by back end (the look at each token needs none).

Seen failing without the guard: lines not kept back; count of the copy not compared; useless copy not dropped; second place not given back (each in the table of answers_move); no look at each token (process case "moves"). The address in answers about streams has no test of its own.

In one run of all process tests at a load of 20 to 30, a_frozen_host_that_was_taken_for_dead_dispatches_nothing_when_it_wakes failed (outcome of the frozen call was not not_run); alone it passed. It uses no stream that moves.

--- a/crates/coordination/src/answer.rs
+++ b/crates/coordination/src/answer.rs
@@ -7,6 +7,7 @@
 mod assembler;
 mod ending;
 mod event;
+mod moving;
 mod stream;
 
 use std::sync::Arc;
--- a/crates/coordination/src/answer/ending.rs
+++ b/crates/coordination/src/answer/ending.rs
@@ -35,6 +35,7 @@
     }
 
     fn stop_with(&mut self, failure: Failure, cx: &mut Context<'_>) {
+        self.drop_move(cx);
         let ran = self.may_have_run();
         if let Phase::Open { attempt, .. } = self.phase {
             cx.push(StreamAction::Close(attempt));
--- a/crates/coordination/src/answer/event.rs
+++ b/crates/coordination/src/answer/event.rs
@@ -122,6 +122,22 @@
         /// Tokens that the engine reports; `None` where it did not answer.
         usage: Option<Usage>,
     },
+    /// The back end in use leaves.
+    Leaving {
+        /// It has little time.
+        hurried: bool,
+    },
+    /// Answers [`StreamAction::Seek`]: the back end to move to, or `None` where there is none.
+    Sought(Option<Arc<str>>),
+    /// Answers [`StreamAction::Copy`].
+    Copied {
+        /// Back end that was to take the copy.
+        to: Arc<str>,
+        /// Stream.
+        stream: request::Id,
+        /// Tokens of the stream that the copy holds; `None` where it failed.
+        tokens: Option<u64>,
+    },
     /// Time passed.
     Tick,
 }
@@ -146,6 +162,25 @@
         /// Stream.
         stream: request::Id,
     },
+    /// Choose a back end to move to, of the same model, and count the request there as well until
+    /// [`StreamAction::Moved`] or [`StreamAction::Stay`].
+    Seek {
+        /// Back ends not to choose.
+        avoid: Vec<Arc<str>>,
+    },
+    /// Copy the cache of a stream from one engine to another.
+    Copy {
+        /// Engine that has it.
+        from: Arc<str>,
+        /// Engine that is to take it.
+        to: Arc<str>,
+        /// Stream.
+        stream: request::Id,
+    },
+    /// The request counts at the back end that was sought, and no longer at the one before.
+    Moved,
+    /// The request no longer counts at the back end that was sought, and none is to be chosen.
+    Stay,
     /// Open a connection for an attempt.
     Open {
         /// Back end.
--- a/crates/coordination/src/answer/stream.rs
+++ b/crates/coordination/src/answer/stream.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Assembler, Attempt, Caller, Failure, Line, Setting, Source, Step, StreamAction, StreamEvent,
-    Usage,
+    Usage, moving::Move,
 };
 use crate::{
     request::{self, Class},
@@ -79,16 +79,16 @@
 /// The engine's stream that is in use.
 #[derive(Debug)]
 pub(super) struct Place {
-    backend: Arc<str>,
-    stream: request::Id,
-    base: u64,
-    attempts: u32,
+    pub(super) backend: Arc<str>,
+    pub(super) stream: request::Id,
+    pub(super) base: u64,
+    pub(super) attempts: u32,
 }
 
 /// One request to a model, shared by all callers with its key on this host.
 #[derive(Debug)]
 pub struct Stream {
-    setting: Setting,
+    pub(super) setting: Setting,
     pub(super) callers: BTreeSet<Caller>,
     empty_since: Option<Duration>,
     pub(super) delivered: Vec<Arc<str>>,
@@ -99,6 +99,8 @@
     /// Some attempt reached an engine that did not refuse it.
     pub(super) ran: bool,
     pub(super) phase: Phase,
+    pub(super) moving: Option<Move>,
+    pub(super) next_move: Duration,
 }
 
 /// Returns the id under which an engine runs a request whose first `base` tokens come from
@@ -132,6 +134,8 @@
             failures: 0,
             ran: false,
             phase: Phase::Choosing,
+            moving: None,
+            next_move: Duration::ZERO,
         }
     }
 
@@ -168,7 +172,8 @@
             Phase::Ended { .. } => return None,
         };
         let leave = self.empty_since.map(|since| since + self.grace());
-        Some(leave.map_or(phase, |leave| leave.min(phase)))
+        let others = leave.into_iter().chain(self.copied_until());
+        Some(others.fold(phase, Duration::min))
     }
 
     /// Takes an event and pushes the actions that follow from it.
@@ -192,7 +197,11 @@
                     self.probed(stands, cx);
                 }
             }
-            StreamEvent::Line(line) => self.line(line, cx),
+            StreamEvent::Line(line) => {
+                if let Some(line) = self.hold(line, cx) {
+                    self.line(line, cx);
+                }
+            }
             StreamEvent::Closed(attempt) => self.closed(attempt, cx),
             StreamEvent::NotSent(attempt) => self.not_sent(attempt, cx),
             StreamEvent::Refused { attempt, retry_after } => {
@@ -203,6 +212,9 @@
                     self.cancelled(usage, cx);
                 }
             }
+            StreamEvent::Leaving { hurried } => self.leaving(hurried, cx),
+            StreamEvent::Sought(to) => self.sought(to, cx),
+            StreamEvent::Copied { to, stream, tokens } => self.copied(&to, stream, tokens, cx),
             StreamEvent::Tick => self.tick(cx),
         }
     }
@@ -261,7 +273,7 @@
         self.place = Some(Place { backend, stream, base, attempts: 0 });
     }
 
-    fn attempt(&mut self, cx: &mut Context<'_>) {
+    pub(super) fn attempt(&mut self, cx: &mut Context<'_>) {
         let Some(place) = &mut self.place else { return };
         place.attempts += 1;
         self.attempt += 1;
@@ -288,7 +300,7 @@
         self.phase = Phase::Pausing { until };
     }
 
-    fn line(&mut self, line: Line, cx: &mut Context<'_>) {
+    pub(super) fn line(&mut self, line: Line, cx: &mut Context<'_>) {
         let Phase::Open { assembler, until, .. } = &mut self.phase else { return };
         match assembler.line(line) {
             Step::Dropped => {}
@@ -342,6 +354,9 @@
     }
 
     fn closed(&mut self, attempt: Attempt, cx: &mut Context<'_>) {
+        if self.is_open(attempt) {
+            self.stay(cx);
+        }
         if self.is_open(attempt) {
             self.broken(cx);
         }
@@ -374,7 +389,7 @@
         self.move_on(cx);
     }
 
-    fn is_at(&self, backend: &str, stream: request::Id) -> bool {
+    pub(super) fn is_at(&self, backend: &str, stream: request::Id) -> bool {
         self.place.as_ref().is_some_and(|p| *p.backend == *backend && p.stream == stream)
     }
 
@@ -384,6 +399,7 @@
 
     /// Takes the failure of an attempt that an engine may have run.
     fn broken(&mut self, cx: &mut Context<'_>) {
+        self.drop_move(cx);
         self.ran = true;
         self.failures += 1;
         self.health(false, cx);
@@ -412,6 +428,7 @@
     }
 
     pub(super) fn vacate(&mut self, cx: &mut Context<'_>) -> Option<Arc<str>> {
+        self.drop_move(cx);
         let place = self.place.take()?;
         cx.push(StreamAction::Vacate(place.backend.clone()));
         Some(place.backend)
@@ -493,6 +510,9 @@
     }
 
     fn timeout(&mut self, cx: &mut Context<'_>) {
+        if self.copied_until().is_some_and(|until| cx.now >= until) {
+            self.stay(cx);
+        }
         match self.phase {
             Phase::Pausing { until } if cx.now >= until => self.choose(cx),
             Phase::Backoff { until } if cx.now >= until => self.probe(cx),
--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -12,6 +12,7 @@
 pub mod intake;
 mod model;
 mod money;
+mod moving;
 mod orders;
 mod placement;
 mod plain;
@@ -182,7 +183,10 @@
     placed: BTreeMap<request::Id, Waiter>,
     next_waiter: Waiter,
     timers: BTreeSet<(Duration, request::Id)>,
-    inquiries: BTreeMap<request::Id, VecDeque<model::Inquiry>>,
+    /// Questions that were asked of an address about a stream.
+    inquiries: BTreeMap<(Arc<str>, request::Id), VecDeque<model::Inquiry>>,
+    /// Requests that move, by the name under which each asks for another back end.
+    moves: BTreeMap<request::Id, request::Id>,
     announced: bool,
     addresses: fleet::Addresses,
     /// The platform's host list as last read.
@@ -247,6 +251,7 @@
             next_waiter: 1,
             timers: BTreeSet::new(),
             inquiries: BTreeMap::new(),
+            moves: BTreeMap::new(),
             announced: false,
             addresses: fleet::Addresses::default(),
             listed: Vec::new(),
@@ -334,7 +339,10 @@
             Event::Hosts(listed) => self.hosts_listed(listed),
             Event::Message { from, address, message } => self.message(from, address, message),
             Event::Unreachable { address } => self.unreachable(&address),
-            Event::Held { stream, held } => self.held(stream, held),
+            Event::Copied { request, stream, to, tokens } => {
+                self.copied(request, stream, to, tokens);
+            }
+            Event::Held { address, stream, held } => self.held(address, stream, held),
             Event::Order(event) => self.order_event(event),
             Event::Tick => self.tick(),
             Event::Drain => self.drain(),
--- a/crates/coordination/src/host/event.rs
+++ b/crates/coordination/src/host/event.rs
@@ -84,8 +84,21 @@
         /// Address of the peer port.
         address: Arc<str>,
     },
+    /// The cache of a stream was copied to another back end, or was not.
+    Copied {
+        /// Request.
+        request: request::Id,
+        /// Stream.
+        stream: request::Id,
+        /// Back end that was to take it.
+        to: Arc<str>,
+        /// Tokens of the stream that the copy holds; `None` where it failed.
+        tokens: Option<u64>,
+    },
     /// A back end was asked what it holds of a stream.
     Held {
+        /// Base address of the back end.
+        address: Arc<str>,
         /// Stream.
         stream: request::Id,
         /// What it holds; `None` where it did not answer.
--- a/crates/coordination/src/host/exchange.rs
+++ b/crates/coordination/src/host/exchange.rs
@@ -51,6 +51,20 @@
         /// Stream.
         stream: request::Id,
     },
+    /// Copies the cache of a stream from one back end to another; answered by
+    /// [`super::event::Event::Copied`].
+    Copy {
+        /// Request.
+        request: request::Id,
+        /// Stream.
+        stream: request::Id,
+        /// Base address of the back end that has it.
+        from: Arc<str>,
+        /// Base address of the back end that is to take it.
+        address: Arc<str>,
+        /// Name of that back end.
+        to: Arc<str>,
+    },
     /// Reads the models and the role of a back end; answered by [`order::Event::State`](crate::order::Event::State).
     ReadState {
         /// Base address of the back end.
--- a/crates/coordination/src/host/model.rs
+++ b/crates/coordination/src/host/model.rs
@@ -20,6 +20,7 @@
     },
     holder, locate,
     message::{Entry, Holder, Message},
+    record::Model,
     request::{self, Class},
     route::{self, Query, RouterEvent},
     ticket,
@@ -65,6 +66,23 @@
     pub(super) fn ended(&self) -> bool {
         self.stream.as_ref().is_some_and(Stream::ended)
     }
+
+    /// Returns what it asks of a back end, and until when it may wait for one.
+    pub(super) fn query(&self, avoid: Vec<Arc<str>>) -> (Query, Duration) {
+        let query = Query {
+            route: self.work.route.clone(),
+            class: self.work.class,
+            starved: false,
+            prefixes: self.prompt.prefixes.clone(),
+            avoid,
+        };
+        (query, self.opened + Duration::from_millis(self.work.timeout_ms))
+    }
+
+    /// Returns the model that it runs with.
+    pub(super) fn model(&self) -> &Model {
+        &self.prompt.model
+    }
 }
 
 impl Host {
@@ -216,6 +234,7 @@
     ) {
         let event = match report {
             Report::Piece { request, attempt, offset, token } => {
+                self.leave_backend(id, backend);
                 line(&request, attempt, Content::Piece { offset, token })
             }
             Report::End { request, attempt: named, tokens, prompt_tokens } => {
@@ -261,7 +280,7 @@
         self.router_event(RouterEvent::Refused(backend.clone(), refusal));
     }
 
-    fn stream_event(&mut self, id: request::Id, event: StreamEvent) {
+    pub(super) fn stream_event(&mut self, id: request::Id, event: StreamEvent) {
         let now = self.now;
         let Some(request) = self.models.get_mut(&id) else { return };
         let Some(stream) = &mut request.stream else { return };
@@ -314,6 +333,10 @@
                 let inquiry = Inquiry::Probe { request: id, backend: backend.clone() };
                 self.inquire(&backend, stream, inquiry);
             }
+            StreamAction::Seek { avoid } => self.seek(id, avoid),
+            StreamAction::Copy { from, to, stream } => self.copy(id, &from, to, stream),
+            StreamAction::Moved => self.moved(id),
+            StreamAction::Stay => self.stay(id),
             StreamAction::Open { backend, attempt, source } => {
                 self.open_attempt(id, backend, attempt, source);
             }
@@ -338,14 +361,7 @@
 
     fn choose(&mut self, id: request::Id, avoid: Vec<Arc<str>>) {
         let Some(request) = self.models.get(&id) else { return };
-        let query = Query {
-            route: request.work.route.clone(),
-            class: request.work.class,
-            starved: false,
-            prefixes: request.prompt.prefixes.clone(),
-            avoid,
-        };
-        let expires = request.opened + Duration::from_millis(request.work.timeout_ms);
+        let (query, expires) = request.query(avoid);
         self.ask_for_backend(id, query, expires);
     }
 
@@ -395,7 +411,7 @@
             return self.answer_inquiry(stream, inquiry, None);
         };
         let address = record.address.clone();
-        self.inquiries.entry(stream).or_default().push_back(inquiry);
+        self.inquiries.entry((address.clone(), stream)).or_default().push_back(inquiry);
         self.exchange(match cancels {
             true => Exchange::Cancel { address, stream },
             false => Exchange::Inquire { address, stream },
@@ -407,11 +423,12 @@
         self.inquire(backend, stream, Inquiry::Recovery);
     }
 
-    pub(super) fn held(&mut self, stream: request::Id, held: Option<Held>) {
-        let Some(queue) = self.inquiries.get_mut(&stream) else { return };
+    pub(super) fn held(&mut self, address: Arc<str>, stream: request::Id, held: Option<Held>) {
+        let key = (address, stream);
+        let Some(queue) = self.inquiries.get_mut(&key) else { return };
         let inquiry = queue.pop_front();
         if queue.is_empty() {
-            self.inquiries.remove(&stream);
+            self.inquiries.remove(&key);
         }
         let Some(inquiry) = inquiry else { return };
         self.answer_inquiry(stream, inquiry, held);
--- a/crates/coordination/src/host/placement.rs
+++ b/crates/coordination/src/host/placement.rs
@@ -67,6 +67,9 @@
             return self.admission_event(AdmissionEvent::Finished(waiter));
         };
         self.placed.insert(id, waiter);
+        if let Some(&request) = self.moves.get(&id) {
+            return self.sought(request, Some(backend));
+        }
         match self.calls.contains_key(&id) {
             true => self.send_call(id, &backend),
             false => self.chosen(id, backend),
@@ -75,6 +78,9 @@
 
     fn not_placed(&mut self, waiter: Waiter, retry_after: Duration) {
         let Some(id) = self.served(waiter) else { return };
+        if let Some(&request) = self.moves.get(&id) {
+            return self.sought(request, None);
+        }
         match self.calls.contains_key(&id) {
             true => self.call_not_placed(id, retry_after),
             false => self.not_chosen(id, retry_after),
--- a/crates/coordination/tests/answers_stream.rs
+++ b/crates/coordination/tests/answers_stream.rs
@@ -322,6 +322,10 @@
                 StreamAction::Release => self.settled.push(None),
                 StreamAction::Vacate(_) => self.vacated += 1,
                 StreamAction::Withdraw | StreamAction::Close(_) | StreamAction::Health { .. } => {}
+                StreamAction::Seek { .. }
+                | StreamAction::Copy { .. }
+                | StreamAction::Moved
+                | StreamAction::Stay => unreachable!("no back end leaves"),
             }
         }
     }
--- a/crates/coordination/tests/host/world.rs
+++ b/crates/coordination/tests/host/world.rs
@@ -110,7 +110,7 @@
     Open { host: usize, run: u64, backend: usize, stream: Stream },
     Step { backend: usize, stream: request::Id },
     Call { host: usize, run: u64, backend: usize, body: Arc<str>, timeout: Duration },
-    Ask { host: usize, backend: usize, stream: request::Id, cancel: bool },
+    Ask { host: usize, address: Arc<str>, stream: request::Id, cancel: bool },
     Try { job: usize, place: Place },
     Patience { job: usize, current: u64, read: u64 },
 }
@@ -337,8 +337,8 @@
             Arrival::Call { host, run, backend, body, timeout } => {
                 self.run_call(host, run, backend, &body, timeout);
             }
-            Arrival::Ask { host, backend, stream, cancel } => {
-                self.ask(host, backend, stream, cancel);
+            Arrival::Ask { host, address, stream, cancel } => {
+                self.ask(host, address, stream, cancel);
             }
             Arrival::Try { job, place } => self.attempt(job, place),
             Arrival::Patience { job, current, read } => self.lose_patience(job, current, read),
@@ -435,8 +435,8 @@
                 self.after(MILLISECOND, Arrival::Call { host: index, run, backend, body, timeout });
             }
             Exchange::Abandon { run } => self.abandon(index, run),
-            Exchange::Cancel { address, stream } => self.inquire(index, &address, stream, true),
-            Exchange::Inquire { address, stream } => self.inquire(index, &address, stream, false),
+            Exchange::Cancel { address, stream } => self.inquire(index, address, stream, true),
+            Exchange::Inquire { address, stream } => self.inquire(index, address, stream, false),
             Exchange::ReadState { backend, number, .. } => {
                 let model = coordination::record::Model {
                     name: "model".into(),
@@ -448,6 +448,10 @@
                 self.after(MILLISECOND, Arrival::Host(index, event));
             }
             Exchange::Order { .. } => {}
+            Exchange::Copy { request, stream, to, .. } => {
+                let event = Event::Copied { request, stream, to, tokens: None };
+                self.after(MILLISECOND, Arrival::Host(index, event));
+            }
         }
     }
 
@@ -629,12 +633,12 @@
         }
     }
 
-    fn inquire(&mut self, host: usize, address: &str, stream: request::Id, cancel: bool) {
-        let backend = backend_index(address);
-        self.after(MILLISECOND, Arrival::Ask { host, backend, stream, cancel });
+    fn inquire(&mut self, host: usize, address: Arc<str>, stream: request::Id, cancel: bool) {
+        self.after(MILLISECOND, Arrival::Ask { host, address, stream, cancel });
     }
 
-    fn ask(&mut self, host: usize, backend: usize, stream: request::Id, cancel: bool) {
+    fn ask(&mut self, host: usize, address: Arc<str>, stream: request::Id, cancel: bool) {
+        let backend = backend_index(&address);
         let (from, to) = (self.hosts[host].zone.clone(), self.backends[backend].zone.clone());
         let (mut held, mut delay) = (Some(Held::Nothing), MILLISECOND);
         let mut readers = Vec::new();
@@ -654,7 +658,7 @@
         for reader in readers {
             self.fail(reader.host, reader.run, MILLISECOND, false);
         }
-        self.after(delay, Arrival::Host(host, Event::Held { stream, held }));
+        self.after(delay, Arrival::Host(host, Event::Held { address, stream, held }));
     }
 
     fn run_call(
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -42,6 +42,9 @@
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024;
 
+/// Largest copy of a stream's cache, in bytes.
+const MAX_COPY_BYTES: u64 = 16 * 1024 * 1024;
+
 /// Longest wait for a connection, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
 
@@ -176,6 +179,10 @@
             }
             Exchange::Cancel { address, stream } => self.ask(Method::DELETE, &address, stream),
             Exchange::Inquire { address, stream } => self.ask(Method::GET, &address, stream),
+            Exchange::Copy { request, stream, from, address, to } => {
+                let tokens = copy(&from, &address, stream);
+                self.send(Event::Copied { request, stream, to, tokens });
+            }
             Exchange::ReadState { address, backend, number } => {
                 let state = read_state(&address);
                 self.send(Event::Order(order::Event::State { backend, number, state }));
@@ -190,7 +197,7 @@
 
     fn ask(&self, method: Method, address: &str, stream: request::Id) {
         let held = held(method, address, stream);
-        self.send(Event::Held { stream, held });
+        self.send(Event::Held { address: address.into(), stream, held });
     }
 
     /// Carries a stream; returns its last report, or `None` once it was abandoned.
@@ -236,8 +243,11 @@
         Exchange::Stream { run, .. }
         | Exchange::Request { run, .. }
         | Exchange::Abandon { run } => Event::Backend { run: *run, report: unsent(cause) },
-        Exchange::Cancel { stream, .. } | Exchange::Inquire { stream, .. } => {
-            Event::Held { stream: *stream, held: None }
+        Exchange::Cancel { address, stream } | Exchange::Inquire { address, stream } => {
+            Event::Held { address: address.clone(), stream: *stream, held: None }
+        }
+        Exchange::Copy { request, stream, to, .. } => {
+            Event::Copied { request: *request, stream: *stream, to: to.clone(), tokens: None }
         }
         Exchange::ReadState { backend, number, .. } => {
             let (backend, number) = (backend.clone(), *number);
@@ -257,6 +267,7 @@
         | Exchange::Abandon { run } => Some(*run),
         Exchange::Cancel { .. }
         | Exchange::Inquire { .. }
+        | Exchange::Copy { .. }
         | Exchange::ReadState { .. }
         | Exchange::Order { .. } => None,
     }
@@ -378,6 +389,30 @@
     Some(Held::Stream(Usage { prompt_tokens, tokens }))
 }
 
+#[derive(Debug, Deserialize)]
+struct Copied {
+    tokens: u64,
+}
+
+/// Copies the cache of a stream; returns the tokens that the copy holds.
+fn copy(from: &str, to: &str, stream: request::Id) -> Option<u64> {
+    let uri = |address: &str| format!("{address}/kv/{stream}");
+    let message = build(Method::GET, &uri(from)).body(Body::empty()).ok()?;
+    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let mut body = Vec::new();
+    let read = response.into_body().take(MAX_COPY_BYTES + 1).read_to_end(&mut body).ok()?;
+    if read as u64 > MAX_COPY_BYTES {
+        return None;
+    }
+    let Copied { tokens } = serde_json::from_slice(&body).ok()?;
+    let message = build(Method::PUT, &uri(to)).body(Body::from(body)).ok()?;
+    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
+    response.status().is_success().then_some(tokens)
+}
+
 #[derive(Debug, Deserialize)]
 struct State {
     models: Vec<Model>,
--- a/crates/daemon/tests/resync.rs
+++ b/crates/daemon/tests/resync.rs
@@ -2,6 +2,7 @@
 
 #[allow(dead_code)]
 mod fleet;
+#[allow(dead_code)]
 #[path = "fleet/side.rs"]
 mod side;
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -218,7 +218,9 @@
             ("GET", ["state"]) => Ok(self.document()),
             ("POST", ["orders"]) => self.order(call),
             ("GET", ["kv", request]) => {
-                let copy = self.state().batch.export(request);
+                let state = self.state();
+                let refused = state.fault.kind == Kind::NoExport;
+                let copy = state.batch.export(request).filter(|_| !refused);
                 copy.map(|copy| ok(&copy)).ok_or_else(unknown_stream)
             }
             ("PUT", ["kv", request]) => self.import(request, call),
@@ -312,7 +314,11 @@
         if copy.request != request {
             return Err(Answer::error(StatusCode::BAD_REQUEST, "request"));
         }
-        self.state().batch.import(copy);
+        let mut state = self.state();
+        if state.fault.kind == Kind::NoImport {
+            return Err(Answer::too_many("copies", RETRY_AFTER));
+        }
+        state.batch.import(copy);
         Ok(Answer::status(StatusCode::NO_CONTENT))
     }
 
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -146,6 +146,7 @@
     }
 
     pub(super) fn cancel(&mut self, request: &str, now: Instant) -> Option<Document> {
+        self.copies.remove(request);
         let stream = self.streams.get(request)?;
         if matches!(stream.progress().state, State::Queued | State::Running) {
             stream.set(State::Cancelled);
--- a/crates/standin/src/engine/reader.rs
+++ b/crates/standin/src/engine/reader.rs
@@ -32,6 +32,10 @@
     Leaving,
     /// Refuses new streams with 429.
     Refuse,
+    /// Gives no copy of a stream's cache.
+    NoExport,
+    /// Takes no copy of a stream's cache.
+    NoImport,
 }
 
 /// The reader is gone, or its answer has come to its end.
