--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -115,6 +115,13 @@
     after: u64,
 }
 
+/// Number of cache events that answers leave out.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Lose {
+    events: usize,
+}
+
 #[derive(Debug)]
 struct Engine {
     start: Instant,
@@ -211,7 +218,9 @@
             ("GET", ["state"]) => Ok(self.document()),
             ("POST", ["orders"]) => self.order(call),
             ("GET", ["kv", request]) => {
-                let copy = self.state().batch.export(request);
+                let state = self.state();
+                let refused = state.fault.kind == Kind::NoExport;
+                let copy = state.batch.export(request).filter(|_| !refused);
                 copy.map(|copy| ok(&copy)).ok_or_else(unknown_stream)
             }
             ("PUT", ["kv", request]) => self.import(request, call),
@@ -305,7 +314,11 @@
         if copy.request != request {
             return Err(Answer::error(StatusCode::BAD_REQUEST, "request"));
         }
-        self.state().batch.import(copy);
+        let mut state = self.state();
+        if state.fault.kind == Kind::NoImport {
+            return Err(Answer::too_many("copies", RETRY_AFTER));
+        }
+        state.batch.import(copy);
         Ok(Answer::status(StatusCode::NO_CONTENT))
     }
 
@@ -318,8 +331,13 @@
                 let hold: Hold = call.json()?;
                 state.batch.hold(Some(hold.after), Instant::now());
             }
+            ("POST", ["control", "cache"]) => {
+                let lose: Lose = call.json()?;
+                state.cache.lose(lose.events);
+            }
             ("POST", ["control", "release"]) => state.batch.hold(None, Instant::now()),
             ("GET", ["control", "counts"]) => return Ok(ok(state.batch.counts())),
+            ("GET", ["control", "cache"]) => return Ok(ok(state.cache.counts())),
             ("GET", ["control", "orders"]) => return Ok(ok(state.models.applied())),
             _ => return Err(Answer::not_found()),
         }
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -36,6 +36,13 @@
     next: u64,
 }
 
+/// Prompt blocks since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Counts {
+    blocks: usize,
+    cached_blocks: usize,
+}
+
 /// Cache that evicts the block used longest ago.
 #[derive(Debug)]
 pub(super) struct Cache {
@@ -47,6 +54,9 @@
     use_number: u64,
     seq: u64,
     events: VecDeque<(Instant, Event)>,
+    /// Events that answers still leave out, but for those that begin at the first event.
+    lose: usize,
+    counts: Counts,
 }
 
 impl Cache {
@@ -60,6 +70,8 @@
             use_number: 0,
             seq: 0,
             events: VecDeque::new(),
+            lose: 0,
+            counts: Counts::default(),
         }
     }
 
@@ -71,6 +83,8 @@
         }
         let keys: Vec<Key> = prefixes.into_iter().map(|prefix| (model.clone(), prefix)).collect();
         let hits = keys.iter().take_while(|key| self.blocks.contains_key(*key)).count();
+        self.counts.blocks += keys.len();
+        self.counts.cached_blocks += hits;
         let missing = (keys.len() - hits) as f64 / keys.len() as f64;
         // The last block is touched first, so that it is evicted before the ones it builds on.
         for key in keys.into_iter().rev() {
@@ -79,12 +93,27 @@
         missing
     }
 
+    pub(super) fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Leaves the next events out of answers, but for those that begin at the first event.
+    pub(super) fn lose(&mut self, events: usize) {
+        self.lose = events;
+    }
+
     /// Returns the events after number `after` that are old enough to show.
-    pub(super) fn events(&self, after: u64, now: Instant) -> Events {
+    pub(super) fn events(&mut self, after: u64, now: Instant) -> Events {
         let shown = self.events.iter().take_while(|(at, _)| *at + self.lag <= now);
-        let events: Vec<Event> =
-            shown.map(|(_, event)| event).filter(|event| event.seq > after).cloned().collect();
-        let next = events.last().map_or(after, |event| event.seq);
+        let shown: Vec<&Event> = shown.map(|(_, event)| event).collect();
+        let next = shown.last().map_or(0, |event| event.seq);
+        let mut events: Vec<Event> =
+            shown.into_iter().filter(|event| event.seq > after).cloned().collect();
+        if after > 0 {
+            let lost = self.lose.min(events.len());
+            self.lose -= lost;
+            events.drain(..lost);
+        }
         Events { events, next }
     }
 
--- a/crates/wire/tests/host.rs
+++ b/crates/wire/tests/host.rs
@@ -191,18 +191,15 @@
             cached,
         },
     );
-    (name(), vec(change, 0..4), number()).prop_map(|(backend, changes, next)| Event::Cache {
-        backend,
-        changes,
-        next,
-    })
+    (name(), number(), vec(change, 0..4), number())
+        .prop_map(|(backend, after, changes, next)| Event::Cache { backend, after, changes, next })
 }
 
 fn held() -> impl Strategy<Value = Event> {
     let usage = (number(), number())
         .prop_map(|(tokens, prompt_tokens)| Held::Stream(Usage { tokens, prompt_tokens }));
-    (id(), option::of(prop_oneof![Just(Held::Nothing), usage]))
-        .prop_map(|(stream, held)| Event::Held { stream, held })
+    (name(), id(), option::of(prop_oneof![Just(Held::Nothing), usage]))
+        .prop_map(|(address, stream, held)| Event::Held { address, stream, held })
 }
 
 /// Bounds the tokens that a peer speaks of: holders of the fleet's key never pass on more than was
@@ -243,6 +240,15 @@
     }
 }
 
+fn copied() -> impl Strategy<Value = Event> {
+    (id(), name(), option::of(number())).prop_map(|(request, to, tokens)| Event::Copied {
+        request,
+        stream: request,
+        to,
+        tokens,
+    })
+}
+
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         4 => call().prop_map(Event::Call),
@@ -256,6 +262,7 @@
         }),
         1 => name().prop_map(|address| Event::Unreachable { address }),
         1 => held(),
+        1 => copied(),
     ]
 }
 
