Count the false refusals that tokens in reach would have covered

Cause: the table of the grants experiment did not tell refusals that the holders could have avoided from those for which no tokens were in reach of the refusing host. Each false refusal is now compared with what the live hosts in reach had available, and with what the table had left.

--- a/crates/coordination/examples/grants.rs
+++ b/crates/coordination/examples/grants.rs
@@ -1,8 +1,9 @@
 //! Overspend and false refusals under partitions, side by side with simpler ways.
 //!
 //! Prints a table in Markdown: `cargo run --release -p coordination --example grants`. With `--full`
-//! it prints each combination by itself, with `--only Tlaquepaque` one user's. A refusal is false where the tokens bought, less those
-//! charged or set aside anywhere, would have covered the request at that moment.
+//! it prints each combination by itself, with `--only Tlaquepaque` one user's, with `--grants` it
+//! leaves the simpler ways out. A refusal is false where the tokens bought, less those charged or
+//! set aside anywhere, would have covered the request at that moment.
 
 #[path = "../tests/money/fleet.rs"]
 #[allow(dead_code, reason = "shared with the tests")]
@@ -83,7 +84,7 @@
 }
 
 /// Runs every case in every way, a few at a time.
-fn run_all(cases: &[Case]) -> Vec<[Score; WAYS.len()]> {
+fn run_all(cases: &[Case], ways: &[Way]) -> Vec<[Score; WAYS.len()]> {
     let next = AtomicUsize::new(0);
     let results = Mutex::new(vec![[Score::default(); WAYS.len()]; cases.len()]);
     std::thread::scope(|scope| {
@@ -94,7 +95,8 @@
                     let Some(case) = cases.get(index) else {
                         return;
                     };
-                    let scores = WAYS.map(|way| way.run(case));
+                    let score = |way: Way| ways.contains(&way).then(|| way.run(case));
+                    let scores = WAYS.map(|way| score(way).unwrap_or_default());
                     results.lock().expect("no panic in a run")[index] = scores;
                 }
             });
@@ -122,10 +124,11 @@
     );
     for score in scores {
         row += &format!(
-            " {} / {:.2}% / {} / {} |",
+            " {} / {:.2}% / {} / {} / {} |",
             score.overspent,
             100.0 * score.refused as f64 / score.requests.max(1) as f64,
             score.urgent_refused,
+            score.in_reach,
             score.kept
         );
     }
@@ -138,10 +141,12 @@
     let only = arguments.iter().skip_while(|argument| *argument != "--only").nth(1);
     let mut cases = cases();
     cases.retain(|case| only.is_none_or(|only| case.name().contains(only.as_str())));
-    let scores = run_all(&cases);
+    let only_grants = arguments.iter().any(|argument| argument == "--grants");
+    let ways = if only_grants { &WAYS[..1] } else { &WAYS[..] };
+    let scores = run_all(&cases, ways);
     println!(
-        "Each cell: tokens overspent / requests falsely refused / urgent ones among them / requests \
-         refused for the urgent floor.\n"
+        "Each cell: tokens overspent / requests falsely refused / urgent ones among them / those \
+         that tokens in reach would have covered / requests refused for the urgent floor.\n"
     );
     print_head();
     for (cases, scores) in cases.chunks(4).zip(scores.chunks(4)) {
--- a/crates/coordination/examples/grants/naive.rs
+++ b/crates/coordination/examples/grants/naive.rs
@@ -43,7 +43,7 @@
             truth.dispatched(arrival);
             ends.insert((arrival.at + arrival.lasts, index));
         } else {
-            truth.refused(arrival);
+            truth.refused(arrival, 0);
         }
     }
     truth.score.requests = workload.arrivals.len() as u64;
--- a/crates/coordination/examples/grants/world.rs
+++ b/crates/coordination/examples/grants/world.rs
@@ -7,6 +7,7 @@
 };
 
 use coordination::{
+    escrow::{self, Escrow},
     holder::{Event, Peer},
     recovery, request,
     request::Class,
@@ -223,6 +224,8 @@
     /// Requests refused though the budget would have covered them.
     pub refused: u64,
     pub urgent_refused: u64,
+    /// Those of them that the tokens in reach of the refusing host would have covered.
+    pub in_reach: u64,
     /// Requests that aren't urgent, refused while the budget covered no more than the floors.
     pub kept: u64,
 }
@@ -233,6 +236,7 @@
         self.overspent = self.overspent.max(other.overspent);
         self.refused += other.refused;
         self.urgent_refused += other.urgent_refused;
+        self.in_reach += other.in_reach;
         self.kept += other.kept;
     }
 }
@@ -279,7 +283,8 @@
         self.committed[arrival.budget] -= arrival.worst - arrival.used;
     }
 
-    pub fn refused(&mut self, arrival: &Arrival) {
+    /// Counts a refusal by a host in whose reach `reach` tokens were neither charged nor set aside.
+    pub fn refused(&mut self, arrival: &Arrival, reach: u64) {
         let unspent = self.unspent(arrival.budget);
         if arrival.worst > unspent {
             return;
@@ -289,6 +294,9 @@
             return;
         }
         self.score.refused += 1;
+        if arrival.worst <= reach {
+            self.score.in_reach += 1;
+        }
         if arrival.class == Class::Urgent {
             self.score.urgent_refused += 1;
         }
@@ -500,8 +508,32 @@
                     self.truth.dispatched(arrival);
                     self.agenda.insert((at + arrival.lasts, Happening::End(index)));
                 }
-                Answer::Refused(_) => self.truth.refused(arrival),
+                Answer::Refused(_) => {
+                    let reach = self.reach(process, arrival.budget);
+                    self.truth.refused(arrival, reach);
+                }
             }
         }
     }
+
+    /// Returns the tokens of a budget that a host can reach: at itself, at the live hosts that it
+    /// isn't cut off from, and in the table.
+    fn reach(&self, from: usize, budget: usize) -> u64 {
+        let (name, _) = BUDGETS[budget];
+        let zone = &self.fleet.hosts[from].zone;
+        let cut = |place: &str| self.fleet.cuts.contains(&(zone.clone(), Arc::from(place)));
+        let held = self.fleet.hosts.iter().filter(|host| !host.dead && !cut(&host.zone));
+        let held: u64 = held.map(|host| host.holder.available(name)).sum();
+        if cut(PLATFORM) { held } else { held + self.remaining(budget) }
+    }
+
+    /// Returns the tokens of a budget that the table grants to whoever asks.
+    fn remaining(&self, budget: usize) -> u64 {
+        let (first, later) = self.workload.bought[budget];
+        let bought = if self.bought_all { first + later } else { first };
+        let key = escrow::escrow_key(BUDGETS[budget].0);
+        let row = self.fleet.table.row(&key);
+        let escrow = escrow::parse::<Escrow>(&row).ok().flatten().unwrap_or_default();
+        escrow.remaining(bought)
+    }
 }
