Size the urgent floor by what urgent requests use

Cause: every host kept the record's whole floor (12 % of a budget over six hosts), whether or not urgent requests came to it, and the limit of half of the last grant halved again with every small grant, so that a budget nearly used up lost its floor. The floor is now what urgent requests use in 10 min, at most the record's; cut off, in twice the time that the cut has lasted (15 to 40 min), because a cut that has lasted is expected to last. Urgent tokens passed to a peer count as use. Until 10 min were watched the old rule holds; a budget with no floor in its record has none.

The test fails in two of three cases with the learning taken out.

--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -338,6 +338,7 @@
             self.checks.insert((now + CHECK_EVERY, budget.clone()));
             return;
         }
+        policy::learn_floor(account, now, self.pace.cut_off(now));
         let stale = account.pool.at.is_none_or(|at| now >= at + policy::REFRESH);
         if stale || policy::is_off(account, now) {
             self.make_due(budget, false);
--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -56,6 +56,11 @@
     pub pool: Pool,
     /// Holdings below which more are asked for.
     pub low_water: u64,
+    /// Use of the budget by urgent requests.
+    pub used_urgently: Use,
+    /// Tokens that urgent requests are likely to need before more can be had; `None` until use was
+    /// watched long enough.
+    pub urgent_need: Option<u64>,
     /// A later check of the holdings is planned.
     pub checked: bool,
     /// Peer to be asked next for tokens.
@@ -72,7 +77,11 @@
     /// Returns the tokens that only urgent requests may reserve.
     pub fn floor(&self) -> u64 {
         let floor = self.terms.map_or(0, |terms| terms.urgent_floor);
-        floor.min(self.level / FLOOR_SHARE)
+        let unlearned = floor.min(self.level / FLOOR_SHARE);
+        match self.urgent_need {
+            None => unlearned,
+            Some(need) => need.max(unlearned / LEARNED_SHARE),
+        }
     }
 
     /// Returns whether a reservation fits what is available to its class.
@@ -92,6 +101,14 @@
     pub fn relevel(&mut self) {
         self.level = self.available + self.reserved;
     }
+    /// Counts tokens as used; below zero for those that turned out not to be.
+    pub fn count(&mut self, now: Duration, class: Class, tokens: f64) {
+        self.used.add(now, tokens);
+        if class == Class::Urgent {
+            self.used_urgently.add(now, tokens);
+        }
+    }
+
 
     /// Returns the most urgent class that waits.
     pub fn waiting_class(&self) -> Option<Class> {
@@ -162,4 +179,8 @@
     pub deadline: Duration,
     /// Its tokens were taken from the allowance.
     pub covered: bool,
+/// Part of that floor that is left where no urgent request was seen, as a divisor.
+const LEARNED_SHARE: u64 = 16;
+
 }
+    pub class: Class,
--- a/crates/coordination/src/holder/policy.rs
+++ b/crates/coordination/src/holder/policy.rs
@@ -22,6 +22,12 @@
 /// Share of the budget's use that is assumed until the table shows it.
 const FIRST_SHARE: f64 = 0.0625;
 
+/// Time for which urgent requests are to be served from the floor.
+const FLOOR_S: f64 = 600.0;
+
+/// The same while the platform can't be reached, at least and at most.
+const FLOOR_CUT_OFF_S: (f64, f64) = (900.0, 2400.0);
+
 /// Part of the unspent tokens that the floor of one process takes at most, as a divisor.
 const IDLE_SHARE: u64 = 32;
 
@@ -136,6 +142,25 @@
     wanted.max(idle)
 }
 
+/// Works out what urgent requests need, for twice as long as the platform has been out of reach,
+/// within limits.
+pub(super) fn learn_floor(account: &mut Account, now: Duration, cut_off: Duration) {
+    let Some(since) = account.used.since else {
+        return;
+    };
+    if now.saturating_sub(since).as_secs_f64() < SLOW_S {
+        return;
+    }
+    let rate = account.used_urgently.rate(now);
+    let limit = account.terms.map_or(0, |terms| terms.urgent_floor);
+    let (least, most) = FLOOR_CUT_OFF_S;
+    account.urgent_need = Some(if cut_off.is_zero() || limit == 0 {
+        limit.min((rate * FLOOR_S) as u64)
+    } else {
+        (rate * (2.0 * cut_off.as_secs_f64()).clamp(least, most)) as u64
+    });
+}
+
 /// Returns whether holdings are so far from the target that a round is worth it by itself.
 pub(super) fn is_off(account: &mut Account, now: Duration) -> bool {
     let target = target(account, now);
--- a/crates/coordination/src/holder/reserve.rs
+++ b/crates/coordination/src/holder/reserve.rs
@@ -41,7 +41,7 @@
             return;
         }
         if account.fits(reserve.class, reserve.tokens) {
-            account.used.add(now, reserve.tokens as f64);
+            account.count(now, reserve.class, reserve.tokens as f64);
             self.set_aside(reserve, now + WAIT);
             return;
         }
@@ -75,6 +75,7 @@
             budget: reserve.budget,
             tokens: reserve.tokens,
             stage: Stage::Copying(number),
+            class: reserve.class,
             deadline,
             covered: false,
         };
@@ -91,17 +92,18 @@
             tokens: reserve.tokens,
             stage: Stage::Waiting(turn),
             deadline,
+            class: reserve.class,
             covered: false,
         };
         if let Some(account) = self.accounts.get_mut(&budget) {
-            account.used.add(now, reserve.tokens as f64);
+            account.count(now, reserve.class, reserve.tokens as f64);
             account.wanted += reserve.tokens;
             account.waiting.insert(turn, Waiting { reserve });
         }
         self.reservations.insert(request, reservation);
         self.deadlines.insert((deadline, request));
         self.make_due(&budget, true);
-        if self.asking.insert(budget.clone()) && self.short_of(&budget) {
+        if self.asking.insert(budget.clone()) && ask && self.short_of(&budget) {
             self.ask_peers(now, &budget, actions);
         }
     }
@@ -155,7 +157,7 @@
             old: false,
         });
         self.regain(&reservation, reservation.tokens - tokens);
-        self.free(now, &budget, reservation.tokens, reservation.tokens - tokens);
+        self.free(now, &reservation, reservation.tokens - tokens);
     }
 
     pub(super) fn release(
@@ -176,7 +178,7 @@
         }
         self.journal.append(Entry::Release { request });
         self.regain(&reservation, reservation.tokens);
-        self.free(now, &reservation.budget, reservation.tokens, reservation.tokens);
+        self.free(now, &reservation, reservation.tokens);
     }
 
     /// Removes a reservation from the indexes.
@@ -189,14 +191,16 @@
         Some(reservation)
     }
 
-    /// Ends a reservation of `reserved` tokens, `unused` of which become available.
-    pub(super) fn free(&mut self, now: Duration, budget: &Arc<str>, reserved: u64, unused: u64) {
+    /// Ends a reservation, `unused` tokens of which become available.
+    pub(super) fn free(&mut self, now: Duration, reservation: &Reservation, unused: u64) {
+        let Reservation { budget, tokens: reserved, class, .. } = reservation;
+        let class = *class;
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
-        account.reserved -= reserved;
+        account.reserved -= *reserved;
         account.available += unused;
-        account.used.add(now, -(unused as f64));
+        account.count(now, class, -(unused as f64));
         if account.terms.is_none() || self.draining {
             self.make_due(budget, false);
         }
@@ -226,7 +230,7 @@
                 self.deadlines.remove(&(deadline, request));
                 continue;
             };
-            let budget = reservation.budget;
+            let budget = reservation.budget.clone();
             if let Stage::Waiting(turn) = reservation.stage {
                 if let Some(account) = self.accounts.get_mut(&budget) {
                     account.give_up(turn);
@@ -236,7 +240,7 @@
                 continue;
             }
             self.journal.append(Entry::Release { request });
-            self.free(now, &budget, reservation.tokens, reservation.tokens);
+            self.free(now, &reservation, reservation.tokens);
             refuse(request, Reason::Unreplicated, RETRY_ELSEWHERE, actions);
         }
     }
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -98,6 +98,8 @@
     conflicts: u32,
     failures: u32,
     limit: usize,
+    /// Time of the last answer.
+    reached: Duration,
     /// A commit may still take effect; its rows are to be read and written again.
     uncertain: bool,
     /// Budgets of that commit.
@@ -112,6 +114,7 @@
             conflicts: 0,
             failures: 0,
             limit: BUDGETS,
+            reached: Duration::ZERO,
             uncertain: false,
             unresolved: Vec::new(),
         }
@@ -126,6 +129,16 @@
     }
 
     /// Returns whether the last operation failed.
+    fn answered(&mut self, now: Duration) {
+        self.failures = 0;
+        self.reached = now;
+    }
+
+    /// Returns for how long the platform has been out of reach.
+    pub fn cut_off(&self, now: Duration) -> Duration {
+        if self.failing() { now.saturating_sub(self.reached) } else { Duration::ZERO }
+    }
+
     pub fn failing(&self) -> bool {
         self.failures > 0
     }
@@ -280,19 +293,19 @@
         };
         match (round.step, outcome) {
             (Step::Read, Outcome::Rows(rows)) => {
-                self.pace.failures = 0;
+                self.pace.answered(now);
                 let round = Round { step: Step::Read, ..round };
                 self.plan(now, round, &rows, actions);
             }
             (Step::Commit(plan), Outcome::Committed(_)) => {
-                self.pace.failures = 0;
+                self.pace.answered(now);
                 self.pace.conflicts = 0;
                 self.pace.resolve();
                 self.pace.limit = (self.pace.limit * 2).min(BUDGETS);
                 self.apply(now, plan, actions);
             }
             (Step::Commit(_), Outcome::Conflict(_)) => {
-                self.pace.failures = 0;
+                self.pace.answered(now);
                 self.pace.conflicts += 1;
                 self.pace.limit = (self.pace.limit / 2).max(1);
                 let pause = doubled(CONFLICT_PAUSE, self.pace.conflicts, CONFLICT_PAUSE_MAX);
--- a/crates/coordination/src/holder/transfer.rs
+++ b/crates/coordination/src/holder/transfer.rs
@@ -119,6 +119,9 @@
         if amount == 0 {
             return;
         }
+        if class == Class::Urgent {
+            account.used_urgently.add(now, amount as f64);
+        }
         account.available -= amount;
         self.transfers += 1;
         let number = transfer_number(&self.settings.id, self.transfers);
--- a/crates/coordination/tests/money/main.rs
+++ b/crates/coordination/tests/money/main.rs
@@ -7,4 +7,5 @@
 mod guards;
 mod hard_cases;
 mod ledger;
+mod policy;
 mod table;
