Refuse at once what the whole budget can't pay

Cause: a request larger than all that is unspent waited, was granted all that the table had and collected from peers, and left the other hosts with nothing. The round that reads the budget now refuses it before it asks for tokens; cut off, it is refused on arrival by the figures last read, which only shrink where no top-up can be known.

Ruled out: to refuse by the figures last read with the platform in reach; a top-up may be newer.

--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -6,7 +6,11 @@
     event::Reserve,
     policy::{Pool, Use},
 };
-use crate::{escrow::Grant, record::Ledger, request::Class};
+use crate::{
+    escrow::Grant,
+    record::Ledger,
+    request::{self, Class},
+};
 
 /// A reservation that waits for tokens, by class and then by arrival.
 pub(super) type Turn = (Class, u64);
@@ -52,15 +56,15 @@
     pub wanted: u64,
     /// Use of the budget at this process.
     pub used: Use,
-    /// What the table last showed of the budget as a whole.
-    pub pool: Pool,
-    /// Holdings below which more are asked for.
-    pub low_water: u64,
     /// Use of the budget by urgent requests.
     pub used_urgently: Use,
     /// Tokens that urgent requests are likely to need before more can be had; `None` until use was
     /// watched long enough.
     pub urgent_need: Option<u64>,
+    /// What the table last showed of the budget as a whole.
+    pub pool: Pool,
+    /// Holdings below which more are asked for.
+    pub low_water: u64,
     /// A later check of the holdings is planned.
     pub checked: bool,
     /// Peer to be asked next for tokens.
@@ -97,10 +101,6 @@
         }
     }
 
-    /// Notes that the table added to the holdings, or took from them.
-    pub fn relevel(&mut self) {
-        self.level = self.available + self.reserved;
-    }
     /// Counts tokens as used; below zero for those that turned out not to be.
     pub fn count(&mut self, now: Duration, class: Class, tokens: f64) {
         self.used.add(now, tokens);
@@ -109,6 +109,26 @@
         }
     }
 
+    /// Notes that the table added to the holdings, or took from them.
+    pub fn relevel(&mut self) {
+        self.level = self.available + self.reserved;
+    }
+
+    /// Gives up and returns the requests that wait for more than the whole budget has.
+    pub fn unpayable(&mut self) -> Vec<request::Id> {
+        let unspent = self.pool.unspent;
+        let large = |(turn, waiting): (&Turn, &Waiting)| {
+            (waiting.reserve.tokens > unspent).then_some(*turn)
+        };
+        let turns: Vec<Turn> = self.waiting.iter().filter_map(large).collect();
+        let given_up = turns.into_iter().filter_map(|turn| self.give_up(turn));
+        given_up.map(|waiting| waiting.reserve.request).collect()
+    }
+
+    /// Returns whether the whole budget had fewer tokens when the table was last read.
+    pub fn can_never_pay(&self, tokens: u64) -> bool {
+        self.pool.at.is_some() && tokens > self.pool.unspent
+    }
 
     /// Returns the most urgent class that waits.
     pub fn waiting_class(&self) -> Option<Class> {
@@ -159,6 +179,9 @@
 /// Part of the holdings that the urgent floor takes at most, as a divisor.
 const FLOOR_SHARE: u64 = 2;
 
+/// Part of that floor that is left where no urgent request was seen, as a divisor.
+const LEARNED_SHARE: u64 = 16;
+
 /// Where a reservation stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -175,12 +198,9 @@
 pub(super) struct Reservation {
     pub budget: Arc<str>,
     pub tokens: u64,
+    pub class: Class,
     pub stage: Stage,
     pub deadline: Duration,
     /// Its tokens were taken from the allowance.
     pub covered: bool,
-/// Part of that floor that is left where no urgent request was seen, as a divisor.
-const LEARNED_SHARE: u64 = 16;
-
 }
-    pub class: Class,
--- a/crates/coordination/src/holder/plan.rs
+++ b/crates/coordination/src/holder/plan.rs
@@ -8,6 +8,7 @@
     journal::Proposal,
     ledger::{self, Charge, Segment},
     message::{Entry, Source},
+    request,
     table::{Row, Txn},
 };
 
@@ -16,6 +17,8 @@
 pub(super) struct Plan {
     pub registration: Option<Registration>,
     pub grants: Vec<(Arc<str>, Grant)>,
+    /// Requests that wait for more than the whole budget has.
+    pub unpayable: Vec<request::Id>,
 }
 
 /// Rows of a budget as read.
@@ -54,6 +57,7 @@
         let spent = (escrow.settled + escrow.old_settled).saturating_sub(escrow.refunded);
         let unspent = prepaid.saturating_sub(spent + escrow.stranded);
         account.pool.observe(now, unspent, escrow.remaining(prepaid), spent);
+        plan.unpayable.extend(account.unpayable());
         let excess = if self.draining { account.available } else { policy::excess(account, now) };
         if account.returning == 0 && excess > 0 {
             account.available -= excess;
--- a/crates/coordination/src/holder/reserve.rs
+++ b/crates/coordination/src/holder/reserve.rs
@@ -45,7 +45,8 @@
             self.set_aside(reserve, now + WAIT);
             return;
         }
-        if account.waiting.len() >= WAITING_LIMIT {
+        let unpayable = self.pace.failing() && account.can_never_pay(reserve.tokens);
+        if unpayable || account.waiting.len() >= WAITING_LIMIT {
             self.refuse_short(request, &reserve.budget, actions);
             return;
         }
@@ -74,8 +75,8 @@
         let reservation = Reservation {
             budget: reserve.budget,
             tokens: reserve.tokens,
-            stage: Stage::Copying(number),
             class: reserve.class,
+            stage: Stage::Copying(number),
             deadline,
             covered: false,
         };
@@ -87,17 +88,19 @@
         let deadline = now + WAIT;
         self.turns += 1;
         let turn = (reserve.class, self.turns);
+        let mut ask = true;
         let reservation = Reservation {
             budget: budget.clone(),
             tokens: reserve.tokens,
+            class: reserve.class,
             stage: Stage::Waiting(turn),
             deadline,
-            class: reserve.class,
             covered: false,
         };
         if let Some(account) = self.accounts.get_mut(&budget) {
             account.count(now, reserve.class, reserve.tokens as f64);
             account.wanted += reserve.tokens;
+            ask = !account.can_never_pay(reserve.tokens);
             account.waiting.insert(turn, Waiting { reserve });
         }
         self.reservations.insert(request, reservation);
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -12,8 +12,9 @@
 };
 
 use super::{
-    Action, Holder, Phase,
+    Action, Holder, Phase, RETRY_EXHAUSTED, Reason,
     plan::{Plan, Rows},
+    refuse,
 };
 use crate::{
     escrow::{self, Grant, Registration, State},
@@ -97,9 +98,9 @@
     last: Duration,
     conflicts: u32,
     failures: u32,
-    limit: usize,
     /// Time of the last answer.
     reached: Duration,
+    limit: usize,
     /// A commit may still take effect; its rows are to be read and written again.
     uncertain: bool,
     /// Budgets of that commit.
@@ -113,8 +114,8 @@
             last: Duration::ZERO,
             conflicts: 0,
             failures: 0,
-            limit: BUDGETS,
             reached: Duration::ZERO,
+            limit: BUDGETS,
             uncertain: false,
             unresolved: Vec::new(),
         }
@@ -128,7 +129,6 @@
         self.unresolved.clear();
     }
 
-    /// Returns whether the last operation failed.
     fn answered(&mut self, now: Duration) {
         self.failures = 0;
         self.reached = now;
@@ -139,6 +139,7 @@
         if self.failing() { now.saturating_sub(self.reached) } else { Duration::ZERO }
     }
 
+    /// Returns whether the last operation failed.
     pub fn failing(&self) -> bool {
         self.failures > 0
     }
@@ -382,6 +383,10 @@
             let rows = Rows { record: &rows[0], escrow: &rows[1], grant: &rows[2] };
             self.plan_budget(now, budget, &rows, &charged, &mut txn, &mut plan);
         }
+        for request in std::mem::take(&mut plan.unpayable) {
+            self.remove(request);
+            refuse(request, Reason::Exhausted, RETRY_EXHAUSTED, actions);
+        }
         self.plan_charges(charges, &mut txn);
         self.plan_registration(holder, registration, &round.ensemble, &mut txn, &mut plan);
         if txn.writes.is_empty() {
--- a/crates/coordination/tests/money/policy.rs
+++ b/crates/coordination/tests/money/policy.rs
@@ -39,3 +39,34 @@
     fleet.run_for(2 * SECOND);
     assert_eq!(fleet.answer(1000), Some(case.answer));
 }
+
+#[test_case(false, Reason::Exhausted; "with the platform")]
+#[test_case(true, Reason::CutOff; "cut off")]
+fn request_that_the_budget_can_never_pay_collects_nothing(cut: bool, reason: Reason) {
+    let mut fleet = Fleet::open(4, &[("a", "x"), ("b", "x"), ("c", "x")]);
+    fleet.set_budget("p", &[("t", 400)], 0, false);
+    for host in 0..3 {
+        fleet.reserve(host, host as u64, "p", 10, Class::Normal);
+        fleet.run_for(SECOND);
+        fleet.settle(host, host as u64, 10);
+    }
+    fleet.run_for(20 * SECOND);
+    if cut {
+        fleet.cut("x", crate::fleet::PLATFORM);
+        fleet.run_for(20 * SECOND);
+        fleet.reserve(0, 3, "p", 1, Class::Normal);
+        fleet.run_for(SECOND);
+        fleet.settle(0, 3, 1);
+        fleet.run_for(20 * SECOND);
+    }
+    let held = |fleet: &Fleet| [1, 2].map(|host| fleet.hosts[host].holder.available("p"));
+    let before = held(&fleet);
+    fleet.reserve(0, 9, "p", 401, Class::Normal);
+    fleet.run_for(SECOND / 5);
+    assert_eq!(fleet.answer(9), Some(Answer::Refused(reason)));
+    assert_eq!(held(&fleet), before);
+    let all: u64 = (0..3).map(|host| fleet.hosts[host].holder.available("p")).sum();
+    fleet.reserve(0, 10, "p", all, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(10), Some(Answer::Reserved));
+}
