Divide a budget by lasting use

Cause: a holder's share was its use by the greater of a 30 s and a 600 s average over the whole budget's use, which halved with every measurement of 10 s. The share now comes from the 600 s average, unless use more than doubled, over an average of 120 s.

--- a/crates/coordination/src/holder/policy.rs
+++ b/crates/coordination/src/holder/policy.rs
@@ -40,6 +40,12 @@
 /// Time after which figures of the whole budget are read again.
 pub(super) const REFRESH: Duration = Duration::from_secs(300);
 
+/// Time over which the use of the whole budget is averaged.
+const POOL_S: f64 = 120.0;
+
+/// Growth above which use is taken from the short average.
+const GROWTH: f64 = 2.0;
+
 /// Shortest time over which the use of the whole budget is measured.
 const POOL_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -84,8 +90,19 @@
         };
         let age = now.saturating_sub(since).as_secs_f64().max(1.0);
         let fast = self.fast / (1.0 - (-age / FAST_S).exp());
-        let slow = self.slow / (1.0 - (-age / SLOW_S).exp());
-        fast.max(slow).max(0.0)
+        fast.max(self.slow(since, now)).max(0.0)
+    }
+
+    /// Returns the tokens used in a second, by the long average unless use has grown a lot.
+    pub fn lasting(&mut self, now: Duration) -> f64 {
+        let rate = self.rate(now);
+        let slow = self.since.map_or(0.0, |since| self.slow(since, now)).max(0.0);
+        if rate > slow * GROWTH { rate } else { slow }
+    }
+
+    fn slow(&self, since: Duration, now: Duration) -> f64 {
+        let age = now.saturating_sub(since).as_secs_f64().max(1.0);
+        self.slow / (1.0 - (-age / SLOW_S).exp())
     }
 }
 
@@ -118,7 +135,8 @@
             return;
         }
         let rate = settled.saturating_sub(self.settled) as f64 / passed.as_secs_f64();
-        self.rate = Some(self.rate.map_or(rate, |last| (last + rate) / 2.0));
+        let weight = 1.0 - (-passed.as_secs_f64() / POOL_S).exp();
+        self.rate = Some(self.rate.map_or(rate, |last| last + (rate - last) * weight));
         self.settled = settled;
         self.settled_at = now;
     }
@@ -128,8 +146,9 @@
 pub(super) fn target(account: &mut Account, now: Duration) -> u64 {
     let rate = account.used.rate(now);
     let unspent = account.pool.unspent;
+    let own = account.used.lasting(now);
     let share = match account.pool.rate {
-        Some(all) if all > 0.0 => (rate / all.max(rate)).min(1.0),
+        Some(all) if all > 0.0 => (own / all.max(own)).min(1.0),
         _ => FIRST_SHARE,
     };
     let fair = unspent as f64 * POOL_SHARE * share;
