--- a/crates/coordination/src/holder/policy.rs
+++ b/crates/coordination/src/holder/policy.rs
@@ -22,6 +22,12 @@
 /// Share of the budget's use that is assumed until the table shows it.
 const FIRST_SHARE: f64 = 0.0625;
 
+/// Time for which urgent requests are to be served from the floor.
+const FLOOR_S: f64 = 600.0;
+
+/// The same while the platform can't be reached, at least and at most.
+const FLOOR_CUT_OFF_S: (f64, f64) = (900.0, 2400.0);
+
 /// Part of the unspent tokens that the floor of one process takes at most, as a divisor.
 const IDLE_SHARE: u64 = 32;
 
@@ -34,6 +40,12 @@
 /// Time after which figures of the whole budget are read again.
 pub(super) const REFRESH: Duration = Duration::from_secs(300);
 
+/// Time over which the use of the whole budget is averaged.
+const POOL_S: f64 = 120.0;
+
+/// Growth above which use is taken from the short average.
+const GROWTH: f64 = 2.0;
+
 /// Shortest time over which the use of the whole budget is measured.
 const POOL_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -78,8 +90,19 @@
         };
         let age = now.saturating_sub(since).as_secs_f64().max(1.0);
         let fast = self.fast / (1.0 - (-age / FAST_S).exp());
-        let slow = self.slow / (1.0 - (-age / SLOW_S).exp());
-        fast.max(slow).max(0.0)
+        fast.max(self.slow(since, now)).max(0.0)
+    }
+
+    /// Returns the tokens used in a second, by the long average unless use has grown a lot.
+    pub fn lasting(&mut self, now: Duration) -> f64 {
+        let rate = self.rate(now);
+        let slow = self.since.map_or(0.0, |since| self.slow(since, now)).max(0.0);
+        if rate > slow * GROWTH { rate } else { slow }
+    }
+
+    fn slow(&self, since: Duration, now: Duration) -> f64 {
+        let age = now.saturating_sub(since).as_secs_f64().max(1.0);
+        self.slow / (1.0 - (-age / SLOW_S).exp())
     }
 }
 
@@ -112,7 +135,8 @@
             return;
         }
         let rate = settled.saturating_sub(self.settled) as f64 / passed.as_secs_f64();
-        self.rate = Some(self.rate.map_or(rate, |last| (last + rate) / 2.0));
+        let weight = 1.0 - (-passed.as_secs_f64() / POOL_S).exp();
+        self.rate = Some(self.rate.map_or(rate, |last| last + (rate - last) * weight));
         self.settled = settled;
         self.settled_at = now;
     }
@@ -122,8 +146,9 @@
 pub(super) fn target(account: &mut Account, now: Duration) -> u64 {
     let rate = account.used.rate(now);
     let unspent = account.pool.unspent;
+    let own = account.used.lasting(now);
     let share = match account.pool.rate {
-        Some(all) if all > 0.0 => (rate / all.max(rate)).min(1.0),
+        Some(all) if all > 0.0 => (own / all.max(own)).min(1.0),
         _ => FIRST_SHARE,
     };
     let fair = unspent as f64 * POOL_SHARE * share;
@@ -136,6 +161,25 @@
     wanted.max(idle)
 }
 
+/// Works out what urgent requests need, for twice as long as the platform has been out of reach,
+/// within limits.
+pub(super) fn learn_floor(account: &mut Account, now: Duration, cut_off: Duration) {
+    let Some(since) = account.used.since else {
+        return;
+    };
+    if now.saturating_sub(since).as_secs_f64() < SLOW_S {
+        return;
+    }
+    let rate = account.used_urgently.rate(now);
+    let limit = account.terms.map_or(0, |terms| terms.urgent_floor);
+    let (least, most) = FLOOR_CUT_OFF_S;
+    account.urgent_need = Some(if cut_off.is_zero() || limit == 0 {
+        limit.min((rate * FLOOR_S) as u64)
+    } else {
+        (rate * (2.0 * cut_off.as_secs_f64()).clamp(least, most)) as u64
+    });
+}
+
 /// Returns whether holdings are so far from the target that a round is worth it by itself.
 pub(super) fn is_off(account: &mut Account, now: Duration) -> bool {
     let target = target(account, now);
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -12,8 +12,9 @@
 };
 
 use super::{
-    Action, Holder, Phase,
+    Action, Holder, Phase, RETRY_EXHAUSTED, Reason,
     plan::{Plan, Rows},
+    refuse,
 };
 use crate::{
     escrow::{self, Grant, Registration, State},
@@ -97,6 +98,8 @@
     last: Duration,
     conflicts: u32,
     failures: u32,
+    /// Time of the last answer.
+    reached: Duration,
     limit: usize,
     /// A commit may still take effect; its rows are to be read and written again.
     uncertain: bool,
@@ -111,6 +114,7 @@
             last: Duration::ZERO,
             conflicts: 0,
             failures: 0,
+            reached: Duration::ZERO,
             limit: BUDGETS,
             uncertain: false,
             unresolved: Vec::new(),
@@ -125,6 +129,16 @@
         self.unresolved.clear();
     }
 
+    fn answered(&mut self, now: Duration) {
+        self.failures = 0;
+        self.reached = now;
+    }
+
+    /// Returns for how long the platform has been out of reach.
+    pub fn cut_off(&self, now: Duration) -> Duration {
+        if self.failing() { now.saturating_sub(self.reached) } else { Duration::ZERO }
+    }
+
     /// Returns whether the last operation failed.
     pub fn failing(&self) -> bool {
         self.failures > 0
@@ -280,19 +294,19 @@
         };
         match (round.step, outcome) {
             (Step::Read, Outcome::Rows(rows)) => {
-                self.pace.failures = 0;
+                self.pace.answered(now);
                 let round = Round { step: Step::Read, ..round };
                 self.plan(now, round, &rows, actions);
             }
             (Step::Commit(plan), Outcome::Committed(_)) => {
-                self.pace.failures = 0;
+                self.pace.answered(now);
                 self.pace.conflicts = 0;
                 self.pace.resolve();
                 self.pace.limit = (self.pace.limit * 2).min(BUDGETS);
                 self.apply(now, plan, actions);
             }
             (Step::Commit(_), Outcome::Conflict(_)) => {
-                self.pace.failures = 0;
+                self.pace.answered(now);
                 self.pace.conflicts += 1;
                 self.pace.limit = (self.pace.limit / 2).max(1);
                 let pause = doubled(CONFLICT_PAUSE, self.pace.conflicts, CONFLICT_PAUSE_MAX);
@@ -369,6 +383,10 @@
             let rows = Rows { record: &rows[0], escrow: &rows[1], grant: &rows[2] };
             self.plan_budget(now, budget, &rows, &charged, &mut txn, &mut plan);
         }
+        for request in std::mem::take(&mut plan.unpayable) {
+            self.remove(request);
+            refuse(request, Reason::Exhausted, RETRY_EXHAUSTED, actions);
+        }
         self.plan_charges(charges, &mut txn);
         self.plan_registration(holder, registration, &round.ensemble, &mut txn, &mut plan);
         if txn.writes.is_empty() {
--- /dev/null
+++ b/crates/coordination/tests/money/policy.rs
@@ -0,0 +1,72 @@
+//! What is kept, for whom, and what is left alone.
+
+use std::time::Duration;
+
+use coordination::{holder::Reason, request::Class};
+use test_case::test_case;
+
+use crate::fleet::{Answer, Fleet};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+struct Floor {
+    /// Tokens of an urgent request that each 10 s bring.
+    urgent: u64,
+    /// Tokens that a request that isn't urgent then wants, of about 10,000.
+    wanted: u64,
+    answer: Answer,
+}
+
+#[test_case(Floor { urgent: 0, wanted: 7000, answer: Answer::Reserved }; "unused")]
+#[test_case(Floor { urgent: 1, wanted: 7000, answer: Answer::Reserved }; "little used")]
+#[test_case(Floor { urgent: 50, wanted: 7000, answer: Answer::Refused(Reason::Exhausted) }; "used")]
+fn floor_follows_what_urgent_requests_use(case: Floor) {
+    let mut fleet = Fleet::open(3, &[("a", "x"), ("b", "y")]);
+    fleet.set_budget("p", &[("t", 10_000 + 80 * case.urgent)], 5000, false);
+    fleet.run_for(SECOND);
+    for step in 0..80 {
+        let (normal, urgent) = (2 * step, 2 * step + 1);
+        fleet.reserve(0, normal, "p", 1, Class::Normal);
+        if case.urgent > 0 {
+            fleet.reserve(0, urgent, "p", case.urgent, Class::Urgent);
+        }
+        fleet.run_for(SECOND);
+        fleet.settle(0, normal, 1);
+        fleet.settle(0, urgent, case.urgent);
+        fleet.run_for(9 * SECOND);
+    }
+    fleet.reserve(0, 1000, "p", case.wanted, Class::Normal);
+    fleet.run_for(2 * SECOND);
+    assert_eq!(fleet.answer(1000), Some(case.answer));
+}
+
+#[test_case(false, Reason::Exhausted; "with the platform")]
+#[test_case(true, Reason::CutOff; "cut off")]
+fn request_that_the_budget_can_never_pay_collects_nothing(cut: bool, reason: Reason) {
+    let mut fleet = Fleet::open(4, &[("a", "x"), ("b", "x"), ("c", "x")]);
+    fleet.set_budget("p", &[("t", 400)], 0, false);
+    for host in 0..3 {
+        fleet.reserve(host, host as u64, "p", 10, Class::Normal);
+        fleet.run_for(SECOND);
+        fleet.settle(host, host as u64, 10);
+    }
+    fleet.run_for(20 * SECOND);
+    if cut {
+        fleet.cut("x", crate::fleet::PLATFORM);
+        fleet.run_for(20 * SECOND);
+        fleet.reserve(0, 3, "p", 1, Class::Normal);
+        fleet.run_for(SECOND);
+        fleet.settle(0, 3, 1);
+        fleet.run_for(20 * SECOND);
+    }
+    let held = |fleet: &Fleet| [1, 2].map(|host| fleet.hosts[host].holder.available("p"));
+    let before = held(&fleet);
+    fleet.reserve(0, 9, "p", 401, Class::Normal);
+    fleet.run_for(SECOND / 5);
+    assert_eq!(fleet.answer(9), Some(Answer::Refused(reason)));
+    assert_eq!(held(&fleet), before);
+    let all: u64 = (0..3).map(|host| fleet.hosts[host].holder.available("p")).sum();
+    fleet.reserve(0, 10, "p", all, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(10), Some(Answer::Reserved));
+}
