Add a network that can be cut to the process tests

Zone cuts were shown in one process only. Hosts of a test fleet may now advertise the address of a relay on loopback, one for each host and one to the platform for each zone, and a test stops what is sent from one place to another and heals it. Bytes of connections are held back until the heal, as retransmissions do, so that late requests arrive after their senders gave up; datagrams are lost.

A relay knows the sender of a connection by the greeting, which names it in the clear, and that of a datagram by its source. Ruled out: an address of its own for each host (a connection on loopback takes 127.0.0.1 as its source unless it is bound, which the daemon doesn't do), and any hook in the daemon; the setting `advertise` was all that was needed. Back ends have no relays: they stay in reach of every zone, which is the harder case for calls that run at most once.

What requests cost moves from process.rs into a module of the fleet, unchanged.

--- a/crates/daemon/tests/edge.rs
+++ b/crates/daemon/tests/edge.rs
@@ -147,6 +147,7 @@
     token: Duration::from_millis(2),
     slots: 8,
     peers: true,
+    network: false,
     settings: "[limits]\nmax_body_bytes = 4096\nmax_header_bytes = 8192\n\
                [timing]\nclient_ms = 500\n",
 };
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! A small fleet: hosts as processes, with stand-ins for everything around them.
 
+pub mod account;
+pub mod network;
+
 use std::{
     collections::BTreeMap,
     fs,
@@ -20,6 +23,8 @@
 use standin::{caller::Caller, control, engine, http, platform, service};
 use tempfile::TempDir;
 
+use self::network::{Network, Relay};
+
 /// Longest wait for anything that must come about.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -35,6 +40,10 @@
 /// Hosts of a fleet that spans three zones.
 pub const THREE: &[(&str, &str)] = &[("host-a", "a"), ("host-b", "b"), ("host-c", "c")];
 
+/// Hosts of a fleet whose first zone has two.
+pub const FOUR: &[(&str, &str)] =
+    &[("host-a", "a"), ("host-b", "b"), ("host-c", "c"), ("host-d", "a")];
+
 /// What a fleet is made of.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -48,6 +57,8 @@
     pub slots: usize,
     /// The settings name the peers that run already.
     pub peers: bool,
+    /// Hosts reach each other and the platform through relays that can be cut.
+    pub network: bool,
     /// Further lines of each host's settings.
     pub settings: &'static str,
 }
@@ -60,6 +71,7 @@
             token: Duration::from_millis(2),
             slots: 8,
             peers: true,
+            network: false,
             settings: "",
         }
     }
@@ -73,6 +85,8 @@
     pub callers: SocketAddr,
     /// Address for other hosts.
     pub peers: SocketAddr,
+    /// Address that other hosts are told.
+    pub advertised: SocketAddr,
     /// Address for scrapers.
     pub operators: SocketAddr,
 }
@@ -107,6 +121,9 @@
     pub service: http::Handle,
     /// Running hosts.
     pub hosts: BTreeMap<&'static str, Process>,
+    /// Network between zones, where the plan has one.
+    pub network: Network,
+    relays: BTreeMap<&'static str, Relay>,
 }
 
 impl Fleet {
@@ -137,6 +154,8 @@
             service: service::spawn(service::Settings { listen: any(), work: Duration::ZERO })
                 .expect("service"),
             hosts: BTreeMap::new(),
+            network: Network::default(),
+            relays: BTreeMap::new(),
             plan,
         };
         fs::write(fleet.dir.path().join("key"), KEY_BYTE.repeat(32)).expect("key");
@@ -242,16 +261,23 @@
     /// Starts a host's process.
     pub fn start(&mut self, name: &'static str, zone: &'static str) {
         let peers: Vec<String> =
-            self.hosts.values().map(|process| process.peers.to_string()).collect();
+            self.hosts.values().map(|process| process.advertised.to_string()).collect();
         let peers = match peers.is_empty() || !self.plan.peers {
             true => String::new(),
             false => format!("peers = {}", peers.join(",")),
         };
+        let relay = self.relay(name, zone);
+        let advertise = relay.as_ref().map(|relay| format!("advertise = {}\n", relay.address));
+        let platform = match self.plan.network {
+            true => self.network.platform(zone, self.platform.address),
+            false => self.platform.address,
+        };
         let settings = format!(
             "[host]\nname = {name}\nzone = {zone}\ncaller_address = 127.0.0.1:0\n\
-             peer_address = 127.0.0.1:0\noperator_address = 127.0.0.1:0\n\
-             [platform]\naddress = {}\n[fleet]\nkey_file = key\n{peers}\n{}\n",
-            self.platform.address, self.plan.settings,
+             peer_address = 127.0.0.1:0\noperator_address = 127.0.0.1:0\n{}\
+             [platform]\naddress = {platform}\n[fleet]\nkey_file = key\n{peers}\n{}\n",
+            advertise.unwrap_or_default(),
+            self.plan.settings,
         );
         let path = self.dir.path().join(format!("{name}.ini"));
         fs::write(&path, settings).expect("settings");
@@ -276,10 +302,22 @@
             text.unwrap_or_else(|| panic!("no {name} in {line:?}")).parse().expect("address")
         };
         let (callers, peers, operators) = (field("callers"), field("peers"), field("operators"));
-        self.hosts.insert(name, Process { child, callers, peers, operators });
+        let advertised = relay.as_ref().map_or(peers, |relay| relay.address);
+        if let Some(relay) = relay {
+            self.network.join(zone, peers);
+            relay.lead(peers);
+        }
+        self.hosts.insert(name, Process { child, callers, peers, advertised, operators });
         self.list(name, zone, "live");
     }
 
+    /// Returns the relay to a host, where the plan has a network.
+    fn relay(&mut self, name: &'static str, zone: &'static str) -> Option<Relay> {
+        let network = &self.network;
+        let relay = || self.relays.entry(name).or_insert_with(|| network.host(name, zone)).clone();
+        self.plan.network.then(relay)
+    }
+
     /// Sets a host's state in the platform's list.
     pub fn list(&self, host: &str, zone: &str, state: &str) {
         let entry = json!({"host": host, "zone": zone, "state": state});
@@ -328,6 +366,20 @@
         control::post(self.platform.address, "/control/fault", fault).expect("fault");
     }
 
+    /// Lets the streams of all engines wait after some tokens.
+    pub fn hold_engines(&self, after: u64) {
+        for engine in &self.engines {
+            control::post(engine.address, "/control/hold", &json!({"after": after})).expect("hold");
+        }
+    }
+
+    /// Lets the streams of all engines go on.
+    pub fn release_engines(&self) {
+        for engine in &self.engines {
+            control::post(engine.address, "/control/release", &Value::Null).expect("release");
+        }
+    }
+
     /// Makes an engine fail.
     pub fn fail_engine(&self, engine: usize, fault: &Value) {
         control::post(self.engines[engine].address, "/control/fault", fault).expect("fault");
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -5,7 +5,10 @@
 
 use std::{sync::mpsc, thread};
 
-use fleet::{Fleet, Plan};
+use fleet::{
+    Fleet, Plan,
+    account::{call, escrow, prompt, wait_spent},
+};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use standin::{
@@ -13,16 +16,6 @@
     control,
 };
 
-/// Returns the body of a model request.
-fn prompt(text: &str, max_tokens: u64) -> Value {
-    json!({"prompt": text, "max_tokens": max_tokens})
-}
-
-/// Sends a request and returns the reply.
-fn call(caller: &Caller, service: &str, key: Option<&str>, body: &Value) -> Reply {
-    caller.call(service, key, body, |_| {}).expect("reply")
-}
-
 /// Sends a request from a thread; returns once its first token came.
 fn start(
     caller: Caller,
@@ -40,59 +33,12 @@
     thread
 }
 
-/// Returns a budget's sums.
-fn escrow(fleet: &Fleet) -> Sums {
-    let row = fleet.row("escrow/grants").unwrap_or_default();
-    let figure = |name: &str| row[name].as_u64().unwrap_or(0);
-    Sums {
-        granted: figure("granted"),
-        returned: figure("returned"),
-        settled: figure("settled") + figure("old_settled"),
-        refunded: figure("refunded"),
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Sums {
-    granted: u64,
-    returned: u64,
-    settled: u64,
-    refunded: u64,
-}
-
-impl Sums {
-    fn open(&self) -> u64 {
-        self.granted - self.returned - self.settled
-    }
-
-    fn spent(&self) -> u64 {
-        self.settled - self.refunded
-    }
-}
-
-/// Waits until all charges are in the ledger and repeated ones are refunded.
-///
-/// One request more at each host marks the end of its charges: a host writes them in their order.
-fn wait_spent(fleet: &Fleet, tokens: u64) {
-    let mut spent = tokens;
-    for host in fleet.hosts.keys() {
-        let reply = call(&fleet.caller(host), "status", None, &prompt("mark", 1));
-        assert!(reply.whole(), "mark at {host}: {reply:?}");
-        spent += reply.end.expect("end").charged;
-    }
-    fleet.wait(&format!("{spent} tokens spent"), || escrow(fleet).spent() == spent);
-}
-
 #[test]
 fn a_stream_reaches_the_caller_piece_by_piece() {
     let fleet = Fleet::open(Plan::default());
-    for engine in &fleet.engines {
-        control::post(engine.address, "/control/hold", &json!({"after": 3})).expect("hold");
-    }
+    fleet.hold_engines(3);
     let thread = start(fleet.caller("host-a"), "draft", "k", prompt("A letter", 10));
-    for engine in &fleet.engines {
-        control::post(engine.address, "/control/release", &Value::Null).expect("release");
-    }
+    fleet.release_engines();
     let reply = thread.join().expect("thread").expect("reply");
     assert!(reply.whole(), "{reply:?}");
     assert_eq!(reply.tokens.len(), 10);
@@ -178,16 +124,12 @@
 #[test]
 fn a_killed_host_s_stream_goes_on_at_another_and_is_charged_once() {
     let mut fleet = Fleet::open(Plan::default());
-    for engine in &fleet.engines {
-        control::post(engine.address, "/control/hold", &json!({"after": 5})).expect("hold");
-    }
+    fleet.hold_engines(5);
     let thread = start(fleet.caller("host-a"), "draft", "k", prompt("A letter", 40));
     fleet.kill("host-a");
     let cut = thread.join().expect("thread").expect("reply");
     assert!(!cut.whole(), "{cut:?}");
-    for engine in &fleet.engines {
-        control::post(engine.address, "/control/release", &Value::Null).expect("release");
-    }
+    fleet.release_engines();
     let whole = call(&fleet.caller("host-b"), "draft", Some("k"), &prompt("A letter", 40));
     assert!(whole.whole(), "{whole:?}");
     assert!(whole.text().starts_with(&cut.text()));
@@ -231,16 +173,12 @@
 #[test]
 fn a_graceful_stop_finishes_streams_and_gives_everything_back() {
     let mut fleet = Fleet::open(Plan::default());
-    for engine in &fleet.engines {
-        control::post(engine.address, "/control/hold", &json!({"after": 5})).expect("hold");
-    }
+    fleet.hold_engines(5);
     let thread = start(fleet.caller("host-a"), "review", "k", prompt("A review", 40));
     fleet.signal("host-a", Signal::TERM);
     fleet.signal("host-a", Signal::TERM);
     fleet.wait("host-a takes no new work", || fleet.caller("host-a").ticket().is_err());
-    for engine in &fleet.engines {
-        control::post(engine.address, "/control/release", &Value::Null).expect("release");
-    }
+    fleet.release_engines();
     let reply = thread.join().expect("thread").expect("reply");
     assert!(reply.whole(), "{reply:?}");
     let mut process = fleet.hosts.remove("host-a").expect("host");
