--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -307,9 +307,24 @@
         {
             desired.push(id);
         }
+        self.spread_zones(&mut desired);
         if desired.is_empty() { committed.to_vec() } else { desired }
     }
 
+    /// Replaces a member where all are of this zone, or all of others, and some process isn't.
+    fn spread_zones(&self, desired: &mut Vec<Holder>) {
+        let abroad = |id: &Holder| self.peers.get(id).is_some_and(|peer| peer.zone != self.zone);
+        let one_sided = desired.iter().all(abroad) || !desired.iter().any(abroad);
+        if desired.len() == MEMBERS
+            && one_sided
+            && let Some(id) = self.candidate(desired)
+            && abroad(&id) != desired.iter().any(abroad)
+        {
+            desired.pop();
+            desired.push(id);
+        }
+    }
+
     fn reachable(&self, id: &Holder) -> bool {
         self.peers.get(id).is_some_and(|peer| peer.reachable)
     }
--- a/crates/coordination/tests/money/guards.rs
+++ b/crates/coordination/tests/money/guards.rs
@@ -353,3 +353,33 @@
         .sum();
     assert!(held > 0 && aside >= held);
 }
+
+/// A journal is copied to both sides of the zone's border as soon as there is somebody on each.
+#[test_case(&["b", "c"], &["b", "c", "a"], true; "a host of the own zone comes last")]
+#[test_case(&["a", "a"], &["a", "a", "b"], true; "a host of another zone comes last")]
+#[test_case(&["a", "b"], &["a", "b", "a"], false; "copies are on both sides")]
+#[test_case(&["b", "c"], &["b", "c", "b"], false; "there is nobody on the other side")]
+fn copies_spread_over_the_border_of_the_zone(before: &[&str], after: &[&str], moves: bool) {
+    let peers = |zones: &[&str]| -> Vec<Peer> {
+        let numbered = zones.iter().enumerate();
+        numbered.map(|(i, zone)| peer(&format!("h{i}.1"), zone)).collect()
+    };
+    let mut writer = Writer::open("h.1".into(), "a".into());
+    let first = propose(&mut writer, SECOND, &peers(before));
+    writer.commit(first.clone());
+    let all = peers(after);
+    writer.set_peers(all.clone());
+    writer.propose(SECOND);
+    writer.advance(SECOND, &mut Vec::new());
+    for peer in &all {
+        writer.acknowledge(SECOND, &peer.id, writer.state().through());
+    }
+    let next = writer.propose(SECOND);
+    assert_eq!(next.is_some(), moves, "{first:?} to {next:?}");
+    if let Some(next) = next {
+        assert!(next.contains(&all[2].id), "{next:?}");
+        assert!(next.iter().any(|id| first.contains(id)), "{next:?}");
+        writer.commit(next);
+        assert_eq!(writer.propose(SECOND), None);
+    }
+}
