Draw the fuzzed host's steps from boxed strategies

Cause: with one kind of event more, the debug build of the random strategies overflowed the test thread's stack of 2 MB (seen in the backtrace: generation only, no frame of the host). Ruled out: fewer kinds of events.

--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -180,10 +180,10 @@
 /// Returns messages of every kind.
 pub fn message() -> impl Strategy<Value = Message> {
     prop_oneof![
-        journal(),
-        transfer(),
-        claim(),
-        heartbeat(),
+        journal().boxed(),
+        transfer().boxed(),
+        claim().boxed(),
+        heartbeat().boxed(),
         any::<u64>().prop_map(|after| Message::ConfigAsk { after }),
         (vec(row(), 0..9), any::<[u64; 4]>()).prop_map(
             |(rows, [after, through, current, deletions_after])| Message::ConfigRows {
--- a/crates/wire/tests/host.rs
+++ b/crates/wire/tests/host.rs
@@ -255,14 +255,14 @@
         1 => (0..12_u64).prop_map(|caller| Event::Ticket { caller, token: TOKEN.into() }),
         1 => (0..12_u64).prop_map(|caller| Event::Left { caller }),
         2 => (name(), option::of(load())).prop_map(|(backend, load)| Event::Load { backend, load }),
-        1 => cache(),
+        1 => cache().boxed(),
         1 => vec(listed(), 0..4).prop_map(Event::Hosts),
-        6 => (select(KNOWN), name(), name(), message()).prop_map(|(from, zone, address, message)| {
+        6 => (select(KNOWN), name(), name(), message().boxed()).prop_map(|(from, zone, address, message)| {
             Event::Message { from: from.into(), zone, address, message: bounded(message) }
         }),
         1 => name().prop_map(|address| Event::Unreachable { address }),
-        1 => held(),
-        1 => copied(),
+        1 => held().boxed(),
+        1 => copied().boxed(),
     ]
 }
 
@@ -270,10 +270,10 @@
     prop_oneof![
         6 => Just(Step::Served),
         4 => Just(Step::Kept),
-        1 => outcome().prop_map(Step::Answered),
-        3 => report().prop_map(Step::Reported),
+        1 => outcome().boxed().prop_map(Step::Answered),
+        3 => report().boxed().prop_map(Step::Reported),
         4 => any::<bool>().prop_map(|end| Step::Streamed { end }),
-        8 => event().prop_map(Step::Event),
+        8 => event().boxed().prop_map(Step::Event),
         3 => prop_oneof![0..50_u64, 0..20_000_u64].prop_map(Step::Waited),
     ]
 }
