Change an ensemble only to one that holds every durable entry

A member that gives no progress for 100 ms isn't waited for, so an entry may be durable with the other member alone. When that other one left the peers, the ensemble was changed at once to the lagging member.

An ensemble is now proposed, and put into a transaction after the rows were read, only while one of its members has every durable entry. One is enough: a recovery takes the longest copy, and a lost member strands the rest. To ask it of all members would keep an ensemble from changing under load.

It now joins anew; without that the new condition left a holder of a history undrained.

--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -180,7 +180,7 @@
         self.round = Some(Round { id, budgets, ensemble, charges, step: Step::Read });
     }
 
-    fn operate(&mut self, op: Op, actions: &mut Vec<Action>) -> u64 {
+    pub(super) fn operate(&mut self, op: Op, actions: &mut Vec<Action>) -> u64 {
         self.operations += 1;
         actions.push(Action::Table { id: self.operations, op });
         self.operations
@@ -370,7 +370,10 @@
             self.plan_budget(now, budget, &rows, &charged, &mut txn, &mut plan);
         }
         self.plan_charges(charges, &mut txn);
-        self.plan_registration(holder, registration, &round.ensemble, &mut txn, &mut plan);
+        let pending = self.journal.is_changing();
+        let fits = |ensemble: &Proposal| pending || self.journal.holds_durable(ensemble);
+        let ensemble = round.ensemble.clone().filter(fits);
+        self.plan_registration(holder, registration, &ensemble, &mut txn, &mut plan);
         if txn.writes.is_empty() {
             self.pace.resolve();
             return;
--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -259,8 +259,9 @@
         }
         let desired = self.desired(now);
         let committed = self.committed.clone().unwrap_or_default();
-        self.members
-            .retain(|member| committed.contains(&member.id) || desired.contains(&member.id));
+        self.members.retain(|member| {
+            committed.contains(&member.id) || (desired.contains(&member.id) && !member.lost)
+        });
         for id in &desired {
             self.join(id, now);
         }
@@ -268,7 +269,14 @@
             .iter()
             .all(|id| self.members.iter().any(|member| member.id == *id && member.acked > 0));
         let changed = self.committed.as_ref().is_none_or(|committed| *committed != desired);
-        (ready && changed).then_some(desired)
+        (ready && changed && self.holds_durable(&desired)).then_some(desired)
+    }
+
+    /// Returns whether some member of an ensemble has every entry that was acted on. A recovery
+    /// looks at no other process once the ensemble is in the table.
+    pub fn holds_durable(&self, ids: &[Holder]) -> bool {
+        let mut members = self.members.iter().filter(|member| ids.contains(&member.id));
+        ids.is_empty() || members.any(|member| !member.lost && member.acked >= self.durable)
     }
 
     fn join(&mut self, id: &Holder, now: Duration) {
@@ -334,6 +342,11 @@
         self.pending = Some(ensemble);
     }
 
+    /// Returns whether an ensemble may be on its way to the table.
+    pub fn is_changing(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Notes that the ensemble on its way was certainly not written.
     pub fn cancel(&mut self) {
         self.pending = None;
--- a/crates/coordination/tests/money/guards.rs
+++ b/crates/coordination/tests/money/guards.rs
@@ -60,6 +60,23 @@
     assert_eq!(writer.durable(), entry);
 }
 
+#[test]
+fn ensemble_is_not_shrunk_to_a_member_that_lacks_durable_entries() {
+    let mut writer = Writer::open("a.1".into(), "x".into());
+    let first = propose(&mut writer, MILLI, &[peer("b.1", "y"), peer("c.1", "x")]);
+    assert_eq!(first.len(), 2);
+    writer.commit(first);
+    let entry = writer.append(Entry::Release { request: id(1) });
+    writer.advance(2 * MILLI, &mut Vec::new());
+    writer.acknowledge(3 * MILLI, &"c.1".into(), entry);
+    writer.advance(SECOND, &mut Vec::new());
+    assert_eq!(writer.durable(), entry, "the other member isn't waited for");
+    writer.set_peers(vec![peer("b.1", "y")]);
+    assert_eq!(writer.propose(SECOND), None);
+    writer.acknowledge(SECOND, &"b.1".into(), entry);
+    assert_eq!(writer.propose(SECOND), Some(vec!["b.1".into()]));
+}
+
 /// A holder with a table and replicas, whose acknowledgements may be held back.
 struct Solo {
     holder: Holder,
