Bill the late charges of a fenced holder that lives

The last host of a cut-off zone goes on without a copy under its allowance. Taken for dead and recovered, it knew charges that no copy has, and a fenced holder wrote nothing more. It now waits until its row is closed, reads the segments after its own last one, charges what isn't in them, and after its last request gives back the rest. Each transaction checks the closed row with its segment number, so a repeat after a lost answer finds the segment. The host stays in "returning" for it: 30 s, or 600 s while a charge may be in no copy.

Ruled out: a message to another holder that writes the charge (a lost answer then has two who may bill it), and a recovery that waits (the holder may be dead). A recovery now strands what the copy shows as set aside; before it showed as open for good.

--- a/crates/coordination/src/escrow.rs
+++ b/crates/coordination/src/escrow.rs
@@ -190,3 +190,14 @@
         _ => Err(Fault::new(&row.key, "kind", "expected a budget")),
     }
 }
+
+/// Returns a budget's record, sums and one of its grants from their rows, in this order; `None`
+/// where one of them can't be read.
+pub(crate) fn figures(rows: &[Row]) -> Option<(Option<Budget>, Escrow, Grant)> {
+    let [record, sums, grant] = rows else {
+        return None;
+    };
+    let sums = parse::<Escrow>(sums).ok()?.unwrap_or_default();
+    let grant = parse::<Grant>(grant).ok()?.unwrap_or_default();
+    Some((budget(record).ok()?, sums, grant))
+}
--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -7,6 +7,7 @@
 mod account;
 mod allowance;
 mod event;
+mod late;
 mod observe;
 mod plan;
 mod policy;
@@ -119,6 +120,8 @@
     outgoing: BTreeMap<u64, Outgoing>,
     transfers: u64,
     incoming: BTreeSet<u64>,
+    /// What is still to be written after the holder was fenced.
+    late: Option<late::Late>,
 }
 
 impl Holder {
@@ -155,6 +158,7 @@
             outgoing: BTreeMap::new(),
             transfers: 0,
             incoming: BTreeSet::new(),
+            late: None,
         }
     }
 
@@ -180,9 +184,10 @@
 
     /// Takes an event.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
-        if matches!(self.phase, Phase::Fenced | Phase::Drained) {
-            self.handle_closed(event, actions);
-            return;
+        match self.phase {
+            Phase::Fenced => return self.handle_fenced(now, event, actions),
+            Phase::Drained => return self.handle_closed(event, actions),
+            Phase::Unregistered | Phase::Registered => {}
         }
         match event {
             Event::Reserve(reserve) => self.reserve(now, reserve, actions),
@@ -199,6 +204,17 @@
         self.advance(now, actions);
     }
 
+    fn handle_fenced(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Settle { request, tokens } => self.settle_late(request, tokens),
+            Event::Release { request } => self.settle_late(request, 0),
+            Event::Table { id, outcome } => self.table_late(now, id, outcome, actions),
+            Event::Drain => self.draining = true,
+            event => self.handle_closed(event, actions),
+        }
+        self.advance_late(now, actions);
+    }
+
     fn handle_closed(&mut self, event: Event, actions: &mut Vec<Action>) {
         let reserve = match event {
             Event::Reserve(reserve) => reserve,
@@ -385,15 +401,18 @@
         self.asking.clear();
     }
 
-    /// Ends this holder: its tokens belong to whoever recovered it.
+    /// Ends this holder: what it has belongs to whoever recovers it, but for late charges.
     fn fence(&mut self, actions: &mut Vec<Action>) {
         self.phase = Phase::Fenced;
-        for (request, reservation) in std::mem::take(&mut self.reservations) {
-            if reservation.stage != Stage::Open {
-                refuse(request, Reason::Fenced, RETRY_ELSEWHERE, actions);
+        self.reservations.retain(|request, reservation| {
+            let open = reservation.stage == Stage::Open;
+            if !open {
+                refuse(*request, Reason::Fenced, RETRY_ELSEWHERE, actions);
             }
-        }
+            open
+        });
         self.accounts.clear();
+        self.begin_late();
         self.then.clear();
         self.deadlines.clear();
         self.round = None;
--- a/crates/coordination/src/holder/event.rs
+++ b/crates/coordination/src/holder/event.rs
@@ -130,10 +130,12 @@
         /// Message.
         message: Message,
     },
-    /// Everything was given back after [`Event::Drain`].
+    /// Everything was given back after [`Event::Drain`], or, by a holder that was fenced, all that
+    /// the recovery left to it.
     Drained,
-    /// Another host recovered this holder. Whatever was not `Reserved` was refused; a new holder
-    /// with a later incarnation has to be opened, and nothing more comes from this one.
+    /// Another host recovered this holder. Whatever was not `Reserved` was refused, and a new holder
+    /// with a later incarnation has to be opened. This one still takes settlements, and writes
+    /// the charges that the recovery can't know.
     Fenced,
     /// Something for the time line.
     Note(Note),
--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -48,6 +48,9 @@
 /// Time after which a host that can't give back what it holds leaves that to a recovery.
 const RETURN_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time after which a host that was taken for dead gives up on charges that only it knows.
+const LATE_LIMIT: Duration = Duration::from_secs(600);
+
 /// Settings of a host.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -495,13 +498,10 @@
         }
     }
 
-    /// Gives back what is held; a host that was taken for dead holds nothing any more.
+    /// Gives back what is held; a host that was taken for dead writes its late charges.
     fn give_back(&mut self) {
-        if self.fenced {
-            self.stage = Stage::Lingering { until: self.now + LINGER };
-            return;
-        }
-        self.stage = Stage::Returning { until: self.now + RETURN_LIMIT };
+        let limit = if self.holder.owes_late() { LATE_LIMIT } else { RETURN_LIMIT };
+        self.stage = Stage::Returning { until: self.now + limit };
         self.holder_event(holder::Event::Drain);
     }
 
--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -56,6 +56,8 @@
     received: BTreeMap<Arc<str>, u64>,
     sent: BTreeMap<Arc<str>, u64>,
     unacknowledged: BTreeMap<u64, Sent>,
+    /// Tokens set aside for use without a copy, and by whom.
+    aside: BTreeMap<Arc<str>, (Holder, u64)>,
     floor: u64,
     claims: BTreeMap<u64, Claim>,
 }
@@ -75,12 +77,7 @@
     pub fn apply(&mut self, number: u64, entry: &Entry) {
         self.through = number;
         match entry {
-            Entry::Credit { budget, tokens, source } => {
-                self.budgets.insert(budget.clone());
-                if let Source::Holder(..) = source {
-                    *self.received.entry(budget.clone()).or_default() += tokens;
-                }
-            }
+            Entry::Credit { budget, tokens, source } => self.credit(budget, *tokens, source),
             Entry::Debit { budget, tokens, source } => self.debit(budget, *tokens, source),
             Entry::Reserve { request, budget, tokens, backend } => {
                 self.budgets.insert(budget.clone());
@@ -112,11 +109,29 @@
         }
     }
 
+    fn credit(&mut self, budget: &Arc<str>, tokens: u64, source: &Source) {
+        self.budgets.insert(budget.clone());
+        match source {
+            Source::Holder(from, 0) if !from.is_empty() => {
+                if let Some((_, aside)) = self.aside.get_mut(budget) {
+                    *aside = aside.saturating_sub(tokens);
+                }
+            }
+            Source::Holder(..) => *self.received.entry(budget.clone()).or_default() += tokens,
+            Source::Table(_) => {}
+        }
+    }
+
     fn debit(&mut self, budget: &Arc<str>, tokens: u64, source: &Source) {
         self.budgets.insert(budget.clone());
         let Source::Holder(to, number) = source else {
             return;
         };
+        if *number == 0 && !to.is_empty() {
+            let aside = self.aside.entry(budget.clone()).or_insert_with(|| (to.clone(), 0));
+            aside.1 += tokens;
+            return;
+        }
         *self.sent.entry(budget.clone()).or_default() += tokens;
         if *number == 0 {
             return;
@@ -189,6 +204,10 @@
             let source = Source::Holder(nobody(), 0);
             entries.push(Entry::Credit { budget: budget.clone(), tokens: *tokens, source });
         }
+        for (budget, (holder, tokens)) in &self.aside {
+            let (budget, source) = (budget.clone(), Source::Holder(holder.clone(), 0));
+            entries.push(Entry::Debit { budget, tokens: *tokens, source });
+        }
         let mut acknowledged = self.sent.clone();
         for (number, sent) in &self.unacknowledged {
             if let Some(tokens) = acknowledged.get_mut(&sent.budget) {
@@ -254,6 +273,11 @@
         self.sent.get(budget).copied().unwrap_or_default()
     }
 
+    /// Returns the tokens that were set aside for use without a copy of the journal.
+    pub fn aside(&self, budget: &str) -> u64 {
+        self.aside.get(budget).map_or(0, |(_, tokens)| *tokens)
+    }
+
     /// Returns the transfers that the receiver may not have, by number.
     pub fn unacknowledged(&self) -> &BTreeMap<u64, Sent> {
         &self.unacknowledged
--- a/crates/coordination/src/recovery/job.rs
+++ b/crates/coordination/src/recovery/job.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     claim::Recovered,
-    escrow::{self, Escrow, Grant, Registration, State},
+    escrow::{self, Registration, State},
     journal::{self, Sent},
     ledger::{self, Charge, Segment},
     message::{Entry, Holder, Message, SealedCopy},
@@ -349,7 +349,8 @@
         self.op = Some(Op::Commit(txn));
     }
 
-    /// Charges what a budget owes and gives the rest back, or strands it.
+    /// Charges what a budget owes and gives the rest back. Strands what the holder may have used
+    /// without a copy: all of the rest where a copy was lost, else what it had set aside.
     fn plan_budget(
         &self,
         budget: &Arc<str>,
@@ -359,15 +360,10 @@
         segment: &mut Segment,
         effect: &mut Effect,
     ) {
-        let (Ok(record), Ok(escrow), Ok(grant)) = (
-            escrow::budget(&rows[0]),
-            escrow::parse::<Escrow>(&rows[1]),
-            escrow::parse::<Grant>(&rows[2]),
-        ) else {
+        let Some((record, mut escrow, mut grant)) = escrow::figures(rows) else {
             return;
         };
         let old = record.is_some_and(|record| record.ledger == Ledger::Old);
-        let (mut escrow, mut grant) = (escrow.unwrap_or_default(), grant.unwrap_or_default());
         let was = grant.clone();
         for charge in self.charges(std::slice::from_ref(budget)) {
             let key = escrow::charge_key(budget, charge.request);
@@ -391,15 +387,15 @@
         }
         let moved = i128::from(self.state.received(budget)) - i128::from(self.state.sent(budget));
         let rest = u64::try_from(grant.open() + moved).unwrap_or(0);
-        if self.report.incomplete {
-            escrow.stranded += rest;
-            grant.stranded += rest;
-            effect.stranded += rest;
-        } else {
-            escrow.returned += rest;
-            grant.returned += rest;
-            effect.returned += rest;
-        }
+        let known = if self.report.incomplete { 0 } else { rest };
+        let returned = known.saturating_sub(self.state.aside(budget));
+        let stranded = rest - returned;
+        escrow.returned += returned;
+        grant.returned += returned;
+        effect.returned += returned;
+        escrow.stranded += stranded;
+        grant.stranded += stranded;
+        effect.stranded += stranded;
         if grant != was {
             grant.number += 1;
             txn.put(&rows[1], &escrow);
--- a/crates/coordination/tests/money/hard_cases.rs
+++ b/crates/coordination/tests/money/hard_cases.rs
@@ -5,11 +5,16 @@
 use coordination::{
     escrow::{self, Escrow, Grant, Registration, State},
     holder::{Event, Reason},
+    ledger::Reconciler,
     recovery,
     request::Class,
 };
+use test_case::test_case;
 
-use crate::fleet::{Answer, Fleet, PLATFORM, id};
+use crate::{
+    fleet::{Answer, Fleet, PLATFORM, id},
+    table::Fault,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 const PREPAID: u64 = 10_000;
@@ -265,3 +270,91 @@
     let row = escrow(&fleet);
     assert_eq!((row.settled, row.open()), (170 + 200, 0));
 }
+
+struct Late {
+    /// What happens to the commits of the fenced holder.
+    faults: &'static [Option<Fault>],
+    /// The copy that shows what was set aside is lost.
+    lost: bool,
+    /// Charges go to the old ledger.
+    old: bool,
+    /// Request 3 ends only after the holder was fenced.
+    ends_late: bool,
+}
+
+const LATE: Late = Late { faults: &[], lost: false, old: false, ends_late: false };
+
+#[test_case(LATE; "settled before the fence")]
+#[test_case(Late { ends_late: true, ..LATE }; "settled after the fence")]
+#[test_case(Late { faults: &[Some(Fault::AnswerLost)], ..LATE }; "answer lost")]
+#[test_case(Late { faults: &[Some(Fault::Lost), Some(Fault::Refused)], ..LATE }; "lost and refused")]
+#[test_case(Late { faults: &[Some(Fault::Late)], ..LATE }; "late")]
+#[test_case(Late { faults: &[Some(Fault::AnswerLost); 4], ..LATE }; "answers lost")]
+#[test_case(Late { old: true, ..LATE }; "old ledger")]
+#[test_case(Late { old: true, faults: &[Some(Fault::AnswerLost)], ..LATE }; "old ledger, answer lost")]
+#[test_case(Late { lost: true, ..LATE }; "copy lost")]
+#[test_case(Late { lost: true, ends_late: true, ..LATE }; "copy lost, settled after the fence")]
+fn fenced_holder_bills_once_what_no_copy_has(case: Late) {
+    let mut fleet = open();
+    let record = [("t1", PREPAID)];
+    fleet.set_budget("p", &record, 0, case.old);
+    fleet.cut("x", "y");
+    fleet.cut("x", PLATFORM);
+    fleet.announce_peers();
+    fleet.run_for(5 * SECOND);
+    fleet.cut("x", "x");
+    if case.lost {
+        fleet.kill(1);
+    }
+    fleet.reserve(0, 3, "p", 200, Class::Normal);
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.answer(3), Some(Answer::Reserved));
+    if !case.ends_late {
+        fleet.settle(0, 3, 150);
+    }
+    dead(&mut fleet, &[2]);
+    fleet.run_for(5 * SECOND);
+    let gone = fleet.hosts[1].id.clone();
+    fleet.heal();
+    if case.lost {
+        fleet.recover(2, recovery::Event::Gone(gone));
+    }
+    fleet.faults.insert(0, case.faults.to_vec());
+    fleet.run_for(20 * SECOND);
+    assert!(fleet.hosts[0].fenced);
+    let report = fleet.reports.first().expect("a report");
+    assert_eq!((report.settled, report.incomplete), (170, case.lost));
+    assert!(report.stranded >= 200, "{report:?}");
+    fleet.settle(0, 3, 150);
+    fleet.settle(0, 1, 60);
+    fleet.run_for(5 * SECOND);
+    assert_eq!(escrow(&fleet).settled + escrow(&fleet).old_settled, 170 + 150);
+    fleet.table.deliver_late();
+    fleet.event(0, Event::Drain);
+    fleet.run_for(10 * SECOND);
+    assert!(fleet.hosts[0].drained);
+    let sums = escrow(&fleet);
+    assert_eq!(sums.settled + sums.old_settled, 170 + 150);
+    assert_eq!((grant(&fleet).open(), sums.stranded), (0, 0));
+    let mut reconciler = Reconciler::default();
+    fleet.table.rows().for_each(|row| reconciler.add(row));
+    let balance = reconciler.finish().remove("p").expect("a balance");
+    assert_eq!((balance.disagreements, balance.charges), (Vec::new(), 3));
+}
+
+#[test]
+fn what_a_dead_holder_had_set_aside_is_shown_as_out_of_use() {
+    let mut fleet = open();
+    fleet.cut("x", "y");
+    fleet.cut("x", PLATFORM);
+    fleet.announce_peers();
+    fleet.run_for(5 * SECOND);
+    let held = fleet.hosts[0].holder.available("p");
+    fleet.kill(0);
+    fleet.heal();
+    dead(&mut fleet, &[1]);
+    fleet.run_for(10 * SECOND);
+    let report = fleet.reports.first().expect("a report");
+    assert_eq!((report.incomplete, report.stranded), (false, held));
+    assert_eq!((grant(&fleet).open(), escrow(&fleet).stranded), (0, held));
+}
