Let the record of an engine order its role

Cause: the giver of orders could order a role, but no record named one and the host always wanted any.

The record of a back end may name `serve_as`, a name that the engine knows; left out, it orders none, and old records read as before. The host hands it on as the wanted role, so that the order is given after unloads and loads, under the same lease, fencing number and intent.

The table of paused issuers, lost answers, late orders and outages now wants changing roles as well as models, for both kinds of engine, and looks at the role in the end. A process test orders a role, kills the holder of the lease and orders another from the next one, for both kinds.

--- a/crates/coordination/examples/capacity/routing.rs
+++ b/crates/coordination/examples/capacity/routing.rs
@@ -49,6 +49,7 @@
         slots: 64,
         fencing: true,
         leaving: false,
+        serve_as: None,
     }
 }
 
--- a/crates/coordination/examples/routing/fleet.rs
+++ b/crates/coordination/examples/routing/fleet.rs
@@ -441,6 +441,7 @@
         slots: SLOTS as u32,
         fencing: true,
         leaving: false,
+        serve_as: None,
     }
 }
 
--- a/crates/coordination/src/host/orders.rs
+++ b/crates/coordination/src/host/orders.rs
@@ -14,8 +14,8 @@
         if record.role != Role::Engine {
             return;
         }
-        let Backend { name, models, fencing, .. } = record.clone();
-        let want = Want { backend: name, models, role: None, fencing };
+        let Backend { name, models, fencing, serve_as, .. } = record.clone();
+        let want = Want { backend: name, models, role: serve_as, fencing };
         self.order_event(order::Event::Want(want));
     }
 
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -315,6 +315,9 @@
     pub fencing: bool,
     /// It takes no new work.
     pub leaving: bool,
+    /// Role that an engine is to take; `None` for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub serve_as: Option<Arc<str>>,
 }
 
 /// Role of a back end.
--- a/crates/coordination/src/record/read.rs
+++ b/crates/coordination/src/record/read.rs
@@ -103,6 +103,10 @@
     if role == Role::Service && !models.is_empty() {
         return Err(fields.fault("models", "expected none for a service"));
     }
+    let serve_as = fields.get("serve_as").map(|_| fields.name("serve_as")).transpose()?;
+    if role == Role::Service && serve_as.is_some() {
+        return Err(fields.fault("serve_as", "expected none for a service"));
+    }
     let slots = fields.number("slots", 1..=MAX_SLOTS, None)?;
     Ok(Backend {
         name,
@@ -113,6 +117,7 @@
         slots: u32::try_from(slots).unwrap_or(u32::MAX),
         fencing: fields.flag("fencing", Some(false))?,
         leaving: fields.flag("leaving", Some(false))?,
+        serve_as,
     })
 }
 
--- a/crates/coordination/tests/answers_order.rs
+++ b/crates/coordination/tests/answers_order.rs
@@ -20,9 +20,9 @@
     Model { name: Arc::from(name), adapter: empty(), version: empty() }
 }
 
-fn want(backend: &str, models: &[&str], fencing: bool) -> Want {
+fn want(backend: &str, models: &[&str], role: &str, fencing: bool) -> Want {
     let models = models.iter().map(|name| model(name)).collect();
-    Want { backend: Arc::from(backend), models, role: None, fencing }
+    Want { backend: Arc::from(backend), models, role: Some(Arc::from(role)), fencing }
 }
 
 #[derive(Debug, Default)]
@@ -68,6 +68,7 @@
 struct Engine {
     fencing: bool,
     models: Vec<Model>,
+    role: Arc<str>,
     seen: u64,
     /// Orders that took effect, in order: fencing number, and count of the orders sent before.
     effects: Vec<(u64, u64)>,
@@ -83,7 +84,8 @@
         match order {
             Order::Load(model) if !self.models.contains(model) => self.models.push(model.clone()),
             Order::Unload(model) => self.models.retain(|held| held != model),
-            Order::Load(_) | Order::Role(_) => {}
+            Order::Load(_) => {}
+            Order::Role(role) => self.role = role.clone(),
         }
         Outcome::Done
     }
@@ -136,7 +138,12 @@
 
 impl Fleet {
     fn open(seed: u64, faults: Faults) -> Self {
-        let engine = |fencing| Engine { fencing, models: vec![model("old")], ..Engine::default() };
+        let engine = |fencing| Engine {
+            fencing,
+            models: vec![model("old")],
+            role: Arc::from("mixed"),
+            ..Engine::default()
+        };
         let engines = [(Arc::from("fenced"), engine(true)), (Arc::from("open"), engine(false))];
         let issuers = (0..HOSTS).map(|n| Issuer::open(Setting::new(format!("host-{n}.1"))));
         let mut fleet = Self {
@@ -161,9 +168,13 @@
     }
 
     fn want(&mut self, models: &[&str]) {
+        self.want_as(models, "mixed");
+    }
+
+    fn want_as(&mut self, models: &[&str], role: &str) {
         for inbox in &mut self.inbox {
-            inbox.push_back(Event::Want(want("fenced", models, true)));
-            inbox.push_back(Event::Want(want("open", models, false)));
+            inbox.push_back(Event::Want(want("fenced", models, role, true)));
+            inbox.push_back(Event::Want(want("open", models, role, false)));
         }
     }
 
@@ -201,8 +212,9 @@
                 Event::Table { number, outcome }
             }
             Action::Read { backend, number } => {
-                let models = self.engines[&backend].models.clone();
-                let state = Some(State { models, role: empty() });
+                let engine = &self.engines[&backend];
+                let (models, role) = (engine.models.clone(), engine.role.clone());
+                let state = Some(State { models, role });
                 Event::State { backend, number, state }
             }
             Action::Weights { backend, number, .. } => {
@@ -313,16 +325,17 @@
             let mut fleet = Fleet::open(seed, case.faults);
             for round in 0..30 {
                 let wants: [&[&str]; 3] = [&["new"], &["old"], &["new", "old"]];
-                fleet.want(wants[round % 3]);
+                fleet.want_as(wants[round % 3], ["prefill", "decode"][round % 2]);
                 fleet.run(Duration::from_secs(40));
             }
             fleet.check_order(case.name);
             fleet.faults = none;
-            fleet.want(&["new"]);
+            fleet.want_as(&["new"], "decode");
             fleet.run(Duration::from_secs(400));
             fleet.check_order(case.name);
             for (backend, engine) in &fleet.engines {
                 assert_eq!(engine.models, [model("new")], "{}, {seed}: {backend}", case.name);
+                assert_eq!(&*engine.role, "decode", "{}, {seed}: {backend}", case.name);
             }
         }
     }
--- a/crates/coordination/tests/answers_route.rs
+++ b/crates/coordination/tests/answers_route.rs
@@ -34,6 +34,7 @@
         slots: SLOTS,
         fencing: true,
         leaving: false,
+        serve_as: None,
     }
 }
 
--- a/crates/coordination/tests/answers_subset.rs
+++ b/crates/coordination/tests/answers_subset.rs
@@ -40,6 +40,7 @@
         slots: SLOTS,
         fencing: true,
         leaving: false,
+        serve_as: None,
     }
 }
 
--- a/crates/coordination/tests/host/records.rs
+++ b/crates/coordination/tests/host/records.rs
@@ -69,6 +69,7 @@
                 slots: 8,
                 fencing: true,
                 leaving: false,
+                serve_as: None,
             }),
         );
     }
--- a/crates/coordination/tests/record.rs
+++ b/crates/coordination/tests/record.rs
@@ -73,6 +73,17 @@
     }
 }
 
+#[test_case(json!({}), None; "any role")]
+#[test_case(json!({ "serve_as": null }), None; "no role any more")]
+#[test_case(json!({ "serve_as": "decode" }), Some("decode"); "a role")]
+fn a_back_end_may_be_given_a_role(fields: Value, role: Option<&str>) {
+    let Record::Backend(backend) = parse("backend", 2, &fields).unwrap() else { panic!() };
+    assert_eq!(backend.serve_as.as_deref(), role);
+    let again =
+        record::parse("config/backend/x", &record::render(&Record::Backend(backend.clone())));
+    assert_eq!(again.unwrap(), Record::Backend(backend));
+}
+
 #[test]
 fn old_form_reads_as_new() {
     let old = |kind, fields| parse(kind, 1, &fields).unwrap();
@@ -163,6 +174,9 @@
     new(json!({ "models": [{ "adapter": "es" }] }), "models[0].name", "missing"),
     new(json!({ "models": [{ "name": "a" }, { "name": "a" }] }), "models", "expected distinct"),
     new(json!({ "leaving": "yes" }), "leaving", "expected true or false"),
+    new(json!({ "serve_as": "Decode" }), "serve_as", "expected a name"),
+    new(json!({ "serve_as": 7 }), "serve_as", "expected a name"),
+    new(json!({ "models": [], "serve_as": "decode" }), "serve_as", "expected none for a service"),
     new(json!({ "fencing": 1 }), "fencing", "expected true or false"),
     old(json!({ "url": null }), "url", "missing"),
     old(json!({ "url": "https://127.0.0.1:1" }), "url", "expected http://ip:port"),
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -45,10 +45,16 @@
 
     /// Writes its record; returns the revision.
     fn want(&self, fleet: &Fleet, models: &[&str]) -> u64 {
+        self.want_as(fleet, models, &Value::Null)
+    }
+
+    /// Writes its record with a role; returns the revision.
+    fn want_as(&self, fleet: &Fleet, models: &[&str], role: &Value) -> u64 {
         let models: Vec<Value> = models.iter().map(|name| json!({"name": name})).collect();
         fleet.put(&json!({
             "kind": "backend", "version": 2, "name": "engine-x", "zone": "a", "role": "engine",
             "address": self.handle.url(), "models": models, "slots": 8, "fencing": self.fencing,
+            "serve_as": role,
         }))
     }
 
@@ -61,6 +67,12 @@
         names
     }
 
+    fn wait_role(&self, fleet: &Fleet, role: &str) {
+        fleet.wait(&format!("the engine serves as {role}"), || {
+            control::get(self.handle.address, "/state").expect("state")["role"] == role
+        });
+    }
+
     fn wait_models(&self, fleet: &Fleet, models: &[&str]) {
         fleet.wait(&format!("the engine holds {models:?}"), || self.models() == models);
     }
@@ -68,7 +80,7 @@
     /// Returns the orders that took effect: number, kind and model.
     fn orders(&self) -> Vec<(u64, String, String)> {
         let orders = control::get(self.handle.address, "/control/orders").expect("orders");
-        let text = |value: &Value| value.as_str().expect("text").to_owned();
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
         let list = orders.as_array().expect("orders");
         let parts = list.iter().map(|order| {
             let fence = order["fence"].as_u64().expect("fence");
@@ -174,3 +186,19 @@
     engine.wait_models(&fleet, &["assess", "review"]);
     engine.check(&[("load", "reply"), ("unload", "reply"), ("load", "review")]);
 }
+
+#[test_case(true; "an engine that enforces fencing numbers")]
+#[test_case(false; "an engine that ignores fencing numbers")]
+fn a_record_orders_a_role(fencing: bool) {
+    let mut fleet = Fleet::open(Plan::default());
+    let engine = Engine::open(fencing);
+    let (first, zone) = wait_holder(&fleet);
+    engine.want_as(&fleet, &["assess", "reply"], &"prefill".into());
+    engine.wait_role(&fleet, "prefill");
+    wait_no_intent(&fleet);
+    fleet.kill(first);
+    fleet.list(first, zone, "gone");
+    engine.want_as(&fleet, &["assess", "reply"], &"decode".into());
+    engine.wait_role(&fleet, "decode");
+    engine.check(&[("load", "reply"), ("role", ""), ("role", "")]);
+}
