Keep records once and box large entries; tell the router only what the host list changes

A whole host at the target size took 81.2 MB, measured by the new `capacity whole`. Cause: parsed budgets with a tree of top-ups each, every zone, model and reference a text of its own, rows with room for an invalid twin, and large values in half-full tree nodes. Each request also copied its route's list of back ends, which nothing read.

Before: empty 1.6, with 23,000 budgets 42.4, with 12,000 back ends 77.4, with 350 hosts and the platform's list 81.2 MB (load average 16). After: 1.7, 25.7, 52.0, 53.6 MB (load average 22).

Tried: accounts opened on the first use of a budget, 44.6 MB. That made `status_checks_are_not_refused_while_a_zone_is_cut_off` fail.

Passed: host 40, money 51, state_config 26, answers_route, answers_subset, answers_order, and catalog, which is new.

--- a/crates/coordination/examples/capacity/main.rs
+++ b/crates/coordination/examples/capacity/main.rs
@@ -18,6 +18,7 @@
 mod spread;
 mod timeline;
 mod transport;
+mod whole;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -27,8 +28,10 @@
             routing::measure();
             routing::measure_divided();
         }
+        ["start"] => members::cold_start(),
+        ["whole"] => whole::measure(),
         ["memory", part, count] => memory(part, count.parse().expect("a number")),
-        _ => eprintln!("the only argument taken is `routing`"),
+        _ => eprintln!("the arguments taken are `routing`, `start` and `whole`"),
     }
 }
 
@@ -44,6 +47,7 @@
     ledger::measure();
     routing::measure();
     routing::measure_divided();
+    whole::measure();
 }
 
 /// Prints the memory of one part; [`report::memory`] runs this in a process of its own.
@@ -57,6 +61,7 @@
         "fold" => ledger::memory_of_fold(count),
         "tickets" => ledger::memory_of_tickets(count),
         "routing" => routing::memory_of(count),
+        "whole" => whole::memory_of(count),
         _ => eprintln!("unknown part"),
     }
 }
--- a/crates/coordination/examples/capacity/members.rs
+++ b/crates/coordination/examples/capacity/members.rs
@@ -20,6 +20,9 @@
 /// Time over which bytes are counted.
 const WINDOW: Duration = Duration::from_secs(120);
 
+/// Longest time in which a fleet that starts all at once gets to know all hosts.
+const CONVERGE_LIMIT: Duration = Duration::from_secs(600);
+
 /// Hosts and zones of each fleet.
 const SIZES: [(usize, usize); 4] = [(7, 3), (85, 17), (170, 17), (350, 17)];
 
@@ -96,12 +99,39 @@
     print("350 hosts, a restart every 17 s, busiest", most / seconds(), "B/s");
 }
 
-fn cold_start() {
+/// Measures the first minutes of a fleet that starts all at once.
+pub fn cold_start() {
     let (hosts, zones) = SIZES[SIZES.len() - 1];
     let mut fleet = Fleet::new(hosts, zones);
+    converge(&mut fleet);
+    let mut fleet = Fleet::new(hosts, zones);
     fleet.record = true;
     fleet.run(WINDOW);
     let (all, most) = count(&fleet.sent);
     print("350 hosts, first 2 min of a common start, mean", all / hosts as f64 / seconds(), "B/s");
     print("350 hosts, first 2 min of a common start, busiest", most / seconds(), "B/s");
 }
+
+/// Measures the time until each host knows its own zone, and how many of all hosts it then knows.
+fn converge(fleet: &mut Fleet) {
+    let own = |fleet: &Fleet| {
+        fleet.hosts.values().all(|host| {
+            let zone = &host.settings.zone;
+            let all = fleet.hosts.values().filter(|other| other.settings.zone == *zone).count();
+            host.table.zone(zone).count() == all
+        })
+    };
+    while !own(fleet) && fleet.now < CONVERGE_LIMIT {
+        fleet.run(Duration::from_secs(1));
+    }
+    let time = fleet.now.as_secs_f64();
+    print("350 hosts started at once, every host knows its zone, after", time, "s");
+    for end in [Duration::from_secs(120), CONVERGE_LIMIT] {
+        fleet.run(end.saturating_sub(fleet.now));
+        let known = fleet.hosts.values().map(|host| host.table.members().count());
+        let mean = known.clone().sum::<usize>() as f64 / fleet.hosts.len() as f64;
+        let time = end.as_secs();
+        print(&format!("350 hosts started at once, {time} s, hosts known, mean"), mean, "");
+        print("the same, fewest", known.min().unwrap_or(0) as f64, "");
+    }
+}
--- a/crates/coordination/src/config.rs
+++ b/crates/coordination/src/config.rs
@@ -174,7 +174,7 @@
     }
 
     /// Returns the rows in force, by key.
-    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+    pub fn rows(&self) -> impl Iterator<Item = Row> {
         self.store.rows()
     }
 
--- a/crates/coordination/src/config/store.rs
+++ b/crates/coordination/src/config/store.rs
@@ -31,10 +31,10 @@
 /// State of one key.
 #[derive(Debug, Default)]
 struct Cell {
-    /// Row in force.
-    valid: Option<Row>,
+    /// Value in force.
+    value: Option<Arc<str>>,
     /// Newer row that can't come into force.
-    invalid: Option<Row>,
+    invalid: Option<Box<Row>>,
     /// Greatest revision that is in force, for a deletion too.
     floor: Revision,
 }
@@ -43,6 +43,12 @@
     fn newest(&self) -> Revision {
         self.invalid.as_ref().map_or(self.floor, |invalid| invalid.revision)
     }
+
+    /// Returns the row in force.
+    fn valid(&self, key: &Arc<str>) -> Option<Row> {
+        let value = self.value.clone()?;
+        Some(Row { key: key.clone(), value: Some(value), revision: self.floor })
+    }
 }
 
 /// Rows by key, complete up to a revision.
@@ -72,8 +78,8 @@
     }
 
     /// Returns the rows in force, by key.
-    pub fn rows(&self) -> impl Iterator<Item = &Row> {
-        self.cells.values().filter_map(|cell| cell.valid.as_ref())
+    pub fn rows(&self) -> impl Iterator<Item = Row> {
+        self.cells.iter().filter_map(|(key, cell)| cell.valid(key))
     }
 
     /// Takes a row if it is newer than what stands.
@@ -106,14 +112,14 @@
         self.order.remove(&(cell.newest(), row.key.clone()));
         self.deletions.remove(&(cell.floor, row.key.clone()));
         if is_newest {
-            cell.invalid = (!is_valid).then(|| row.clone());
+            cell.invalid = (!is_valid).then(|| Box::new(row.clone()));
         }
         if is_valid {
             cell.floor = row.revision;
-            cell.valid = Some(row).filter(|row| row.value.is_some()).cloned();
+            cell.value = row.value.clone();
         }
         let newest = cell.newest();
-        if cell.valid.is_none() && cell.invalid.is_none() {
+        if cell.value.is_none() && cell.invalid.is_none() {
             self.deletions.insert((newest, row.key.clone()));
         } else {
             self.order.insert((newest, row.key.clone()));
@@ -177,10 +183,12 @@
                 return Some((rows, last));
             }
             last = revision;
-            let changed = self.cells.get(&key).into_iter();
-            for row in changed.flat_map(|cell| cell.valid.iter().chain(&cell.invalid)) {
-                size += bytes(row);
-                rows.push(row.clone());
+            if let Some(cell) = self.cells.get(&key) {
+                let newer = cell.invalid.as_deref().cloned();
+                for row in cell.valid(&key).into_iter().chain(newer) {
+                    size += bytes(&row);
+                    rows.push(row);
+                }
             }
             if !self.order.contains(&(revision, key.clone())) {
                 size += ROW_BYTES + key.len();
--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -96,7 +96,7 @@
     journal: Writer,
     then: BTreeMap<u64, Then>,
     reported: u64,
-    accounts: BTreeMap<Arc<str>, Account>,
+    accounts: BTreeMap<Arc<str>, Box<Account>>,
     reservations: BTreeMap<request::Id, Reservation>,
     deadlines: BTreeSet<(Duration, request::Id)>,
     turns: u64,
--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -185,7 +185,7 @@
     inquiries: BTreeMap<request::Id, VecDeque<model::Inquiry>>,
     announced: bool,
     addresses: fleet::Addresses,
-    /// The platform's host list as last read.
+    /// The platform's host list as last read, back ends left out.
     listed: Vec<member::Listed>,
     /// Other hosts heard of lately.
     reachable: usize,
@@ -282,9 +282,9 @@
     /// Returns what this host holds of each budget; takes time for each budget in force.
     pub fn balances(&self) -> impl Iterator<Item = Balance> {
         self.catalog.budgets().map(|budget| Balance {
-            budget: budget.name.clone(),
-            available: self.holder.available(&budget.name),
-            reserved: self.holder.reserved(&budget.name),
+            budget: budget.clone(),
+            available: self.holder.available(budget),
+            reserved: self.holder.reserved(budget),
         })
     }
 
--- a/crates/coordination/src/host/catalog.rs
+++ b/crates/coordination/src/host/catalog.rs
@@ -1,10 +1,20 @@
 //! Records in force at a host.
+//!
+//! Names that records share are kept once.
 
-use std::{collections::BTreeMap, sync::Arc};
+mod words;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use words::Words;
 
 use crate::{
     credential::Index,
-    record::{self, Backend, Budget, Fault, Kind, Record, Route, Workspace},
+    member::{Listed, Standing},
+    record::{self, Backend, Budget, Fault, Kind, Ledger, Record, Route, Workspace},
     table::Row,
 };
 
@@ -12,11 +22,35 @@
 #[derive(Debug)]
 pub struct Catalog {
     workspaces: BTreeMap<Arc<str>, Workspace>,
-    budgets: BTreeMap<Arc<str>, Budget>,
+    budgets: BTreeMap<Arc<str>, Held>,
     backends: BTreeMap<Arc<str>, Backend>,
     routes: BTreeMap<Arc<str>, Route>,
     callers: Index,
     operators: Index,
+    /// Back ends that the platform's list takes out of service.
+    unlisted: BTreeSet<Arc<str>>,
+    words: Words,
+}
+
+/// What is kept of a budget's record.
+#[derive(Debug)]
+struct Held {
+    workspace: Arc<str>,
+    top_ups: Box<[(Arc<str>, u64)]>,
+    urgent_floor: u64,
+    ledger: Ledger,
+}
+
+impl Held {
+    fn budget(&self, name: &Arc<str>) -> Budget {
+        Budget {
+            name: name.clone(),
+            workspace: self.workspace.clone(),
+            top_ups: self.top_ups.iter().cloned().collect(),
+            urgent_floor: self.urgent_floor,
+            ledger: self.ledger,
+        }
+    }
 }
 
 /// What a row changed.
@@ -48,6 +82,8 @@
             routes: BTreeMap::new(),
             callers: Index::new(key),
             operators: Index::new(key),
+            unlisted: BTreeSet::new(),
+            words: Words::default(),
         }
     }
 
@@ -61,29 +97,32 @@
         let Some((kind, name)) = record::split_key(&row.key) else { return Ok(Change::None) };
         let Some(value) = &row.value else { return Ok(self.delete(kind, name)) };
         let record = record::parse(&row.key, value)?;
-        if let Some(old) = self.budgets.get(name)
+        if let Some((name, old)) = self.budgets.get_key_value(name)
             && kind == Kind::Budget
         {
-            record.succeeds(&Record::Budget(old.clone()))?;
+            record.succeeds(&Record::Budget(old.budget(name)))?;
         }
         Ok(self.set(record))
     }
 
     fn set(&mut self, record: Record) -> Change {
         match record {
-            Record::Workspace(workspace) => {
+            Record::Workspace(mut workspace) => {
+                self.words.share(&mut workspace.name);
+                workspace.budgets.iter_mut().for_each(|name| share(&self.budgets, name));
                 self.callers.set(&workspace.name, &workspace.token_hashes);
                 self.workspaces.insert(workspace.name.clone(), workspace);
             }
-            Record::Budget(budget) => {
-                self.budgets.insert(budget.name.clone(), budget.clone());
-                return Change::Budget(budget);
-            }
-            Record::Backend(backend) => {
+            Record::Budget(budget) => return self.set_budget(budget),
+            Record::Backend(mut backend) => {
+                share(&self.backends, &mut backend.name);
+                self.words.share(&mut backend.zone);
+                backend.models.iter_mut().for_each(|model| self.words.share_model(model));
                 self.backends.insert(backend.name.clone(), backend.clone());
                 return Change::Backend(backend);
             }
-            Record::Route(route) => {
+            Record::Route(mut route) => {
+                route.backends.iter_mut().for_each(|name| share(&self.backends, name));
                 self.routes.insert(route.name.clone(), route.clone());
                 return Change::Route(route);
             }
@@ -94,6 +133,19 @@
         Change::None
     }
 
+    fn set_budget(&mut self, mut budget: Budget) -> Change {
+        share(&self.budgets, &mut budget.name);
+        self.words.share(&mut budget.workspace);
+        let held = Held {
+            workspace: budget.workspace.clone(),
+            top_ups: budget.top_ups.clone().into_iter().collect(),
+            urgent_floor: budget.urgent_floor,
+            ledger: budget.ledger,
+        };
+        self.budgets.insert(budget.name.clone(), held);
+        Change::Budget(budget)
+    }
+
     fn delete(&mut self, kind: Kind, name: &str) -> Change {
         match kind {
             Kind::Workspace => {
@@ -106,6 +158,7 @@
             }
             Kind::Backend => {
                 self.backends.remove(name);
+                self.unlisted.remove(name);
                 return Change::BackendDeleted(name.into());
             }
             Kind::Route => {
@@ -137,18 +190,43 @@
         self.backends.get(name)
     }
 
+    /// Takes an entry of the platform's list; returns the back end, and whether it is out of service,
+    /// where that changed.
+    pub fn list(&mut self, entry: &Listed) -> Option<(Arc<str>, bool)> {
+        let (name, _) = self.backends.get_key_value(&entry.host)?;
+        let name = name.clone();
+        let out = entry.standing != Standing::Live;
+        let changed = match out {
+            true => self.unlisted.insert(name.clone()),
+            false => self.unlisted.remove(&name),
+        };
+        changed.then_some((name, out))
+    }
+
+    /// Returns whether the platform's list takes a back end out of service.
+    pub fn is_unlisted(&self, backend: &str) -> bool {
+        self.unlisted.contains(backend)
+    }
+
     /// Returns all back ends, by name.
     pub fn backends(&self) -> impl Iterator<Item = &Backend> {
         self.backends.values()
     }
 
-    /// Returns all budgets, by name.
-    pub fn budgets(&self) -> impl Iterator<Item = &Budget> {
-        self.budgets.values()
+    /// Returns the names of all budgets.
+    pub fn budgets(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.budgets.keys()
     }
 
-    /// Returns a budget.
-    pub fn budget(&self, name: &str) -> Option<&Budget> {
-        self.budgets.get(name)
+    /// Returns the workspace that a budget belongs to.
+    pub fn owner(&self, budget: &str) -> Option<&Arc<str>> {
+        self.budgets.get(budget).map(|held| &held.workspace)
+    }
+}
+
+/// Takes the name under which a record is known in place of an equal one.
+fn share<T>(records: &BTreeMap<Arc<str>, T>, name: &mut Arc<str>) {
+    if let Some((known, _)) = records.get_key_value(name) {
+        name.clone_from(known);
     }
 }
--- a/crates/coordination/src/host/fleet.rs
+++ b/crates/coordination/src/host/fleet.rs
@@ -70,8 +70,9 @@
     }
 
     /// Takes the platform's list, which names hosts but not where they are reached.
-    pub(super) fn hosts_listed(&mut self, listed: Vec<Listed>) {
+    pub(super) fn hosts_listed(&mut self, mut listed: Vec<Listed>) {
         self.backends_listed(&listed);
+        listed.retain(|entry| self.may_be_member(entry));
         self.listed.clone_from(&listed);
         let with_address = listed.into_iter().map(|mut entry| {
             let announced = self.addresses.by_host.get(&entry.host).cloned();
@@ -82,6 +83,15 @@
         self.member_event(member::Event::HostList(listed));
     }
 
+    /// Returns whether an entry of the platform's list may say something of a host.
+    fn may_be_member(&self, entry: &Listed) -> bool {
+        self.catalog.backend(&entry.host).is_none()
+            || entry.address.is_some()
+            || entry.incarnation.is_some()
+            || self.members.get(&entry.host).is_some()
+            || self.addresses.by_host.contains_key(&entry.host)
+    }
+
     pub(super) fn message(&mut self, from: Holder, address: Arc<str>, message: Message) {
         match message {
             Message::Append(_) | Message::Seal { .. } => self.journal_message(address, message),
@@ -269,7 +279,11 @@
             Change::RouteDeleted(name) => self.router_event(RouterEvent::RouteDeleted(name)),
             Change::Backend(backend) => {
                 self.want(&backend);
+                let name = backend.name.clone();
                 self.router_event(RouterEvent::Backend(backend));
+                if self.catalog.is_unlisted(&name) {
+                    self.router_event(RouterEvent::Listed { backend: name, leaving: true });
+                }
             }
             Change::BackendDeleted(name) => {
                 self.order_event(order::Event::Forget(name.clone()));
--- a/crates/coordination/src/host/intake.rs
+++ b/crates/coordination/src/host/intake.rs
@@ -19,8 +19,6 @@
     pub workspace: Arc<str>,
     /// Route that serves it.
     pub route: Arc<str>,
-    /// Back ends that serve the route.
-    pub backends: Vec<Arc<str>>,
     /// Class.
     pub class: Class,
     /// Budget that is charged.
@@ -100,7 +98,7 @@
     };
     let budget = budget
         .filter(|name| {
-            catalog.budget(name).is_some_and(|budget| budget.workspace == workspace.name)
+            catalog.owner(name).is_some_and(|workspace_name| *workspace_name == workspace.name)
         })
         .ok_or_else(|| refused(404, "unknown_budget", "the workspace has no such budget"))?;
     let (ask, worst) = match &route.model {
@@ -110,7 +108,6 @@
     Ok(Work {
         workspace: workspace.name.clone(),
         route: route.name.clone(),
-        backends: route.backends.clone(),
         class: route.class,
         budget: budget.clone(),
         worst,
--- a/crates/coordination/src/host/placement.rs
+++ b/crates/coordination/src/host/placement.rs
@@ -89,14 +89,12 @@
         self.router_event(RouterEvent::Load(backend, load));
     }
 
-    /// Tells the router which back ends the platform's list takes out of service.
+    /// Tells the router what changed of the back ends that the platform's list takes out of service.
     pub(super) fn backends_listed(&mut self, listed: &[Listed]) {
         for entry in listed {
-            if self.catalog.backend(&entry.host).is_none() {
-                continue;
+            if let Some((backend, leaving)) = self.catalog.list(entry) {
+                self.router_event(RouterEvent::Listed { backend, leaving });
             }
-            let leaving = entry.standing != crate::member::Standing::Live;
-            self.router_event(RouterEvent::Listed { backend: entry.host.clone(), leaving });
         }
         self.router_event(RouterEvent::Settle);
     }
--- a/crates/coordination/src/order/issuer.rs
+++ b/crates/coordination/src/order/issuer.rs
@@ -47,7 +47,7 @@
     numbers: u64,
     orders: u64,
     tables: BTreeMap<u64, Purpose>,
-    targets: BTreeMap<Arc<str>, Target>,
+    targets: BTreeMap<Arc<str>, Box<Target>>,
     timers: BTreeSet<(Duration, Arc<str>)>,
     loading: BTreeMap<Model, Arc<str>>,
     weights_after: Duration,
@@ -110,7 +110,7 @@
         match self.targets.get_mut(&backend) {
             Some(target) => target.want = want,
             None => {
-                self.targets.insert(backend.clone(), Target::open(want, now));
+                self.targets.insert(backend.clone(), Box::new(Target::open(want, now)));
             }
         }
         if self.targets.get(&backend).is_some_and(|target| target.phase == Phase::Idle) {
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -1,11 +1,6 @@
 //! Chooses among the back ends of a route.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -74,9 +69,9 @@
 #[derive(Debug)]
 pub struct Router {
     setting: Setting,
-    backends: BTreeMap<Arc<str>, Backend>,
+    backends: BTreeMap<Arc<str>, Box<Backend>>,
     pools: BTreeMap<Arc<str>, Pool>,
-    routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    routes_of: BTreeMap<Arc<str>, Vec<Arc<str>>>,
     prefixes: prefix::Index,
     hosts: Hosts,
     /// Hosts among which the reading of back ends is divided; `None` where this host reads all.
@@ -172,9 +167,9 @@
                 self.with(&backend, |backend, _| backend.state(models, leaving));
             }
             RouterEvent::Listed { backend, leaving } => {
-                let before = self.backends.get(&backend).map(Backend::shared_leaving);
+                let before = self.backends.get(&backend).map(|backend| backend.shared_leaving());
                 self.with(&backend, |backend, _| backend.listed(leaving));
-                let after = self.backends.get(&backend).map(Backend::shared_leaving);
+                let after = self.backends.get(&backend).map(|backend| backend.shared_leaving());
                 self.dirty |= before != after;
             }
             RouterEvent::Refused(name, refusal) => {
@@ -452,7 +447,7 @@
             Some(backend) if backend.record.address == record.address => backend.record = record,
             _ => {
                 self.prefixes.forget(&name);
-                self.backends.insert(name.clone(), Backend::open(record));
+                self.backends.insert(name.clone(), Box::new(Backend::open(record)));
                 self.mark_urgent(&name);
             }
         }
@@ -474,7 +469,10 @@
         let name = route.name.clone();
         let mut pool = Pool::open(route);
         for backend in &pool.route.backends {
-            self.routes_of.entry(backend.clone()).or_default().insert(name.clone());
+            let routes = self.routes_of.entry(backend.clone()).or_default();
+            if !routes.contains(&name) {
+                routes.push(name.clone());
+            }
         }
         for backend in pool.route.backends.clone() {
             self.place_in(&mut pool, &backend);
@@ -491,7 +489,7 @@
         let Some(pool) = self.pools.remove(name) else { return };
         for backend in &pool.route.backends {
             let Some(routes) = self.routes_of.get_mut(backend) else { continue };
-            routes.remove(name);
+            routes.retain(|route| route != name);
             if routes.is_empty() {
                 self.routes_of.remove(backend);
             }
--- /dev/null
+++ b/crates/coordination/tests/catalog.rs
@@ -0,0 +1,102 @@
+//! Records in force: which changes are told, and what is kept once.
+
+use std::sync::Arc;
+
+use coordination::{
+    host::catalog::{Catalog, Change},
+    member::{Listed, Standing},
+    record::{self, Kind},
+    table::Row,
+};
+
+fn row(kind: Kind, name: &str, fields: &str) -> Row {
+    let kind_name = kind.as_str();
+    let value = format!(r#"{{"kind":"{kind_name}","version":2,"name":"{name}",{fields}}}"#);
+    Row { key: record::key(kind, name).into(), value: Some(value.into()), revision: 1 }
+}
+
+fn budget(tokens: u64) -> Row {
+    let fields =
+        format!(r#""workspace":"w","top_ups":{{"t":{tokens}}},"urgent_floor":3,"ledger":"new""#);
+    row(Kind::Budget, "b", &fields)
+}
+
+fn backend(name: &str) -> Row {
+    let fields = r#""address":"http://127.0.0.1:1","zone":"a","role":"engine","slots":4,
+        "models":[{"name":"m","version":"1"}],"fencing":true,"leaving":false"#;
+    row(Kind::Backend, name, fields)
+}
+
+fn deleted(row: Row) -> Row {
+    Row { value: None, ..row }
+}
+
+fn bought(change: Change) -> Option<u64> {
+    match change {
+        Change::Budget(budget) => Some(budget.prepaid()),
+        _ => None,
+    }
+}
+
+#[test]
+fn budget_is_told_as_it_stands() {
+    let mut catalog = Catalog::new([0; 32]);
+    assert_eq!(catalog.apply(&budget(5)).map(bought), Ok(Some(5)));
+    assert_eq!(catalog.apply(&budget(7)).map(bought), Ok(Some(7)));
+    assert!(catalog.apply(&budget(6)).is_err(), "bought tokens stay bought");
+    assert_eq!(catalog.owner("b").map(|name| &**name), Some("w"));
+    assert_eq!(catalog.budgets().count(), 1);
+    assert_eq!(catalog.apply(&deleted(budget(0))), Ok(Change::BudgetDeleted("b".into())));
+    assert_eq!(catalog.owner("b"), None);
+    assert_eq!(catalog.apply(&budget(1)).map(bought), Ok(Some(1)), "a new budget");
+}
+
+#[test]
+fn platform_list_is_told_where_it_changes() {
+    let listed = |host: &str, standing| Listed {
+        host: host.into(),
+        zone: "a".into(),
+        address: None,
+        standing,
+        incarnation: None,
+    };
+    let mut catalog = Catalog::new([0; 32]);
+    catalog.apply(&backend("e")).expect("a valid record");
+    let cases = [
+        ("e", Standing::Live, None),
+        ("e", Standing::Leaving, Some(true)),
+        ("e", Standing::Gone, None),
+        ("e", Standing::Live, Some(false)),
+        ("e", Standing::Gone, Some(true)),
+        ("other", Standing::Gone, None),
+    ];
+    for (number, (host, standing, told)) in cases.into_iter().enumerate() {
+        let change = catalog.list(&listed(host, standing));
+        assert_eq!(change.map(|(_, out)| out), told, "case {number}");
+    }
+    assert!(catalog.is_unlisted("e"));
+    catalog.apply(&deleted(backend("e"))).expect("a deletion");
+    assert!(!catalog.is_unlisted("e"), "a later back end of this name is another one");
+}
+
+#[test]
+fn texts_that_records_share_are_kept_once() {
+    let mut catalog = Catalog::new([0; 32]);
+    for name in ["e", "f"] {
+        catalog.apply(&backend(name)).expect("a valid record");
+    }
+    let fields = r#""backends":["e"],"model":{"name":"m"},"idempotent":true,"class":"normal",
+        "max_tokens":9,"call_tokens":0,"timeout_ms":9000"#;
+    catalog.apply(&row(Kind::Route, "r", fields)).expect("a valid record");
+    let [e, f] = ["e", "f"].map(|name| catalog.backend(name).expect("a back end"));
+    let route = catalog.route("r").expect("a route");
+    let pairs = [
+        (&e.zone, &f.zone),
+        (&e.models[0].name, &f.models[0].name),
+        (&e.models[0].version, &f.models[0].version),
+        (&e.name, &route.backends[0]),
+    ];
+    for (number, (one, other)) in pairs.into_iter().enumerate() {
+        assert!(Arc::ptr_eq(one, other), "case {number}");
+    }
+}
--- a/crates/coordination/tests/common/followers.rs
+++ b/crates/coordination/tests/common/followers.rs
@@ -89,7 +89,7 @@
     }
 
     fn rows(&self) -> Vec<Row> {
-        Follower::rows(self).cloned().collect()
+        Follower::rows(self).collect()
     }
 }
 
--- a/crates/coordination/tests/state_config.rs
+++ b/crates/coordination/tests/state_config.rs
@@ -64,7 +64,7 @@
             rows.into_iter().filter(|row| !net.log.is_invalid(&row.key)).collect()
         };
         for follower in &net.followers {
-            let rows = settled(follower.rows().cloned().collect());
+            let rows = settled(follower.rows().collect());
             assert_eq!(rows, settled(net.log.in_force()), "seed {seed}");
         }
     }
