--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -1,11 +1,6 @@
 //! Chooses among the back ends of a route.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -75,9 +70,9 @@
 #[derive(Debug)]
 pub struct Router {
     setting: Setting,
-    backends: BTreeMap<Arc<str>, Backend>,
+    backends: BTreeMap<Arc<str>, Box<Backend>>,
     pools: BTreeMap<Arc<str>, Pool>,
-    routes_of: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    routes_of: BTreeMap<Arc<str>, Vec<Arc<str>>>,
     prefixes: prefix::Index,
     resyncs: Pace,
     hosts: Hosts,
@@ -132,7 +127,7 @@
 
     /// Returns true where the platform's list takes a back end out of service.
     pub fn listed(&self, backend: &str) -> bool {
-        self.backends.get(backend).is_some_and(Backend::is_listed)
+        self.backends.get(backend).is_some_and(|backend| backend.is_listed())
     }
 
     /// Returns true where this host reads the reports of a back end.
@@ -182,9 +177,9 @@
                 self.with(&backend, |backend, _| backend.state(models, leaving));
             }
             RouterEvent::Listed { backend, leaving } => {
-                let before = self.backends.get(&backend).map(Backend::shared_leaving);
+                let before = self.backends.get(&backend).map(|backend| backend.shared_leaving());
                 self.with(&backend, |backend, _| backend.listed(leaving));
-                let after = self.backends.get(&backend).map(Backend::shared_leaving);
+                let after = self.backends.get(&backend).map(|backend| backend.shared_leaving());
                 self.dirty |= before != after;
             }
             RouterEvent::Refused(name, refusal) => {
@@ -469,7 +464,7 @@
             Some(backend) if backend.record.address == record.address => backend.record = record,
             _ => {
                 self.prefixes.forget(&name);
-                self.backends.insert(name.clone(), Backend::open(record));
+                self.backends.insert(name.clone(), Box::new(Backend::open(record)));
                 self.mark_urgent(&name);
             }
         }
@@ -492,7 +487,10 @@
         let name = route.name.clone();
         let mut pool = Pool::open(route);
         for backend in &pool.route.backends {
-            self.routes_of.entry(backend.clone()).or_default().insert(name.clone());
+            let routes = self.routes_of.entry(backend.clone()).or_default();
+            if !routes.contains(&name) {
+                routes.push(name.clone());
+            }
         }
         for backend in pool.route.backends.clone() {
             self.place_in(&mut pool, &backend);
@@ -509,7 +507,7 @@
         let Some(pool) = self.pools.remove(name) else { return };
         for backend in &pool.route.backends {
             let Some(routes) = self.routes_of.get_mut(backend) else { continue };
-            routes.remove(name);
+            routes.retain(|route| route != name);
             if routes.is_empty() {
                 self.routes_of.remove(backend);
             }
