--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -303,21 +303,21 @@
         };
         let mut desired: Vec<Holder> = committed.iter().filter(healthy).cloned().collect();
         while desired.len() < MEMBERS
-            && let Some(id) = self.candidate(&desired)
+            && let Some(id) = self.candidate(&desired, now)
         {
             desired.push(id);
         }
-        self.spread_zones(&mut desired);
+        self.spread_zones(&mut desired, now);
         if desired.is_empty() { committed.to_vec() } else { desired }
     }
 
     /// Replaces a member where all are of this zone, or all of others, and some process isn't.
-    fn spread_zones(&self, desired: &mut Vec<Holder>) {
+    fn spread_zones(&self, desired: &mut Vec<Holder>, now: Duration) {
         let abroad = |id: &Holder| self.peers.get(id).is_some_and(|peer| peer.zone != self.zone);
         let one_sided = desired.iter().all(abroad) || !desired.iter().any(abroad);
         if desired.len() == MEMBERS
             && one_sided
-            && let Some(id) = self.candidate(desired)
+            && let Some(id) = self.candidate(desired, now)
             && abroad(&id) != desired.iter().any(abroad)
         {
             desired.pop();
@@ -330,15 +330,19 @@
     }
 
     /// Returns the best process to add: first one of another zone, then one of this zone.
-    fn candidate(&self, chosen: &[Holder]) -> Option<Holder> {
+    fn candidate(&self, chosen: &[Holder], now: Duration) -> Option<Holder> {
         let zone = |id: &Holder| self.peers.get(id).map(|peer| &peer.zone);
         let elsewhere = chosen.iter().any(|id| zone(id).is_some_and(|zone| *zone != self.zone));
         let rank = |peer: &&Peer| {
             let wanted = (peer.zone != self.zone) != elsewhere;
             (!wanted, spread(&self.holder, &peer.id))
         };
+        let stalled = |id: &Holder| {
+            self.members.iter().any(|member| member.id == *id && member.stalled(now, REPLACE_AFTER))
+        };
         let free = |peer: &&Peer| {
-            peer.reachable && !chosen.contains(&peer.id) && !self.excluded.contains(&peer.id)
+            let known = chosen.contains(&peer.id) || self.excluded.contains(&peer.id);
+            peer.reachable && !known && !stalled(&peer.id)
         };
         self.peers.values().filter(free).min_by_key(rank).map(|peer| peer.id.clone())
     }
--- a/crates/coordination/tests/money/guards.rs
+++ b/crates/coordination/tests/money/guards.rs
@@ -383,3 +383,26 @@
         assert_eq!(writer.propose(SECOND), None);
     }
 }
+
+/// A member whose heartbeats are heard but that acknowledges nothing is replaced.
+#[test_case(&["h0.1"]; "one is silent")]
+#[test_case(&["h0.1", "h1.1"]; "both are silent")]
+fn silent_member_that_counts_as_reachable_is_replaced(silent: &[&str]) {
+    let peers = [peer("h0.1", "b"), peer("h1.1", "a"), peer("h2.1", "c"), peer("h3.1", "a")];
+    let mut writer = Writer::open("h.1".into(), "a".into());
+    let first = propose(&mut writer, SECOND, &peers[..2]);
+    writer.commit(first);
+    writer.append(Entry::Flushed { segment: 1, through: 1 });
+    writer.set_peers(peers.to_vec());
+    let mut next = None;
+    for second in 2..8 {
+        let now = SECOND * second;
+        writer.advance(now, &mut Vec::new());
+        let answering = peers.iter().filter(|peer| !silent.contains(&&*peer.id));
+        answering.for_each(|peer| writer.acknowledge(now, &peer.id, writer.state().through()));
+        next = next.or_else(|| writer.propose(now));
+    }
+    let next = next.expect("another ensemble");
+    assert_eq!(next.len(), 2, "{next:?}");
+    assert!(!next.iter().any(|id| silent.contains(&&**id)), "{next:?}");
+}
