Test an issuer frozen between its intent and its order, by processes

A holder of the lease frozen for longer than pause_max before an engine that ignores fencing numbers was only argued. The platform is slow, the holder is stopped with its intent on the way, another host waits that intent out and gives its own order, and the first one wakes.

A slowness of 3 s was tried first: the platform's client gives up before it, and the host does not follow the records. 1.5 s is within its time-out.

What a freeze between that look and the sending does stays argued only.

--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -1,13 +1,17 @@
 //! Orders to engines by processes, of which the one that gives them is killed or frozen.
 //!
-//! What an order on its way at the freeze does to an engine that ignores fencing numbers takes
-//! longer than [`coordination::order::Setting::pause_max`] to settle; the tests of the library
-//! cover that. Here such an engine meets a holder of the lease that freezes between two orders.
+//! An engine that ignores fencing numbers meets a holder of the lease that freezes between two
+//! orders, and one that freezes between an intent and its order for longer than
+//! [`coordination::order::Setting::pause_max`].
 
 #[allow(dead_code)]
 mod fleet;
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
 
 use coordination::{
     order::{INTENT_PREFIX, LEASE_KEY},
@@ -22,6 +26,12 @@
 /// Time for which the platform holds answers back, so that a freeze meets an order on its way.
 const SLOW_MS: u64 = 1_000;
 
+/// The same for a freeze that meets an intent on its way.
+const INTENT_MS: u64 = 1_500;
+
+/// Longest wait for the end of another holder's intent.
+const INTENT_WAIT: Duration = Duration::from_secs(180);
+
 /// An engine besides those of the fleet, with its record.
 struct Engine {
     handle: http::Handle,
@@ -202,3 +212,36 @@
     engine.wait_role(&fleet, "decode");
     engine.check(&[("load", "reply"), ("role", ""), ("role", "")]);
 }
+
+/// Takes as long as an intent of another holder is waited out.
+#[test]
+fn a_holder_frozen_between_intent_and_order_gives_no_order_when_it_wakes() {
+    let fleet = Fleet::open(Plan::default());
+    let engine = Engine::open(false);
+    let (first, _) = wait_holder(&fleet);
+    let revision = engine.want(&fleet, &["assess"]);
+    wait_revision(&fleet, first, revision);
+    fleet.fail_platform(&json!({"kind": "slow", "ms": INTENT_MS}));
+    let revision = engine.want_as(&fleet, &["assess"], &"prefill".into());
+    wait_revision(&fleet, first, revision);
+    thread::sleep(Duration::from_millis(INTENT_MS / 3));
+    fleet.signal(first, Signal::STOP);
+    fleet.fail_platform(&json!({"kind": "up"}));
+    fleet.wait("the intent is written", || !fleet.rows(INTENT_PREFIX).is_empty());
+    engine.check(&[]);
+    engine.want_as(&fleet, &["assess"], &"decode".into());
+    fleet.wait("another host holds the lease", || {
+        holder(&fleet).is_some_and(|(host, _)| host != first)
+    });
+    let until = Instant::now() + INTENT_WAIT;
+    while !fleet.rows(INTENT_PREFIX).is_empty() && Instant::now() < until {
+        thread::sleep(Duration::from_millis(100));
+    }
+    engine.wait_role(&fleet, "decode");
+
+    fleet.signal(first, Signal::CONT);
+    let revision = engine.want_as(&fleet, &["assess"], &"both".into());
+    wait_revision(&fleet, first, revision);
+    engine.wait_role(&fleet, "both");
+    engine.check(&[("role", ""), ("role", "")]);
+}
