Bound the bytes that news take in heartbeats

After a common start of 350 hosts every heartbeat carried a full page of news for over a minute. Entries of other hosts now come out of a credit of 400 B a second, at most 12,000 B saved up; news of the own zone go first, a host that is new is told first of those that follow it, and a zone whose digest differs is sent page by page, going on where it stopped.

--- a/crates/coordination/src/member/merge.rs
+++ b/crates/coordination/src/member/merge.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{
-    Action, Listed, MAX_DIFFERING, PERIOD, Standing, Table,
-    news::{ROUNDS, ROUNDS_ABROAD},
-};
+use super::{Action, Listed, MAX_DIFFERING, MAX_PAGE_BYTES, PERIOD, Standing, Table};
 use crate::message::{Heartbeat, Member, State};
 
+/// Bytes of other hosts' entries that a host gets at least when it is first heard of, enough for
+/// those that follow it in its zone.
+const MIN_INTRODUCTION_BYTES: usize = 300;
+
 impl Table {
     /// Takes a heartbeat of another host.
     pub(super) fn receive(
@@ -128,11 +129,7 @@
         }
         self.listed.remove(&member.address);
         self.unanswered.remove(&member.host);
-        let rounds = match self.is_abroad(&member) {
-            true => ROUNDS_ABROAD,
-            false => ROUNDS,
-        };
-        self.news.push(member.host.clone(), rounds);
+        self.news.push(member.host.clone(), self.is_abroad(&member));
         actions.push(Action::Changed(member));
     }
 
@@ -150,11 +147,13 @@
         actions.push(Action::Changed(member.clone()));
     }
 
-    /// Tells a host that was not known here about itself and others.
+    /// Tells a host that was not known here about itself and others, those that follow it first.
     fn introduce(&mut self, now: Duration, sender: &Member, actions: &mut Vec<Action>) {
-        let near = self.zone(&sender.zone);
+        let near = self.following(&sender.host, &sender.zone);
+        let near = near.filter_map(|host| self.members.get(host));
         let far = self.members().filter(|member| member.zone != sender.zone);
-        let entries = self.with_own(near.chain(far));
+        let room = self.credit.bytes().max(MIN_INTRODUCTION_BYTES);
+        let entries = self.with_own(near.chain(far), room);
         self.send(now, &sender.host, entries, actions);
     }
 
@@ -171,7 +170,7 @@
             return;
         }
         self.corrected.insert(host.clone(), now);
-        let entries = self.with_own(self.get(host).into_iter());
+        let entries = self.with_own(self.get(host).into_iter(), MAX_PAGE_BYTES);
         let current = self.get(host).is_some_and(|member| member.address == *address);
         if current {
             self.send(now, host, entries, actions);
@@ -184,7 +183,7 @@
         if told.is_some_and(|told| now.saturating_sub(*told) < PERIOD) {
             return;
         }
-        let entries = self.with_own(std::iter::empty());
+        let entries = self.with_own(std::iter::empty(), 0);
         self.send(now, host, entries, actions);
     }
 
@@ -192,6 +191,7 @@
     fn compare(&mut self, now: Duration, host: &Arc<str>, digest: u64, actions: &mut Vec<Action>) {
         if digest == self.digest {
             self.differing.remove(host);
+            self.shown.remove(host);
             return;
         }
         let differing = self.differing.entry(host.clone()).or_default();
