Let the bound lose what a dead host of the cut-off zone held

Cause: the bound lost nothing to deaths, while no policy can give out in a cut-off zone what a dead host held.

--- a/crates/coordination/examples/grants/naive.rs
+++ b/crates/coordination/examples/grants/naive.rs
@@ -134,8 +134,9 @@
     }
 }
 
-/// Splits what is unspent between the two sides when the cut begins, by their demand until then,
-/// and loses nothing: what can be done without knowing the future.
+/// Splits what is unspent between the two sides when the cut begins, by their demand until then:
+/// what can be done without knowing the future. Each side is one pool; what a dead host of the
+/// cut-off zone held can't be taken over there before the heal.
 pub fn ideal(case: &Case, workload: &Workload) -> Score {
     let mut used = [[0_u64; BUDGETS.len()]; 2];
     let mut pools: Option<[[u64; BUDGETS.len()]; 2]> = None;
@@ -174,7 +175,12 @@
                 }
             }
             Moment::Mark(Mark::Heal) => pools = None,
-            Moment::Mark(Mark::Death(_)) => {}
+            Moment::Mark(Mark::Death(host)) => {
+                let inside = pools.as_mut().filter(|_| host < CUT_HOSTS);
+                if let Some([inside, _]) = inside {
+                    inside.iter_mut().for_each(|tokens| *tokens -= *tokens / CUT_HOSTS as u64);
+                }
+            }
         }
         true
     })
