Set aside for use without a copy only what a cut may need

Cause: as soon as a zone of two was cut off, each host had all its available tokens recorded as set aside, up to 4 h of use; a host that died then cost all of that for good (a trace showed a recovery that gave back 0 with nothing stranded). Set aside is now what is used in 16 times the length of the cut, at least 900 s, and at least an eighth.

--- a/crates/coordination/src/holder.rs
+++ b/crates/coordination/src/holder.rs
@@ -329,7 +329,7 @@
     /// Compares the holdings of a budget with its use.
     fn check(&mut self, now: Duration, budget: &Arc<str>) {
         if self.thin {
-            self.set_allowance(budget);
+            self.set_allowance(now, budget);
         }
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
--- a/crates/coordination/src/holder/allowance.rs
+++ b/crates/coordination/src/holder/allowance.rs
@@ -1,8 +1,8 @@
 //! Tokens that may be used while no copy of the journal can be reached.
 //!
 //! While the platform is away the ensemble can't be changed, so a zone of two hosts would stop when
-//! one of them dies. Once a single member is left, the holder has it record that all available
-//! tokens are set aside, as a debit to the holder itself. From then on no recovery gives them back,
+//! one of them dies. Once a single member is left, the holder has it record that tokens for
+//! some time are set aside, as a debit to the holder itself. From then on no recovery gives them back,
 //! so they may be used without a further acknowledgement. When the copies are whole again, a credit
 //! undoes the debit. If the holder dies before, what it had set aside stays out of use.
 
@@ -11,6 +11,7 @@
 use super::{
     Action, Holder, Then,
     account::{Reservation, Stage},
+    policy,
 };
 use crate::message::{Entry, Source};
 
@@ -22,7 +23,7 @@
             self.thin = true;
             let budgets: Vec<Arc<str>> = self.accounts.keys().cloned().collect();
             for budget in budgets {
-                self.set_allowance(&budget);
+                self.set_allowance(now, &budget);
             }
             return;
         }
@@ -33,12 +34,14 @@
         }
     }
 
-    /// Sets aside what is available of a budget and isn't yet.
-    pub(super) fn set_allowance(&mut self, budget: &Arc<str>) {
+    /// Sets aside what a budget may need without a copy and what isn't yet.
+    pub(super) fn set_allowance(&mut self, now: Duration, budget: &Arc<str>) {
+        let cut_off = self.pace.cut_off(now);
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
-        let tokens = account.available.saturating_sub(account.aside);
+        let need = policy::uncopied(account, now, cut_off);
+        let tokens = need.saturating_sub(account.aside);
         if tokens == 0 {
             return;
         }
--- a/crates/coordination/src/holder/policy.rs
+++ b/crates/coordination/src/holder/policy.rs
@@ -28,6 +28,15 @@
 /// The same while the platform can't be reached, at least and at most.
 const FLOOR_CUT_OFF_S: (f64, f64) = (900.0, 2400.0);
 
+/// Multiple of the time without the platform for which tokens may be used without a copy.
+const UNCOPIED: f64 = 16.0;
+
+/// Shortest such time.
+const UNCOPIED_S: f64 = 900.0;
+
+/// Least part of the available tokens that may be, as a divisor.
+const UNCOPIED_SHARE: u64 = 8;
+
 /// Part of the unspent tokens that the floor of one process takes at most, as a divisor.
 const IDLE_SHARE: u64 = 32;
 
@@ -180,6 +189,15 @@
     });
 }
 
+/// Returns the tokens to set aside for use without a copy: what is used in a multiple of the time
+/// that the platform has been out of reach, but not less than a part of what is available. A
+/// process that dies loses them for good.
+pub(super) fn uncopied(account: &mut Account, now: Duration, cut_off: Duration) -> u64 {
+    let time = (cut_off.as_secs_f64() * UNCOPIED).max(UNCOPIED_S);
+    let need = (account.used.rate(now) * time) as u64;
+    need.max(account.available / UNCOPIED_SHARE).min(account.available)
+}
+
 /// Returns whether holdings are so far from the target that a round is worth it by itself.
 pub(super) fn is_off(account: &mut Account, now: Duration) -> bool {
     let target = target(account, now);
--- a/crates/coordination/tests/money/policy.rs
+++ b/crates/coordination/tests/money/policy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coordination::{holder::Reason, request::Class};
+use coordination::{holder::Reason, recovery, request::Class};
 use test_case::test_case;
 
 use crate::fleet::{Answer, Fleet};
@@ -70,3 +70,26 @@
     fleet.run_for(SECOND);
     assert_eq!(fleet.answer(10), Some(Answer::Reserved));
 }
+
+#[test]
+fn death_in_a_cut_off_zone_costs_a_small_part_of_what_was_held() {
+    let mut fleet = Fleet::open(5, &[("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")]);
+    fleet.set_budget("p", &[("t", 100_000)], 0, false);
+    for step in 0..60 {
+        if step == 40 {
+            fleet.cut("x", "y");
+            fleet.cut("x", crate::fleet::PLATFORM);
+            fleet.announce_peers();
+        }
+        fleet.reserve(0, step, "p", 10, Class::Normal);
+        fleet.run_for(SECOND);
+        fleet.settle(0, step, 10);
+    }
+    let held = fleet.hosts[0].holder.available("p");
+    fleet.kill(0);
+    fleet.heal();
+    fleet.recover(2, recovery::Event::Dead("a.1".into()));
+    fleet.run_for(20 * SECOND);
+    let returned: u64 = fleet.reports.iter().map(|report| report.returned).sum();
+    assert!(held > 20_000 && returned > held / 2, "{returned} of {held}");
+}
