Make the two measurements through processes benchmarks

They measure and hold nothing, so they are benchmarks: they run by cargo bench. What the tests of moves shared with them is in tests/fleet/side.rs.

--- a/crates/daemon/tests/hits.rs
+++ b/crates/daemon/benches/hits.rs
@@ -1,9 +1,10 @@
 //! Measures the share of prompt blocks that engines find in their caches, through whole processes.
 
 #[allow(dead_code)]
+#[path = "../tests/fleet/mod.rs"]
 mod fleet;
 #[allow(dead_code)]
-#[path = "fleet/side.rs"]
+#[path = "../tests/fleet/side.rs"]
 mod side;
 
 use std::{net::SocketAddr, thread};
@@ -79,9 +80,7 @@
     counts("cached_blocks") as f64 / counts("blocks") as f64
 }
 
-#[test]
-#[ignore = "a measurement; prints its figures"]
-fn prefix_cache_hits() {
+fn main() {
     let drawn = engines();
     let addresses: Vec<SocketAddr> = drawn.iter().map(|engine| engine.address).collect();
     let random = share(&drawn, |rng, name, prompt| {
--- a/crates/daemon/tests/fleet/side.rs
+++ b/crates/daemon/tests/fleet/side.rs
@@ -1,17 +1,30 @@
 //! Engines besides those of the fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use coordination::record::{Model, empty};
 use oxhttp::{
     Client,
     model::{Body, Method, Request},
 };
-use serde_json::json;
-use standin::{engine, http};
+use serde_json::{Value, json};
+use standin::{caller::Reply, control, engine, http};
 
 use crate::fleet::Fleet;
 
+/// Names of the engines.
+pub const NAMES: [&str; 3] = ["side-0", "side-1", "side-2"];
+
+/// Tokens of each answer; enough that most are still to come when the engine leaves.
+pub const TOKENS: u64 = 1_500;
+
+/// Tokens after which engines wait until the host knows that one leaves.
+const HELD: u64 = 50;
+
 /// Starts an engine that holds a model and reads prompts in no time.
 pub fn spawn(settings: engine::Settings) -> http::Handle {
     let model = Model { name: "assess".into(), adapter: empty(), version: empty() };
@@ -72,3 +85,70 @@
     let answer = Client::new().request(request).expect("answer");
     answer.into_body().to_vec().expect("whole answer");
 }
+
+/// Engines that one route uses.
+pub struct Engines(pub Vec<Option<http::Handle>>);
+
+impl Engines {
+    /// Starts the engines of [`NAMES`] and writes their records.
+    pub fn open(fleet: &Fleet, token_time: Duration) -> Self {
+        let open = |name: &&str| {
+            let settings = engine::Settings {
+                name: (*name).into(),
+                zone: "a".into(),
+                token_time,
+                load_lag: Duration::ZERO,
+                ..engine::Settings::default()
+            };
+            let handle = spawn(settings);
+            record(fleet, name, "a", &handle);
+            Some(handle)
+        };
+        let engines = Self(NAMES.iter().map(open).collect());
+        route(fleet, &NAMES);
+        engines
+    }
+
+    /// Returns a running engine.
+    pub fn get(&self, number: usize) -> &http::Handle {
+        self.0[number].as_ref().expect("an engine")
+    }
+
+    /// Returns the engines that run a stream.
+    pub fn running(&self) -> Vec<usize> {
+        let load = |engine: &http::Handle| control::get(engine.address, "/load").expect("load");
+        let runs = |number: &usize| {
+            self.0[*number].as_ref().is_some_and(|engine| load(engine)["running"] != 0)
+        };
+        (0..NAMES.len()).filter(runs).collect()
+    }
+
+    /// Lets streams go no further than [`HELD`] tokens.
+    pub fn hold(&self, number: usize) {
+        let hold = json!({"after": HELD});
+        control::post(self.get(number).address, "/control/hold", &hold).expect("hold");
+    }
+
+    /// Lets streams go on.
+    pub fn release(&self, number: usize) {
+        let Some(engine) = &self.0[number] else { return };
+        control::post(engine.address, "/control/release", &Value::Null).expect("release");
+    }
+
+    /// Makes an engine fail.
+    pub fn fault(&self, number: usize, kind: &str) {
+        let fault = json!({"kind": kind});
+        control::post(self.get(number).address, "/control/fault", &fault).expect("fault");
+    }
+}
+
+/// Asks for an answer, and tells when some tokens of it came.
+pub fn ask(fleet: &Fleet, read: &AtomicBool) -> Reply {
+    let body: Value = json!({"prompt": "x", "max_tokens": TOKENS});
+    let reply = fleet.caller("host-a").call("side", None, &body, |token| {
+        if token.offset > 2 {
+            read.store(true, Ordering::Relaxed);
+        }
+    });
+    reply.expect("reply")
+}
--- a/crates/daemon/tests/moves.rs
+++ b/crates/daemon/tests/moves.rs
@@ -9,22 +9,14 @@
 use std::{
     sync::atomic::{AtomicBool, Ordering},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use fleet::{Fleet, Plan};
-use serde_json::{Value, json};
-use standin::{caller::Reply, control, engine, http};
+use side::{Engines, NAMES, TOKENS, ask};
+use standin::{control, engine, http};
 use test_case::test_case;
 
-const NAMES: [&str; 3] = ["side-0", "side-1", "side-2"];
-
-/// Tokens of each answer; enough that most are still to come when the engine leaves.
-const TOKENS: u64 = 1_500;
-
-/// Tokens after which engines wait until the host knows that one leaves.
-const HELD: u64 = 50;
-
 /// Metric of the configuration that a host has in force.
 const REVISION: &str = "laburnum_config_revision";
 
@@ -36,67 +28,6 @@
     counts[name].as_u64().expect("count")
 }
 
-struct Engines(Vec<Option<http::Handle>>);
-
-impl Engines {
-    fn open(fleet: &Fleet, token_time: Duration) -> Self {
-        let open = |name: &&str| {
-            let settings = engine::Settings {
-                name: (*name).into(),
-                zone: "a".into(),
-                token_time,
-                load_lag: Duration::ZERO,
-                ..engine::Settings::default()
-            };
-            let handle = side::spawn(settings);
-            side::record(fleet, name, "a", &handle);
-            Some(handle)
-        };
-        let engines = Self(NAMES.iter().map(open).collect());
-        side::route(fleet, &NAMES);
-        engines
-    }
-
-    fn get(&self, number: usize) -> &http::Handle {
-        self.0[number].as_ref().expect("an engine")
-    }
-
-    /// Returns the engines that run a stream.
-    fn running(&self) -> Vec<usize> {
-        let load = |engine: &http::Handle| control::get(engine.address, "/load").expect("load");
-        let runs = |number: &usize| {
-            self.0[*number].as_ref().is_some_and(|engine| load(engine)["running"] != 0)
-        };
-        (0..NAMES.len()).filter(runs).collect()
-    }
-
-    /// Lets streams go no further than [`HELD`] tokens.
-    fn hold(&self, number: usize) {
-        let hold = json!({"after": HELD});
-        control::post(self.get(number).address, "/control/hold", &hold).expect("hold");
-    }
-
-    fn release(&self, number: usize) {
-        let Some(engine) = &self.0[number] else { return };
-        control::post(engine.address, "/control/release", &Value::Null).expect("release");
-    }
-
-    fn fault(&self, number: usize, kind: &str) {
-        let fault = json!({"kind": kind});
-        control::post(self.get(number).address, "/control/fault", &fault).expect("fault");
-    }
-}
-
-fn ask(fleet: &Fleet, read: &AtomicBool) -> Reply {
-    let body: Value = json!({"prompt": "x", "max_tokens": TOKENS});
-    let reply = fleet.caller("host-a").call("side", None, &body, |token| {
-        if token.offset > 2 {
-            read.store(true, Ordering::Relaxed);
-        }
-    });
-    reply.expect("reply")
-}
-
 /// What goes wrong with a move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
@@ -151,31 +82,3 @@
         assert!(same, "the stream did not go on where it was");
     }
 }
-
-#[test]
-#[ignore = "a measurement; prints its figures"]
-fn time_for_which_a_leaving_engine_stays_in_use() {
-    for stays in [false, true] {
-        let fleet = Fleet::open(Plan { hosts: &[("host-a", "a")], ..Plan::default() });
-        let engines = Engines::open(&fleet, Duration::from_millis(10));
-        let read: Vec<AtomicBool> = (0..9).map(|_| AtomicBool::new(false)).collect();
-        let freed = thread::scope(|scope| {
-            let callers: Vec<_> =
-                read.iter().map(|read| scope.spawn(|| ask(&fleet, read))).collect();
-            fleet.wait("all run", || read.iter().all(|read| read.load(Ordering::Relaxed)));
-            fleet.wait("the load shows them", || engines.running().contains(&0));
-            if stays {
-                engines.fault(0, "no_export");
-            }
-            let at = Instant::now();
-            side::leave(&fleet, NAMES[0], "a", engines.get(0));
-            fleet.wait("the engine is free", || !engines.running().contains(&0));
-            let freed = at.elapsed();
-            let whole = callers.into_iter().all(|caller| caller.join().expect("caller").whole());
-            assert!(whole, "an answer is not whole");
-            freed
-        });
-        let way = if stays { "stay" } else { "move" };
-        println!("streams {way}: the engine is free after {} ms", freed.as_millis());
-    }
-}
