Revert the credit for news in heartbeats

Cause: a common start of 350 hosts makes 11.9 KB/s at the busiest host for 2 min, over the target of 2 KB/s.

A ticket of an unknown host ends as unknown, and requests find no home they agree on.

--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -2,16 +2,14 @@
 //!
 //! Each host sends heartbeats to the [`SUCCESSORS`] hosts that follow it in the order of its zone,
 //! and to a few contacts in other zones, which answer them. A heartbeat carries the sender's own
-//! entry, a digest of its zone and news of members that changed, those of its zone first; hosts of a
-//! zone whose digests keep differing send each other all entries. What such entries take is bounded
-//! by a credit of bytes a second, so that news of many changes spreads later rather than at any cost.
+//! entry, a digest of its zone and news of members that changed; hosts of a zone whose digests keep
+//! differing send each other all entries.
 //!
 //! Silence makes a member suspect, which proves nothing: the suspect refutes it under a greater
 //! count as soon as it hears of it. Only the platform's host list or a later incarnation makes a
 //! member gone. A host that was frozen grants everybody a fresh period before it suspects anyone.
 
 mod beat;
-mod credit;
 mod merge;
 mod news;
 mod table;
@@ -143,21 +141,12 @@
 
 /// Returns as many members as fit one heartbeat.
 pub fn page<'a>(members: impl IntoIterator<Item = &'a Member>) -> Vec<Member> {
-    page_within(members, MAX_PAGE_BYTES)
-}
-
-/// Returns as many members as fit into so many bytes.
-fn page_within<'a>(members: impl IntoIterator<Item = &'a Member>, room: usize) -> Vec<Member> {
-    let mut room = room;
+    let mut room = MAX_PAGE_BYTES;
     let fits = members.into_iter().take_while(|member| {
-        let left = room.checked_sub(bytes(member));
+        let size = MEMBER_BYTES + member.host.len() + member.zone.len() + member.address.len();
+        let left = room.checked_sub(size);
         room = left.unwrap_or(0);
         left.is_some()
     });
     fits.cloned().collect()
 }
-
-/// Returns the bytes that a member takes in a heartbeat.
-fn bytes(member: &Member) -> usize {
-    MEMBER_BYTES + member.host.len() + member.zone.len() + member.address.len()
-}
--- a/crates/coordination/src/member/beat.rs
+++ b/crates/coordination/src/member/beat.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::BTreeSet, ops::Bound, sync::Arc, time::Duration};
 
-use super::{
-    Action, BEATS, MAX_PAGE_BYTES, MAX_UNANSWERED, PERIOD, SUCCESSORS, SUSPECT_AFTER, Table, bytes,
-    page_within,
-};
+use super::{Action, BEATS, MAX_UNANSWERED, PERIOD, SUCCESSORS, SUSPECT_AFTER, Table, page};
 use crate::message::{Heartbeat, Member, Message, State};
 
 /// Hosts of the own zone, suspects among them, that one round of heartbeats reaches at most.
@@ -37,9 +34,7 @@
         self.choose_contacts();
         let ring = self.ring();
         let contacts = self.next_contacts(BEATS.saturating_sub(ring.len()).max(1));
-        self.credit.earn(now);
-        let room = self.credit.bytes() / (ring.len() + contacts.len()).max(1);
-        let (entries, told) = self.entries(room);
+        let (entries, told) = self.entries();
         for host in ring.iter().chain(&contacts) {
             self.send(now, host, entries.clone(), actions);
         }
@@ -47,7 +42,7 @@
             *self.unanswered.entry(host.clone()).or_default() += 1;
         }
         if let Some(address) = self.next_address() {
-            actions.push(self.heartbeat(address, self.with_own(std::iter::empty(), 0)));
+            actions.push(self.heartbeat(address, entries));
         }
         if !ring.is_empty() || !contacts.is_empty() {
             self.news.told(told);
@@ -65,51 +60,36 @@
         let Some(member) = self.members.get(host) else { return };
         let address = member.address.clone();
         self.told.insert(host.clone(), now);
-        self.credit.spend(entries.iter().skip(1).map(bytes).sum());
         actions.push(self.heartbeat(address, entries));
     }
 
-    /// Sends the entries of the own zone, in as many heartbeats as the credit allows and at least
-    /// one; the next time goes on from there.
+    /// Sends all entries of the own zone, in as many heartbeats as it takes.
     pub(super) fn send_zone(&mut self, now: Duration, host: &Arc<str>, actions: &mut Vec<Action>) {
         let zone = &self.settings.zone;
-        let others = self.members.values().filter(|member| member.zone == *zone);
-        let others = others.filter(|member| !self.is_own(&member.host));
+        let gone = self.members.values().filter(|member| member.state == State::Gone);
+        let gone = gone.filter(|member| member.zone == *zone);
+        let others = self.zone(zone).chain(gone).filter(|member| !self.is_own(&member.host));
         let mut rest: Vec<Member> = others.cloned().collect();
-        if let Some(last) = self.shown.get(host) {
-            let next = rest.partition_point(|member| member.host <= *last);
-            rest.rotate_left(next);
-        }
         while !rest.is_empty() {
-            let entries = self.with_own(rest.iter(), MAX_PAGE_BYTES);
-            let count = entries.len().saturating_sub(1).max(1);
-            if let Some(last) = rest.drain(..count).next_back() {
-                self.shown.insert(host.clone(), last.host);
-            }
+            let entries = self.with_own(rest.iter());
+            let count = entries.len().saturating_sub(1);
+            rest.drain(..count.max(1));
             self.send(now, host, entries, actions);
-            if self.credit.bytes() < MAX_PAGE_BYTES {
-                return;
-            }
         }
     }
 
-    /// Returns the own entry followed by as many others as fit into so many bytes.
-    pub(super) fn with_own<'a>(
-        &'a self,
-        others: impl Iterator<Item = &'a Member>,
-        room: usize,
-    ) -> Vec<Member> {
+    /// Returns the own entry followed by as many others as fit.
+    pub(super) fn with_own<'a>(&'a self, others: impl Iterator<Item = &'a Member>) -> Vec<Member> {
         let own = self.members.get(&self.settings.host);
-        let left = MAX_PAGE_BYTES.saturating_sub(own.map_or(0, bytes));
         let others = others.filter(|member| !self.is_own(&member.host));
-        own.cloned().into_iter().chain(page_within(others, room.min(left))).collect()
+        page(own.into_iter().chain(others))
     }
 
     /// Returns the entries of a heartbeat and the number of changes among them.
-    fn entries(&self, room: usize) -> (Vec<Member>, usize) {
+    fn entries(&self) -> (Vec<Member>, usize) {
         let hosts: Vec<&Arc<str>> = self.news.hosts().collect();
         let changed = hosts.iter().filter_map(|host| self.members.get(*host));
-        let entries = self.with_own(changed, room);
+        let entries = self.with_own(changed);
         let told = hosts.iter().take_while(|host| {
             let known = self.members.contains_key(**host);
             !known || entries.iter().any(|entry| entry.host == ***host)
--- a/crates/coordination/src/member/merge.rs
+++ b/crates/coordination/src/member/merge.rs
@@ -2,13 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Action, Listed, MAX_DIFFERING, MAX_PAGE_BYTES, PERIOD, Standing, Table};
+use super::{
+    Action, Listed, MAX_DIFFERING, PERIOD, Standing, Table,
+    news::{ROUNDS, ROUNDS_ABROAD},
+};
 use crate::message::{Heartbeat, Member, State};
 
-/// Bytes of other hosts' entries that a host gets at least when it is first heard of, enough for
-/// those that follow it in its zone.
-const MIN_INTRODUCTION_BYTES: usize = 300;
-
 impl Table {
     /// Takes a heartbeat of another host.
     pub(super) fn receive(
@@ -148,7 +147,11 @@
         }
         self.listed.remove(&member.address);
         self.unanswered.remove(&member.host);
-        self.news.push(member.host.clone(), self.is_abroad(&member));
+        let rounds = match self.is_abroad(&member) {
+            true => ROUNDS_ABROAD,
+            false => ROUNDS,
+        };
+        self.news.push(member.host.clone(), rounds);
         actions.push(Action::Changed(member));
     }
 
@@ -166,13 +169,11 @@
         actions.push(Action::Changed(member.clone()));
     }
 
-    /// Tells a host that was not known here about itself and others, those that follow it first.
+    /// Tells a host that was not known here about itself and others.
     fn introduce(&mut self, now: Duration, sender: &Member, actions: &mut Vec<Action>) {
-        let near = self.following(&sender.host, &sender.zone);
-        let near = near.filter_map(|host| self.members.get(host));
+        let near = self.zone(&sender.zone);
         let far = self.members().filter(|member| member.zone != sender.zone);
-        let room = self.credit.bytes().max(MIN_INTRODUCTION_BYTES);
-        let entries = self.with_own(near.chain(far), room);
+        let entries = self.with_own(near.chain(far));
         self.send(now, &sender.host, entries, actions);
     }
 
@@ -189,7 +190,7 @@
             return;
         }
         self.corrected.insert(host.clone(), now);
-        let entries = self.with_own(self.get(host).into_iter(), MAX_PAGE_BYTES);
+        let entries = self.with_own(self.get(host).into_iter());
         let current = self.get(host).is_some_and(|member| member.address == *address);
         if current {
             self.send(now, host, entries, actions);
@@ -202,7 +203,7 @@
         if told.is_some_and(|told| now.saturating_sub(*told) < PERIOD) {
             return;
         }
-        let entries = self.with_own(std::iter::empty(), 0);
+        let entries = self.with_own(std::iter::empty());
         self.send(now, host, entries, actions);
     }
 
@@ -210,7 +211,6 @@
     fn compare(&mut self, now: Duration, host: &Arc<str>, digest: u64, actions: &mut Vec<Action>) {
         if digest == self.digest {
             self.differing.remove(host);
-            self.shown.remove(host);
             return;
         }
         let differing = self.differing.entry(host.clone()).or_default();
--- a/crates/coordination/src/member/news.rs
+++ b/crates/coordination/src/member/news.rs
@@ -3,54 +3,47 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Rounds of heartbeats that carry a change in the own zone; differing digests mend what is missed.
-const ROUNDS: u32 = 3;
+pub const ROUNDS: u32 = 3;
 
 /// Rounds of heartbeats that carry a change in another zone.
-const ROUNDS_ABROAD: u32 = 1;
-
-/// Place of a change in the line; those of the own zone come before those of others.
-type Place = (bool, u64);
+pub const ROUNDS_ABROAD: u32 = 1;
 
 /// Changes that wait to be told.
 #[derive(Debug, Default)]
 pub struct News {
     next: u64,
-    rounds: BTreeMap<Place, (Arc<str>, u32)>,
-    places: BTreeMap<Arc<str>, Place>,
+    rounds: BTreeMap<u64, (Arc<str>, u32)>,
+    places: BTreeMap<Arc<str>, u64>,
 }
 
 impl News {
     /// Adds a change, in place of an earlier one of the same host.
-    pub fn push(&mut self, host: Arc<str>, abroad: bool) {
+    pub fn push(&mut self, host: Arc<str>, rounds: u32) {
         if let Some(place) = self.places.remove(&host) {
             self.rounds.remove(&place);
         }
-        let rounds = if abroad { ROUNDS_ABROAD } else { ROUNDS };
-        self.insert(host, abroad, rounds);
+        self.insert(host, rounds);
     }
 
-    /// Returns the hosts of the changes, those of the own zone first, and of each kind the one told
-    /// longest ago.
+    /// Returns the hosts of the changes, the one told longest ago first.
     pub fn hosts(&self) -> impl Iterator<Item = &Arc<str>> {
         self.rounds.values().map(|(host, _)| host)
     }
 
     /// Counts one round of the first `count` changes.
     pub fn told(&mut self, count: usize) {
-        let places: Vec<Place> = self.rounds.keys().take(count).copied().collect();
-        for place in places {
-            let Some((host, rounds)) = self.rounds.remove(&place) else { return };
+        for _ in 0..count {
+            let Some((_, (host, rounds))) = self.rounds.pop_first() else { return };
             self.places.remove(&host);
             if rounds > 1 {
-                self.insert(host, place.0, rounds - 1);
+                self.insert(host, rounds - 1);
             }
         }
     }
 
-    fn insert(&mut self, host: Arc<str>, abroad: bool, rounds: u32) {
-        let place = (abroad, self.next);
-        self.places.insert(host.clone(), place);
-        self.rounds.insert(place, (host, rounds));
+    fn insert(&mut self, host: Arc<str>, rounds: u32) {
+        self.places.insert(host.clone(), self.next);
+        self.rounds.insert(self.next, (host, rounds));
         self.next += 1;
     }
 }
--- a/crates/coordination/src/member/table.rs
+++ b/crates/coordination/src/member/table.rs
@@ -7,10 +7,7 @@
     time::Duration,
 };
 
-use super::{
-    Action, CONTACTS, Event, MAX_GONE, MAX_MEMBERS, SUCCESSORS, Settings, credit::Credit,
-    news::News,
-};
+use super::{Action, CONTACTS, Event, MAX_GONE, MAX_MEMBERS, SUCCESSORS, Settings, news::News};
 use crate::message::{Member, State};
 
 /// Members known to one host.
@@ -34,10 +31,7 @@
     pub(super) unanswered: BTreeMap<Arc<str>, u32>,
     pub(super) differing: BTreeMap<Arc<str>, u32>,
     pub(super) watched: BTreeMap<Arc<str>, Duration>,
-    /// Last entry of the zone that was sent to a host whose digest differs.
-    pub(super) shown: BTreeMap<Arc<str>, Arc<str>>,
     pub(super) news: News,
-    pub(super) credit: Credit,
     /// Chooses among the hosts of other zones.
     pub(super) spread: u64,
     pub(super) digest: u64,
@@ -74,9 +68,7 @@
             unanswered: BTreeMap::new(),
             differing: BTreeMap::new(),
             watched: BTreeMap::new(),
-            shown: BTreeMap::new(),
             news: News::default(),
-            credit: Credit::default(),
             spread: spread(&settings.host),
             digest: 0,
             number: 0,
@@ -163,17 +155,9 @@
 
     /// Returns the hosts of the own zone that follow this one.
     pub(super) fn successors(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.following(&self.settings.host, &self.settings.zone)
-    }
-
-    /// Returns the other hosts of a zone in the order in which they follow a host.
-    pub(super) fn following<'a>(
-        &'a self,
-        host: &'a Arc<str>,
-        zone: &str,
-    ) -> impl Iterator<Item = &'a Arc<str>> {
-        let zone = self.zones.get(zone);
-        let (after, before) = around(host);
+        let own = &self.settings.host;
+        let zone = self.zones.get(&self.settings.zone);
+        let (after, before) = around(own);
         let after = zone.into_iter().flat_map(move |zone| zone.range::<Arc<str>, _>(after));
         let before = zone.into_iter().flat_map(move |zone| zone.range::<Arc<str>, _>(before));
         after.chain(before)
@@ -233,7 +217,6 @@
             self.corrected.remove(&member.host);
             self.unanswered.remove(&member.host);
             self.differing.remove(&member.host);
-            self.shown.remove(&member.host);
         }
         self.members.insert(member.host.clone(), member);
         self.contacts_stale = true;
