Divide the client of back ends by what it asks

Cause: daemon/src/backend.rs had grown to 484 lines with five jobs: the service, streams, calls, short questions and orders, and the connection under them.

Ruled out: a client object that holds the address; each exchange has one address and one use of it.

After: the service has 235 lines, the rest is in backend/{stream,call,ask,http}.rs.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -2,10 +2,14 @@
 //!
 //! Each exchange runs in a thread of its own and reports to the core.
 
+mod ask;
+mod call;
+mod http;
+mod stream;
+
 use std::{
     collections::BTreeMap,
-    io::{self, BufRead as _, BufReader, Read as _},
-    net::{SocketAddr, TcpStream},
+    io::{BufRead as _, BufReader, Read as _},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -15,22 +19,16 @@
 };
 
 use coordination::{
-    answer::Usage,
     host::{
-        event::{Event, Held, Refusal, Report, Run},
+        event::{Event, Report, Run},
         exchange::{Exchange, Stream},
     },
-    order::{self, Order},
-    record::Model,
-    request,
+    order, request,
 };
 use crossbeam::channel::{Receiver, Sender};
-use oxhttp::{
-    Client,
-    model::{Body, Method, Request, Response, StatusCode, header},
-};
-use serde::Deserialize;
+use oxhttp::model::Method;
 
+use self::http::{failed, unsent};
 use crate::driver::Inbound;
 
 /// Name under which this service is found.
@@ -39,21 +37,6 @@
 /// Longest line of a stream, in bytes.
 const MAX_LINE_BYTES: u64 = 64 * 1024;
 
-/// Largest answer of a plain service, in bytes.
-const MAX_ANSWER_BYTES: u64 = 64 * 1024;
-
-/// Largest copy of a stream's cache, in bytes.
-const MAX_COPY_BYTES: u64 = 16 * 1024 * 1024;
-
-/// Longest wait for a connection, in milliseconds.
-const CONNECT_MS: u64 = 1_000;
-
-/// Longest wait for the answer to a short question, in milliseconds.
-const INQUIRE_MS: u64 = 2_000;
-
-/// Longest wait for the answer to an order, in milliseconds.
-const ORDER_MS: u64 = 30_000;
-
 /// Stack of an exchange's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -66,28 +49,6 @@
     pub stall: Duration,
 }
 
-#[derive(Debug, Deserialize)]
-struct Line {
-    request: Arc<str>,
-    attempt: u32,
-    #[serde(default)]
-    offset: u64,
-    #[serde(default)]
-    token: Option<Arc<str>>,
-    #[serde(default)]
-    end: bool,
-    #[serde(default)]
-    tokens: u64,
-    #[serde(default)]
-    prompt_tokens: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct Standing {
-    tokens: u64,
-    prompt_tokens: u64,
-}
-
 #[derive(Debug)]
 struct Shared {
     core: Sender<Inbound>,
@@ -174,21 +135,21 @@
             }
             Exchange::Request { run, address, service, request, body, timeout_ms } => {
                 let timeout = Duration::from_millis(timeout_ms);
-                let report = call(&address, &service, request, &body, timeout);
+                let report = call::send(&address, &service, request, &body, timeout);
                 self.report(run, report);
             }
             Exchange::Cancel { address, stream } => self.ask(Method::DELETE, &address, stream),
             Exchange::Inquire { address, stream } => self.ask(Method::GET, &address, stream),
             Exchange::Copy { request, stream, from, address, to } => {
-                let tokens = copy(&from, &address, stream);
+                let tokens = ask::copy(&from, &address, stream);
                 self.send(Event::Copied { request, stream, to, tokens });
             }
             Exchange::ReadState { address, backend, number } => {
-                let state = read_state(&address);
+                let state = ask::state(&address);
                 self.send(Event::Order(order::Event::State { backend, number, state }));
             }
             Exchange::Order { address, backend, fence, order } => {
-                let outcome = give_order(&address, fence, &order);
+                let outcome = ask::order(&address, fence, &order);
                 self.send(Event::Order(order::Event::Ordered { backend, fence, outcome }));
             }
             Exchange::Abandon { .. } => {}
@@ -196,7 +157,7 @@
     }
 
     fn ask(&self, method: Method, address: &str, stream: request::Id) {
-        let held = held(method, address, stream);
+        let held = ask::held(method, address, stream);
         self.send(Event::Held { address: address.into(), stream, held });
     }
 
@@ -205,10 +166,10 @@
         &self,
         run: Run,
         address: &str,
-        stream: &Stream,
+        wanted: &Stream,
         abandoned: &AtomicBool,
     ) -> Option<Report> {
-        let response = match open_stream(address, stream, self.limits.stall) {
+        let response = match stream::open(address, wanted, self.limits.stall) {
             Ok(response) => response,
             Err(failure) => return Some(failure),
         };
@@ -225,7 +186,7 @@
                 Ok(_) => {}
                 Err(error) => return Some(failed(error.to_string())),
             }
-            let report = match parse(&text) {
+            let report = match stream::parse(&text) {
                 Ok(report) => report,
                 Err(failure) => return Some(failure),
             };
@@ -272,213 +233,3 @@
         | Exchange::Order { .. } => None,
     }
 }
-
-fn failed(cause: impl Into<Arc<str>>) -> Report {
-    Report::Failed { unsent: false, cause: cause.into() }
-}
-
-fn parse(text: &str) -> Result<Report, Report> {
-    if !text.ends_with('\n') {
-        return Err(failed("line cut"));
-    }
-    let line: Line = serde_json::from_str(text).map_err(|error| failed(error.to_string()))?;
-    let Line { request, attempt, .. } = line;
-    if line.end {
-        let Line { tokens, prompt_tokens, .. } = line;
-        return Ok(Report::End { request, attempt, tokens, prompt_tokens });
-    }
-    let token = line.token.ok_or_else(|| failed("line without a token"))?;
-    Ok(Report::Piece { request, attempt, offset: line.offset, token })
-}
-
-fn open_stream(address: &str, stream: &Stream, stall: Duration) -> Result<Response<Body>, Report> {
-    probe(address)?;
-    let body = serde_json::json!({
-        "attempt": stream.attempt,
-        "model": stream.model,
-        "adapter": stream.adapter,
-        "version": stream.version,
-        "prompt": stream.prompt,
-        "max_tokens": stream.max_tokens,
-        "priority": stream.class,
-        "offset": stream.offset,
-    });
-    let uri = format!("{address}/streams/{}", stream.stream);
-    let request = build(Method::POST, &uri).body(Body::from(body.to_string()));
-    let request = request.map_err(|error| unsent(error.to_string()))?;
-    let response = client(stall).request(request).map_err(|error| failed(error.to_string()))?;
-    match response.status() {
-        StatusCode::OK if is_chunked(&response) => Ok(response),
-        StatusCode::OK => Err(failed("answer without chunks")),
-        status => Err(refused(status, &response)),
-    }
-}
-
-fn is_chunked(response: &Response<Body>) -> bool {
-    response.headers().contains_key(header::TRANSFER_ENCODING)
-}
-
-fn refused(status: StatusCode, response: &Response<Body>) -> Report {
-    let retry_after_ms = response
-        .headers()
-        .get(header::RETRY_AFTER)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse::<u64>().ok())
-        .map(|seconds| seconds.saturating_mul(1_000));
-    let reason = match status {
-        StatusCode::CONFLICT => Refusal::Leaving,
-        StatusCode::NOT_FOUND => Refusal::Model,
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Refusal::Full,
-        status => return failed(format!("status {status}")),
-    };
-    Report::Refused { reason, retry_after_ms }
-}
-
-fn call(
-    address: &str,
-    service: &str,
-    request: request::Id,
-    body: &str,
-    timeout: Duration,
-) -> Report {
-    if let Err(report) = probe(address) {
-        return report;
-    }
-    let uri = format!("{address}/call/{service}");
-    let id = request.to_string();
-    let message = build(Method::POST, &uri)
-        .header("x-request-id", &id)
-        .header("idempotency-key", &id)
-        .body(Body::from(body.to_owned()));
-    let message = match message {
-        Ok(message) => message,
-        Err(error) => return unsent(error.to_string()),
-    };
-    match client(timeout).request(message) {
-        Ok(response) => answer(response),
-        Err(error) => failed(error.to_string()),
-    }
-}
-
-fn answer(response: Response<Body>) -> Report {
-    let status = response.status().as_u16();
-    let framed = response.headers().contains_key(header::CONTENT_LENGTH) || is_chunked(&response);
-    if !framed {
-        return failed("answer with neither length nor chunks");
-    }
-    let mut body = String::new();
-    let read = response.into_body().take(MAX_ANSWER_BYTES + 1).read_to_string(&mut body);
-    match read {
-        Ok(bytes) if bytes as u64 > MAX_ANSWER_BYTES => failed("answer too large"),
-        Ok(_) => Report::Answer { status, body: body.into() },
-        Err(error) => failed(error.to_string()),
-    }
-}
-
-fn held(method: Method, address: &str, stream: request::Id) -> Option<Held> {
-    let uri = format!("{address}/streams/{stream}");
-    let message = build(method, &uri).body(Body::empty()).ok()?;
-    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
-    match response.status() {
-        StatusCode::OK => {}
-        StatusCode::NOT_FOUND => return Some(Held::Nothing),
-        _ => return None,
-    }
-    let body = response.into_body().to_vec().ok()?;
-    let Standing { tokens, prompt_tokens } = serde_json::from_slice(&body).ok()?;
-    Some(Held::Stream(Usage { prompt_tokens, tokens }))
-}
-
-#[derive(Debug, Deserialize)]
-struct Copied {
-    tokens: u64,
-}
-
-/// Copies the cache of a stream; returns the tokens that the copy holds.
-fn copy(from: &str, to: &str, stream: request::Id) -> Option<u64> {
-    let uri = |address: &str| format!("{address}/kv/{stream}");
-    let message = build(Method::GET, &uri(from)).body(Body::empty()).ok()?;
-    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
-    }
-    let mut body = Vec::new();
-    let read = response.into_body().take(MAX_COPY_BYTES + 1).read_to_end(&mut body).ok()?;
-    if read as u64 > MAX_COPY_BYTES {
-        return None;
-    }
-    let Copied { tokens } = serde_json::from_slice(&body).ok()?;
-    let message = build(Method::PUT, &uri(to)).body(Body::from(body)).ok()?;
-    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
-    response.status().is_success().then_some(tokens)
-}
-
-#[derive(Debug, Deserialize)]
-struct State {
-    models: Vec<Model>,
-    role: Arc<str>,
-}
-
-fn read_state(address: &str) -> Option<order::State> {
-    let message = build(Method::GET, &format!("{address}/state")).body(Body::empty()).ok()?;
-    let response = client(Duration::from_millis(INQUIRE_MS)).request(message).ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
-    }
-    let State { models, role } =
-        serde_json::from_slice(&response.into_body().to_vec().ok()?).ok()?;
-    Some(order::State { models, role })
-}
-
-fn give_order(address: &str, fence: u64, order: &Order) -> order::Outcome {
-    let body = match order {
-        Order::Load(model) => {
-            serde_json::json!({ "fence": fence, "order": "load", "model": model })
-        }
-        Order::Unload(model) => {
-            serde_json::json!({ "fence": fence, "order": "unload", "model": model })
-        }
-        Order::Role(role) => serde_json::json!({ "fence": fence, "order": "role", "role": role }),
-    };
-    if connect(address).is_err() {
-        return order::Outcome::Failed;
-    }
-    let message = build(Method::POST, &format!("{address}/orders"));
-    let Ok(message) = message.body(Body::from(body.to_string())) else {
-        return order::Outcome::Failed;
-    };
-    match client(Duration::from_millis(ORDER_MS)).request(message) {
-        Ok(response) if response.status() == StatusCode::OK => order::Outcome::Done,
-        Ok(response) if response.status() == StatusCode::PRECONDITION_FAILED => {
-            order::Outcome::Fenced
-        }
-        Ok(response) if response.status().is_client_error() => order::Outcome::Failed,
-        Ok(_) | Err(_) => order::Outcome::Unknown,
-    }
-}
-
-fn unsent(cause: impl Into<Arc<str>>) -> Report {
-    Report::Failed { unsent: true, cause: cause.into() }
-}
-
-/// Proves by a connection of its own that the back end can be reached; a failure proves that
-/// nothing of the request went out.
-fn probe(address: &str) -> Result<(), Report> {
-    connect(address).map(drop).map_err(|error| unsent(error.to_string()))
-}
-
-fn connect(address: &str) -> io::Result<TcpStream> {
-    let authority = address.strip_prefix("http://").unwrap_or(address);
-    let authority: SocketAddr = authority
-        .parse()
-        .map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "not an ip:port address"))?;
-    TcpStream::connect_timeout(&authority, Duration::from_millis(CONNECT_MS))
-}
-
-fn client(timeout: Duration) -> Client {
-    Client::new().with_global_timeout(timeout)
-}
-
-fn build(method: Method, uri: &str) -> oxhttp::model::request::Builder {
-    Request::builder().method(method).uri(uri).header(header::CONTENT_TYPE, "application/json")
-}
--- /dev/null
+++ b/crates/daemon/src/backend/call.rs
@@ -0,0 +1,53 @@
+//! Calls of plain services.
+
+use std::{io::Read as _, time::Duration};
+
+use coordination::{host::event::Report, request};
+use oxhttp::model::{Body, Method, Response, header};
+
+use super::http::{build, client, failed, is_chunked, probe, unsent};
+
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024;
+
+/// Calls a service and returns what came of it.
+pub(super) fn send(
+    address: &str,
+    service: &str,
+    request: request::Id,
+    body: &str,
+    timeout: Duration,
+) -> Report {
+    if let Err(report) = probe(address) {
+        return report;
+    }
+    let uri = format!("{address}/call/{service}");
+    let id = request.to_string();
+    let message = build(Method::POST, &uri)
+        .header("x-request-id", &id)
+        .header("idempotency-key", &id)
+        .body(Body::from(body.to_owned()));
+    let message = match message {
+        Ok(message) => message,
+        Err(error) => return unsent(error.to_string()),
+    };
+    match client(timeout).request(message) {
+        Ok(response) => answer(response),
+        Err(error) => failed(error.to_string()),
+    }
+}
+
+fn answer(response: Response<Body>) -> Report {
+    let status = response.status().as_u16();
+    let framed = response.headers().contains_key(header::CONTENT_LENGTH) || is_chunked(&response);
+    if !framed {
+        return failed("answer with neither length nor chunks");
+    }
+    let mut body = String::new();
+    let read = response.into_body().take(MAX_ANSWER_BYTES + 1).read_to_string(&mut body);
+    match read {
+        Ok(bytes) if bytes as u64 > MAX_ANSWER_BYTES => failed("answer too large"),
+        Ok(_) => Report::Answer { status, body: body.into() },
+        Err(error) => failed(error.to_string()),
+    }
+}
