Keep a shared key and the one accepted beside it in one place

Cause: seal::Key and ticket::Key each held an own and an accepted key, derived both and compared a code under both in constant time, written twice when the fleet's key became replaceable.

Ruled out: one key for both uses; their derivation contexts keep messages and tickets apart.

After: keyring::Ring does it for both; the keys derived are the same bytes as before. wire needs subtle no longer. Passed unchanged: wire seal and link, coordination answers_claim.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod holder;
 pub mod host;
 pub mod journal;
+pub mod keyring;
 pub mod ledger;
 pub mod locate;
 pub mod member;
--- a/crates/coordination/src/ticket.rs
+++ b/crates/coordination/src/ticket.rs
@@ -5,9 +5,7 @@
 
 use std::fmt;
 
-use subtle::{Choice, ConstantTimeEq};
-
-use crate::message::Holder;
+use crate::{keyring::Ring, message::Holder};
 
 /// Bytes of the authentication code in a ticket's text.
 const MAC_BYTES: usize = 16;
@@ -17,27 +15,20 @@
 
 /// Key with which all hosts of a fleet authenticate tickets, and a second one while it is replaced.
 #[derive(Clone)]
-pub struct Key {
-    own: [u8; 32],
-    accepted: Option<[u8; 32]>,
-}
+pub struct Key(Ring);
 
 impl Key {
     /// Derives the key from the fleet's secret.
     pub fn derive(secret: &[u8]) -> Self {
-        Self { own: derive(secret), accepted: None }
+        Self(Ring::derive("laburnumcove ticket key v1", secret))
     }
 
     /// Returns the key, which now accepts also tickets made with a second secret.
     pub fn accepting(self, secret: &[u8]) -> Self {
-        Self { accepted: Some(derive(secret)), ..self }
+        Self(self.0.accepting(secret))
     }
 }
 
-fn derive(secret: &[u8]) -> [u8; 32] {
-    blake3::derive_key("laburnumcove ticket key v1", secret)
-}
-
 impl fmt::Debug for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Key(..)")
@@ -67,7 +58,7 @@
 impl Ticket {
     /// Returns the text of the ticket, valid for one workspace.
     pub fn encode(&self, workspace: &str, key: &Key) -> String {
-        let mac = self.mac(workspace, &key.own);
+        let mac = self.mac(workspace, key.0.own());
         format!("{}.{}.{}", self.holder, self.number, hex::encode(mac))
     }
 
@@ -92,9 +83,7 @@
         let mut given = [0; MAC_BYTES];
         hex::decode_to_slice(mac, &mut given).map_err(|_| Error::Malformed)?;
         let ticket = Self { holder: holder.into(), number };
-        let keys = std::iter::once(&key.own).chain(&key.accepted);
-        let fits = |key| ticket.mac(workspace, key).ct_eq(&given);
-        match keys.fold(Choice::from(0), |any, key| any | fits(key)).into() {
+        match key.0.fits(&given, |key| ticket.mac(workspace, key)) {
             true => Ok(ticket),
             false => Err(Error::Forged),
         }
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -10,10 +10,10 @@
 
 use coordination::{
     clock::Stamp,
+    keyring::Ring,
     message::{Holder, Message},
     request,
 };
-use subtle::{Choice, ConstantTimeEq};
 
 use crate::{
     laburnum::{Clock, Envelope, Greeting},
@@ -37,33 +37,24 @@
 
 /// Key that all hosts of the fleet share, and a second one while it is replaced.
 #[derive(Clone)]
-pub struct Key {
-    own: [u8; 32],
-    accepted: Option<[u8; 32]>,
-}
+pub struct Key(Ring);
 
 impl Key {
     /// Derives the key from the secret in the settings.
     pub fn new(secret: &str) -> Self {
-        Self { own: derive(secret), accepted: None }
+        Self(Ring::derive("laburnumcove peer key v1", secret.as_bytes()))
     }
 
     /// Returns the key, which now accepts also what was sealed with a second secret.
     pub fn accepting(self, secret: &str) -> Self {
-        Self { accepted: Some(derive(secret)), ..self }
+        Self(self.0.accepting(secret.as_bytes()))
     }
 
-    /// Returns whether a hash was made by `mac` with one of the keys. Both are tried always.
-    fn verify(&self, given: &[u8], mac: impl Fn(&[u8; 32]) -> [u8; 32]) -> bool {
-        let keys = std::iter::once(&self.own).chain(&self.accepted);
-        let fits = keys.fold(Choice::from(0), |fits, key| fits | mac(key).ct_eq(given));
-        fits.into()
-    }
     /// Returns the session of a connection; it can't be foretold without the key.
     pub(crate) fn session(&self, holder: &str, start: u64, connection: u64) -> u64 {
         let fields: [&[u8]; 3] =
             [holder.as_bytes(), &start.to_le_bytes(), &connection.to_le_bytes()];
-        let mac = mac(&self.own, SESSION, &fields);
+        let mac = mac(self.0.own(), SESSION, &fields);
         let mut session = [0; 8];
         session.copy_from_slice(&mac[..8]);
         u64::from_le_bytes(session).max(NO_SESSION + 1)
@@ -74,20 +65,16 @@
         let holder = identity.holder.to_string();
         let mut greeting =
             Greeting::new(holder, identity.incarnation as i64, session as i64, Vec::new());
-        greeting.mac = greeting_mac(&self.own, &question.mac, &greeting).to_vec();
+        greeting.mac = greeting_mac(self.0.own(), &question.mac, &greeting).to_vec();
         greeting
     }
 
     /// Returns whether a greeting answers the question and comes from a holder of the key.
     pub(crate) fn greeted(&self, question: &Envelope, greeting: &Greeting) -> bool {
-        self.verify(&greeting.mac, |key| greeting_mac(key, &question.mac, greeting))
+        self.0.fits(&greeting.mac, |key| greeting_mac(key, &question.mac, greeting))
     }
 }
 
-fn derive(secret: &str) -> [u8; 32] {
-    blake3::derive_key("laburnumcove peer key v1", secret.as_bytes())
-}
-
 fn mac(key: &[u8; 32], purpose: &[u8], fields: &[&[u8]]) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new_keyed(key);
     for field in std::iter::once(&purpose).chain(fields) {
@@ -200,7 +187,7 @@
         body: body.unwrap_or_default(),
         mac: Vec::new(),
     };
-    envelope.mac = envelope_mac(&key.own, &envelope).to_vec();
+    envelope.mac = envelope_mac(key.0.own(), &envelope).to_vec();
     Ok(envelope)
 }
 
@@ -210,7 +197,7 @@
 ///
 /// Returns an error when either does not hold.
 pub fn verify(key: &Key, address: &str, envelope: &Envelope) -> Result<(), Refusal> {
-    if !key.verify(&envelope.mac, |key| envelope_mac(key, envelope)) {
+    if !key.0.fits(&envelope.mac, |key| envelope_mac(key, envelope)) {
         return Err(Refusal::Forged);
     }
     if envelope.to != address {
