Read, settle and judge money by the pieces that stand

Cause: late charges had been written beside the recovery and the round. Three places named and parsed the same three rows of a budget, two wrote a charge into its ledger, two subtracted what was sent from what was received, and two asked whether a budget can ever pay. A move asked the router whether the platform's list takes a back end away, which the catalog already says.

Ruled out: to merge the three plans; what they give back, strand and grant differs.

After: escrow::figure_keys and figures, ledger::settle, State::moved, Account::can_never_pay and Catalog::is_unlisted serve all of them; State::received, State::sent, Router::listed and Backend::is_listed are gone.

--- a/crates/coordination/src/escrow.rs
+++ b/crates/coordination/src/escrow.rs
@@ -191,6 +191,12 @@
     }
 }
 
+/// Returns the keys of the rows that [`figures`] reads: a budget's record, its sums and the grant of
+/// a holder.
+pub(crate) fn figure_keys(budget: &str, holder: &str) -> [Arc<str>; 3] {
+    [record_key(budget), escrow_key(budget), grant_key(budget, holder)]
+}
+
 /// Returns a budget's record, sums and one of its grants from their rows, in this order; `None`
 /// where one of them can't be read.
 pub(crate) fn figures(rows: &[Row]) -> Option<(Option<Budget>, Escrow, Grant)> {
--- a/crates/coordination/src/holder/account.rs
+++ b/crates/coordination/src/holder/account.rs
@@ -116,9 +116,8 @@
 
     /// Gives up and returns the requests that wait for more than the whole budget has.
     pub fn unpayable(&mut self) -> Vec<request::Id> {
-        let unspent = self.pool.unspent;
         let large = |(turn, waiting): (&Turn, &Waiting)| {
-            (waiting.reserve.tokens > unspent).then_some(*turn)
+            self.can_never_pay(waiting.reserve.tokens).then_some(*turn)
         };
         let turns: Vec<Turn> = self.waiting.iter().filter_map(large).collect();
         let given_up = turns.into_iter().filter_map(|turn| self.give_up(turn));
--- a/crates/coordination/src/holder/late.rs
+++ b/crates/coordination/src/holder/late.rs
@@ -242,9 +242,7 @@
         let (budgets, charges) = late.chunk();
         let mut keys = vec![escrow::holder_key(&self.settings.id)];
         for budget in &budgets {
-            keys.push(escrow::record_key(budget));
-            keys.push(escrow::escrow_key(budget));
-            keys.push(escrow::grant_key(budget, &self.settings.id));
+            keys.extend(escrow::figure_keys(budget, &self.settings.id));
         }
         let key = |charge: &Charge| escrow::charge_key(&charge.budget, charge.request);
         keys.extend(charges.iter().map(key));
@@ -322,13 +320,7 @@
             }
             own -= charge.tokens;
             grant.settled += charge.tokens;
-            if old {
-                escrow.old_settled += charge.tokens;
-                txn.put(row, *charge);
-            } else {
-                escrow.settled += charge.tokens;
-                segment.charges.push((*charge).clone());
-            }
+            ledger::settle(charge, old.then_some(*row), &mut escrow, txn, segment);
         }
         if late.rest.is_some() {
             grant.returned += own;
@@ -350,8 +342,7 @@
     /// were neither passed on nor charged nor given back.
     fn own_late(&self, budget: &Arc<str>, grant: &Grant) -> u64 {
         let state = self.journal.state();
-        let moved = i128::from(state.received(budget)) - i128::from(state.sent(budget));
-        let own = grant.open() + i128::from(grant.stranded) + moved;
+        let own = grant.open() + i128::from(grant.stranded) + state.moved(budget);
         u64::try_from(own).unwrap_or(0)
     }
 
--- a/crates/coordination/src/holder/plan.rs
+++ b/crates/coordination/src/holder/plan.rs
@@ -21,33 +21,20 @@
     pub unpayable: Vec<request::Id>,
 }
 
-/// Rows of a budget as read.
-pub(super) struct Rows<'a> {
-    pub record: &'a Row,
-    pub escrow: &'a Row,
-    pub grant: &'a Row,
-}
-
 impl Holder {
     /// Plans what a budget needs.
     pub(super) fn plan_budget(
         &mut self,
         now: Duration,
         budget: &Arc<str>,
-        rows: &Rows<'_>,
+        rows: &[Row],
         charged: &BTreeSet<Arc<str>>,
         txn: &mut Txn,
         plan: &mut Plan,
     ) {
-        let (Ok(record), Ok(escrow), Ok(grant)) = (
-            escrow::budget(rows.record),
-            escrow::parse::<Escrow>(rows.escrow),
-            escrow::parse::<Grant>(rows.grant),
-        ) else {
+        let Some((record, mut escrow, mut grant)) = escrow::figures(rows) else {
             return;
         };
-        let mut escrow = escrow.unwrap_or_default();
-        let mut grant = grant.unwrap_or_default();
         let (was_escrow, was_grant) = (escrow.clone(), grant.clone());
         self.plan_settled(budget, charged, &mut escrow, &mut grant);
         let prepaid = record.map_or(0, |record| record.prepaid());
@@ -81,9 +68,9 @@
             return;
         }
         grant.number += 1;
-        txn.check(rows.record);
-        txn.put(rows.escrow, &escrow);
-        txn.put(rows.grant, &grant);
+        txn.check(&rows[0]);
+        txn.put(&rows[1], &escrow);
+        txn.put(&rows[2], &grant);
         plan.grants.push((budget.clone(), grant));
     }
 
--- a/crates/coordination/src/holder/round.rs
+++ b/crates/coordination/src/holder/round.rs
@@ -11,11 +11,7 @@
     time::Duration,
 };
 
-use super::{
-    Action, Holder, Phase, RETRY_EXHAUSTED, Reason,
-    plan::{Plan, Rows},
-    refuse,
-};
+use super::{Action, Holder, Phase, RETRY_EXHAUSTED, Reason, plan::Plan, refuse};
 use crate::{
     escrow::{self, Grant, Registration, State},
     journal::Proposal,
@@ -185,9 +181,7 @@
         let charges = self.old_charges();
         let mut keys = vec![escrow::holder_key(&self.settings.id)];
         for budget in &budgets {
-            keys.push(escrow::record_key(budget));
-            keys.push(escrow::escrow_key(budget));
-            keys.push(escrow::grant_key(budget, &self.settings.id));
+            keys.extend(escrow::figure_keys(budget, &self.settings.id));
         }
         keys.extend(charges.iter().cloned());
         let id = self.operate(Op::Read(keys), actions);
@@ -380,8 +374,7 @@
         let mut txn = Txn::default();
         let mut plan = Plan::default();
         for (budget, rows) in round.budgets.iter().zip(budgets.chunks_exact(3)) {
-            let rows = Rows { record: &rows[0], escrow: &rows[1], grant: &rows[2] };
-            self.plan_budget(now, budget, &rows, &charged, &mut txn, &mut plan);
+            self.plan_budget(now, budget, rows, &charged, &mut txn, &mut plan);
         }
         for request in std::mem::take(&mut plan.unpayable) {
             self.remove(request);
--- a/crates/coordination/src/host/moving.rs
+++ b/crates/coordination/src/host/moving.rs
@@ -20,7 +20,7 @@
         if !router.leaving(self.now, backend) || self.moves.len() >= MAX_MOVES {
             return;
         }
-        let hurried = router.listed(backend);
+        let hurried = self.catalog.is_unlisted(backend);
         self.stream_event(id, StreamEvent::Leaving { hurried });
     }
 
--- a/crates/coordination/src/journal/state.rs
+++ b/crates/coordination/src/journal/state.rs
@@ -263,14 +263,10 @@
         self.settled.values()
     }
 
-    /// Returns the tokens that came from other holders.
-    pub fn received(&self, budget: &str) -> u64 {
-        self.received.get(budget).copied().unwrap_or_default()
-    }
-
-    /// Returns the tokens that went to other holders.
-    pub fn sent(&self, budget: &str) -> u64 {
-        self.sent.get(budget).copied().unwrap_or_default()
+    /// Returns the tokens received from other holders less those sent to them.
+    pub fn moved(&self, budget: &str) -> i128 {
+        let of = |tokens: &BTreeMap<Arc<str>, u64>| tokens.get(budget).copied().unwrap_or_default();
+        i128::from(of(&self.received)) - i128::from(of(&self.sent))
     }
 
     /// Returns the tokens that were set aside for use without a copy of the journal.
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -10,7 +10,11 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::reconcile::{Balance, Disagreement, Reconciler};
-use crate::request;
+use crate::{
+    escrow::Escrow,
+    request,
+    table::{Row, Txn},
+};
 
 /// Prefix of the rows of segments.
 pub const PREFIX: &str = "ledger/";
@@ -43,6 +47,24 @@
     pub charges: BTreeMap<Arc<str>, u64>,
 }
 
+/// Counts a charge as settled and writes it: into its row of the old ledger where there is one, else
+/// into a segment.
+pub(crate) fn settle(
+    charge: &Charge,
+    old: Option<&Row>,
+    escrow: &mut Escrow,
+    txn: &mut Txn,
+    segment: &mut Segment,
+) {
+    if let Some(row) = old {
+        escrow.old_settled += charge.tokens;
+        txn.put(row, charge);
+    } else {
+        escrow.settled += charge.tokens;
+        segment.charges.push(charge.clone());
+    }
+}
+
 /// Returns the key of the refunds of a request.
 pub fn refund_key(budget: &str, request: request::Id) -> Arc<str> {
     Arc::from(format!("{REFUND_PREFIX}{budget}/{request}"))
--- a/crates/coordination/src/recovery/job.rs
+++ b/crates/coordination/src/recovery/job.rs
@@ -244,9 +244,7 @@
         let mut keys = vec![escrow::holder_key(&self.holder)];
         let budgets = self.chunk();
         for budget in &budgets {
-            keys.push(escrow::record_key(budget));
-            keys.push(escrow::escrow_key(budget));
-            keys.push(escrow::grant_key(budget, &self.holder));
+            keys.extend(escrow::figure_keys(budget, &self.holder));
         }
         let charges = self.charges(&budgets);
         let key = |charge: &Charge| escrow::charge_key(&charge.budget, charge.request);
@@ -374,19 +372,9 @@
             grant.settled += charge.tokens;
             effect.settled += charge.tokens;
             effect.charges.push(charge.request);
-            match row {
-                Some(row) if old => {
-                    escrow.old_settled += charge.tokens;
-                    txn.put(row, &charge);
-                }
-                _ => {
-                    escrow.settled += charge.tokens;
-                    segment.charges.push(charge);
-                }
-            }
+            ledger::settle(&charge, row.filter(|_| old), &mut escrow, txn, segment);
         }
-        let moved = i128::from(self.state.received(budget)) - i128::from(self.state.sent(budget));
-        let rest = u64::try_from(grant.open() + moved).unwrap_or(0);
+        let rest = u64::try_from(grant.open() + self.state.moved(budget)).unwrap_or(0);
         let known = if self.report.incomplete { 0 } else { rest };
         let returned = known.saturating_sub(self.state.aside(budget));
         let stranded = rest - returned;
--- a/crates/coordination/src/route/backend.rs
+++ b/crates/coordination/src/route/backend.rs
@@ -300,10 +300,6 @@
         self.state_leaving = leaving;
     }
 
-    pub fn is_listed(&self) -> bool {
-        self.listed_leaving
-    }
-
     pub fn listed(&mut self, leaving: bool) {
         self.listed_leaving = leaving;
     }
--- a/crates/coordination/src/route/router.rs
+++ b/crates/coordination/src/route/router.rs
@@ -125,11 +125,6 @@
         self.backends.get(backend).is_none_or(|backend| backend.leaving(now))
     }
 
-    /// Returns true where the platform's list takes a back end out of service.
-    pub fn listed(&self, backend: &str) -> bool {
-        self.backends.get(backend).is_some_and(|backend| backend.is_listed())
-    }
-
     /// Returns true where this host reads the reports of a back end.
     pub fn reads(&self, backend: &str) -> bool {
         self.backends.get(backend).is_some_and(|backend| backend.read)
