Read reports of back ends by the client that reads their documents

Cause: the watch service built a client and read a bounded body of 1 MiB by itself, beside backend::http, which does the same for states and streams.

Ruled out: the request builder too; it names a content type that a report's question doesn't need.

After: watch::get uses http::client and http::read.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -4,7 +4,7 @@
 
 mod ask;
 mod call;
-mod http;
+pub(crate) mod http;
 mod stream;
 
 use std::{
--- a/crates/daemon/src/backend/http.rs
+++ b/crates/daemon/src/backend/http.rs
@@ -17,7 +17,7 @@
 const CONNECT_MS: u64 = 1_000;
 
 /// Largest document that a back end says of itself or of a stream, in bytes.
-pub(super) const MAX_DOCUMENT_BYTES: u64 = 1024 * 1024;
+pub(crate) const MAX_DOCUMENT_BYTES: u64 = 1024 * 1024;
 
 pub(super) fn failed(cause: impl Into<Arc<str>>) -> Report {
     Report::Failed { unsent: false, cause: cause.into() }
@@ -41,7 +41,7 @@
     TcpStream::connect_timeout(&authority, Duration::from_millis(CONNECT_MS))
 }
 
-pub(super) fn client(timeout: Duration) -> Client {
+pub(crate) fn client(timeout: Duration) -> Client {
     Client::new().with_global_timeout(timeout)
 }
 
@@ -54,7 +54,7 @@
 }
 
 /// Reads a whole body of at most `limit` bytes.
-pub(super) fn read(response: Response<Body>, limit: u64) -> Option<Vec<u8>> {
+pub(crate) fn read(response: Response<Body>, limit: u64) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     let read = response.into_body().take(limit + 1).read_to_end(&mut body).ok()?;
     (read as u64 <= limit).then_some(body)
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    io::Read as _,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
@@ -10,13 +9,10 @@
 
 use coordination::host::event::{CacheChange, Event, Load};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use oxhttp::{
-    Client,
-    model::{Body, Request, StatusCode},
-};
+use oxhttp::model::{Body, Request, StatusCode};
 use serde::{Deserialize, de::DeserializeOwned};
 
-use crate::driver::Inbound;
+use crate::{backend::http, driver::Inbound};
 
 /// Name under which this service is found.
 pub const NAME: &str = "watch";
@@ -27,9 +23,6 @@
 /// Longest wait for a report.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Greatest size of a report.
-const MAX_REPORT_BYTES: u64 = 1024 * 1024;
-
 /// Names and base addresses of the back ends to read.
 pub type Backends = Vec<(Arc<str>, Arc<str>)>;
 
@@ -177,11 +170,9 @@
 
 fn get<T: DeserializeOwned>(uri: &str) -> Option<T> {
     let request = Request::builder().uri(uri).body(Body::empty()).ok()?;
-    let response = Client::new().with_global_timeout(TIMEOUT).request(request).ok()?;
+    let response = http::client(TIMEOUT).request(request).ok()?;
     if response.status() != StatusCode::OK {
         return None;
     }
-    let mut body = Vec::new();
-    response.into_body().take(MAX_REPORT_BYTES).read_to_end(&mut body).ok()?;
-    serde_json::from_slice(&body).ok()
+    serde_json::from_slice(&http::read(response, http::MAX_DOCUMENT_BYTES)?).ok()
 }
