--- a/crates/coordination/src/locate.rs
+++ b/crates/coordination/src/locate.rs
@@ -236,14 +236,14 @@
 }
 
 /// Returns the first bytes of a cryptographic hash as a number.
-pub(crate) fn hash(bytes: &[u8]) -> u64 {
+pub fn hash(bytes: &[u8]) -> u64 {
     let mut low = [0; 8];
     low.copy_from_slice(&blake3::hash(bytes).as_bytes()[..8]);
     u64::from_le_bytes(low)
 }
 
 /// Returns a well spread number for each input, by the finalizer of SplitMix64.
-pub(crate) fn spread(input: u64) -> u64 {
+pub fn spread(input: u64) -> u64 {
     let x = (input ^ (input >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
--- /dev/null
+++ b/crates/gateway/src/bank.rs
@@ -0,0 +1,168 @@
+//! Drives the accounts of all workspaces by transactions on the platform's table.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::Notify,
+    task::spawn_local,
+    time::{Instant, timeout, timeout_at},
+};
+
+use crate::{
+    account::{Account, Verdict},
+    catalog::Catalog,
+    dialect::Source,
+    node::Node,
+};
+
+/// Time between two looks at all accounts where no request waits.
+const TICK: Duration = Duration::from_millis(250);
+
+/// All accounts, and the wake-ups between requests and transactions.
+#[derive(Debug)]
+pub struct Bank {
+    host: Arc<str>,
+    accounts: RefCell<HashMap<Arc<str>, Account>>,
+    /// A request waits for tokens, or something changed that transactions depend on.
+    due: Notify,
+    /// A transaction has ended.
+    ended: Notify,
+}
+
+/// Tokens that are set aside for one request; what it didn't use is free again at the end.
+#[derive(Debug)]
+pub struct Reservation {
+    node: Rc<Node>,
+    workspace: Arc<str>,
+    reserved: u64,
+    used: u64,
+}
+
+impl Reservation {
+    /// Notes what the request has used in all.
+    pub fn set_used(&mut self, used: u64) {
+        self.used = used;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let mut accounts = self.node.bank.accounts.borrow_mut();
+        if let Some(account) = accounts.get_mut(&self.workspace) {
+            account.settle(now, self.reserved, self.used);
+        }
+    }
+}
+
+impl Bank {
+    /// Opens the accounts of a host; workspaces come with the configuration.
+    pub fn open(host: Arc<str>) -> Self {
+        Self { host, accounts: RefCell::default(), due: Notify::new(), ended: Notify::new() }
+    }
+
+    /// Takes the prepaid amounts of a configuration.
+    pub fn configure(&self, catalog: &Catalog) {
+        let mut accounts = self.accounts.borrow_mut();
+        for workspace in catalog.workspaces() {
+            let Some(prepaid) = workspace.prepaid else { continue };
+            let name = &workspace.name;
+            let account = accounts
+                .entry(name.clone())
+                .or_insert_with(|| Account::open(name.clone(), self.host.clone()));
+            account.set_prepaid(prepaid);
+        }
+        self.due.notify_one();
+    }
+
+    /// Returns the tokens that are held and those set aside, over all workspaces.
+    pub fn balance(&self) -> (u64, u64) {
+        let accounts = self.accounts.borrow();
+        accounts
+            .values()
+            .map(Account::balance)
+            .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+    }
+
+    /// Sets tokens aside, after a transaction where this host holds too few.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict where the budget doesn't cover them, or the platform can't be reached.
+    pub async fn reserve(
+        node: &Rc<Node>,
+        workspace: &Arc<str>,
+        tokens: u64,
+        until: Instant,
+    ) -> Result<Reservation, Verdict> {
+        loop {
+            let ended = node.bank.ended.notified();
+            let verdict = {
+                let mut accounts = node.bank.accounts.borrow_mut();
+                let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
+                account.reserve(node.now(), tokens)
+            };
+            match verdict {
+                Verdict::Reserved => {
+                    let workspace = workspace.clone();
+                    return Ok(Reservation {
+                        node: node.clone(),
+                        workspace,
+                        reserved: tokens,
+                        used: 0,
+                    });
+                }
+                Verdict::Wait => {
+                    node.bank.due.notify_one();
+                    timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
+                }
+                Verdict::Exhausted | Verdict::Unavailable => return Err(verdict),
+            }
+        }
+    }
+
+    /// Runs the transactions of all accounts for ever.
+    pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
+        loop {
+            Self::start_due(&node, &source);
+            // Without a wish the accounts are looked at once in a tick.
+            let _ = timeout(TICK, node.bank.due.notified()).await;
+        }
+    }
+
+    fn start_due(node: &Rc<Node>, source: &Rc<impl Source>) {
+        let now = node.now();
+        let hosts = node.hosts();
+        let mut due = Vec::new();
+        for (workspace, account) in &mut *node.bank.accounts.borrow_mut() {
+            due.extend(account.plan(now, hosts).map(|txn| (workspace.clone(), txn)));
+        }
+        for (workspace, txn) in due {
+            let (node, source) = (node.clone(), source.clone());
+            spawn_local(async move {
+                let outcome = source.table(&coordination::table::Op::Commit(txn)).await;
+                let now = node.now();
+                if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
+                    account.ended(now, outcome);
+                }
+                node.bank.ended.notify_waiters();
+                node.bank.due.notify_one();
+            });
+        }
+    }
+
+    /// Gives back all that is kept ahead; returns when it is done or the time is over.
+    pub async fn close(node: &Rc<Node>, longest: Duration) {
+        let until = Instant::now() + longest;
+        for account in node.bank.accounts.borrow_mut().values_mut() {
+            account.close();
+        }
+        node.bank.due.notify_one();
+        while !node.bank.accounts.borrow().values().all(Account::is_closed) {
+            if timeout_at(until, node.bank.ended.notified()).await.is_err() {
+                tracing::warn!(event = "budgets_kept", held = node.bank.balance().0);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge.rs
@@ -0,0 +1,73 @@
+//! Takes callers' connections.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use eyre::WrapErr as _;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::sleep,
+};
+
+use crate::{exchange, node::Node};
+
+/// Longest head of a request in bytes, and size of a connection's buffer.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// Longest time that a connection waits for a head where the configuration isn't known.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// Pause after a connection could not be accepted, as when descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds an address.
+///
+/// # Errors
+///
+/// Fails where the address can't be bound.
+pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("step=bind peer={address}"))
+}
+
+/// Returns the next connection, whatever fails before.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves callers for ever.
+pub async fn run(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(event = "caller_gone", %error);
+            continue;
+        }
+        spawn_local(serve(node.clone(), stream));
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let idle = node.catalog().map_or(IDLE, |catalog| catalog.limits().idle);
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(exchange::answer(node, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = served.await {
+        tracing::debug!(event = "caller_connection_ended", %error);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,83 @@
+//! Divides the bytes of an event stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is held until it is whole, in bytes; a longer one is passed on in pieces.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Whole events that can be passed on.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Whole {
+    /// Their bytes.
+    pub bytes: Bytes,
+    /// Number of events.
+    pub count: u64,
+}
+
+/// Holds back the bytes of an event until its end has come.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    partial: BytesMut,
+    last: Option<u64>,
+}
+
+impl Splitter {
+    /// Opens a splitter for a stream that goes on after an event.
+    pub fn after(last: Option<u64>) -> Self {
+        Self { partial: BytesMut::new(), last }
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns whether the stream stands between two events.
+    pub fn is_between(&self) -> bool {
+        self.partial.iter().all(u8::is_ascii_whitespace)
+    }
+
+    /// Returns what is held back, as at the end of the stream.
+    pub fn finish(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
+    /// Forgets the event that broke off.
+    pub fn discard(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Takes the next bytes and returns the events that are whole now.
+    pub fn push(&mut self, bytes: Bytes) -> Whole {
+        let bytes = if self.partial.is_empty() {
+            bytes
+        } else {
+            self.partial.extend_from_slice(&bytes);
+            self.partial.split().freeze()
+        };
+        let mut end = 0;
+        let mut count = 0;
+        let mut line = 0;
+        let mut id = None;
+        while let Some(length) = bytes[line..].iter().position(|&byte| byte == b'\n') {
+            let text = bytes[line..line + length].trim_ascii();
+            line += length + 1;
+            if let Some(value) = text.strip_prefix(b"id:") {
+                id = str::from_utf8(value.trim_ascii()).ok().and_then(|text| text.parse().ok());
+            }
+            if !text.is_empty() {
+                continue;
+            }
+            if line - end > length + 1 {
+                count += 1;
+                self.last = id.take().or(self.last);
+            }
+            end = line;
+        }
+        if bytes.len() - end > MAX_EVENT_BYTES {
+            end = bytes.len();
+        }
+        self.partial.extend_from_slice(&bytes[end..]);
+        Whole { bytes: bytes.slice(..end), count }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,388 @@
+//! Carries one request from its head to the head of its answer.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use coordination::locate::hash;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{
+        CONNECTION, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+    http::request,
+};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::{
+    account::Verdict,
+    bank::{Bank, Reservation},
+    body::Body,
+    catalog::{Catalog, Route, Service, Workspace},
+    ending::{Course, Ending, Outcome},
+    node::{Node, Phase},
+    relay::Relay,
+    request::{Call, Refusal},
+    visit::{Answer, Closed, Visit},
+};
+
+/// Time after which a caller comes back to a host that isn't ready or can't read the platform.
+const UNREADY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time after which a caller finds another host when this one leaves.
+const LEAVING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after a request to stop from which no new stream is begun.
+const LAST_STREAM: Duration = Duration::from_secs(3);
+
+/// Longest wait for a transaction that brings tokens, in percent of the route's target.
+const RESERVE_PERCENT: u32 = 75;
+
+/// Connections to a backend server that may fail before the request is refused.
+const CONNECTS: u32 = 4;
+
+/// Longest answer that is collected before its head is passed on, so that one that breaks off can be
+/// asked for again, in bytes.
+const COLLECTED_BYTES: usize = 128 * 1024;
+
+/// A request that was admitted.
+#[derive(Debug)]
+pub struct Job {
+    /// The host.
+    pub node: Rc<Node>,
+    /// Head of the request.
+    pub head: request::Parts,
+    /// What it asks for.
+    pub call: Call,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service that it goes to.
+    pub service: Rc<Service>,
+    /// Whom it is for.
+    pub workspace: Option<Rc<Workspace>>,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// When it came.
+    pub arrived: Instant,
+    /// Version of the configuration by which it is served.
+    pub version: u64,
+    /// Its sends.
+    pub course: RefCell<Course>,
+    /// Ids of backend servers that it was sent to.
+    pub tried: RefCell<Vec<Arc<str>>>,
+}
+
+impl Job {
+    /// Returns the time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the urgency; 0 is the most urgent.
+    pub fn priority(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Writes the line that tells how the request ended.
+    pub fn log(&self, outcome: &str, status: u16, events: u64) {
+        let tried = self.tried.borrow();
+        let age = self.arrived.elapsed();
+        self.node.metrics.ended(outcome, &self.route.name, age);
+        tracing::info!(
+            event = "request",
+            id = %self.call.id,
+            route = %self.route.name,
+            service = %self.service.name,
+            workspace = self.workspace.as_ref().map(|workspace| &*workspace.name),
+            outcome,
+            status,
+            backend = tried.last().map(|id| &**id),
+            sends = tried.len(),
+            events,
+            ms = age.as_millis() as u64,
+            left_ms = self.left().as_millis() as u64,
+            config = self.version,
+        );
+    }
+}
+
+/// Counts a request as under way until it is dropped.
+#[derive(Debug)]
+pub struct Active(Rc<Node>);
+
+impl Active {
+    fn open(node: &Rc<Node>) -> Self {
+        node.active.set(node.active.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+/// Answers a caller's request.
+pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let active = Active::open(&node);
+    let (head, body) = request.into_parts();
+    let mut response = match node.dialect.call(&head) {
+        Ok(call) => serve(&node, head, body, call, active).await,
+        Err(fault) => {
+            tracing::info!(event = "request_malformed", fault);
+            node.metrics.refused(Refusal::Malformed.word());
+            node.dialect.refuse(None, Refusal::Malformed).map(Body::from)
+        }
+    };
+    if node.phase.get() != Phase::Serving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    head: request::Parts,
+    body: Incoming,
+    call: Call,
+    active: Active,
+) -> Response<Body> {
+    let id = call.id.clone();
+    match admit(node, head, body, &call).await {
+        Ok((job, reservation)) => run(job, reservation, active).await,
+        Err(refusal) => {
+            node.metrics.refused(refusal.word());
+            tracing::info!(
+                event = "request_refused",
+                %id,
+                reason = refusal.word(),
+                host = %call.host,
+                config = node.catalog().map(|catalog| catalog.version()),
+                config_fresh = node.is_catalog_fresh(),
+            );
+            node.dialect.refuse(Some(&call), refusal).map(Body::from)
+        }
+    }
+}
+
+/// Finds out how a request is served, reads its body and sets its tokens aside.
+async fn admit(
+    node: &Rc<Node>,
+    head: request::Parts,
+    body: Incoming,
+    call: &Call,
+) -> Result<(Job, Option<Reservation>), Refusal> {
+    let arrived = Instant::now();
+    let catalog = node.catalog().ok_or(Refusal::NotRun(UNREADY_PAUSE))?;
+    let (route, workspace) = find(node, &catalog, &head, call)?;
+    refuse_when_leaving(node, &route)?;
+    let service = route.service(hash(call.id.as_bytes()));
+    let service = service.and_then(|name| catalog.service(name));
+    let service = service.ok_or(Refusal::NotRun(UNREADY_PAUSE))?.clone();
+    let limits = catalog.limits();
+    let read = timeout(limits.read, Limited::new(body, limits.body_bytes).collect()).await;
+    let body = match read {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::TooLong);
+        }
+        Ok(Err(_)) => return Err(Refusal::Malformed),
+        Err(_) => return Err(Refusal::Slow),
+    };
+    let wait = call.wait.map_or(route.timeout, |wait| wait.min(route.timeout));
+    let deadline = arrived + wait;
+    node.allowance(&service.name, |allowance| allowance.request(node.now()));
+    let reservation = reserve(node, call, &route, workspace.as_deref(), deadline).await?;
+    let sends = if route.streamed && !route.repeat.allowed() { 1 } else { route.attempts };
+    let course = Course::open(route.repeat.allowed(), sends, CONNECTS);
+    let job = Job {
+        node: node.clone(),
+        head,
+        call: call.clone(),
+        body,
+        route,
+        service,
+        workspace,
+        deadline,
+        arrived,
+        version: catalog.version(),
+        course: RefCell::new(course),
+        tried: RefCell::default(),
+    };
+    Ok((job, reservation))
+}
+
+/// Finds the route and the workspace of a request.
+///
+/// What a configuration that may be outdated doesn't name is not refused for good.
+fn find(
+    node: &Node,
+    catalog: &Catalog,
+    head: &request::Parts,
+    call: &Call,
+) -> Result<(Rc<Route>, Option<Rc<Workspace>>), Refusal> {
+    let unknown = |refusal| {
+        if node.is_catalog_fresh() { refusal } else { Refusal::NotRun(UNREADY_PAUSE) }
+    };
+    let route = catalog.route(&call.host, head.uri.path());
+    let route = route.ok_or_else(|| unknown(Refusal::NoRoute))?;
+    let workspace = call.key.as_ref().and_then(|key| catalog.holder(key));
+    if workspace.is_none() && catalog.keyed() && !route.anonymous {
+        return Err(unknown(Refusal::NoKey));
+    }
+    Ok((route.clone(), workspace.cloned()))
+}
+
+fn refuse_when_leaving(node: &Node, route: &Route) -> Result<(), Refusal> {
+    match node.phase.get() {
+        Phase::Serving => Ok(()),
+        Phase::Leaving(since) if !route.streamed || since.elapsed() < LAST_STREAM => Ok(()),
+        Phase::Leaving(_) | Phase::Closed => Err(Refusal::NotRun(LEAVING_PAUSE)),
+    }
+}
+
+async fn reserve(
+    node: &Rc<Node>,
+    call: &Call,
+    route: &Route,
+    workspace: Option<&Workspace>,
+    deadline: Instant,
+) -> Result<Option<Reservation>, Refusal> {
+    let (Some(prompt), Some(workspace)) = (&call.prompt, workspace) else { return Ok(None) };
+    if workspace.prepaid.is_none() {
+        return Ok(None);
+    }
+    let until = deadline.min(Instant::now() + route.target * RESERVE_PERCENT / 100);
+    match Bank::reserve(node, &workspace.name, prompt.worst(), until).await {
+        Ok(reservation) => Ok(Some(reservation)),
+        Err(Verdict::Exhausted) => Err(Refusal::Exhausted),
+        Err(_) => Err(Refusal::NotRun(UNREADY_PAUSE)),
+    }
+}
+
+/// Sends a request until it is answered, and passes the answer on.
+async fn run(job: Job, mut reservation: Option<Reservation>, active: Active) -> Response<Body> {
+    let answered = match timeout_at(job.deadline, attempt(&job, &mut reservation)).await {
+        Ok(answered) => answered,
+        Err(_) => match job.course.borrow().outcome() {
+            Outcome::NotRun => Err(Refusal::Slow),
+            Outcome::Unknown => Err(Refusal::Late),
+        },
+    };
+    match answered {
+        Ok(Answer::Whole { head, body }) => {
+            job.log("answered", head.status.as_u16(), 0);
+            let mut response = Response::from_parts(head, Body::Whole(Full::new(body)));
+            strip(&mut response);
+            response
+        }
+        Ok(Answer::Passing { head, visit, start }) => {
+            let relay = Relay::open(job, reservation, *visit, active);
+            let body = Body::Passing(Box::pin(relay.pass(start)));
+            let mut response = Response::from_parts(head, body);
+            strip(&mut response);
+            response
+        }
+        Err(refusal) => {
+            job.log(refusal.word(), 0, 0);
+            job.node.dialect.refuse(Some(&job.call), refusal).map(Body::from)
+        }
+    }
+}
+
+/// Sends a request to one backend server after the other, as far as that is allowed.
+async fn attempt(job: &Job, reservation: &mut Option<Reservation>) -> Result<Answer, Refusal> {
+    let mut pause = UNREADY_PAUSE;
+    loop {
+        let ending = match Visit::open(job, job.call.resume_after).await {
+            Ok(mut visit) => {
+                if let (Some(reservation), Some(prompt)) = (&mut *reservation, &job.call.prompt) {
+                    reservation.set_used(prompt.input);
+                }
+                match visit.ask(job, job.call.resume_after).await {
+                    Ok(head) => match settle(job, visit, head).await {
+                        Ok(answer) => return Ok(answer),
+                        Err(ending) => ending,
+                    },
+                    Err(ending) => ending,
+                }
+            }
+            Err(Closed::Refused(longer)) => {
+                pause = longer;
+                break;
+            }
+            Err(Closed::Unreached) => Ending::NotSent,
+        };
+        let again = job.course.borrow_mut().ended(ending);
+        if let (Some(reservation), Outcome::NotRun) =
+            (&mut *reservation, job.course.borrow().outcome())
+        {
+            reservation.set_used(0);
+        }
+        tracing::info!(
+            event = "send_ended",
+            id = %job.call.id,
+            backend = job.tried.borrow().last().map(|id| &**id),
+            ending = ?ending,
+            again,
+            left_ms = job.left().as_millis() as u64,
+        );
+        if !again {
+            break;
+        }
+    }
+    match job.course.borrow().outcome() {
+        Outcome::NotRun => Err(Refusal::NotRun(pause)),
+        Outcome::Unknown => Err(Refusal::Unknown),
+    }
+}
+
+/// Decides what becomes of an answer whose head has come.
+async fn settle(job: &Job, mut visit: Visit, head: Response<Incoming>) -> Result<Answer, Ending> {
+    let (head, mut body) = head.into_parts();
+    if job.route.streamed && head.status.is_success() {
+        visit.set_body(body);
+        return Ok(Answer::Passing { head, visit: Box::new(visit), start: Bytes::new() });
+    }
+    if head.status.is_server_error() && job.course.borrow().can_repeat() {
+        visit.trouble();
+        return Err(Ending::Failed);
+    }
+    let mut collected = BytesMut::new();
+    let patience = visit.patience(job);
+    loop {
+        let frame = match timeout(patience, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(_))) | Err(_) => {
+                visit.trouble();
+                return Err(Ending::Unknown);
+            }
+        };
+        visit.heard();
+        if let Ok(bytes) = frame.into_data() {
+            collected.extend_from_slice(&bytes);
+        }
+        if collected.len() > COLLECTED_BYTES {
+            visit.set_body(body);
+            return Ok(Answer::Passing { head, visit: Box::new(visit), start: collected.freeze() });
+        }
+    }
+    let failed = head.status.is_server_error();
+    visit.finish(failed);
+    Ok(Answer::Whole { head, body: collected.freeze() })
+}
+
+/// Removes headers that concern only the connection to the backend server.
+fn strip(response: &mut Response<Body>) {
+    let headers = response.headers_mut();
+    for name in [CONNECTION, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! Forwards callers' requests to backend servers within prepaid budgets.
+//!
+//! One event loop on one thread carries callers, backend servers, the platform's table and all
+//! decisions. The decisions stand in modules of their own without input or output: [`account`]
+//! (prepaid tokens), [`allowance`] (bound on repeats), [`backend`] and [`place`] (where a request
+//! goes, or that it is refused), [`ending`] (what may be sent again and what a caller is told).
+
+pub mod account;
+pub mod allowance;
+pub mod backend;
+pub mod bank;
+pub mod body;
+pub mod catalog;
+pub mod dialect;
+pub mod edge;
+pub mod ending;
+pub mod events;
+pub mod exchange;
+mod follow;
+mod lifecycle;
+pub mod log;
+mod members;
+pub mod metrics;
+pub mod node;
+pub mod place;
+pub mod pool;
+mod probe;
+pub mod relay;
+pub mod request;
+pub mod visit;
+
+pub use crate::lifecycle::run;
--- /dev/null
+++ b/crates/gateway/src/lifecycle.rs
@@ -0,0 +1,104 @@
+//! Starts a host, serves, and stops without cutting off requests.
+
+use std::{rc::Rc, time::Duration};
+
+use eyre::WrapErr as _;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    bank::Bank,
+    dialect::{Dialect, Source},
+    edge, follow, members,
+    metrics::Metrics,
+    node::{Node, Phase, Settings},
+    probe,
+};
+
+/// Least time between a request to stop and the end; by then the balancer sends nothing more.
+const LEAVE_LEAST: Duration = Duration::from_millis(2800);
+
+/// Time kept at the end of the grace for what follows the last request.
+const LEAVE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Longest time for giving back tokens at the end.
+const CLOSE_LONGEST: Duration = Duration::from_millis(400);
+
+/// Time between two looks at the requests under way while leaving.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a host until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails where an address can't be bound.
+pub fn run(
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    source: Rc<impl Source>,
+) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("step=runtime")?;
+    LocalSet::new().block_on(&runtime, serve(settings, dialect, source))
+}
+
+async fn serve(
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    source: Rc<impl Source>,
+) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("step=signals")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("step=signals")?;
+    tracing::info!(event = "start", host = %settings.host, zone = %settings.zone,
+        callers = %settings.callers, version = env!("CARGO_PKG_VERSION"));
+    let callers = edge::bind(settings.callers).await?;
+    let ready = edge::bind(settings.ready).await?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(edge::bind(address).await?),
+        None => None,
+    };
+    let node = Rc::new(Node::open(settings, dialect, Metrics::open()?));
+    spawn_local(follow::catalog(node.clone(), source.clone()));
+    spawn_local(follow::backends(node.clone(), source.clone()));
+    spawn_local(members::run(node.clone(), source.clone()));
+    spawn_local(Bank::run(node.clone(), source.clone()));
+    spawn_local(probe::run(node.clone(), ready));
+    if let Some(metrics) = metrics {
+        spawn_local(probe::run(node.clone(), metrics));
+    }
+    spawn_local(edge::run(node.clone(), callers));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // Addresses and bounds hold for the life of a process; everything that changes while it
+            // runs comes from the platform.
+            _ = hangup.recv() => tracing::info!(event = "reload", changed = false),
+        }
+    }
+    leave(&node, &*source).await;
+    Ok(())
+}
+
+/// Lets requests under way end, gives tokens back and leaves the list of hosts.
+async fn leave(node: &Rc<Node>, source: &impl Source) {
+    let since = Instant::now();
+    let longest = node.settings.grace.saturating_sub(LEAVE_MARGIN);
+    node.phase.set(Phase::Leaving(since));
+    tracing::info!(event = "leave", active = node.active.get());
+    while since.elapsed() < longest && (since.elapsed() < LEAVE_LEAST || node.active.get() > 0) {
+        sleep(LOOK).await;
+    }
+    node.phase.set(Phase::Closed);
+    Bank::close(node, CLOSE_LONGEST).await;
+    let _ = tokio::time::timeout(CLOSE_LONGEST / 2, members::leave(node, source)).await;
+    tracing::info!(
+        event = "stop",
+        active = node.active.get(),
+        after_ms = since.elapsed().as_millis() as u64
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and latency histograms of a host, in the Prometheus text format.
+
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::node::Node;
+
+/// Bounds of the latency histograms in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// Metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    duration: Histogram<f64>,
+    held: Gauge<u64>,
+    reserved: Gauge<u64>,
+    active: Gauge<u64>,
+    hosts: Gauge<u64>,
+    version: Gauge<u64>,
+    ready: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Opens the metrics of this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the exporter can't be built.
+    pub fn open() -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .wrap_err("step=metrics")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("laburnum");
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        Ok(Self {
+            requests: meter
+                .u64_counter("laburnum_requests")
+                .with_description("Requests that were admitted, by how they ended")
+                .build(),
+            refusals: meter
+                .u64_counter("laburnum_request_refusals")
+                .with_description("Requests that were not admitted, by reason")
+                .build(),
+            duration: meter
+                .f64_histogram("laburnum_request_seconds")
+                .with_description("Time from a request's head to the end of its answer")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            held: gauge("laburnum_held_tokens", "Tokens that this host may spend"),
+            reserved: gauge("laburnum_reserved_tokens", "Tokens set aside for requests"),
+            active: gauge("laburnum_active_requests", "Requests under way"),
+            hosts: gauge("laburnum_hosts", "Hosts that share budgets and bounds"),
+            version: gauge("laburnum_config_version", "Configuration in force"),
+            ready: gauge("laburnum_ready", "1 while the host takes requests"),
+            registry,
+            provider,
+        })
+    }
+
+    /// Counts a request that was admitted and has ended.
+    pub fn ended(&self, outcome: &str, route: &str, took: Duration) {
+        let outcome = KeyValue::new("outcome", outcome.to_owned());
+        self.requests.add(1, std::slice::from_ref(&outcome));
+        let route = KeyValue::new("route", route.to_owned());
+        self.duration.record(took.as_secs_f64(), &[outcome, route]);
+    }
+
+    /// Counts a request that was not admitted.
+    pub fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Returns all metrics of a host as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric can't be encoded.
+    pub fn encode(&self, node: &Node) -> eyre::Result<String> {
+        let (held, reserved) = node.bank.balance();
+        self.held.record(held, &[]);
+        self.reserved.record(reserved, &[]);
+        self.active.record(node.active.get() as u64, &[]);
+        self.hosts.record(node.hosts(), &[]);
+        self.version.record(node.catalog().map_or(0, |catalog| catalog.version()), &[]);
+        self.ready.record(u64::from(node.is_ready()), &[]);
+        self.provider.force_flush().wrap_err("step=flush metrics")?;
+        TextEncoder::new().encode_to_string(&self.registry.gather()).wrap_err("step=encode metrics")
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,208 @@
+//! Chooses a backend server for a request, or refuses the request.
+//!
+//! For model engines the choice goes by the predicted time to the first event: prompt tokens that
+//! wait to be read, tokens of this prompt that the engine doesn't hold, requests that run there.
+//! Each shared prompt has a home among the engines by rendezvous hash, so that all hosts send it to
+//! the same engine without asking each other; it leaves its home only where the home's queue costs
+//! more than reading the prompt again. This answers the load of many sessions with long shared
+//! prompts. For plain services the least loaded backend server wins, the own zone first.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use coordination::locate::spread;
+use rand::{RngExt, rngs::StdRng};
+
+use crate::{
+    backend::{Backend, Entry},
+    request::Prompt,
+};
+
+/// Prompt tokens that a model engine reads in a millisecond; only ratios of times depend on it.
+const TOKENS_PER_MS: f64 = 50.0;
+
+/// How much dearer reading a shared part again is than the time it takes, since it delays all other
+/// requests at the engine.
+const REREAD_WEIGHT: f64 = 2.0;
+
+/// Delay in milliseconds that each request at a model engine adds to the tokens of the others.
+const ENGINE_SHARE_MS: f64 = 1.5;
+
+/// Time in milliseconds that a plain service needs for a request, as far as placement goes.
+const PLAIN_MS: f64 = 15.0;
+
+/// Way to another zone and back in milliseconds, with its cost in bytes between zones.
+const OTHER_ZONE_MS: f64 = 6.0;
+
+/// Delay in milliseconds that is expected where all endings were troubled.
+const TROUBLE_MS: f64 = 2000.0;
+
+/// Delay in milliseconds that is expected where requests are under way and nothing is heard.
+const SILENT_MS: f64 = 3000.0;
+
+/// Delay in milliseconds that is expected where all slots are taken, and for each that waits.
+const FULL_MS: (f64, f64) = (300.0, 30.0);
+
+/// Random part of a delay in milliseconds, so that hosts don't all choose the same among equals.
+const JITTER_MS: f64 = 2.0;
+
+/// Time to come back after where no backend server is known to work.
+const NOBODY_PAUSE: Duration = Duration::from_millis(500);
+
+/// What a request needs.
+#[derive(Debug)]
+pub struct Want<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Availability zone of this host.
+    pub zone: &'a str,
+    /// Set for a generation.
+    pub prompt: Option<&'a Prompt>,
+    /// Ids of backend servers that were tried.
+    pub tried: &'a [Arc<str>],
+    /// Time until the caller gives up.
+    pub left: Duration,
+}
+
+/// What becomes of a request.
+#[derive(Debug, PartialEq)]
+pub enum Verdict {
+    /// To be sent to this backend server, which doesn't hold so many tokens of its prompt.
+    Send {
+        /// The backend server.
+        to: Entry,
+        /// Prompt tokens that it has to read.
+        unread: u64,
+    },
+    /// Can't be served in time; to come back after this pause.
+    Refuse(Duration),
+}
+
+/// All backend servers.
+#[derive(Debug)]
+pub struct Fleet {
+    backends: BTreeMap<Arc<str>, Backend>,
+    rng: StdRng,
+}
+
+impl Fleet {
+    /// Opens a fleet without backend servers.
+    pub fn open(rng: StdRng) -> Self {
+        Self { backends: BTreeMap::new(), rng }
+    }
+
+    /// Returns a backend server that is listed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Backend> {
+        self.backends.get_mut(id)
+    }
+
+    /// Returns the number of backend servers that take new work.
+    pub fn open_count(&self) -> usize {
+        self.backends.values().filter(|backend| !backend.entry.leaving).count()
+    }
+
+    /// Takes the newest list and returns the ids that are new, changed or gone.
+    ///
+    /// A backend server that started again under its id holds nothing of before. With `keep`, those
+    /// that the list lacks stay, as while the list is being filled again after an outage.
+    pub fn replace(&mut self, list: Vec<Entry>, keep: bool) -> Vec<Arc<str>> {
+        let mut changed = Vec::new();
+        let mut listed = std::collections::BTreeSet::new();
+        for entry in list {
+            listed.insert(entry.id.clone());
+            match self.backends.get_mut(&entry.id) {
+                Some(known) if known.entry == entry => {}
+                Some(known) if is_same_start(&known.entry, &entry) => {
+                    changed.push(entry.id.clone());
+                    known.entry = entry;
+                }
+                _ => {
+                    changed.push(entry.id.clone());
+                    self.backends.insert(entry.id.clone(), Backend::open(entry));
+                }
+            }
+        }
+        if !keep {
+            let gone = |id: &Arc<str>| !listed.contains(id);
+            changed.extend(self.backends.keys().filter(|id| gone(id)).cloned());
+            self.backends.retain(|id, _| listed.contains(id));
+        }
+        changed
+    }
+
+    /// Chooses a backend server, or refuses.
+    pub fn place(&mut self, now: Duration, want: &Want<'_>) -> Verdict {
+        let fits = |backend: &&Backend| {
+            *backend.entry.service == *want.service
+                && !backend.entry.leaving
+                && !want.tried.contains(&backend.entry.id)
+        };
+        let all: Vec<&Backend> = self.backends.values().filter(fits).collect();
+        let session = want.prompt.and_then(|prompt| prompt.shared.last());
+        let weight = |backend: &Backend| session.map(|part| spread(backend.hash ^ part.chain));
+        let usable = |backend: &&&Backend| !backend.is_avoided(now);
+        let home = all.iter().filter(usable).max_by_key(|backend| weight(backend));
+        let home = home.filter(|_| session.is_some()).map(|backend| backend.hash);
+        let mut best: Option<(f64, u64, &Backend)> = None;
+        for &backend in all.iter().filter(usable) {
+            let unread = unread(now, backend, want.prompt, home);
+            let jitter = self.rng.random_range(0.0..JITTER_MS);
+            let cost = delay(now, backend, want, unread) + jitter;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, unread, backend));
+            }
+        }
+        let Some((cost, unread, backend)) = best else {
+            return Verdict::Refuse(NOBODY_PAUSE);
+        };
+        // Doubts about a backend server are no proof that it would be late.
+        let certain = cost - doubt(now, backend);
+        if certain > want.left.as_secs_f64() * 1000.0 {
+            let pause = Duration::from_secs_f64((certain / 2000.0).min(2.0));
+            return Verdict::Refuse(pause);
+        }
+        Verdict::Send { to: backend.entry.clone(), unread }
+    }
+}
+
+fn is_same_start(known: &Entry, entry: &Entry) -> bool {
+    known.born == entry.born && known.address == entry.address && known.service == entry.service
+}
+
+/// Returns the tokens that a backend server has to read; the home of a prompt holds its shared part.
+fn unread(now: Duration, backend: &Backend, prompt: Option<&Prompt>, home: Option<u64>) -> u64 {
+    let Some(prompt) = prompt else { return 0 };
+    if home == Some(backend.hash) {
+        let shared: u64 = prompt.shared.iter().map(|part| part.tokens).sum();
+        return prompt.input.saturating_sub(shared);
+    }
+    backend.unread(now, prompt)
+}
+
+/// Returns the delay in milliseconds that comes from doubts whether it works.
+fn doubt(now: Duration, backend: &Backend) -> f64 {
+    let silent = if backend.is_silent(now) { SILENT_MS } else { 0.0 };
+    backend.trouble(now) * TROUBLE_MS + silent
+}
+
+/// Returns the predicted time in milliseconds until a backend server answers.
+fn delay(now: Duration, backend: &Backend, want: &Want<'_>, unread: u64) -> f64 {
+    let load = backend.load(now);
+    let slots = f64::from(backend.entry.slots.max(1));
+    let mut delay = doubt(now, backend);
+    if *backend.entry.zone != *want.zone {
+        delay += OTHER_ZONE_MS;
+    }
+    let running = f64::from(load.running);
+    match want.prompt {
+        Some(_) => {
+            delay += backend.reading() as f64 / TOKENS_PER_MS;
+            delay += unread as f64 / TOKENS_PER_MS * REREAD_WEIGHT;
+            delay += running * ENGINE_SHARE_MS;
+        }
+        None => delay += running / slots * PLAIN_MS,
+    }
+    if load.waiting > 0 || running >= slots {
+        delay += FULL_MS.0 + FULL_MS.1 * f64::from(load.waiting);
+    }
+    delay
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,230 @@
+//! Passes a stream on, from one backend server after the other where it may be resumed.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    bank::Reservation,
+    body::Broken,
+    catalog::Repeat,
+    ending::Ending,
+    events::Splitter,
+    exchange::{Active, Job},
+    visit::{Closed, Visit},
+};
+
+/// Longest wait for bytes before the deadline and the backend server are looked at again.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// Pause of one stream, in percent of the longest pause wanted, after which it goes on elsewhere.
+const GAP_PERCENT: u32 = 250;
+
+/// Longest pause wanted where the route names none.
+const GAP: Duration = Duration::from_millis(500);
+
+/// Tokens of an event where the service doesn't say.
+const EVENT_TOKENS: u64 = 1;
+
+/// What came next of an answer.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+/// An answer that is being passed on; cancelled when dropped.
+#[derive(Debug)]
+pub struct Relay {
+    job: Job,
+    reservation: Option<Reservation>,
+    visit: Option<Visit>,
+    splitter: Splitter,
+    events: u64,
+    ended: bool,
+    _active: Active,
+}
+
+impl Relay {
+    /// Opens a relay of an answer whose head has come.
+    pub fn open(job: Job, reservation: Option<Reservation>, visit: Visit, active: Active) -> Self {
+        let splitter = Splitter::after(job.call.resume_after);
+        Self {
+            job,
+            reservation,
+            visit: Some(visit),
+            splitter,
+            events: 0,
+            ended: false,
+            _active: active,
+        }
+    }
+
+    /// Returns the pieces of the answer; `start` has come with its head.
+    pub fn pass(self, start: Bytes) -> impl Stream<Item = Result<Bytes, Broken>> {
+        let first = (!start.is_empty()).then_some(start);
+        stream::unfold((self, first), |(mut relay, first)| async move {
+            let item = match first {
+                Some(start) => Some(Ok(start)),
+                None => relay.next().await,
+            };
+            item.map(|item| (item, (relay, None)))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        while !self.ended {
+            let cause = match self.read().await {
+                Next::Bytes(bytes) if bytes.is_empty() => continue,
+                Next::Bytes(bytes) => return Some(Ok(bytes)),
+                Next::End => {
+                    self.close("answered");
+                    let rest = self.splitter.finish();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Next::Broken(cause) => cause,
+            };
+            if !self.resume(cause).await {
+                self.close(cause);
+                return Some(Err(Broken));
+            }
+        }
+        None
+    }
+
+    fn close(&mut self, outcome: &str) {
+        self.ended = true;
+        self.job.log(outcome, 200, self.events);
+    }
+
+    /// Reads the next bytes of the answer.
+    async fn read(&mut self) -> Next {
+        let gap = self.job.route.gap.unwrap_or(GAP) * GAP_PERCENT / 100;
+        let first = self.job.route.target.max(gap);
+        let patience = if self.events == 0 { first } else { gap };
+        let mut waited = Duration::ZERO;
+        let can_move = self.can_resume();
+        let Some(visit) = &mut self.visit else { return Next::Broken("broken_off") };
+        loop {
+            let Some(body) = visit.body() else { return Next::Broken("broken_off") };
+            match timeout(LOOK.min(self.job.left()), body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    visit.heard();
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    return self.take(bytes);
+                }
+                Ok(Some(Err(_))) => {
+                    visit.trouble();
+                    return Next::Broken("broken_off");
+                }
+                Ok(None) if !self.job.route.streamed || self.splitter.is_between() => {
+                    visit.finish(false);
+                    return Next::End;
+                }
+                Ok(None) => {
+                    visit.trouble();
+                    return Next::Broken("broken_off");
+                }
+                Err(_) if self.job.left().is_zero() => return Next::Broken("late"),
+                Err(_) => {
+                    waited += LOOK;
+                    let hopeless = waited >= patience || visit.is_silent();
+                    if can_move && waited > LOOK && hopeless {
+                        visit.trouble();
+                        return Next::Broken("silent");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes bytes of the answer and returns what can be passed on of them.
+    fn take(&mut self, bytes: Bytes) -> Next {
+        if !self.job.route.streamed {
+            return Next::Bytes(bytes);
+        }
+        let whole = self.splitter.push(bytes);
+        if whole.count > 0
+            && let Some(visit) = &mut self.visit
+        {
+            visit.begun();
+        }
+        self.events += whole.count;
+        if let (Some(reservation), Some(prompt)) = (&mut self.reservation, &self.job.call.prompt) {
+            let engine = self.job.service.engine;
+            let tokens = engine.map_or(EVENT_TOKENS, |engine| engine.event_tokens);
+            reservation.set_used(prompt.input + (self.events * tokens).min(prompt.output));
+        }
+        Next::Bytes(whole.bytes)
+    }
+
+    fn can_resume(&self) -> bool {
+        self.job.route.streamed
+            && self.job.route.repeat == Repeat::Resumable
+            && self.job.course.borrow().can_repeat()
+    }
+
+    /// Asks another backend server for the rest of the stream.
+    async fn resume(&mut self, cause: &'static str) -> bool {
+        if !self.can_resume() || self.job.left().is_zero() {
+            return false;
+        }
+        let from = self.visit.take().map(|visit| visit.backend().clone());
+        self.splitter.discard();
+        let mut again = self.job.course.borrow_mut().ended(Ending::Unknown);
+        while again && !self.job.left().is_zero() {
+            let ending = match self.ask_elsewhere().await {
+                Ok(visit) => {
+                    self.log_resumed(cause, from.as_ref(), &visit);
+                    self.visit = Some(visit);
+                    return true;
+                }
+                Err(Some(ending)) => ending,
+                Err(None) => return false,
+            };
+            again = self.job.course.borrow_mut().ended(ending);
+        }
+        false
+    }
+
+    fn log_resumed(&self, cause: &str, from: Option<&Arc<str>>, to: &Visit) {
+        tracing::info!(
+            event = "stream_resumed",
+            id = %self.job.call.id,
+            cause,
+            from = from.map(|id| &**id),
+            to = %to.backend(),
+            after = self.splitter.last(),
+            left_ms = self.job.left().as_millis() as u64,
+        );
+    }
+
+    async fn ask_elsewhere(&self) -> Result<Visit, Option<Ending>> {
+        let after = self.splitter.last();
+        let mut visit = match Visit::open(&self.job, after).await {
+            Ok(visit) => visit,
+            Err(Closed::Unreached) => return Err(Some(Ending::NotSent)),
+            Err(Closed::Refused(_)) => return Err(None),
+        };
+        let (head, body): (_, Incoming) =
+            visit.ask(&self.job, after).await.map_err(Some)?.into_parts();
+        if !head.status.is_success() {
+            visit.trouble();
+            return Err(Some(Ending::Failed));
+        }
+        visit.set_body(body);
+        Ok(visit)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.job.log("caller_left", 200, self.events);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,103 @@
+//! What a caller asks for, apart from how it is written.
+
+use std::{sync::Arc, time::Duration};
+
+use coordination::locate::{hash, spread};
+
+/// A part of a prompt that other requests share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of this part and all before it.
+    pub chain: u64,
+    /// Length in tokens.
+    pub tokens: u64,
+}
+
+/// Size and parts of a generation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub input: u64,
+    /// Most tokens of the answer.
+    pub output: u64,
+    /// Shared parts in order; the end of the prompt, which is the request's own, is left out.
+    pub shared: Vec<Part>,
+}
+
+impl Prompt {
+    /// Composes a prompt from the names and lengths of its shared parts.
+    pub fn new<'a>(
+        input: u64,
+        output: u64,
+        parts: impl IntoIterator<Item = (&'a str, u64)>,
+    ) -> Self {
+        let mut chain = 0;
+        let shared = parts.into_iter().map(|(name, tokens)| {
+            chain = spread(chain ^ hash(name.as_bytes()));
+            Part { chain, tokens }
+        });
+        Self { input, output, shared: shared.collect() }
+    }
+
+    /// Returns the most tokens that the request can use.
+    pub fn worst(&self) -> u64 {
+        self.input + self.output
+    }
+}
+
+/// A request as its head tells it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Id that the caller gave to this attempt.
+    pub id: Arc<str>,
+    /// Host name asked for, in lowercase and without a port.
+    pub host: Arc<str>,
+    /// Key of the caller.
+    pub key: Option<Arc<str>>,
+    /// How long the caller will wait.
+    pub wait: Option<Duration>,
+    /// Set where the request is a generation.
+    pub prompt: Option<Prompt>,
+    /// Last event that the caller has of a stream that it resumes.
+    pub resume_after: Option<u64>,
+}
+
+/// Why a request gets no answer of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It can't be read.
+    Malformed,
+    /// Its body is too long.
+    TooLong,
+    /// It did not arrive in time, and did not run.
+    Slow,
+    /// No route leads anywhere.
+    NoRoute,
+    /// Its key is unknown.
+    NoKey,
+    /// The workspace's budget doesn't cover it.
+    Exhausted,
+    /// It did not run; to be tried again after a time.
+    NotRun(Duration),
+    /// It may have run, and its answer is lost.
+    Unknown,
+    /// It may have run, and no answer came in time.
+    Late,
+}
+
+impl Refusal {
+    /// Returns a word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::TooLong => "too_long",
+            Self::Slow => "slow",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::Exhausted => "exhausted",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown => "unknown",
+            Self::Late => "late",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/visit.rs
@@ -0,0 +1,317 @@
+//! One send of a request to one backend server.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, Uri, body::Incoming, http::response};
+use tokio::time::timeout;
+
+use crate::{
+    backend::{Entry, Sign},
+    catalog::Repeat,
+    dialect::Dispatch,
+    ending::Ending,
+    exchange::Job,
+    node::Node,
+    place::{Verdict, Want},
+    pool::{Fault, Link, Lost},
+};
+
+/// Part of a backend server's connections that all hosts together open, in percent.
+const CONNECTIONS_PERCENT: usize = 80;
+
+/// Fewest connections that a host may open to a backend server.
+const CONNECTIONS_LEAST: usize = 2;
+
+/// Idle time from which a connection isn't used for a request that can't be repeated.
+const RECENT: Duration = Duration::from_millis(800);
+
+/// Pause after which a caller comes back when no repeat is left.
+const REPEAT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Wait for a stream's first event before it is asked for elsewhere, in percent of the target.
+const STREAM_PATIENCE_PERCENT: u32 = 150;
+
+/// Wait for a plain answer before it is asked for elsewhere, in percent of the target.
+const PLAIN_PATIENCE_PERCENT: u32 = 70;
+
+/// Head and body of an answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// All of it has come.
+    Whole {
+        /// Head.
+        head: response::Parts,
+        /// Body.
+        body: Bytes,
+    },
+    /// The rest is passed on as it comes.
+    Passing {
+        /// Head.
+        head: response::Parts,
+        /// Where it comes from.
+        visit: Box<Visit>,
+        /// What has come of the body.
+        start: Bytes,
+    },
+}
+
+/// Why a request is not sent.
+#[derive(Debug)]
+pub enum Closed {
+    /// It can't be served now; to come back after a pause.
+    Refused(Duration),
+    /// The backend server that was chosen can't be reached.
+    Unreached,
+}
+
+/// A send under way; it is cancelled when dropped.
+#[derive(Debug)]
+pub struct Visit {
+    node: Rc<Node>,
+    to: Entry,
+    most: usize,
+    /// Prompt tokens that count as waiting to be read until the first event.
+    unread: u64,
+    link: Option<Link>,
+    body: Option<Incoming>,
+    sign: Sign,
+}
+
+impl Visit {
+    /// Chooses a backend server and connects to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the request can't be sent; nothing was written then.
+    pub async fn open(job: &Job, resume_after: Option<u64>) -> Result<Self, Closed> {
+        let node = job.node.clone();
+        let now = node.now();
+        let verdict = {
+            let tried = job.tried.borrow();
+            let want = Want {
+                service: &job.service.name,
+                zone: &node.settings.zone,
+                prompt: job.call.prompt.as_ref(),
+                tried: &tried,
+                left: job.left(),
+            };
+            node.fleet.borrow_mut().place(now, &want)
+        };
+        let (to, unread) = match verdict {
+            Verdict::Send { to, unread } => (to, unread),
+            Verdict::Refuse(pause) => return Err(Closed::Refused(pause)),
+        };
+        // A stream that goes on elsewhere counts as sent again too.
+        let repeat = job.course.borrow().is_repeat() || resume_after != job.call.resume_after;
+        if repeat && !node.allowance(&job.service.name, |own| own.spend(now, node.hosts())) {
+            tracing::info!(event = "repeat_refused", id = %job.call.id, service = %job.service.name);
+            return Err(Closed::Refused(REPEAT_PAUSE));
+        }
+        job.tried.borrow_mut().push(to.id.clone());
+        let hosts = usize::try_from(node.hosts()).unwrap_or(usize::MAX);
+        let most = job.service.connections * CONNECTIONS_PERCENT / 100 / hosts;
+        let most = most.max(CONNECTIONS_LEAST);
+        let recent = if job.route.repeat.allowed() { Duration::MAX } else { RECENT };
+        let link = match node.pool.link(&to, most, recent).await {
+            Ok(link) => link,
+            Err(fault) => {
+                unreached(&node, job, &to.id, &fault);
+                return Err(Closed::Unreached);
+            }
+        };
+        if let Some(backend) = node.fleet.borrow_mut().get_mut(&to.id) {
+            backend.begin(node.now(), job.call.prompt.as_ref(), unread);
+        }
+        Ok(Self { node, to, most, unread, link: Some(link), body: None, sign: Sign::None })
+    }
+
+    /// Returns the id of the backend server.
+    pub fn backend(&self) -> &Arc<str> {
+        &self.to.id
+    }
+
+    /// Returns how long to wait for an answer before it is asked for elsewhere.
+    pub fn patience(&self, job: &Job) -> Duration {
+        if !job.course.borrow().can_repeat() {
+            return job.left();
+        }
+        let percent = match job.route.repeat {
+            Repeat::Idempotent => PLAIN_PATIENCE_PERCENT,
+            Repeat::Resumable => STREAM_PATIENCE_PERCENT,
+            Repeat::Never => return job.left(),
+        };
+        (job.route.target * percent / 100).min(job.left())
+    }
+
+    /// Sends the request and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no answer to this request came that can be passed on.
+    pub async fn ask(
+        &mut self,
+        job: &Job,
+        resume_after: Option<u64>,
+    ) -> Result<Response<Incoming>, Ending> {
+        job.course.borrow_mut().sent();
+        let patience = self.patience(job);
+        let response = match timeout(patience, self.send(job, resume_after)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(Lost::Unsent)) => {
+                self.sign = Sign::Unreached;
+                return Err(Ending::NotSent);
+            }
+            Ok(Err(Lost::Broken(error))) => {
+                tracing::info!(event = "send_broken", id = %job.call.id, backend = %self.to.id, %error);
+                self.sign = Sign::Troubled;
+                return Err(Ending::Unknown);
+            }
+            Err(_) => {
+                self.sign = Sign::Troubled;
+                return Err(Ending::Unknown);
+            }
+        };
+        self.heard();
+        self.check(job, response)
+    }
+
+    async fn send(
+        &mut self,
+        job: &Job,
+        resume_after: Option<u64>,
+    ) -> Result<Response<Incoming>, Lost> {
+        let Some(mut link) = self.link.take() else { return Err(Lost::Unsent) };
+        let mut sent = link.send(self.request(job, resume_after)).await;
+        if matches!(sent, Err(Lost::Unsent)) && link.is_kept() {
+            link = match self.node.pool.link(&self.to, self.most, Duration::ZERO).await {
+                Ok(link) => link,
+                Err(fault) => {
+                    unreached(&self.node, job, &self.to.id, &fault);
+                    return Err(Lost::Unsent);
+                }
+            };
+            sent = link.send(self.request(job, resume_after)).await;
+        }
+        self.link = Some(link);
+        sent
+    }
+
+    fn request(&self, job: &Job, resume_after: Option<u64>) -> Request<Full<Bytes>> {
+        let dispatch = Dispatch {
+            to: &self.to.id,
+            left: job.left(),
+            workspace: job.workspace.as_ref().map(|workspace| &*workspace.name),
+            priority: job.priority(),
+            resume_after,
+            body_bytes: job.body.len(),
+        };
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.head.method.clone();
+        *request.headers_mut() = self.node.dialect.forward(&job.head, &dispatch);
+        let target = job.head.uri.path_and_query().cloned();
+        *request.uri_mut() = target.map_or_else(|| Uri::from_static("/"), Uri::from);
+        request
+    }
+
+    /// Checks that an answer belongs to the request and can be passed on.
+    fn check(
+        &mut self,
+        job: &Job,
+        response: Response<Incoming>,
+    ) -> Result<Response<Incoming>, Ending> {
+        let (head, body) = response.into_parts();
+        let reply = self.node.dialect.reply(&head);
+        let succeeded = head.status.is_success();
+        let own = reply.id.as_ref().map(|id| **id == *job.call.id);
+        if own == Some(false) || (succeeded && !(own == Some(true) && reply.authentic)) {
+            tracing::warn!(
+                event = "answer_foreign",
+                id = %job.call.id,
+                backend = %self.to.id,
+                answers = reply.id.as_deref(),
+                authentic = reply.authentic,
+                status = head.status.as_u16(),
+            );
+            self.sign = Sign::Troubled;
+            return Err(Ending::Unknown);
+        }
+        if let Some(load) = reply.load
+            && let Some(backend) = self.node.fleet.borrow_mut().get_mut(&self.to.id)
+        {
+            backend.report(self.node.now(), load);
+        }
+        if let Some(link) = &mut self.link {
+            link.set_keep(reply.keep);
+        }
+        if reply.not_run {
+            let elsewhere = head.status == hyper::StatusCode::MISDIRECTED_REQUEST;
+            self.sign = if elsewhere { Sign::Unreached } else { Sign::Troubled };
+            return Err(Ending::NotRun);
+        }
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Takes the rest of the answer, which is passed on as it comes.
+    pub fn set_body(&mut self, body: Incoming) {
+        self.body = Some(body);
+    }
+
+    /// Returns the rest of the answer.
+    pub fn body(&mut self) -> Option<&mut Incoming> {
+        self.body.as_mut()
+    }
+
+    /// Notes bytes of the answer.
+    pub fn heard(&self) {
+        if let Some(backend) = self.node.fleet.borrow_mut().get_mut(&self.to.id) {
+            backend.heard(self.node.now());
+        }
+    }
+
+    /// Notes the first event of a stream.
+    pub fn begun(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if let Some(backend) = self.node.fleet.borrow_mut().get_mut(&self.to.id) {
+            backend.read(unread);
+        }
+    }
+
+    /// Returns whether nothing comes from the backend server on any connection.
+    pub fn is_silent(&self) -> bool {
+        let now = self.node.now();
+        self.node.fleet.borrow_mut().get_mut(&self.to.id).is_none_or(|own| own.is_silent(now))
+    }
+
+    /// Notes that the backend server failed, broke off or stayed silent.
+    pub fn trouble(&mut self) {
+        self.sign = Sign::Troubled;
+    }
+
+    /// Notes that the answer has been read to its end and keeps the connection.
+    pub fn finish(&mut self, failed: bool) {
+        self.sign = if failed { Sign::Troubled } else { Sign::Sound };
+        if let Some(link) = self.link.take() {
+            self.node.pool.keep(&self.to.id, link);
+        }
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.begun();
+        let now = self.node.now();
+        if let Some(backend) = self.node.fleet.borrow_mut().get_mut(&self.to.id) {
+            backend.end(now, self.sign);
+        }
+    }
+}
+
+fn unreached(node: &Node, job: &Job, id: &str, fault: &Fault) {
+    tracing::info!(event = "backend_unreached", id = %job.call.id, backend = id, %fault);
+    if let Some(backend) = node.fleet.borrow_mut().get_mut(id) {
+        let sign = if matches!(fault, Fault::Full) { Sign::None } else { Sign::Unreached };
+        backend.learn(node.now(), sign);
+    }
+}
