Keep large stakes of prepaid tokens that the next process takes over

Cause: in the 8.8 s in which no host reaches the store, hosts held 10 to 70 thousand tokens of a workspace while two thirds of its budget lay in the store; every request beyond was refused. Larger grants alone would strand what a killed process held.

A stake now names a burst and a rate, and all of it opens after 3.5 s without the platform; the next process takes over what that certainly leaves. Sizes follow recent use and the host's share of all use. Ruled out: the number of writes (unavailable, not over a rate), refusals for lack of backend servers (none).

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,31 +1,51 @@
 //! One workspace's prepaid tokens at this host.
 //!
-//! The rows are those of [`coordination::escrow`]: a sum for the budget and a grant for each host.
-//! One transaction moves tokens from the budget to this host before any request can use them, so
-//! that the sum of all use never exceeds the prepaid amount, whatever fails. A host that dies
-//! strands what it held; so a grant ahead of need is a part of what the budget has left, large while
-//! the budget is ample, since the host serves from it while the platform can't be reached.
+//! Two kinds of rows keep a budget: its sums over all hosts ([`Escrow`]) and each host's [`Stake`].
+//! A transaction moves tokens from the budget to a host's stake before any request can use them, so
+//! that the sum of all use never exceeds the prepaid amount, whatever fails.
 //!
-//! Both rows are conditions of each transaction, and the grant's row numbers them. A transaction
-//! whose answer was lost is sent again unchanged: it then commits, or the rows that come back tell
-//! whether it had been committed before.
+//! A stake is large, since the host serves from it while the platform can't be reached. A process
+//! that dies must not take it along, though. So each stake names a burst and a rate, and the process
+//! uses no more than burst + rate x time since it wrote them, until so much time has passed that the
+//! platform must be away: then all of the stake may be used. The next process on the host takes over
+//! what that leaves, by the platform's clock; only the rest is lost. A request that exceeds the burst
+//! waits for one transaction that raises it.
+//!
+//! Every transaction has the host's row as a condition and numbers it. One whose answer was lost is
+//! sent again unchanged: it then commits, or the row that comes back tells whether it had been
+//! committed before. Until that is known, the process keeps to the old bound and the new one.
 
 use std::{sync::Arc, time::Duration};
 
 use coordination::{
-    escrow::{Escrow, Grant, escrow_key, grant_key, parse},
+    escrow::{Escrow, escrow_key, parse},
     table::{Outcome, Row, Txn},
 };
+use serde::{Deserialize, Serialize};
+
+/// Time of use at the recent rate that a host keeps ahead; covers an outage of the platform in which
+/// twice as much is used.
+const AHEAD: Duration = Duration::from_secs(20);
+
+/// Time of use that a host keeps ahead while nothing is known of the rate.
+const FLOOR_AHEAD: Duration = Duration::from_secs(10);
+
+/// Part of the unspent budget that all hosts together keep ahead, in percent.
+const AHEAD_PERCENT: u64 = 80;
 
-/// Time of use at the recent rate that a host keeps ahead; covers an outage of the platform.
-const AHEAD: Duration = Duration::from_secs(10);
+/// Part of the prepaid amount that all hosts together use in a second while nothing is known of the
+/// rate of use, in thousandths.
+const FLOOR_MILLI: u64 = 25;
 
-/// Part of the unspent budget that all hosts together keep ahead of need, in percent.
-const AHEAD_PERCENT: u64 = 50;
+/// Bound on the rate of use, as a multiple of the recent rate.
+const RATE_MARGIN: f64 = 2.0;
 
-/// Part of the prepaid amount that all hosts together keep ahead at the least, in percent, while
-/// nothing is known of the rate of use.
-const FLOOR_PERCENT: u64 = 25;
+/// Time of use at the bound that makes a burst.
+const BURST: Duration = Duration::from_millis(1000);
+
+/// Time without a written stake after which all of it may be used; longer than a process that died
+/// needs to start again.
+const UNLOCK: Duration = Duration::from_millis(3500);
 
 /// Time over which the rate of use is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -36,12 +56,57 @@
 /// Least time between two transactions that only adjust what is kept ahead.
 const ADJUST_PAUSE: Duration = Duration::from_millis(700);
 
-/// Least time between two transactions that only give back, while little is left.
-const RETURN_PAUSE: Duration = Duration::from_millis(250);
+/// Least time between two looks at an account for which no request waits.
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after which a used stake is written anew, where the platform takes so many writes.
+const REPORT: Duration = Duration::from_millis(1000);
+
+/// Writes of stakes in a second by all hosts for all workspaces.
+const REPORTS_PER_S: u64 = 100;
 
 /// Time after which an answer of the budget's row is no proof any more of what is left.
 const PROOF_AGE: Duration = Duration::from_millis(500);
 
+/// Part of the prepaid amount below which hosts give back what they don't need, in percent.
+const SCARCE_PERCENT: u64 = 10;
+
+/// Prefix of the rows of stakes.
+const STAKE_PREFIX: &str = "stake/";
+
+/// Tokens that a process may use, as it wrote them last.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Stake {
+    /// The process.
+    pub holder: Arc<str>,
+    /// Number of its transactions.
+    pub number: u64,
+    /// Tokens that no request had set aside.
+    pub tokens: u64,
+    /// Tokens that it uses at once.
+    pub burst: u64,
+    /// Tokens that it uses in each second beside the burst.
+    pub rate: u64,
+    /// The platform's clock in milliseconds, at the latest when the row was written.
+    pub written_ms: u64,
+    /// Time in milliseconds after which it may use all tokens.
+    pub unlock_ms: u64,
+}
+
+impl Stake {
+    /// Returns what a dead process certainly left, at a time of the platform's clock that is not
+    /// before its death.
+    pub fn left(&self, now_ms: u64) -> u64 {
+        let elapsed = now_ms.saturating_sub(self.written_ms);
+        if elapsed >= self.unlock_ms {
+            return 0;
+        }
+        let used = self.burst.saturating_add(self.rate.saturating_mul(elapsed).div_ceil(1000));
+        self.tokens.saturating_sub(used)
+    }
+}
+
 /// Answer to a wish for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -51,64 +116,103 @@
     Wait,
     /// The budget doesn't cover them, as its rows have just shown.
     Exhausted,
-    /// The platform can't be reached, and this host holds too few.
+    /// The platform can't be reached, and this host may not use so many.
     Unavailable,
 }
 
-/// What a transaction under way would change.
+/// Bound that a written stake puts on use.
+#[derive(Debug, Clone, Copy)]
+struct Limit {
+    /// Tokens set aside since.
+    used: u64,
+    burst: u64,
+    rate: u64,
+    since: Duration,
+}
+
+impl Limit {
+    fn allows(&self, now: Duration, tokens: u64) -> bool {
+        if now.saturating_sub(self.since) >= UNLOCK {
+            return true;
+        }
+        let elapsed = now.saturating_sub(self.since).as_millis() as u64;
+        let most = self.burst + self.rate.saturating_mul(elapsed) / 1000;
+        self.used + tokens <= most
+    }
+}
+
+/// A transaction whose outcome isn't known.
 #[derive(Debug, Clone)]
 struct Pending {
     txn: Txn,
-    sums: Escrow,
-    grant: Grant,
-    /// Tokens that leave this host.
+    sums: Option<Escrow>,
+    stake: Stake,
+    limit: Limit,
+    granting: u64,
     returning: u64,
 }
 
+/// Surroundings in which an account plans.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    /// Hosts that share the budgets.
+    pub hosts: u64,
+    /// Workspaces with budgets.
+    pub workspaces: u64,
+    /// The platform's clock; it may be later already.
+    pub platform_ms: Option<u64>,
+}
+
 /// Prepaid tokens of one workspace at this host.
 #[derive(Debug)]
 pub struct Account {
     workspace: Arc<str>,
-    host: Arc<str>,
+    holder: Arc<str>,
     prepaid: u64,
     sums: Escrow,
     sums_row: Row,
-    grant: Grant,
-    grant_row: Row,
+    stake: Stake,
+    stake_row: Row,
     /// The rows have been read.
     known: bool,
-    /// When the rows were last seen.
+    /// When the budget's row was seen last.
     seen: Option<Duration>,
     held: u64,
     reserved: u64,
+    /// Tokens that this process used.
+    used: u64,
+    /// Bound by the row that stands; nothing may be used before there is one.
+    limit: Option<Limit>,
     /// Tokens that requests wait for.
     wanted: u64,
     pending: Option<Pending>,
     under_way: bool,
     failed: bool,
     next: Duration,
-    /// Tokens used for each second, averaged.
+    /// Tokens used in each second, averaged.
     rate: f64,
     rate_at: Duration,
     closing: bool,
 }
 
 impl Account {
-    /// Opens an account of which nothing is known yet.
-    pub fn open(workspace: Arc<str>, host: Arc<str>) -> Self {
+    /// Opens an account of a process on a host, of which nothing is known yet.
+    pub fn open(workspace: Arc<str>, host: &str, holder: Arc<str>) -> Self {
         let row = |key| Row { key, value: None, revision: 0 };
         Self {
             sums_row: row(escrow_key(&workspace)),
-            grant_row: row(grant_key(&workspace, &host)),
+            stake_row: row(Arc::from(format!("{STAKE_PREFIX}{workspace}/{host}"))),
             workspace,
-            host,
+            holder,
             prepaid: 0,
             sums: Escrow::default(),
-            grant: Grant::default(),
+            stake: Stake::default(),
             known: false,
             seen: None,
             held: 0,
             reserved: 0,
+            used: 0,
+            limit: None,
             wanted: 0,
             pending: None,
             under_way: false,
@@ -127,7 +231,7 @@
 
     /// Takes the prepaid amount of the configuration in force.
     pub fn set_prepaid(&mut self, prepaid: u64) {
-        if prepaid > self.prepaid {
+        if prepaid != self.prepaid {
             self.next = Duration::ZERO;
         }
         self.prepaid = prepaid;
@@ -151,13 +255,21 @@
         self.sums.granted > self.prepaid + self.sums.returned + self.sums.refunded
     }
 
+    fn allows(&self, now: Duration, tokens: u64) -> bool {
+        let pending = self.pending.as_ref().map(|pending| &pending.limit);
+        self.limit.is_some_and(|limit| limit.allows(now, tokens))
+            && pending.is_none_or(|limit| limit.allows(now, tokens))
+    }
+
     /// Sets tokens aside for a request.
     pub fn reserve(&mut self, now: Duration, tokens: u64) -> Verdict {
-        if let Some(held) = self.held.checked_sub(tokens)
-            && !self.is_overdrawn()
-        {
-            self.held = held;
+        if tokens <= self.held && !self.is_overdrawn() && self.allows(now, tokens) {
+            self.held -= tokens;
             self.reserved += tokens;
+            let pending = self.pending.as_mut().map(|pending| &mut pending.limit);
+            for limit in self.limit.as_mut().into_iter().chain(pending) {
+                limit.used += tokens;
+            }
             return Verdict::Reserved;
         }
         let left = self.held + self.sums.remaining(self.prepaid);
@@ -177,86 +289,135 @@
         let used = used.min(reserved);
         self.reserved -= reserved;
         self.held += reserved - used;
-        self.grant.settled += used;
+        self.used += used;
         let age = now.saturating_sub(self.rate_at).as_secs_f64();
         self.rate *= (-age / RATE_WINDOW.as_secs_f64()).exp();
         self.rate += used as f64 / RATE_WINDOW.as_secs_f64();
         self.rate_at = now;
     }
 
-    /// Returns the tokens that this host should hold beyond those set aside, as one of so many.
+    /// Returns the bound on use in a second, as one of so many hosts.
+    fn bounded_rate(&self, now: Duration, hosts: u64) -> u64 {
+        ((self.recent_rate(now) * RATE_MARGIN) as u64).max(self.floor(hosts))
+    }
+
+    fn recent_rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.rate_at).as_secs_f64();
+        self.rate * (-age / (4.0 * RATE_WINDOW.as_secs_f64())).exp()
+    }
+
+    /// Returns the use in a second that is expected while nothing is known.
+    fn floor(&self, hosts: u64) -> u64 {
+        self.prepaid / 1000 * FLOOR_MILLI / hosts
+    }
+
+    /// Returns the tokens that this host should hold beyond those set aside.
     fn target(&self, now: Duration, hosts: u64) -> u64 {
         if self.closing || self.is_overdrawn() {
             return 0;
         }
-        let age = now.saturating_sub(self.rate_at).as_secs_f64();
-        let rate = self.rate * (-age / (4.0 * RATE_WINDOW.as_secs_f64())).exp();
-        let by_rate = (rate * AHEAD.as_secs_f64()) as u64;
-        let floor = self.prepaid / 100 * FLOOR_PERCENT / hosts;
+        let by_rate = (self.recent_rate(now) * AHEAD.as_secs_f64()) as u64;
+        let floor = self.floor(hosts) * FLOOR_AHEAD.as_secs();
         let unspent = self.sums.remaining(self.prepaid) + self.held;
-        by_rate.max(floor).min(unspent / 100 * AHEAD_PERCENT / hosts)
+        let most = unspent / 100 * AHEAD_PERCENT;
+        // A workspace's callers may come to few of the hosts.
+        let granted = self.sums.granted.saturating_sub(self.sums.returned).max(1);
+        let by_use = u128::from(most) * u128::from(self.used) / u128::from(granted);
+        by_rate.max(floor).min((by_use as u64).max(most / hosts))
     }
 
-    /// Returns the transaction to run now, as one of so many hosts.
-    pub fn plan(&mut self, now: Duration, hosts: u64) -> Option<Txn> {
-        if self.under_way || now < self.next {
+    /// Returns the transaction to run now.
+    pub fn plan(&mut self, now: Duration, setting: Setting) -> Option<Txn> {
+        if self.under_way || (now < self.next && self.wanted == 0) {
             return None;
         }
         if let Some(pending) = &self.pending {
+            if now < self.next {
+                return None;
+            }
             self.under_way = true;
             return Some(pending.txn.clone());
         }
-        let target = self.target(now, hosts.max(1));
-        let wanted = std::mem::take(&mut self.wanted).saturating_sub(self.held);
+        let hosts = setting.hosts.max(1);
+        let target = self.target(now, hosts);
+        let wanted = std::mem::take(&mut self.wanted);
         let remaining = self.sums.remaining(self.prepaid);
-        let asked = wanted.max(target.saturating_sub(self.held));
+        let missing = wanted.saturating_sub(self.held);
         let low = self.held < target / 2 + target / 4;
-        if !self.known || wanted > 0 || (low && remaining > 0) {
+        if !self.known || missing > 0 || (low && remaining > 0) {
             // What waits comes first; where it doesn't fit, the rows that come back prove it.
-            let granted = if wanted > remaining { 0 } else { asked.min(remaining) };
-            return Some(self.start(granted, 0));
+            let ahead = target.saturating_sub(self.held);
+            let granting = if missing > remaining { 0 } else { missing.max(ahead).min(remaining) };
+            return Some(self.start(now, setting, granting, 0, wanted));
         }
         let spare = self.held.saturating_sub(target);
-        let scarce = remaining < self.prepaid / 10;
-        if spare > 0 && (self.closing || scarce || spare > target) {
-            return Some(self.start(0, spare));
+        let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
+        if wanted == 0 && spare > 0 && (self.closing || scarce || spare > target) {
+            return Some(self.start(now, setting, 0, spare, 0));
         }
-        self.next = now + RETURN_PAUSE;
+        let writes = hosts * setting.workspaces.max(1);
+        let report = REPORT.max(Duration::from_millis(writes * 1000 / REPORTS_PER_S));
+        let stale = |limit: Limit| limit.used > 0 && now.saturating_sub(limit.since) >= report;
+        if wanted > 0 || self.limit.is_none_or(stale) {
+            return Some(self.start(now, setting, 0, 0, wanted));
+        }
+        self.next = now + IDLE_PAUSE;
         None
     }
 
-    fn start(&mut self, granted: u64, returned: u64) -> Txn {
-        let mut sums = self.sums.clone();
-        let mut grant = self.grant.clone();
-        sums.granted += granted;
-        sums.returned += returned;
-        grant.granted += granted;
-        grant.returned += returned;
-        grant.number += 1;
-        self.held -= returned;
+    fn start(
+        &mut self,
+        now: Duration,
+        setting: Setting,
+        granting: u64,
+        returning: u64,
+        wanted: u64,
+    ) -> Txn {
+        self.held -= returning;
+        let rate = self.bounded_rate(now, setting.hosts.max(1));
+        let stake = Stake {
+            holder: self.holder.clone(),
+            number: self.stake.number + 1,
+            tokens: self.held + granting,
+            burst: wanted + rate * BURST.as_millis() as u64 / 1000,
+            rate,
+            written_ms: setting.platform_ms.unwrap_or_default(),
+            unlock_ms: UNLOCK.as_millis() as u64,
+        };
         let mut txn = Txn::default();
-        txn.put(&self.sums_row, &sums);
-        txn.put(&self.grant_row, &grant);
-        let pending = Pending { txn: txn.clone(), sums, grant, returning: returned };
+        let sums =
+            (granting > 0 || returning > 0 || !self.known || wanted > self.held).then(|| {
+                let mut sums = self.sums.clone();
+                sums.granted += granting;
+                sums.returned += returning;
+                txn.put(&self.sums_row, &sums);
+                sums
+            });
+        txn.put(&self.stake_row, &stake);
+        let limit = Limit { used: 0, burst: stake.burst, rate: stake.rate, since: now };
+        let pending = Pending { txn: txn.clone(), sums, stake, limit, granting, returning };
         self.pending = Some(pending);
         self.under_way = true;
         txn
     }
 
     /// Takes the outcome of the transaction that was planned last.
-    pub fn ended(&mut self, now: Duration, outcome: Outcome) {
+    pub fn ended(&mut self, now: Duration, outcome: Outcome, platform_ms: Option<u64>) {
         self.under_way = false;
         let Some(pending) = self.pending.take() else { return };
         self.failed = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
         self.log(now, &pending, &outcome);
         match outcome {
             Outcome::Committed(revision) => {
-                self.held += pending.grant.granted - self.grant.granted;
-                self.adopt(pending.sums, pending.grant, revision);
-                self.seen = Some(now);
+                self.stake_row.revision = revision;
+                if pending.sums.is_some() {
+                    self.sums_row.revision = revision;
+                    self.seen = Some(now);
+                }
                 self.next = now + ADJUST_PAUSE;
+                self.adopt(pending);
             }
-            Outcome::Conflict(rows) => self.resolve(now, pending, &rows),
+            Outcome::Conflict(rows) => self.resolve(now, pending, &rows, platform_ms),
             // Neither answer proves that the transaction won't be done later.
             _ => {
                 self.pending = Some(pending);
@@ -265,49 +426,78 @@
         }
     }
 
+    /// Puts a transaction that was committed in force.
+    fn adopt(&mut self, pending: Pending) {
+        self.held += pending.granting;
+        if let Some(sums) = pending.sums {
+            self.sums = sums;
+        }
+        self.stake = pending.stake;
+        self.limit = Some(pending.limit);
+        self.known = true;
+    }
+
     /// Reads from the rows whether a transaction had been committed by an earlier send.
-    fn resolve(&mut self, now: Duration, pending: Pending, rows: &[Row]) {
-        let [sums_row, grant_row] = rows else {
-            self.pending = Some(pending);
-            self.next = now + RETRY_PAUSE;
-            return;
-        };
-        let (sums, grant) = match (parse::<Escrow>(sums_row), parse::<Grant>(grant_row)) {
-            (Ok(sums), Ok(grant)) => (sums.unwrap_or_default(), grant.unwrap_or_default()),
-            (sums, grant) => {
-                let fault = sums.err().or(grant.err());
-                let fault = fault.map(|fault| fault.to_string()).unwrap_or_default();
-                tracing::error!(event = "budget_row_unreadable", workspace = %self.workspace, fault);
-                self.held += pending.returning;
+    fn resolve(&mut self, now: Duration, pending: Pending, rows: &[Row], platform_ms: Option<u64>) {
+        self.next = now;
+        let sums_row = rows.iter().find(|row| row.key == self.sums_row.key);
+        let stake_row = rows.iter().find(|row| row.key == self.stake_row.key);
+        let sums = sums_row.map(parse::<Escrow>).transpose();
+        let stake = stake_row.map(parse::<Stake>).transpose();
+        let (sums, stake) = match (sums, stake) {
+            (Ok(sums), Ok(Some(stake))) => (sums, stake.unwrap_or_default()),
+            (sums, stake) => {
+                let faults = [sums.err(), stake.err()].into_iter().flatten();
+                let fault: Vec<_> = faults.map(|fault| fault.to_string()).collect();
+                tracing::error!(event = "budget_unreadable", workspace = %self.workspace, ?fault);
+                self.pending = Some(pending);
                 self.next = now + RETRY_PAUSE;
                 return;
             }
         };
-        // A row that a former process of this host wrote last is the base of this one.
-        let done = self.known && grant.number == pending.grant.number;
-        if done {
-            self.held += grant.granted.saturating_sub(self.grant.granted);
+        let own = stake.holder == self.holder;
+        if own && stake.number == pending.stake.number {
+            self.adopt(pending);
         } else {
             self.held += pending.returning;
         }
-        self.sums_row.revision = sums_row.revision;
-        self.grant_row.revision = grant_row.revision;
-        self.sums = sums;
-        let settled = if self.known { self.grant.settled } else { grant.settled };
-        self.grant = Grant { settled, ..grant };
+        if !own {
+            self.inherit(&stake, platform_ms);
+        }
         self.known = true;
-        self.seen = Some(now);
-        self.next = now;
-        tracing::debug!(event = "budget_rows", workspace = %self.workspace, host = %self.host,
-            done, revision = sums_row.revision);
+        if let Some(row) = stake_row {
+            self.stake_row.revision = row.revision;
+        }
+        if let (Some(row), Some(sums)) = (sums_row, sums) {
+            self.sums_row.revision = row.revision;
+            self.sums = sums.unwrap_or_default();
+            self.seen = Some(now);
+        }
+    }
+
+    /// Takes over what the former process of this host left.
+    ///
+    /// It can be used once a transaction of this process has been committed on top of that row.
+    fn inherit(&mut self, stake: &Stake, platform_ms: Option<u64>) {
+        self.held = platform_ms.map_or(0, |now| stake.left(now));
+        self.stake = stake.clone();
+        self.limit = None;
+        tracing::info!(
+            event = "stake_taken_over",
+            workspace = %self.workspace,
+            former = %stake.holder,
+            tokens = stake.tokens,
+            held = self.held,
+            age_ms = platform_ms.map(|now| now.saturating_sub(stake.written_ms)),
+        );
     }
 
     fn log(&self, now: Duration, pending: &Pending, outcome: &Outcome) {
         tracing::info!(
             event = "budget",
             workspace = %self.workspace,
-            number = pending.grant.number,
-            granting = pending.grant.granted - self.grant.granted,
+            number = pending.stake.number,
+            granting = pending.granting,
             returning = pending.returning,
             outcome = match outcome {
                 Outcome::Committed(_) => "committed",
@@ -320,21 +510,8 @@
             held = self.held,
             reserved = self.reserved,
             rate = self.rate as u64,
+            burst = pending.stake.burst,
             seen_ms = self.seen.map(|seen| now.saturating_sub(seen).as_millis() as u64),
         );
     }
-
-    fn adopt(&mut self, sums: Escrow, grant: Grant, revision: u64) {
-        self.sums_row.revision = revision;
-        self.grant_row.revision = revision;
-        self.sums = sums;
-        let settled = self.grant.settled;
-        self.grant = Grant { settled, ..grant };
-        self.known = true;
-    }
-
-    /// Returns when the next transaction may be due.
-    pub fn wake_at(&self) -> Option<Duration> {
-        (!self.under_way).then_some(self.next)
-    }
 }
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    account::{Account, Verdict},
+    account::{Account, Setting, Verdict},
     catalog::Catalog,
     dialect::Source,
     node::Node,
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub struct Bank {
     host: Arc<str>,
+    /// Names this process.
+    holder: Arc<str>,
     accounts: RefCell<HashMap<Arc<str>, Account>>,
     /// A request waits for tokens, or something changed that transactions depend on.
     due: Notify,
@@ -57,8 +59,14 @@
 
 impl Bank {
     /// Opens the accounts of a host; workspaces come with the configuration.
-    pub fn open(host: Arc<str>) -> Self {
-        Self { host, accounts: RefCell::default(), due: Notify::new(), ended: Notify::new() }
+    pub fn open(host: Arc<str>, holder: Arc<str>) -> Self {
+        Self {
+            host,
+            holder,
+            accounts: RefCell::default(),
+            due: Notify::new(),
+            ended: Notify::new(),
+        }
     }
 
     /// Takes the prepaid amounts of a configuration.
@@ -69,7 +77,7 @@
             let name = &workspace.name;
             let account = accounts
                 .entry(name.clone())
-                .or_insert_with(|| Account::open(name.clone(), self.host.clone()));
+                .or_insert_with(|| Account::open(name.clone(), &self.host, self.holder.clone()));
             account.set_prepaid(prepaid);
         }
         self.due.notify_one();
@@ -132,18 +140,24 @@
 
     fn start_due(node: &Rc<Node>, source: &Rc<impl Source>) {
         let now = node.now();
-        let hosts = node.hosts();
         let mut due = Vec::new();
-        for (workspace, account) in &mut *node.bank.accounts.borrow_mut() {
-            due.extend(account.plan(now, hosts).map(|txn| (workspace.clone(), txn)));
+        let mut accounts = node.bank.accounts.borrow_mut();
+        let setting = Setting {
+            hosts: node.hosts(),
+            workspaces: accounts.len() as u64,
+            platform_ms: source.clock_ms(),
+        };
+        for (workspace, account) in &mut *accounts {
+            due.extend(account.plan(now, setting).map(|txn| (workspace.clone(), txn)));
         }
+        drop(accounts);
         for (workspace, txn) in due {
             let (node, source) = (node.clone(), source.clone());
             spawn_local(async move {
                 let outcome = source.table(&coordination::table::Op::Commit(txn)).await;
                 let now = node.now();
                 if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
-                    account.ended(now, outcome);
+                    account.ended(now, outcome, source.clock_ms());
                 }
                 node.bank.ended.notify_waiters();
                 node.bank.due.notify_one();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -87,6 +87,10 @@
     /// Returns all backend servers that can be used.
     fn backends(&self) -> impl Future<Output = Result<Vec<Entry>, Unavailable>>;
 
+    /// Returns the platform's steady clock in milliseconds, as far as its answers tell; it may be
+    /// later already, never earlier. After an answer it isn't before the call.
+    fn clock_ms(&self) -> Option<u64>;
+
     /// Runs a request to the table; all keys of a transaction have the same second segment.
     fn table(&self, op: &Op) -> impl Future<Output = Outcome>;
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,6 +34,8 @@
 pub struct Settings {
     /// Name of the host.
     pub host: Arc<str>,
+    /// Name of this process, unlike that of any other.
+    pub process: Arc<str>,
     /// Availability zone.
     pub zone: Arc<str>,
     /// Where callers connect.
@@ -100,7 +102,7 @@
     pub fn open(settings: Settings, dialect: Rc<dyn Dialect>, metrics: Metrics) -> Self {
         let rng = StdRng::seed_from_u64(settings.seed);
         Self {
-            bank: Bank::open(settings.host.clone()),
+            bank: Bank::open(settings.host.clone(), settings.process.clone()),
             settings,
             dialect,
             fleet: RefCell::new(Fleet::open(rng)),
