--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -38,14 +38,21 @@
 const FLOOR_MILLI: u64 = 25;
 
 /// Bound on the rate of use, as a multiple of the recent rate.
-const RATE_MARGIN: f64 = 2.0;
+const RATE_MARGIN: f64 = 1.4;
 
 /// Time of use at the bound that makes a burst.
-const BURST: Duration = Duration::from_millis(1000);
+const BURST: Duration = Duration::from_millis(600);
 
 /// Time without a written stake after which all of it may be used; longer than a process that died
 /// needs to start again.
-const UNLOCK: Duration = Duration::from_millis(3500);
+const UNLOCK: Duration = Duration::from_millis(3000);
+
+/// Time without use after which a stake is written as idle.
+const IDLE_AFTER: Duration = Duration::from_millis(1500);
+
+/// How much slower an idle stake opens and is written anew, and how much less of it may be used in a
+/// second.
+const IDLE_FACTOR: u32 = 8;
 
 /// Time over which the rate of use is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -60,7 +67,7 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time after which a used stake is written anew, where the platform takes so many writes.
-const REPORT: Duration = Duration::from_millis(1000);
+const REPORT: Duration = Duration::from_millis(600);
 
 /// Writes of stakes in a second by all hosts for all workspaces.
 const REPORTS_PER_S: u64 = 100;
@@ -127,12 +134,27 @@
     used: u64,
     burst: u64,
     rate: u64,
+    unlock: Duration,
     since: Duration,
 }
 
 impl Limit {
+    fn is_idle(&self) -> bool {
+        self.unlock > UNLOCK
+    }
+
+    /// Returns whether the stake is to be written anew, where a used one is after so long.
+    fn is_due(&self, now: Duration, report: Duration) -> bool {
+        let age = now.saturating_sub(self.since);
+        match (self.used > 0, self.is_idle()) {
+            (true, _) => age >= report,
+            (false, true) => age >= report * IDLE_FACTOR * 2,
+            (false, false) => age >= IDLE_AFTER,
+        }
+    }
+
     fn allows(&self, now: Duration, tokens: u64) -> bool {
-        if now.saturating_sub(self.since) >= UNLOCK {
+        if now.saturating_sub(self.since) >= self.unlock {
             return true;
         }
         let elapsed = now.saturating_sub(self.since).as_millis() as u64;
@@ -357,8 +379,7 @@
         }
         let writes = hosts * setting.workspaces.max(1);
         let report = REPORT.max(Duration::from_millis(writes * 1000 / REPORTS_PER_S));
-        let stale = |limit: Limit| limit.used > 0 && now.saturating_sub(limit.since) >= report;
-        if wanted > 0 || self.limit.is_none_or(stale) {
+        if wanted > 0 || self.limit.is_none_or(|limit| limit.is_due(now, report)) {
             return Some(self.start(now, setting, 0, 0, wanted));
         }
         self.next = now + IDLE_PAUSE;
@@ -374,15 +395,22 @@
         wanted: u64,
     ) -> Txn {
         self.held -= returning;
-        let rate = self.bounded_rate(now, setting.hosts.max(1));
+        let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
+        let hosts = setting.hosts.max(1);
+        let (rate, unlock) = if used {
+            (self.bounded_rate(now, hosts), UNLOCK)
+        } else {
+            (self.floor(hosts) / u64::from(IDLE_FACTOR), UNLOCK * IDLE_FACTOR / 2)
+        };
+        let burst = rate.max(self.floor(hosts)) * BURST.as_millis() as u64 / 1000;
         let stake = Stake {
             holder: self.holder.clone(),
             number: self.stake.number + 1,
             tokens: self.held + granting,
-            burst: wanted + rate * BURST.as_millis() as u64 / 1000,
+            burst: wanted + burst,
             rate,
             written_ms: setting.platform_ms.unwrap_or_default(),
-            unlock_ms: UNLOCK.as_millis() as u64,
+            unlock_ms: unlock.as_millis() as u64,
         };
         let mut txn = Txn::default();
         let sums =
@@ -394,7 +422,7 @@
                 sums
             });
         txn.put(&self.stake_row, &stake);
-        let limit = Limit { used: 0, burst: stake.burst, rate: stake.rate, since: now };
+        let limit = Limit { used: 0, burst: stake.burst, rate: stake.rate, unlock, since: now };
         let pending = Pending { txn: txn.clone(), sums, stake, limit, granting, returning };
         self.pending = Some(pending);
         self.under_way = true;
