Let hosts lend each other prepaid tokens while the store is away

Cause: in an outage of the store one host refuses for want of tokens while its neighbours hold unused ones of the same workspace, and a single long prompt exceeds what one host may use in the first seconds.

The lender gives tokens up before it answers.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -153,13 +153,14 @@
         }
     }
 
-    fn allows(&self, now: Duration, tokens: u64) -> bool {
-        if now.saturating_sub(self.since) >= self.unlock {
-            return true;
+    /// Returns the tokens that may be used now.
+    fn left(&self, now: Duration) -> u64 {
+        let elapsed = now.saturating_sub(self.since);
+        if elapsed >= self.unlock {
+            return u64::MAX;
         }
-        let elapsed = now.saturating_sub(self.since).as_millis() as u64;
-        let most = self.burst + self.rate.saturating_mul(elapsed) / 1000;
-        self.used + tokens <= most
+        let grown = self.rate.saturating_mul(elapsed.as_millis() as u64) / 1000;
+        (self.burst + grown).saturating_sub(self.used)
     }
 }
 
@@ -277,21 +278,11 @@
         self.sums.granted > self.prepaid + self.sums.returned + self.sums.refunded
     }
 
-    fn allows(&self, now: Duration, tokens: u64) -> bool {
-        let pending = self.pending.as_ref().map(|pending| &pending.limit);
-        self.limit.is_some_and(|limit| limit.allows(now, tokens))
-            && pending.is_none_or(|limit| limit.allows(now, tokens))
-    }
-
     /// Sets tokens aside for a request.
     pub fn reserve(&mut self, now: Duration, tokens: u64) -> Verdict {
-        if tokens <= self.held && !self.is_overdrawn() && self.allows(now, tokens) {
-            self.held -= tokens;
+        if tokens <= self.available(now) {
+            self.take(tokens);
             self.reserved += tokens;
-            let pending = self.pending.as_mut().map(|pending| &mut pending.limit);
-            for limit in self.limit.as_mut().into_iter().chain(pending) {
-                limit.used += tokens;
-            }
             return Verdict::Reserved;
         }
         let left = self.held + self.sums.remaining(self.prepaid);
@@ -306,6 +297,40 @@
         Verdict::Wait
     }
 
+    /// Returns the tokens that a request could set aside now.
+    pub fn available(&self, now: Duration) -> u64 {
+        if self.is_overdrawn() || self.closing {
+            return 0;
+        }
+        let pending = self.pending.as_ref().map(|pending| pending.limit);
+        let Some(limit) = self.limit else { return 0 };
+        let allowed = pending.iter().chain([&limit]).map(|limit| limit.left(now));
+        allowed.fold(self.held, u64::min)
+    }
+
+    /// Gives tokens up to another host; returns false where they aren't there.
+    pub fn lend(&mut self, now: Duration, tokens: u64) -> bool {
+        if self.available(now) < tokens {
+            return false;
+        }
+        self.take(tokens);
+        true
+    }
+
+    /// Sets tokens aside that another host gave up.
+    pub fn borrowed(&mut self, tokens: u64) {
+        self.reserved += tokens;
+    }
+
+    /// Takes tokens out of what is held, under every bound that may be in force.
+    fn take(&mut self, tokens: u64) {
+        self.held -= tokens;
+        let pending = self.pending.as_mut().map(|pending| &mut pending.limit);
+        for limit in self.limit.as_mut().into_iter().chain(pending) {
+            limit.used += tokens;
+        }
+    }
+
     /// Notes what a request used of the tokens that were set aside for it.
     pub fn settle(&mut self, now: Duration, reserved: u64, used: u64) {
         let used = used.min(reserved);
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -8,6 +8,8 @@
     time::{Instant, timeout, timeout_at},
 };
 
+use wire::lend::Lent;
+
 use crate::{
     account::{Account, Setting, Verdict},
     catalog::Catalog,
@@ -124,11 +126,33 @@
                     node.bank.due.notify_one();
                     timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
                 }
+                Verdict::Unavailable if node.peers.borrow(workspace, tokens).await => {
+                    let mut accounts = node.bank.accounts.borrow_mut();
+                    let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
+                    account.borrowed(tokens);
+                    let workspace = workspace.clone();
+                    return Ok(Reservation {
+                        node: node.clone(),
+                        workspace,
+                        reserved: tokens,
+                        used: 0,
+                    });
+                }
                 Verdict::Exhausted | Verdict::Unavailable => return Err(verdict),
             }
         }
     }
 
+    /// Gives tokens of a workspace up to another host, all that are asked for or none.
+    pub fn lend(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
+        let mut accounts = self.accounts.borrow_mut();
+        let Some(account) = accounts.get_mut(workspace) else {
+            return Lent { tokens: 0, left: 0 };
+        };
+        let given = account.lend(now, tokens);
+        Lent { tokens: if given { tokens } else { 0 }, left: account.available(now) }
+    }
+
     /// Runs the transactions of all accounts for ever.
     pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
         loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod members;
 pub mod metrics;
 pub mod node;
+pub mod peer;
 pub mod place;
 pub mod pool;
 mod probe;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -15,7 +15,7 @@
     edge, follow, members,
     metrics::Metrics,
     node::{Node, Phase, Settings},
-    probe,
+    peer, probe,
 };
 
 /// Least time between a request to stop and the end; by then the balancer sends nothing more.
@@ -62,6 +62,7 @@
         Some(address) => Some(edge::bind(address).await?),
         None => None,
     };
+    let peers = edge::bind(settings.peers).await?;
     let node = Rc::new(Node::open(settings, dialect, Metrics::open()?));
     spawn_local(follow::catalog(node.clone(), source.clone()));
     spawn_local(follow::backends(node.clone(), source.clone()));
@@ -71,6 +72,7 @@
     if let Some(metrics) = metrics {
         spawn_local(probe::run(node.clone(), metrics));
     }
+    spawn_local(peer::run(node.clone(), peers));
     spawn_local(edge::run(node.clone(), callers));
     loop {
         tokio::select! {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
     catalog::Catalog,
     dialect::Dialect,
     metrics::Metrics,
+    peer::{Card, Peers},
     place::Fleet,
     pool::Pool,
 };
@@ -42,6 +43,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the host is ready.
     pub ready: SocketAddr,
+    /// Where other hosts ask for tokens.
+    pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
     /// Time from a request to stop until the process is killed.
@@ -78,6 +81,8 @@
     pub pool: Pool,
     /// Prepaid budgets.
     pub bank: Bank,
+    /// Other hosts.
+    pub peers: Peers,
     /// Counters.
     pub metrics: Metrics,
     /// Requests under way.
@@ -101,8 +106,10 @@
     /// Opens a host that knows nothing yet.
     pub fn open(settings: Settings, dialect: Rc<dyn Dialect>, metrics: Metrics) -> Self {
         let rng = StdRng::seed_from_u64(settings.seed);
+        let key = hex::encode(rand::random::<[u8; 16]>()).into();
         Self {
             bank: Bank::open(settings.host.clone(), settings.process.clone()),
+            peers: Peers::open(Card { address: settings.peers, key }),
             settings,
             dialect,
             fleet: RefCell::new(Fleet::open(rng)),
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -271,3 +271,15 @@
   Status status(1: string token) throws (1: Denied denied)
   list<TimelineEvent> timeline(1: string token, 2: TimelineQuery query) throws (1: Denied denied)
 }
+
+// A host asks another for prepaid tokens of a workspace while the platform is away.
+struct LendAsk {
+  1: required string workspace
+  2: required i64 tokens
+}
+
+// Tokens that the other host gave, and what it could still give.
+struct Lent {
+  1: required i64 tokens
+  2: required i64 left
+}
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -3477,6 +3477,142 @@
   }
 }
 
+//
+// LendAsk
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LendAsk {
+  pub workspace: String,
+  pub tokens: i64,
+}
+
+impl LendAsk {
+  pub fn new(workspace: String, tokens: i64) -> LendAsk {
+    LendAsk {
+      workspace,
+      tokens,
+    }
+  }
+}
+
+impl TSerializable for LendAsk {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LendAsk> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("LendAsk.workspace", &f_1)?;
+    verify_required_field_exists("LendAsk.tokens", &f_2)?;
+    let ret = LendAsk {
+      workspace: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      tokens: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("LendAsk");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("workspace", TType::String, 1))?;
+    o_prot.write_string(&self.workspace)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("tokens", TType::I64, 2))?;
+    o_prot.write_i64(self.tokens)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Lent
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Lent {
+  pub tokens: i64,
+  pub left: i64,
+}
+
+impl Lent {
+  pub fn new(tokens: i64, left: i64) -> Lent {
+    Lent {
+      tokens,
+      left,
+    }
+  }
+}
+
+impl TSerializable for Lent {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Lent> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Lent.tokens", &f_1)?;
+    verify_required_field_exists("Lent.left", &f_2)?;
+    let ret = Lent {
+      tokens: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      left: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Lent");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("tokens", TType::I64, 1))?;
+    o_prot.write_i64(self.tokens)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("left", TType::I64, 2))?;
+    o_prot.write_i64(self.left)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Host service client
 //
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 #[allow(missing_docs, clippy::all, rustdoc::all)]
 #[rustfmt::skip]
 pub mod laburnum;
+pub mod lend;
 pub mod link;
 pub mod message;
 pub mod operator;
