Lend parts of what is asked for, and keep stakes for 30 s of use

Cause: in an outage 100 to 500 thousand tokens of a workspace lay divided over seven hosts, none of which held enough for one long prompt; and the use of the seconds before an outage says little of its middle. What a request leaves of its reservation, and what others lend, is bound by no row and can be used at once.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -24,11 +24,11 @@
 use serde::{Deserialize, Serialize};
 
 /// Time of use at the recent rate that a host keeps ahead; covers an outage of the platform in which
-/// twice as much is used.
-const AHEAD: Duration = Duration::from_secs(20);
+/// three times as much is used.
+const AHEAD: Duration = Duration::from_secs(30);
 
 /// Time of use that a host keeps ahead while nothing is known of the rate.
-const FLOOR_AHEAD: Duration = Duration::from_secs(10);
+const FLOOR_AHEAD: Duration = Duration::from_secs(16);
 
 /// Part of the unspent budget that all hosts together keep ahead, in percent.
 const AHEAD_PERCENT: u64 = 80;
@@ -201,6 +201,9 @@
     /// When the budget's row was seen last.
     seen: Option<Duration>,
     held: u64,
+    /// Tokens beside the stake: those that others lent, and what requests left of theirs. No row
+    /// promises them to the next process, so that no bound holds for them.
+    loose: u64,
     reserved: u64,
     /// Tokens that this process used.
     used: u64,
@@ -233,6 +236,7 @@
             known: false,
             seen: None,
             held: 0,
+            loose: 0,
             reserved: 0,
             used: 0,
             limit: None,
@@ -249,7 +253,7 @@
 
     /// Returns the tokens that are held and not set aside, and those set aside.
     pub fn balance(&self) -> (u64, u64) {
-        (self.held, self.reserved)
+        (self.total(), self.reserved)
     }
 
     /// Takes the prepaid amount of the configuration in force.
@@ -268,7 +272,7 @@
 
     /// Returns whether nothing is left to give back.
     pub fn is_closed(&self) -> bool {
-        self.held == 0 && self.pending.is_none()
+        self.total() == 0 && self.pending.is_none()
     }
 
     /// Returns whether more is granted than the budget has, as after the prepaid amount was lowered.
@@ -285,7 +289,7 @@
             self.reserved += tokens;
             return Verdict::Reserved;
         }
-        let left = self.held + self.sums.remaining(self.prepaid);
+        let left = self.total() + self.sums.remaining(self.prepaid);
         let proved = self.seen.is_some_and(|seen| now.saturating_sub(seen) < PROOF_AGE);
         if proved && self.known && left < tokens && self.pending.is_none() {
             return Verdict::Exhausted;
@@ -305,25 +309,30 @@
         let pending = self.pending.as_ref().map(|pending| pending.limit);
         let Some(limit) = self.limit else { return 0 };
         let allowed = pending.iter().chain([&limit]).map(|limit| limit.left(now));
-        allowed.fold(self.held, u64::min)
+        allowed.fold(self.held, u64::min) + self.loose
     }
 
-    /// Gives tokens up to another host; returns false where they aren't there.
-    pub fn lend(&mut self, now: Duration, tokens: u64) -> bool {
-        if self.available(now) < tokens {
-            return false;
-        }
+    fn total(&self) -> u64 {
+        self.held + self.loose
+    }
+
+    /// Gives tokens up to another host, at most as many as it asks for; returns how many.
+    pub fn lend(&mut self, now: Duration, tokens: u64) -> u64 {
+        let tokens = self.available(now).min(tokens);
         self.take(tokens);
-        true
+        tokens
     }
 
-    /// Sets tokens aside that another host gave up.
+    /// Takes tokens that another host gave up.
     pub fn borrowed(&mut self, tokens: u64) {
-        self.reserved += tokens;
+        self.loose += tokens;
     }
 
     /// Takes tokens out of what is held, under every bound that may be in force.
     fn take(&mut self, tokens: u64) {
+        let loose = self.loose.min(tokens);
+        self.loose -= loose;
+        let tokens = tokens - loose;
         self.held -= tokens;
         let pending = self.pending.as_mut().map(|pending| &mut pending.limit);
         for limit in self.limit.as_mut().into_iter().chain(pending) {
@@ -335,7 +344,7 @@
     pub fn settle(&mut self, now: Duration, reserved: u64, used: u64) {
         let used = used.min(reserved);
         self.reserved -= reserved;
-        self.held += reserved - used;
+        self.loose += reserved - used;
         self.used += used;
         let age = now.saturating_sub(self.rate_at).as_secs_f64();
         self.rate *= (-age / RATE_WINDOW.as_secs_f64()).exp();
@@ -365,7 +374,7 @@
         }
         let by_rate = (self.recent_rate(now) * AHEAD.as_secs_f64()) as u64;
         let floor = self.floor(hosts) * FLOOR_AHEAD.as_secs();
-        let unspent = self.sums.remaining(self.prepaid) + self.held;
+        let unspent = self.sums.remaining(self.prepaid) + self.total();
         let most = unspent / 100 * AHEAD_PERCENT;
         // A workspace's callers may come to few of the hosts.
         let granted = self.sums.granted.saturating_sub(self.sums.returned).max(1);
@@ -389,15 +398,16 @@
         let target = self.target(now, hosts);
         let wanted = std::mem::take(&mut self.wanted);
         let remaining = self.sums.remaining(self.prepaid);
-        let missing = wanted.saturating_sub(self.held);
-        let low = self.held < target / 2 + target / 4;
+        let total = self.total();
+        let missing = wanted.saturating_sub(total);
+        let low = total < target / 2 + target / 4;
         if !self.known || missing > 0 || (low && remaining > 0) {
             // What waits comes first; where it doesn't fit, the rows that come back prove it.
-            let ahead = target.saturating_sub(self.held);
+            let ahead = target.saturating_sub(total);
             let granting = if missing > remaining { 0 } else { missing.max(ahead).min(remaining) };
             return Some(self.start(now, setting, granting, 0, wanted));
         }
-        let spare = self.held.saturating_sub(target);
+        let spare = total.saturating_sub(target);
         let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
         if wanted == 0 && spare > 0 && (self.closing || scarce || spare > target) {
             return Some(self.start(now, setting, 0, spare, 0));
@@ -419,6 +429,7 @@
         returning: u64,
         wanted: u64,
     ) -> Txn {
+        self.held += std::mem::take(&mut self.loose);
         self.held -= returning;
         let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
         let hosts = setting.hosts.max(1);
@@ -560,7 +571,7 @@
             },
             prepaid = self.prepaid,
             unspent = self.sums.remaining(self.prepaid),
-            held = self.held,
+            held = self.total(),
             reserved = self.reserved,
             rate = self.rate as u64,
             burst = pending.stake.burst,
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -15,6 +15,7 @@
     catalog::Catalog,
     dialect::Source,
     node::Node,
+    peer::Peers,
 };
 
 /// Time between two looks at all accounts where no request waits.
@@ -105,6 +106,7 @@
         tokens: u64,
         until: Instant,
     ) -> Result<Reservation, Verdict> {
+        let mut asked = false;
         loop {
             let ended = node.bank.ended.notified();
             let verdict = {
@@ -126,31 +128,36 @@
                     node.bank.due.notify_one();
                     timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
                 }
-                Verdict::Unavailable if node.peers.borrow(workspace, tokens).await => {
-                    let mut accounts = node.bank.accounts.borrow_mut();
-                    let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
-                    account.borrowed(tokens);
-                    let workspace = workspace.clone();
-                    return Ok(Reservation {
-                        node: node.clone(),
-                        workspace,
-                        reserved: tokens,
-                        used: 0,
-                    });
+                Verdict::Unavailable if !asked => {
+                    asked = true;
+                    Peers::borrow(node, workspace, tokens).await;
                 }
                 Verdict::Exhausted | Verdict::Unavailable => return Err(verdict),
             }
         }
     }
 
-    /// Gives tokens of a workspace up to another host, all that are asked for or none.
+    /// Returns how many tokens a request lacks here.
+    pub fn missing(&self, now: Duration, workspace: &str, tokens: u64) -> u64 {
+        let accounts = self.accounts.borrow();
+        let available = accounts.get(workspace).map_or(0, |account| account.available(now));
+        tokens.saturating_sub(available)
+    }
+
+    /// Takes tokens that another host gave up.
+    pub fn borrowed(&self, workspace: &str, tokens: u64) {
+        if let Some(account) = self.accounts.borrow_mut().get_mut(workspace) {
+            account.borrowed(tokens);
+        }
+    }
+
+    /// Gives tokens of a workspace up to another host, at most as many as it asks for.
     pub fn lend(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
         let mut accounts = self.accounts.borrow_mut();
         let Some(account) = accounts.get_mut(workspace) else {
             return Lent { tokens: 0, left: 0 };
         };
-        let given = account.lend(now, tokens);
-        Lent { tokens: if given { tokens } else { 0 }, left: account.available(now) }
+        Lent { tokens: account.lend(now, tokens), left: account.available(now) }
     }
 
     /// Runs the transactions of all accounts for ever.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -40,7 +40,7 @@
 /// Time for which a host that didn't answer isn't asked.
 const AVOID: Duration = Duration::from_secs(2);
 
-/// Time for which the answer of a host that could give too little is remembered.
+/// Time for which it is remembered what a host could give.
 const HINT_AGE: Duration = Duration::from_millis(400);
 
 /// Longest message in bytes.
@@ -96,8 +96,32 @@
         }
     }
 
-    /// Asks other hosts for tokens, those first that had most; returns whether one gave them.
-    pub async fn borrow(&self, workspace: &Arc<str>, tokens: u64) -> bool {
+    /// Asks other hosts for what a request lacks here, those first that had most.
+    pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) {
+        for peer in node.peers.ranked(workspace).into_iter().take(ASKED) {
+            let missing = node.bank.missing(node.now(), workspace, tokens);
+            if missing == 0 {
+                return;
+            }
+            let ask = Ask { workspace: workspace.clone(), tokens: missing };
+            let answered = timeout(ASK, exchange(&peer, &ask)).await;
+            let mut peer = peer.borrow_mut();
+            match answered {
+                Ok(Ok(lent)) => {
+                    peer.left.insert(workspace.clone(), (lent.left, Instant::now()));
+                    node.bank.borrowed(workspace, lent.tokens);
+                    tracing::info!(event = "tokens_borrowed", %workspace, missing,
+                        tokens = lent.tokens, from = %peer.card.address, left = lent.left);
+                }
+                Ok(Err(error)) => peer.avoid(&error),
+                Err(_) => peer.avoid(&"no answer"),
+            }
+        }
+    }
+
+    /// Returns the hosts that can be asked, those first that had most; of which nothing is known
+    /// may have most.
+    fn ranked(&self, workspace: &str) -> Vec<Rc<RefCell<Peer>>> {
         let now = Instant::now();
         let mut ranked: Vec<(u64, Rc<RefCell<Peer>>)> = Vec::new();
         for peer in self.others.borrow().iter() {
@@ -107,29 +131,12 @@
             }
             let hint = known.left.get(workspace).filter(|(_, at)| now - *at < HINT_AGE);
             let left = hint.map_or(u64::MAX, |(left, _)| *left);
-            if left >= tokens {
+            if left > 0 {
                 ranked.push((left, peer.clone()));
             }
         }
         ranked.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
-        for (_, peer) in ranked.into_iter().take(ASKED) {
-            let ask = Ask { workspace: workspace.clone(), tokens };
-            let answered = timeout(ASK, exchange(&peer, &ask)).await;
-            let mut peer = peer.borrow_mut();
-            match answered {
-                Ok(Ok(lent)) => {
-                    peer.left.insert(workspace.clone(), (lent.left, Instant::now()));
-                    if lent.tokens >= tokens {
-                        tracing::info!(event = "tokens_borrowed", %workspace, tokens,
-                            from = %peer.card.address, left = lent.left);
-                        return true;
-                    }
-                }
-                Ok(Err(error)) => peer.avoid(&error),
-                Err(_) => peer.avoid(&"no answer"),
-            }
-        }
-        false
+        ranked.into_iter().map(|(_, peer)| peer).collect()
     }
 }
 
