Open idle stakes after 5 s and prove an exhausted budget by asking other hosts

Cause: stakes that no request had used lately opened only after 12 s, so that in an outage of 9 s most of what all hosts held could not be lent. A host now asks the others before it tells a caller that a budget is exhausted, since stakes hold nearly all that is unspent.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -24,14 +24,14 @@
 use serde::{Deserialize, Serialize};
 
 /// Time of use at the recent rate that a host keeps ahead; covers an outage of the platform in which
-/// three times as much is used.
-const AHEAD: Duration = Duration::from_secs(30);
+/// much more is used.
+const AHEAD: Duration = Duration::from_secs(45);
 
 /// Time of use that a host keeps ahead while nothing is known of the rate.
-const FLOOR_AHEAD: Duration = Duration::from_secs(16);
+const FLOOR_AHEAD: Duration = Duration::from_secs(20);
 
 /// Part of the unspent budget that all hosts together keep ahead, in percent.
-const AHEAD_PERCENT: u64 = 80;
+const AHEAD_PERCENT: u64 = 95;
 
 /// Part of the prepaid amount that all hosts together use in a second while nothing is known of the
 /// rate of use, in thousandths.
@@ -50,9 +50,14 @@
 /// Time without use after which a stake is written as idle.
 const IDLE_AFTER: Duration = Duration::from_millis(1500);
 
-/// How much slower an idle stake opens and is written anew, and how much less of it may be used in a
-/// second.
-const IDLE_FACTOR: u32 = 8;
+/// Time without a written stake after which all of an idle one may be used.
+const IDLE_UNLOCK: Duration = Duration::from_millis(5000);
+
+/// Time after which an idle stake is written anew, where the platform takes so many writes.
+const IDLE_REPORT: Duration = Duration::from_millis(2500);
+
+/// Part of the expected use in a second that an idle stake allows.
+const IDLE_PART: u64 = 8;
 
 /// Time over which the rate of use is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -148,7 +153,7 @@
         let age = now.saturating_sub(self.since);
         match (self.used > 0, self.is_idle()) {
             (true, _) => age >= report,
-            (false, true) => age >= report * IDLE_FACTOR * 2,
+            (false, true) => age >= report.max(IDLE_REPORT),
             (false, false) => age >= IDLE_AFTER,
         }
     }
@@ -436,7 +441,7 @@
         let (rate, unlock) = if used {
             (self.bounded_rate(now, hosts), UNLOCK)
         } else {
-            (self.floor(hosts) / u64::from(IDLE_FACTOR), UNLOCK * IDLE_FACTOR / 2)
+            (self.floor(hosts) / IDLE_PART, IDLE_UNLOCK)
         };
         let burst = rate.max(self.floor(hosts)) * BURST.as_millis() as u64 / 1000;
         let stake = Stake {
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -107,6 +107,7 @@
         until: Instant,
     ) -> Result<Reservation, Verdict> {
         let mut asked = false;
+        let mut proved = false;
         loop {
             let ended = node.bank.ended.notified();
             let verdict = {
@@ -128,10 +129,12 @@
                     node.bank.due.notify_one();
                     timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
                 }
-                Verdict::Unavailable if !asked => {
+                Verdict::Exhausted | Verdict::Unavailable if !asked => {
                     asked = true;
-                    Peers::borrow(node, workspace, tokens).await;
+                    proved = Peers::borrow(node, workspace, tokens).await;
                 }
+                // What a host that didn't answer holds may still cover the request.
+                Verdict::Exhausted if !proved => return Err(Verdict::Unavailable),
                 Verdict::Exhausted | Verdict::Unavailable => return Err(verdict),
             }
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -96,16 +96,19 @@
         }
     }
 
-    /// Asks other hosts for what a request lacks here, those first that had most.
-    pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) {
+    /// Asks other hosts for what a request lacks here, those first that had most; returns whether
+    /// all that were asked answered.
+    pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) -> bool {
+        let mut answered_all = true;
         for peer in node.peers.ranked(workspace).into_iter().take(ASKED) {
             let missing = node.bank.missing(node.now(), workspace, tokens);
             if missing == 0 {
-                return;
+                return true;
             }
             let ask = Ask { workspace: workspace.clone(), tokens: missing };
             let answered = timeout(ASK, exchange(&peer, &ask)).await;
             let mut peer = peer.borrow_mut();
+            answered_all &= matches!(answered, Ok(Ok(_)));
             match answered {
                 Ok(Ok(lent)) => {
                     peer.left.insert(workspace.clone(), (lent.left, Instant::now()));
@@ -117,6 +120,7 @@
                 Err(_) => peer.avoid(&"no answer"),
             }
         }
+        answered_all
     }
 
     /// Returns the hosts that can be asked, those first that had most; of which nothing is known
