--- /dev/null
+++ b/crates/gateway/tests/account.rs
@@ -0,0 +1,296 @@
+//! Prepaid accounts of several hosts over one table, with kills, lost answers and outages.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use coordination::table::{Outcome, Row, Txn};
+use gateway::account::{Account, Setting, Stake, Verdict};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use test_case::test_case;
+
+const WORKSPACE: &str = "w";
+const MILLI: Duration = Duration::from_millis(1);
+
+/// A table of rows that commits transactions one after the other.
+#[derive(Debug, Default)]
+struct Table {
+    rows: BTreeMap<Arc<str>, (Arc<str>, u64)>,
+    revision: u64,
+}
+
+impl Table {
+    fn commit(&mut self, txn: &Txn) -> Outcome {
+        let stands = |key: &Arc<str>| match self.rows.get(key) {
+            Some((value, revision)) => {
+                Row { key: key.clone(), value: Some(value.clone()), revision: *revision }
+            }
+            None => Row { key: key.clone(), value: None, revision: 0 },
+        };
+        let rows: Vec<Row> = txn.checks.iter().map(|check| stands(&check.key)).collect();
+        if rows.iter().zip(&txn.checks).any(|(row, check)| row.revision != check.revision) {
+            return Outcome::Conflict(rows);
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            let value = write.value.clone().expect("accounts remove no rows");
+            self.rows.insert(write.key.clone(), (value, self.revision));
+        }
+        Outcome::Committed(self.revision)
+    }
+}
+
+/// A process on a host; its clock starts at zero with it.
+#[derive(Debug)]
+struct Process {
+    account: Account,
+    started: u64,
+    /// Reserved tokens of requests under way.
+    requests: Vec<u64>,
+}
+
+/// Hosts, the table, and what was used in all.
+#[derive(Debug)]
+struct World {
+    rng: StdRng,
+    now_ms: u64,
+    table: Table,
+    processes: Vec<Process>,
+    starts: u64,
+    prepaid: u64,
+    used: u64,
+    /// Transactions whose answer was lost and that may be done later.
+    late: Vec<Txn>,
+}
+
+impl World {
+    fn open(seed: u64, hosts: usize, prepaid: u64) -> Self {
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            table: Table::default(),
+            processes: Vec::new(),
+            starts: 0,
+            prepaid,
+            used: 0,
+            late: Vec::new(),
+        };
+        for host in 0..hosts {
+            let process = world.start(host);
+            world.processes.push(process);
+        }
+        world
+    }
+
+    fn start(&mut self, host: usize) -> Process {
+        self.starts += 1;
+        let holder = Arc::from(format!("h{host}-{}", self.starts));
+        let mut account = Account::open(WORKSPACE.into(), &format!("h{host}"), holder);
+        account.set_prepaid(self.prepaid);
+        Process { account, started: self.now_ms, requests: Vec::new() }
+    }
+
+    fn now(&self, host: usize) -> Duration {
+        Duration::from_millis(self.now_ms - self.processes[host].started)
+    }
+
+    fn setting(&self) -> Setting {
+        let hosts = self.processes.len() as u64;
+        Setting { hosts, workspaces: 1, platform_ms: Some(self.now_ms) }
+    }
+
+    /// Runs the transaction that is due at a host; `reach` tells whether the table is reached.
+    fn transact(&mut self, host: usize, reach: bool) {
+        let (now, setting) = (self.now(host), self.setting());
+        let Some(txn) = self.processes[host].account.plan(now, setting) else { return };
+        let outcome = if !reach {
+            Outcome::Unavailable
+        } else {
+            match self.rng.random_range(0..10) {
+                0 => {
+                    self.table.commit(&txn);
+                    Outcome::Unknown
+                }
+                1 => {
+                    self.late.push(txn);
+                    Outcome::Unknown
+                }
+                _ => self.table.commit(&txn),
+            }
+        };
+        self.processes[host].account.ended(now, outcome, Some(self.now_ms));
+    }
+
+    fn request(&mut self, host: usize) {
+        let now = self.now(host);
+        let tokens = self.rng.random_range(1..3000);
+        let process = &mut self.processes[host];
+        if process.account.reserve(now, tokens) == Verdict::Reserved {
+            // The worst case counts at once: the process may die before it settles.
+            self.used += tokens;
+            process.requests.push(tokens);
+        }
+    }
+
+    fn settle(&mut self, host: usize) {
+        let now = self.now(host);
+        let process = &mut self.processes[host];
+        let Some(reserved) = process.requests.pop() else { return };
+        let used = self.rng.random_range(0..=reserved);
+        process.account.settle(now, reserved, used);
+        self.used -= reserved - used;
+    }
+
+    fn lend(&mut self, from: usize, to: usize) {
+        let tokens = self.rng.random_range(1..3000);
+        let now = self.now(from);
+        let lent = self.processes[from].account.lend(now, tokens);
+        // The answer may be lost on the way.
+        if self.rng.random_range(0..4) > 0 {
+            self.processes[to].account.borrowed(lent);
+        }
+    }
+
+    fn step(&mut self) {
+        let host = self.rng.random_range(0..self.processes.len());
+        let other = self.rng.random_range(0..self.processes.len());
+        match self.rng.random_range(0..100) {
+            0 => self.processes[host] = self.start(host),
+            1 if !self.late.is_empty() => {
+                let index = self.rng.random_range(0..self.late.len());
+                let txn = self.late.swap_remove(index);
+                self.table.commit(&txn);
+            }
+            2..6 if host != other => self.lend(host, other),
+            6..40 => self.request(host),
+            40..60 => self.settle(host),
+            _ => {
+                let reach = self.now_ms / 9_000 % 3 != 2;
+                self.transact(host, reach);
+            }
+        }
+        self.now_ms += self.rng.random_range(0..60);
+    }
+}
+
+#[test]
+fn use_never_exceeds_the_prepaid_amount_over_random_histories() {
+    let mut served = 0;
+    for seed in 0..300 {
+        let mut world = World::open(seed, 4, 60_000);
+        for _ in 0..1500 {
+            world.step();
+            assert!(world.used <= world.prepaid, "seed {seed}: {} used", world.used);
+        }
+        served += world.used;
+    }
+    // A test in which nothing is used would prove nothing.
+    assert!(served > 300 * 30_000, "{served} used in all");
+}
+
+struct Left {
+    elapsed_ms: u64,
+    left: u64,
+}
+
+#[test_case(Left { elapsed_ms: 0, left: 900 }; "at once only the burst may be gone")]
+#[test_case(Left { elapsed_ms: 1000, left: 850 }; "then the rate adds to it")]
+#[test_case(Left { elapsed_ms: 1001, left: 849 }; "parts of a token count as whole ones")]
+#[test_case(Left { elapsed_ms: 2999, left: 750 }; "until all may have been used")]
+#[test_case(Left { elapsed_ms: 3000, left: 0 }; "from then on nothing is certain")]
+fn next_process_takes_over_what_is_certainly_left(case: Left) {
+    let stake = Stake {
+        tokens: 1000,
+        burst: 100,
+        rate: 50,
+        written_ms: 7000,
+        unlock_ms: 3000,
+        ..Stake::default()
+    };
+    assert_eq!(stake.left(7000 + case.elapsed_ms), case.left);
+}
+
+/// Runs transactions until none is due.
+fn run(account: &mut Account, table: &mut Table, now: Duration, platform_ms: u64) {
+    let setting = Setting { hosts: 1, workspaces: 1, platform_ms: Some(platform_ms) };
+    while let Some(txn) = account.plan(now, setting) {
+        let outcome = table.commit(&txn);
+        account.ended(now, outcome, Some(platform_ms));
+    }
+}
+
+fn account(holder: &str, prepaid: u64) -> Account {
+    let mut account = Account::open(WORKSPACE.into(), "h", holder.into());
+    account.set_prepaid(prepaid);
+    account
+}
+
+#[test]
+fn stake_opens_while_the_platform_is_away() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    assert!(own.available(Duration::ZERO) < 5_000, "only the burst at once");
+    let later = Duration::from_secs(6);
+    assert!(own.available(later) > 30_000, "all of the stake after a time");
+}
+
+#[test]
+fn request_beyond_the_burst_waits_for_one_transaction() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    let now = 900 * MILLI;
+    assert_eq!(own.reserve(now, 20_000), Verdict::Wait);
+    run(&mut own, &mut table, now, 1900);
+    assert_eq!(own.reserve(now, 20_000), Verdict::Reserved);
+}
+
+#[test]
+fn budget_is_exhausted_only_once_its_rows_show_it() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 10_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    let now = Duration::from_secs(2);
+    assert_eq!(own.reserve(now, 20_000), Verdict::Wait, "the rows are old");
+    run(&mut own, &mut table, now, 3000);
+    assert_eq!(own.reserve(now, 20_000), Verdict::Exhausted);
+    own.set_prepaid(40_000);
+    assert_eq!(own.reserve(now, 20_000), Verdict::Wait, "the amount was raised");
+    run(&mut own, &mut table, now, 3000);
+    assert_eq!(own.reserve(now, 20_000), Verdict::Reserved);
+}
+
+#[test]
+fn nothing_is_used_while_more_is_granted_than_a_lowered_amount() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    own.set_prepaid(100);
+    assert_ne!(own.reserve(Duration::from_secs(9), 500), Verdict::Reserved);
+}
+
+#[test]
+fn closing_gives_all_back() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    assert!(own.balance().0 > 0);
+    own.close();
+    run(&mut own, &mut table, Duration::from_secs(1), 2000);
+    assert_eq!(own.balance(), (0, 0));
+    assert!(own.is_closed());
+    let mut next = account("h-2", 100_000);
+    run(&mut next, &mut table, Duration::ZERO, 2100);
+    assert_eq!(next.reserve(Duration::from_secs(9), 30_000), Verdict::Reserved);
+}
+
+#[test]
+fn process_that_follows_a_kill_takes_over_most_of_the_stake() {
+    let mut table = Table::default();
+    let mut dead = account("h-1", 100_000);
+    run(&mut dead, &mut table, Duration::ZERO, 1000);
+    let held = dead.balance().0;
+    let mut next = account("h-2", 100_000);
+    run(&mut next, &mut table, Duration::ZERO, 2500);
+    let sums = next.balance().0;
+    assert!(sums * 100 >= held * 85, "{sums} of {held} taken over");
+}
--- /dev/null
+++ b/crates/gateway/tests/place.rs
@@ -0,0 +1,267 @@
+//! Placement, with the loads that it answers.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use gateway::{
+    backend::{Entry, Load, Sign},
+    place::{Fleet, Verdict, Want},
+    request::Prompt,
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+
+const ENGINES: usize = 12;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn entry(id: &str, zone: &str, slots: u32) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: zone.into(),
+        slots,
+        leaving: false,
+        born: 1,
+    }
+}
+
+fn fleet(seed: u64, entries: impl IntoIterator<Item = Entry>) -> Fleet {
+    let mut fleet = Fleet::open(StdRng::seed_from_u64(seed));
+    fleet.replace(entries.into_iter().collect(), false);
+    fleet
+}
+
+fn engines() -> Vec<Entry> {
+    (0..ENGINES).map(|n| entry(&format!("e{n}"), ["a", "b", "c"][n % 3], 64)).collect()
+}
+
+fn want<'a>(prompt: Option<&'a Prompt>, tried: &'a [Arc<str>]) -> Want<'a> {
+    Want { service: "s", zone: "a", prompt, tried, left: 15 * SECOND }
+}
+
+fn placed(fleet: &mut Fleet, now: Duration, want: &Want<'_>) -> Option<(Arc<str>, u64)> {
+    match fleet.place(now, want) {
+        Verdict::Send { to, unread } => Some((to.id, unread)),
+        Verdict::Refuse(_) => None,
+    }
+}
+
+fn session(number: u64) -> Prompt {
+    let own = format!("session {number}");
+    Prompt::new(12_000, 400, [("system", 500), (own.as_str(), 4900)])
+}
+
+#[test]
+fn all_hosts_send_a_session_to_the_same_engine() {
+    let mut hosts: Vec<Fleet> = (0..7).map(|seed| fleet(seed, engines())).collect();
+    for number in 0..100 {
+        let prompt = session(number);
+        let mut homes: Vec<_> = hosts
+            .iter_mut()
+            .map(|host| placed(host, SECOND, &want(Some(&prompt), &[])).expect("an engine").0)
+            .collect();
+        homes.dedup();
+        assert_eq!(homes.len(), 1, "session {number}");
+    }
+}
+
+#[test]
+fn sessions_spread_over_all_engines() {
+    let mut own = fleet(1, engines());
+    let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
+    for number in 0..600 {
+        let prompt = session(number);
+        let (id, _) = placed(&mut own, SECOND, &want(Some(&prompt), &[])).expect("an engine");
+        *counts.entry(id).or_default() += 1;
+    }
+    assert_eq!(counts.len(), ENGINES);
+    assert!(counts.values().all(|&count| count < 100), "{counts:?}");
+}
+
+/// Prompt tokens read again by seven hosts that share twelve engines, and the greatest queue.
+fn play(pick: &mut dyn FnMut(&mut Fleet, Duration, &Prompt) -> (Arc<str>, u64)) -> (u64, u64) {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut hosts: Vec<Fleet> = (0..7).map(|seed| fleet(seed, engines())).collect();
+    let mut held: HashMap<(Arc<str>, u64), Duration> = HashMap::new();
+    let mut queued: HashMap<Arc<str>, u64> = HashMap::new();
+    let (mut again, mut longest) = (0, 0);
+    for request in 0..2000u64 {
+        let now = SECOND + Duration::from_millis(50 * request);
+        let number = rng.random_range(0..102);
+        let prompt = session(number);
+        let host = rng.random_range(0..hosts.len());
+        let own = &mut hosts[host];
+        let (id, unread) = pick(own, now, &prompt);
+        let backend = own.get_mut(&id).expect("listed");
+        backend.begin(now, Some(&prompt), unread);
+        backend.read(unread);
+        backend.heard(now);
+        backend.end(now, Sign::Sound);
+        let known = held.insert((id.clone(), number), now);
+        let read = if known.is_some_and(|at| now - at < 12 * SECOND) { 6600 } else { 12_000 };
+        again += if known.is_some() { read - 6600 } else { 0 };
+        let queue = queued.entry(id).or_default();
+        *queue += read;
+        longest = longest.max(*queue);
+        // Each engine reads 50 tokens in a millisecond.
+        queued.values_mut().for_each(|queue| *queue = queue.saturating_sub(50 * 50));
+    }
+    (again, longest)
+}
+
+#[test]
+fn sessions_with_long_shared_prompts_are_read_again_less_than_by_load_alone() {
+    let (homed, queue) = play(&mut |own, now, prompt| {
+        placed(own, now, &want(Some(prompt), &[])).expect("an engine")
+    });
+    let mut turn = 0;
+    let (spread, _) = play(&mut |_, _, _| {
+        turn += 1;
+        (Arc::from(format!("e{}", turn % ENGINES)), 12_000)
+    });
+    assert!(homed * 3 < spread, "{homed} tokens read again, {spread} by turns");
+    assert!(queue < 60_000, "{queue} tokens queued at one engine");
+}
+
+#[test]
+fn session_leaves_a_home_whose_queue_costs_more_than_reading_again() {
+    let mut own = fleet(1, engines());
+    let prompt = session(1);
+    let (home, _) = placed(&mut own, SECOND, &want(Some(&prompt), &[])).expect("an engine");
+    for _ in 0..3 {
+        own.get_mut(&home).expect("listed").begin(SECOND, Some(&session(2)), 12_000);
+    }
+    let (next, unread) = placed(&mut own, SECOND, &want(Some(&prompt), &[])).expect("an engine");
+    assert_ne!(next, home);
+    assert_eq!(unread, 12_000, "it holds nothing of the prompt");
+}
+
+struct Case {
+    name: &'static str,
+    disturb: fn(&mut Fleet, &Arc<str>),
+}
+
+#[test]
+fn disturbed_backend_servers_get_nothing_new() {
+    let cases = [
+        Case {
+            name: "it can't be reached",
+            disturb: |own, id| {
+                let backend = own.get_mut(id).expect("listed");
+                backend.begin(SECOND, None, 0);
+                backend.end(SECOND, Sign::Unreached);
+            },
+        },
+        Case {
+            name: "requests under way hear nothing",
+            disturb: |own, id| {
+                let backend = own.get_mut(id).expect("listed");
+                backend.begin(Duration::ZERO, None, 0);
+            },
+        },
+        Case {
+            name: "it failed a request",
+            disturb: |own, id| {
+                let backend = own.get_mut(id).expect("listed");
+                backend.begin(SECOND, None, 0);
+                backend.end(SECOND, Sign::Troubled);
+            },
+        },
+        Case {
+            name: "it is full",
+            disturb: |own, id| {
+                let backend = own.get_mut(id).expect("listed");
+                backend.report(SECOND, Load { running: 6, waiting: 4 });
+            },
+        },
+        Case {
+            name: "it is leaving",
+            disturb: |own, id| {
+                let mut list = plain();
+                for entry in &mut list {
+                    entry.leaving = entry.id == *id;
+                }
+                own.replace(list, false);
+            },
+        },
+        Case {
+            name: "it is gone",
+            disturb: |own, id| {
+                let list = plain().into_iter().filter(|entry| entry.id != *id).collect();
+                own.replace(list, false);
+            },
+        },
+    ];
+    for case in cases {
+        let mut own = fleet(3, plain());
+        let (first, _) = placed(&mut own, SECOND, &want(None, &[])).expect("a backend server");
+        assert_eq!(&*first, "p0", "the own zone first");
+        (case.disturb)(&mut own, &first);
+        let (next, _) = placed(&mut own, SECOND, &want(None, &[])).expect("a backend server");
+        assert_ne!(next, first, "{}", case.name);
+    }
+}
+
+fn plain() -> Vec<Entry> {
+    vec![entry("p0", "a", 6), entry("p1", "b", 6), entry("p2", "c", 6)]
+}
+
+#[test]
+fn trouble_is_forgotten_after_a_time() {
+    let mut own = fleet(3, plain());
+    let backend = own.get_mut("p0").expect("listed");
+    backend.begin(SECOND, None, 0);
+    backend.end(SECOND, Sign::Unreached);
+    let (next, _) = placed(&mut own, 40 * SECOND, &want(None, &[])).expect("a backend server");
+    assert_eq!(&*next, "p0");
+}
+
+#[test]
+fn backend_server_that_started_again_under_its_id_holds_nothing_of_before() {
+    let mut own = fleet(1, engines());
+    let prompt = session(1);
+    let backend = own.get_mut("e1").expect("listed");
+    backend.begin(SECOND, Some(&prompt), 12_000);
+    assert_eq!(own.get_mut("e1").expect("listed").unread(SECOND, &prompt), 6600);
+    let mut list = engines();
+    list[1].born = 2;
+    let changed = own.replace(list, false);
+    assert_eq!(changed, [Arc::from("e1")]);
+    let backend = own.get_mut("e1").expect("listed");
+    assert_eq!(backend.unread(SECOND, &prompt), 12_000);
+    assert_eq!(backend.running(), 0);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_stay_while_the_list_is_filled_again() {
+    let mut own = fleet(1, plain());
+    own.replace(vec![entry("p1", "b", 6)], true);
+    assert!(own.get_mut("p0").is_some());
+    own.replace(vec![entry("p1", "b", 6)], false);
+    assert!(own.get_mut("p0").is_none());
+}
+
+#[test]
+fn request_that_can_only_be_late_is_refused_at_once() {
+    let mut own = fleet(1, engines());
+    let prompt = session(1);
+    for number in 0..ENGINES {
+        let backend = own.get_mut(&format!("e{number}")).expect("listed");
+        for _ in 0..20 {
+            backend.begin(SECOND, Some(&prompt), 12_000);
+            backend.heard(SECOND);
+        }
+    }
+    let hopeless = Want { left: 500 * Duration::from_millis(1), ..want(Some(&prompt), &[]) };
+    assert!(matches!(own.place(SECOND, &hopeless), Verdict::Refuse(_)));
+    assert!(placed(&mut own, SECOND, &want(Some(&prompt), &[])).is_some());
+}
+
+#[test]
+fn nothing_goes_to_a_backend_server_that_was_tried() {
+    let mut own = fleet(1, plain());
+    let tried: Vec<Arc<str>> = vec!["p0".into(), "p1".into()];
+    let (next, _) = placed(&mut own, SECOND, &want(None, &tried)).expect("the last one");
+    assert_eq!(&*next, "p2");
+    let all: Vec<Arc<str>> = vec!["p0".into(), "p1".into(), "p2".into()];
+    assert!(placed(&mut own, SECOND, &want(None, &all)).is_none());
+}
