--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -294,3 +294,24 @@
     let sums = next.balance().0;
     assert!(sums * 100 >= held * 85, "{sums} of {held} taken over");
 }
+
+#[test]
+fn lost_answer_leaves_the_stricter_of_two_bounds_in_force() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    let asked = 800 * MILLI;
+    assert_eq!(own.reserve(asked, 20_000), Verdict::Wait);
+    run(&mut own, &mut table, asked, 1800);
+    assert!(own.available(asked) >= 20_000, "the burst covers the request");
+    // The next write has a lesser burst; it is done, and its answer is lost.
+    let now = Duration::from_secs(3);
+    let setting = Setting { hosts: 1, workspaces: 1, platform_ms: Some(4000) };
+    let txn = own.plan(now, setting).expect("a stake is written anew");
+    table.commit(&txn);
+    own.ended(now, Outcome::Unknown, Some(4000));
+    let (written, _) = &table.rows["stake/w/h"];
+    let stake: Stake = serde_json::from_str(written).expect("a stake");
+    let next = stake.left(4000);
+    assert!(own.available(now) + next <= stake.tokens, "both may be used");
+}
