--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -22,13 +22,16 @@
 /// Pause after a connection could not be accepted, as when descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Binds an address.
+/// Binds an address; port 0 is replaced by the one that was given.
 ///
 /// # Errors
 ///
 /// Fails where the address can't be bound.
-pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("step=bind peer={address}"))
+pub async fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
+    let context = format!("step=bind peer={address}");
+    let listener = TcpListener::bind(*address).await.wrap_err(context)?;
+    *address = listener.local_addr().wrap_err("step=bound address")?;
+    Ok(listener)
 }
 
 /// Returns the next connection, whatever fails before.
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -48,30 +48,33 @@
 }
 
 async fn serve(
-    settings: Settings,
+    mut settings: Settings,
     dialect: Rc<dyn Dialect>,
     source: Rc<impl Source>,
 ) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("step=signals")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("step=signals")?;
-    tracing::info!(event = "start", host = %settings.host, zone = %settings.zone,
-        callers = %settings.callers, version = env!("CARGO_PKG_VERSION"));
-    let callers = edge::bind(settings.callers).await?;
-    let ready = edge::bind(settings.ready).await?;
-    let metrics = match settings.metrics {
-        Some(address) => Some(edge::bind(address).await?),
-        None => None,
-    };
-    let peers = edge::bind(settings.peers).await?;
+    let callers = edge::bind(&mut settings.callers).await?;
+    let ready = edge::bind(&mut settings.ready).await?;
+    let metrics = edge::bind(&mut settings.metrics).await?;
+    let peers = edge::bind(&mut settings.peers).await?;
+    tracing::info!(
+        event = "start",
+        host = %settings.host,
+        zone = %settings.zone,
+        callers = %settings.callers,
+        ready = %settings.ready,
+        metrics = %settings.metrics,
+        peers = %settings.peers,
+        version = env!("CARGO_PKG_VERSION"),
+    );
     let node = Rc::new(Node::open(settings, dialect, Metrics::open()?));
     spawn_local(follow::catalog(node.clone(), source.clone()));
     spawn_local(follow::backends(node.clone(), source.clone()));
     spawn_local(members::run(node.clone(), source.clone()));
     spawn_local(Bank::run(node.clone(), source.clone()));
     spawn_local(probe::run(node.clone(), ready));
-    if let Some(metrics) = metrics {
-        spawn_local(probe::run(node.clone(), metrics));
-    }
+    spawn_local(probe::run(node.clone(), metrics));
     spawn_local(peer::run(node.clone(), peers));
     spawn_local(edge::run(node.clone(), callers));
     loop {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -46,7 +46,7 @@
     /// Where other hosts ask for tokens.
     pub peers: SocketAddr,
     /// Where metrics are served.
-    pub metrics: Option<SocketAddr>,
+    pub metrics: SocketAddr,
     /// Time from a request to stop until the process is killed.
     pub grace: Duration,
     /// Time for which a backend server that the list lost in an outage of the platform is kept.
