Bound the store calls for budgets by each host's part of its rate

No transaction is tried while the store is away; a conflict is followed at once by another attempt; each host spends its part of the store's writes, requests that wait first.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -43,25 +43,22 @@
 /// Time of use at the bound that makes a burst.
 const BURST: Duration = Duration::from_millis(600);
 
-/// Time without a written stake after which all of it may be used; longer than a process that died
-/// needs to start again.
-const UNLOCK: Duration = Duration::from_millis(3000);
+/// Time beyond the last write of a stake after which all of it may be used; longer than a process
+/// that died needs to start again.
+const RESTART: Duration = Duration::from_millis(2400);
 
 /// Time without use after which a stake is written as idle.
 const IDLE_AFTER: Duration = Duration::from_millis(1500);
 
-/// Time without a written stake after which all of an idle one may be used.
-const IDLE_UNLOCK: Duration = Duration::from_millis(5000);
-
-/// Time after which an idle stake is written anew, where the platform takes so many writes.
-const IDLE_REPORT: Duration = Duration::from_millis(2500);
-
 /// Part of the expected use in a second that an idle stake allows.
 const IDLE_PART: u64 = 8;
 
 /// Time over which the rate of use is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 
+/// Time over which the rate of use is averaged for what is kept ahead.
+const SLOW_RATE_WINDOW: Duration = Duration::from_secs(12);
+
 /// Pause after a transaction that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -71,11 +68,20 @@
 /// Least time between two looks at an account for which no request waits.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time after which a used stake is written anew, where the platform takes so many writes.
+/// Least time after which a used stake is written anew.
 const REPORT: Duration = Duration::from_millis(600);
 
-/// Writes of stakes in a second by all hosts for all workspaces.
-const REPORTS_PER_S: u64 = 100;
+/// Least time after which an idle stake is written anew.
+const IDLE_REPORT: Duration = Duration::from_millis(2500);
+
+/// Part of the fleet's writes that renew stakes, in percent.
+const REPORTS_PERCENT: u64 = 50;
+
+/// Part of those writes that renew stakes in use, where not all can be renewed in time, in percent.
+const USED_PERCENT: u32 = 40;
+
+/// Weight of the newest request in the typical size of one.
+const TYPICAL_WEIGHT: f64 = 0.2;
 
 /// Time after which an answer of the budget's row is no proof any more of what is left.
 const PROOF_AGE: Duration = Duration::from_millis(500);
@@ -132,6 +138,17 @@
     Unavailable,
 }
 
+/// How much a transaction would help, the most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// The last one met a conflict, and the rows that came back are the newest.
+    Conflict,
+    /// A request waits.
+    Wanted,
+    /// Nothing waits.
+    None,
+}
+
 /// Bound that a written stake puts on use.
 #[derive(Debug, Clone, Copy)]
 struct Limit {
@@ -141,19 +158,16 @@
     rate: u64,
     unlock: Duration,
     since: Duration,
+    idle: bool,
 }
 
 impl Limit {
-    fn is_idle(&self) -> bool {
-        self.unlock > UNLOCK
-    }
-
-    /// Returns whether the stake is to be written anew, where a used one is after so long.
-    fn is_due(&self, now: Duration, report: Duration) -> bool {
+    /// Returns whether the stake is to be written anew.
+    fn is_due(&self, now: Duration, setting: &Setting) -> bool {
         let age = now.saturating_sub(self.since);
-        match (self.used > 0, self.is_idle()) {
-            (true, _) => age >= report,
-            (false, true) => age >= report.max(IDLE_REPORT),
+        match (self.used > 0, self.idle) {
+            (true, _) => age >= setting.report(),
+            (false, true) => age >= setting.idle_report(),
             (false, false) => age >= IDLE_AFTER,
         }
     }
@@ -169,6 +183,30 @@
     }
 }
 
+/// Tokens used in each second, averaged with weights that fall over a window.
+#[derive(Debug)]
+struct Rate {
+    window: f64,
+    value: f64,
+    at: Duration,
+}
+
+impl Rate {
+    fn over(window: Duration) -> Self {
+        Self { window: window.as_secs_f64(), value: 0.0, at: Duration::ZERO }
+    }
+
+    fn add(&mut self, now: Duration, tokens: u64) {
+        self.value = self.at(now) + tokens as f64 / self.window;
+        self.at = now;
+    }
+
+    fn at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.value * (-age / self.window).exp()
+    }
+}
+
 /// A transaction whose outcome isn't known.
 #[derive(Debug, Clone)]
 struct Pending {
@@ -180,6 +218,25 @@
     returning: u64,
 }
 
+impl Setting {
+    /// Returns how long all stakes of the fleet take to be written anew.
+    fn cycle(&self) -> Duration {
+        let stakes = self.hosts.max(1) * self.workspaces.max(1);
+        let writes = (self.writes_per_s * REPORTS_PERCENT / 100).max(1);
+        Duration::from_millis(stakes * 1000 / writes)
+    }
+
+    /// Returns the time after which a stake in use is written anew.
+    fn report(&self) -> Duration {
+        REPORT.max(self.cycle() * USED_PERCENT / 100)
+    }
+
+    /// Returns the time after which an idle stake is written anew.
+    fn idle_report(&self) -> Duration {
+        IDLE_REPORT.max(self.cycle())
+    }
+}
+
 /// Surroundings in which an account plans.
 #[derive(Debug, Clone, Copy)]
 pub struct Setting {
@@ -187,6 +244,8 @@
     pub hosts: u64,
     /// Workspaces with budgets.
     pub workspaces: u64,
+    /// Writes in a second that all hosts together make for budgets.
+    pub writes_per_s: u64,
     /// The platform's clock; it may be later already.
     pub platform_ms: Option<u64>,
 }
@@ -220,9 +279,14 @@
     under_way: bool,
     failed: bool,
     next: Duration,
-    /// Tokens used in each second, averaged.
-    rate: f64,
-    rate_at: Duration,
+    /// Tokens used in each second, averaged over a short time.
+    rate: Rate,
+    /// The same over a long time.
+    slow_rate: Rate,
+    /// Size of a request, averaged.
+    typical: f64,
+    /// The last transaction met a conflict.
+    held_back: bool,
     closing: bool,
 }
 
@@ -234,7 +298,6 @@
             sums_row: row(escrow_key(&workspace)),
             stake_row: row(Arc::from(format!("{STAKE_PREFIX}{workspace}/{host}"))),
             workspace,
-            holder,
             prepaid: 0,
             sums: Escrow::default(),
             stake: Stake::default(),
@@ -250,8 +313,11 @@
             under_way: false,
             failed: false,
             next: Duration::ZERO,
-            rate: 0.0,
-            rate_at: Duration::ZERO,
+            rate: Rate::over(RATE_WINDOW),
+            slow_rate: Rate::over(SLOW_RATE_WINDOW),
+            typical: 0.0,
+            holder,
+            held_back: false,
             closing: false,
         }
     }
@@ -269,6 +335,15 @@
         self.prepaid = prepaid;
     }
 
+    /// Returns how much a transaction would help.
+    pub fn urgency(&self) -> Urgency {
+        match (self.held_back, self.wanted > 0) {
+            (true, _) => Urgency::Conflict,
+            (false, true) => Urgency::Wanted,
+            (false, false) => Urgency::None,
+        }
+    }
+
     /// Stops keeping tokens ahead, as before the process ends.
     pub fn close(&mut self) {
         self.closing = true;
@@ -288,7 +363,10 @@
     }
 
     /// Sets tokens aside for a request.
-    pub fn reserve(&mut self, now: Duration, tokens: u64) -> Verdict {
+    ///
+    /// While the platform is not reached no transaction can help.
+    pub fn reserve(&mut self, now: Duration, tokens: u64, reached: bool) -> Verdict {
+        self.typical += (tokens as f64 - self.typical) * TYPICAL_WEIGHT;
         if tokens <= self.available(now) {
             self.take(tokens);
             self.reserved += tokens;
@@ -299,7 +377,7 @@
         if proved && self.known && left < tokens && self.pending.is_none() {
             return Verdict::Exhausted;
         }
-        if self.failed {
+        if self.failed || !reached {
             return Verdict::Unavailable;
         }
         self.wanted = self.wanted.max(tokens);
@@ -351,20 +429,13 @@
         self.reserved -= reserved;
         self.loose += reserved - used;
         self.used += used;
-        let age = now.saturating_sub(self.rate_at).as_secs_f64();
-        self.rate *= (-age / RATE_WINDOW.as_secs_f64()).exp();
-        self.rate += used as f64 / RATE_WINDOW.as_secs_f64();
-        self.rate_at = now;
+        self.rate.add(now, used);
+        self.slow_rate.add(now, used);
     }
 
     /// Returns the bound on use in a second, as one of so many hosts.
     fn bounded_rate(&self, now: Duration, hosts: u64) -> u64 {
-        ((self.recent_rate(now) * RATE_MARGIN) as u64).max(self.floor(hosts))
-    }
-
-    fn recent_rate(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.rate_at).as_secs_f64();
-        self.rate * (-age / (4.0 * RATE_WINDOW.as_secs_f64())).exp()
+        ((self.rate.at(now) * RATE_MARGIN) as u64).max(self.floor(hosts))
     }
 
     /// Returns the use in a second that is expected while nothing is known.
@@ -377,7 +448,7 @@
         if self.closing || self.is_overdrawn() {
             return 0;
         }
-        let by_rate = (self.recent_rate(now) * AHEAD.as_secs_f64()) as u64;
+        let by_rate = (self.slow_rate.at(now) * AHEAD.as_secs_f64()) as u64;
         let floor = self.floor(hosts) * FLOOR_AHEAD.as_secs();
         let unspent = self.sums.remaining(self.prepaid) + self.total();
         let most = unspent / 100 * AHEAD_PERCENT;
@@ -389,13 +460,13 @@
 
     /// Returns the transaction to run now.
     pub fn plan(&mut self, now: Duration, setting: Setting) -> Option<Txn> {
-        if self.under_way || (now < self.next && self.wanted == 0) {
+        // A request that waits hurries what is due, but not what follows a conflict or a failure.
+        let hurried = self.wanted > 0 && self.pending.is_none() && !self.held_back;
+        if self.under_way || (now < self.next && !hurried) {
             return None;
         }
+        self.held_back = false;
         if let Some(pending) = &self.pending {
-            if now < self.next {
-                return None;
-            }
             self.under_way = true;
             return Some(pending.txn.clone());
         }
@@ -414,12 +485,11 @@
         }
         let spare = total.saturating_sub(target);
         let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
-        if wanted == 0 && spare > 0 && (self.closing || scarce || spare > target) {
+        let surplus = spare > 2 * target || (scarce && spare > target / 4);
+        if wanted == 0 && spare > 0 && (self.closing || surplus) {
             return Some(self.start(now, setting, 0, spare, 0));
         }
-        let writes = hosts * setting.workspaces.max(1);
-        let report = REPORT.max(Duration::from_millis(writes * 1000 / REPORTS_PER_S));
-        if wanted > 0 || self.limit.is_none_or(|limit| limit.is_due(now, report)) {
+        if wanted > 0 || self.limit.is_none_or(|limit| limit.is_due(now, &setting)) {
             return Some(self.start(now, setting, 0, 0, wanted));
         }
         self.next = now + IDLE_PAUSE;
@@ -438,12 +508,13 @@
         self.held -= returning;
         let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
         let hosts = setting.hosts.max(1);
-        let (rate, unlock) = if used {
-            (self.bounded_rate(now, hosts), UNLOCK)
+        let floor = self.floor(hosts);
+        let (rate, typical, unlock) = if used {
+            (self.bounded_rate(now, hosts), self.typical as u64, setting.report() + RESTART)
         } else {
-            (self.floor(hosts) / IDLE_PART, IDLE_UNLOCK)
+            (floor / IDLE_PART, 0, setting.idle_report() + RESTART)
         };
-        let burst = rate.max(self.floor(hosts)) * BURST.as_millis() as u64 / 1000;
+        let burst = (rate.max(floor) * BURST.as_millis() as u64 / 1000).max(typical);
         let stake = Stake {
             holder: self.holder.clone(),
             number: self.stake.number + 1,
@@ -463,7 +534,14 @@
                 sums
             });
         txn.put(&self.stake_row, &stake);
-        let limit = Limit { used: 0, burst: stake.burst, rate: stake.rate, unlock, since: now };
+        let limit = Limit {
+            used: 0,
+            burst: stake.burst,
+            rate: stake.rate,
+            unlock,
+            since: now,
+            idle: !used,
+        };
         let pending = Pending { txn: txn.clone(), sums, stake, limit, granting, returning };
         self.pending = Some(pending);
         self.under_way = true;
@@ -508,7 +586,9 @@
 
     /// Reads from the rows whether a transaction had been committed by an earlier send.
     fn resolve(&mut self, now: Duration, pending: Pending, rows: &[Row], platform_ms: Option<u64>) {
+        // At once, while the rows that came back are still the newest.
         self.next = now;
+        self.held_back = true;
         let sums_row = rows.iter().find(|row| row.key == self.sums_row.key);
         let stake_row = rows.iter().find(|row| row.key == self.stake_row.key);
         let sums = sums_row.map(parse::<Escrow>).transpose();
@@ -551,6 +631,9 @@
         self.held = platform_ms.map_or(0, |now| stake.left(now));
         self.stake = stake.clone();
         self.limit = None;
+        if stake.tokens == 0 {
+            return;
+        }
         tracing::info!(
             event = "stake_taken_over",
             workspace = %self.workspace,
@@ -578,7 +661,7 @@
             unspent = self.sums.remaining(self.prepaid),
             held = self.total(),
             reserved = self.reserved,
-            rate = self.rate as u64,
+            rate = self.rate.at(now) as u64,
             burst = pending.stake.burst,
             seen_ms = self.seen.map(|seen| now.saturating_sub(seen).as_millis() as u64),
         );
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -1,7 +1,14 @@
 //! Drives the accounts of all workspaces by transactions on the platform's table.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
+use coordination::table::{Op, Outcome};
 use tokio::{
     sync::Notify,
     task::spawn_local,
@@ -11,7 +18,7 @@
 use wire::lend::Lent;
 
 use crate::{
-    account::{Account, Setting, Verdict},
+    account::{Account, Setting, Urgency, Verdict},
     catalog::Catalog,
     dialect::Source,
     node::Node,
@@ -21,6 +28,38 @@
 /// Time between two looks at all accounts where no request waits.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Part of the platform's writes that all hosts together make for budgets, in percent.
+const WRITES_PERCENT: u64 = 40;
+
+/// Seconds of its part of the writes that a host saves up.
+const SAVED_S: f64 = 1.5;
+
+/// Fewest writes that a host saves up.
+const SAVED_LEAST: f64 = 4.0;
+
+/// This host's part of the platform's writes.
+#[derive(Debug, Default)]
+struct Writes {
+    saved: f64,
+    at: Duration,
+}
+
+impl Writes {
+    fn refill(&mut self, now: Duration, per_s: f64) {
+        let earned = now.saturating_sub(self.at).as_secs_f64() * per_s;
+        self.saved = (self.saved + earned).min((per_s * SAVED_S).max(SAVED_LEAST));
+        self.at = now;
+    }
+
+    fn is_open(&self) -> bool {
+        self.saved >= 1.0
+    }
+
+    fn take(&mut self) {
+        self.saved -= 1.0;
+    }
+}
+
 /// All accounts, and the wake-ups between requests and transactions.
 #[derive(Debug)]
 pub struct Bank {
@@ -28,6 +67,9 @@
     /// Names this process.
     holder: Arc<str>,
     accounts: RefCell<HashMap<Arc<str>, Account>>,
+    writes: RefCell<Writes>,
+    /// The platform answered lately.
+    reached: Cell<bool>,
     /// A request waits for tokens, or something changed that transactions depend on.
     due: Notify,
     /// A transaction has ended.
@@ -67,11 +109,23 @@
             host,
             holder,
             accounts: RefCell::default(),
+            writes: RefCell::default(),
+            reached: Cell::new(true),
             due: Notify::new(),
             ended: Notify::new(),
         }
     }
 
+    /// Notes whether the platform was reached.
+    ///
+    /// While it is not, no transaction is tried; whoever reads the configuration finds out when it
+    /// is back.
+    pub fn set_reached(&self, reached: bool) {
+        if !self.reached.replace(reached) && reached {
+            self.due.notify_one();
+        }
+    }
+
     /// Takes the prepaid amounts of a configuration.
     pub fn configure(&self, catalog: &Catalog) {
         let mut accounts = self.accounts.borrow_mut();
@@ -113,7 +167,7 @@
             let verdict = {
                 let mut accounts = node.bank.accounts.borrow_mut();
                 let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
-                account.reserve(node.now(), tokens)
+                account.reserve(node.now(), tokens, node.bank.reached.get())
             };
             match verdict {
                 Verdict::Reserved => {
@@ -173,23 +227,43 @@
     }
 
     fn start_due(node: &Rc<Node>, source: &Rc<impl Source>) {
+        if !node.bank.reached.get() {
+            return;
+        }
         let now = node.now();
         let mut due = Vec::new();
         let mut accounts = node.bank.accounts.borrow_mut();
+        let writes_per_s = node.settings.writes_per_s * WRITES_PERCENT / 100;
         let setting = Setting {
             hosts: node.hosts(),
             workspaces: accounts.len() as u64,
+            writes_per_s,
             platform_ms: source.clock_ms(),
         };
-        for (workspace, account) in &mut *accounts {
-            due.extend(account.plan(now, setting).map(|txn| (workspace.clone(), txn)));
+        let mut writes = node.bank.writes.borrow_mut();
+        writes.refill(now, writes_per_s as f64 / node.hosts() as f64);
+        // Requests that wait come first.
+        let mut order: Vec<_> = accounts.iter_mut().collect();
+        order.sort_by_key(|(_, account)| account.urgency());
+        for (workspace, account) in order {
+            if !writes.is_open() && account.urgency() != Urgency::Conflict {
+                break;
+            }
+            if let Some(txn) = account.plan(now, setting) {
+                writes.take();
+                due.push((workspace.clone(), txn));
+            }
         }
+        drop(writes);
         drop(accounts);
         for (workspace, txn) in due {
             let (node, source) = (node.clone(), source.clone());
             spawn_local(async move {
-                let outcome = source.table(&coordination::table::Op::Commit(txn)).await;
+                let outcome = source.table(&Op::Commit(txn)).await;
                 let now = node.now();
+                if matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
+                    node.bank.set_reached(false);
+                }
                 if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
                     account.ended(now, outcome, source.clock_ms());
                 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,9 +9,6 @@
     node::Node,
 };
 
-/// Time between two readings; a change is in force within this time and a call to the platform.
-const INTERVAL: Duration = Duration::from_millis(350);
-
 /// Time between two readings until everything was read once, and while the platform is away.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -51,7 +48,8 @@
     loop {
         let known = node.catalog().map(|catalog| catalog.version());
         let read = reach.note(source.catalog(known).await);
-        let pause = if read.is_some() && known.is_some() { INTERVAL } else { RETRY };
+        node.bank.set_reached(read.is_some());
+        let pause = if read.is_some() && known.is_some() { node.settings.follow } else { RETRY };
         if let Some(newest) = read {
             if let Some(catalog) = newest {
                 let version = catalog.version();
@@ -72,7 +70,7 @@
     let mut keep_until: Option<Instant> = None;
     loop {
         let read = reach.note(source.backends().await);
-        let pause = if read.is_some() { INTERVAL } else { RETRY };
+        let pause = if read.is_some() { node.settings.follow } else { RETRY };
         if let Some(list) = read {
             let now = Instant::now();
             if read_at.is_some_and(|at| now - at > OUTAGE) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -51,6 +51,10 @@
     pub grace: Duration,
     /// Time for which a backend server that the list lost in an outage of the platform is kept.
     pub relist: Duration,
+    /// Writes in a second that the platform takes from all hosts together.
+    pub writes_per_s: u64,
+    /// Time between two readings of the configuration and the list of backend servers.
+    pub follow: Duration,
     /// Bound on requests that are sent again, over all hosts.
     pub repeats: Bound,
     /// Seed of random choices.
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -94,7 +94,7 @@
 
     fn setting(&self) -> Setting {
         let hosts = self.processes.len() as u64;
-        Setting { hosts, workspaces: 1, platform_ms: Some(self.now_ms) }
+        Setting { hosts, workspaces: 1, writes_per_s: 240, platform_ms: Some(self.now_ms) }
     }
 
     /// Runs the transaction that is due at a host; `reach` tells whether the table is reached.
@@ -123,7 +123,7 @@
         let now = self.now(host);
         let tokens = self.rng.random_range(1..3000);
         let process = &mut self.processes[host];
-        if process.account.reserve(now, tokens) == Verdict::Reserved {
+        if process.account.reserve(now, tokens, true) == Verdict::Reserved {
             // The worst case counts at once: the process may die before it settles.
             self.used += tokens;
             process.requests.push(tokens);
@@ -210,10 +210,15 @@
 
 /// Runs transactions until none is due.
 fn run(account: &mut Account, table: &mut Table, now: Duration, platform_ms: u64) {
-    let setting = Setting { hosts: 1, workspaces: 1, platform_ms: Some(platform_ms) };
-    while let Some(txn) = account.plan(now, setting) {
-        let outcome = table.commit(&txn);
-        account.ended(now, outcome, Some(platform_ms));
+    let setting =
+        Setting { hosts: 1, workspaces: 1, writes_per_s: 240, platform_ms: Some(platform_ms) };
+    // Conflicts are followed by short pauses.
+    for step in 0..50 {
+        let now = now + step * MILLI;
+        while let Some(txn) = account.plan(now, setting) {
+            let outcome = table.commit(&txn);
+            account.ended(now, outcome, Some(platform_ms));
+        }
     }
 }
 
@@ -239,9 +244,9 @@
     let mut own = account("h-1", 100_000);
     run(&mut own, &mut table, Duration::ZERO, 1000);
     let now = 900 * MILLI;
-    assert_eq!(own.reserve(now, 20_000), Verdict::Wait);
+    assert_eq!(own.reserve(now, 20_000, true), Verdict::Wait);
     run(&mut own, &mut table, now, 1900);
-    assert_eq!(own.reserve(now, 20_000), Verdict::Reserved);
+    assert_eq!(own.reserve(now, 20_000, true), Verdict::Reserved);
 }
 
 #[test]
@@ -250,13 +255,13 @@
     let mut own = account("h-1", 10_000);
     run(&mut own, &mut table, Duration::ZERO, 1000);
     let now = Duration::from_secs(2);
-    assert_eq!(own.reserve(now, 20_000), Verdict::Wait, "the rows are old");
+    assert_eq!(own.reserve(now, 20_000, true), Verdict::Wait, "the rows are old");
     run(&mut own, &mut table, now, 3000);
-    assert_eq!(own.reserve(now, 20_000), Verdict::Exhausted);
+    assert_eq!(own.reserve(now, 20_000, true), Verdict::Exhausted);
     own.set_prepaid(40_000);
-    assert_eq!(own.reserve(now, 20_000), Verdict::Wait, "the amount was raised");
+    assert_eq!(own.reserve(now, 20_000, true), Verdict::Wait, "the amount was raised");
     run(&mut own, &mut table, now, 3000);
-    assert_eq!(own.reserve(now, 20_000), Verdict::Reserved);
+    assert_eq!(own.reserve(now, 20_000, true), Verdict::Reserved);
 }
 
 #[test]
@@ -265,7 +270,7 @@
     let mut own = account("h-1", 100_000);
     run(&mut own, &mut table, Duration::ZERO, 1000);
     own.set_prepaid(100);
-    assert_ne!(own.reserve(Duration::from_secs(9), 500), Verdict::Reserved);
+    assert_ne!(own.reserve(Duration::from_secs(9), 500, true), Verdict::Reserved);
 }
 
 #[test]
@@ -280,7 +285,7 @@
     assert!(own.is_closed());
     let mut next = account("h-2", 100_000);
     run(&mut next, &mut table, Duration::ZERO, 2100);
-    assert_eq!(next.reserve(Duration::from_secs(9), 30_000), Verdict::Reserved);
+    assert_eq!(next.reserve(Duration::from_secs(9), 30_000, true), Verdict::Reserved);
 }
 
 #[test]
@@ -301,12 +306,12 @@
     let mut own = account("h-1", 100_000);
     run(&mut own, &mut table, Duration::ZERO, 1000);
     let asked = 800 * MILLI;
-    assert_eq!(own.reserve(asked, 20_000), Verdict::Wait);
+    assert_eq!(own.reserve(asked, 20_000, true), Verdict::Wait);
     run(&mut own, &mut table, asked, 1800);
     assert!(own.available(asked) >= 20_000, "the burst covers the request");
     // The next write has a lesser burst; it is done, and its answer is lost.
     let now = Duration::from_secs(3);
-    let setting = Setting { hosts: 1, workspaces: 1, platform_ms: Some(4000) };
+    let setting = Setting { hosts: 1, workspaces: 1, writes_per_s: 240, platform_ms: Some(4000) };
     let txn = own.plan(now, setting).expect("a stake is written anew");
     table.commit(&txn);
     own.ended(now, Outcome::Unknown, Some(4000));
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -78,7 +78,7 @@
 }
 
 /// Prompt tokens read again by seven hosts that share twelve engines, and the greatest queue.
-fn play(pick: &mut dyn FnMut(&mut Fleet, Duration, &Prompt) -> (Arc<str>, u64)) -> (u64, u64) {
+fn play(mut pick: impl FnMut(&mut Fleet, Duration, &Prompt) -> (Arc<str>, u64)) -> (u64, u64) {
     let mut rng = StdRng::seed_from_u64(5);
     let mut hosts: Vec<Fleet> = (0..7).map(|seed| fleet(seed, engines())).collect();
     let mut held: HashMap<(Arc<str>, u64), Duration> = HashMap::new();
@@ -110,11 +110,10 @@
 
 #[test]
 fn sessions_with_long_shared_prompts_are_read_again_less_than_by_load_alone() {
-    let (homed, queue) = play(&mut |own, now, prompt| {
-        placed(own, now, &want(Some(prompt), &[])).expect("an engine")
-    });
+    let (homed, queue) =
+        play(|own, now, prompt| placed(own, now, &want(Some(prompt), &[])).expect("an engine"));
     let mut turn = 0;
-    let (spread, _) = play(&mut |_, _, _| {
+    let (spread, _) = play(|_, _, _| {
         turn += 1;
         (Arc::from(format!("e{}", turn % ENGINES)), 12_000)
     });
