--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -327,6 +327,16 @@
         (self.total(), self.reserved)
     }
 
+    /// Returns what the budget's row showed as granted to no host.
+    pub fn unspent(&self) -> u64 {
+        self.sums.remaining(self.prepaid)
+    }
+
+    /// Returns the age of what is known of the budget's row.
+    pub fn seen_age(&self, now: Duration) -> Option<Duration> {
+        self.seen.map(|seen| now.saturating_sub(seen))
+    }
+
     /// Takes the prepaid amount of the configuration in force.
     pub fn set_prepaid(&mut self, prepaid: u64) {
         if prepaid != self.prepaid {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Returns the age of its last report.
+    pub fn report_age(&self, now: Duration) -> Option<Duration> {
+        self.reported.map(|(_, at, _)| now.saturating_sub(at))
+    }
+
     /// Returns the tokens of a prompt that it isn't known to hold.
     pub fn unread(&self, now: Duration, prompt: &Prompt) -> u64 {
         let mut unread = prompt.input;
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -208,6 +208,33 @@
         }
     }
 
+    /// Writes the line that tells why a request gets no tokens.
+    pub fn log_refused(
+        &self,
+        now: Duration,
+        id: &str,
+        workspace: &str,
+        tokens: u64,
+        verdict: Verdict,
+    ) {
+        let accounts = self.accounts.borrow();
+        let account = accounts.get(workspace);
+        let (held, reserved) = account.map_or((0, 0), Account::balance);
+        tracing::info!(
+            event = "tokens_refused",
+            id,
+            workspace,
+            tokens,
+            verdict = ?verdict,
+            available = account.map(|account| account.available(now)),
+            held,
+            reserved,
+            unspent = account.map(Account::unspent),
+            seen_ms = account.and_then(|own| own.seen_age(now)).map(|age| age.as_millis() as u64),
+            reached = self.reached.get(),
+        );
+    }
+
     /// Gives tokens of a workspace up to another host, at most as many as it asks for.
     pub fn lend(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
         let mut accounts = self.accounts.borrow_mut();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,10 @@
 /// Time after which a caller comes back to a host that isn't ready or can't read the platform.
 const UNREADY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after which a caller comes back that no host can set tokens aside for while the platform is
+/// away; outages last some seconds.
+const AWAY_PAUSE: Duration = Duration::from_secs(3);
+
 /// Time after which a caller finds another host when this one leaves.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
 
@@ -258,10 +262,17 @@
         return Ok(None);
     }
     let until = deadline.min(Instant::now() + route.target * RESERVE_PERCENT / 100);
-    match Bank::reserve(node, &workspace.name, prompt.worst(), until).await {
-        Ok(reservation) => Ok(Some(reservation)),
-        Err(Verdict::Exhausted) => Err(Refusal::Exhausted),
-        Err(_) => Err(Refusal::NotRun(UNREADY_PAUSE)),
+    let tokens = prompt.worst();
+    let verdict = match Bank::reserve(node, &workspace.name, tokens, until).await {
+        Ok(reservation) => return Ok(Some(reservation)),
+        Err(verdict) => verdict,
+    };
+    node.bank.log_refused(node.now(), &call.id, &workspace.name, tokens, verdict);
+    match verdict {
+        Verdict::Exhausted => Err(Refusal::Exhausted),
+        // The other hosts were asked too, so that another one can't help sooner.
+        Verdict::Unavailable => Err(Refusal::NotRun(AWAY_PAUSE)),
+        Verdict::Wait | Verdict::Reserved => Err(Refusal::NotRun(UNREADY_PAUSE)),
     }
 }
 
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -80,9 +80,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            // Addresses and bounds hold for the life of a process; everything that changes while it
-            // runs comes from the platform.
-            _ = hangup.recv() => tracing::info!(event = "reload", changed = false),
+            _ = hangup.recv() => tracing::info!(event = "reload", in_force = "at the next start"),
         }
     }
     leave(&node, &*source).await;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, rngs::StdRng};
 
 use crate::{
-    backend::{Backend, Entry},
+    backend::{Backend, Entry, Load},
     request::Prompt,
 };
 
@@ -48,6 +48,9 @@
 /// Time to come back after where no backend server is known to work.
 const NOBODY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest time to come back after where all backend servers are busy.
+const PAUSE_LONGEST: Duration = Duration::from_secs(2);
+
 /// What a request needs.
 #[derive(Debug)]
 pub struct Want<'a> {
@@ -72,9 +75,31 @@
         to: Entry,
         /// Prompt tokens that it has to read.
         unread: u64,
+        /// What the choice went by.
+        ground: Ground,
+    },
+    /// Can't be served in time.
+    Refuse {
+        /// When to come back.
+        pause: Duration,
+        /// What the refusal went by, where any backend server could have been chosen.
+        ground: Option<Ground>,
     },
-    /// Can't be served in time; to come back after this pause.
-    Refuse(Duration),
+}
+
+/// What a choice went by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ground {
+    /// Backend servers that could be chosen.
+    pub candidates: usize,
+    /// Predicted time to the answer or the first event in milliseconds.
+    pub delay_ms: f64,
+    /// The part of it that comes from doubts whether the backend server works.
+    pub doubt_ms: f64,
+    /// Requests that run and wait there, as far as known.
+    pub load: Load,
+    /// Age of its last report.
+    pub report_age: Option<Duration>,
 }
 
 /// All backend servers.
@@ -151,16 +176,23 @@
                 best = Some((cost, unread, backend));
             }
         }
-        let Some((cost, unread, backend)) = best else {
-            return Verdict::Refuse(NOBODY_PAUSE);
+        let Some((delay_ms, unread, backend)) = best else {
+            return Verdict::Refuse { pause: NOBODY_PAUSE, ground: None };
+        };
+        let ground = Ground {
+            candidates: all.iter().filter(usable).count(),
+            delay_ms,
+            doubt_ms: doubt(now, backend),
+            load: backend.load(now),
+            report_age: backend.report_age(now),
         };
         // Doubts about a backend server are no proof that it would be late.
-        let certain = cost - doubt(now, backend);
-        if certain > want.left.as_secs_f64() * 1000.0 {
-            let pause = Duration::from_secs_f64((certain / 2000.0).min(2.0));
-            return Verdict::Refuse(pause);
+        let certain = Duration::from_secs_f64((delay_ms - ground.doubt_ms).max(0.0) / 1000.0);
+        if certain > want.left {
+            let pause = (certain / 2).min(PAUSE_LONGEST);
+            return Verdict::Refuse { pause, ground: Some(ground) };
         }
-        Verdict::Send { to: backend.entry.clone(), unread }
+        Verdict::Send { to: backend.entry.clone(), unread, ground }
     }
 }
 
--- a/crates/gateway/src/visit.rs
+++ b/crates/gateway/src/visit.rs
@@ -14,7 +14,7 @@
     ending::Ending,
     exchange::Job,
     node::Node,
-    place::{Verdict, Want},
+    place::{Ground, Verdict, Want},
     pool::{Fault, Link, Lost},
 };
 
@@ -100,8 +100,14 @@
             node.fleet.borrow_mut().place(now, &want)
         };
         let (to, unread) = match verdict {
-            Verdict::Send { to, unread } => (to, unread),
-            Verdict::Refuse(pause) => return Err(Closed::Refused(pause)),
+            Verdict::Send { to, unread, ground } => {
+                log_placed(job, Some(&to.id), unread, Some(ground));
+                (to, unread)
+            }
+            Verdict::Refuse { pause, ground } => {
+                log_placed(job, None, 0, ground);
+                return Err(Closed::Refused(pause));
+            }
         };
         // A stream that goes on elsewhere counts as sent again too.
         let repeat = job.course.borrow().is_repeat() || resume_after != job.call.resume_after;
@@ -308,6 +314,24 @@
     }
 }
 
+/// Writes the line that tells why a backend server was chosen, or none.
+fn log_placed(job: &Job, to: Option<&str>, unread: u64, ground: Option<Ground>) {
+    tracing::info!(
+        event = "placed",
+        id = %job.call.id,
+        service = %job.service.name,
+        backend = to,
+        unread,
+        candidates = ground.map_or(0, |ground| ground.candidates),
+        delay_ms = ground.map(|ground| ground.delay_ms as u64),
+        doubt_ms = ground.map(|ground| ground.doubt_ms as u64),
+        running = ground.map(|ground| ground.load.running),
+        waiting = ground.map(|ground| ground.load.waiting),
+        report_age_ms = ground.and_then(|g| g.report_age).map(|age| age.as_millis() as u64),
+        left_ms = job.left().as_millis() as u64,
+    );
+}
+
 fn unreached(node: &Node, job: &Job, id: &str, fault: &Fault) {
     tracing::info!(event = "backend_unreached", id = %job.call.id, backend = id, %fault);
     if let Some(backend) = node.fleet.borrow_mut().get_mut(id) {
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -40,8 +40,8 @@
 
 fn placed(fleet: &mut Fleet, now: Duration, want: &Want<'_>) -> Option<(Arc<str>, u64)> {
     match fleet.place(now, want) {
-        Verdict::Send { to, unread } => Some((to.id, unread)),
-        Verdict::Refuse(_) => None,
+        Verdict::Send { to, unread, .. } => Some((to.id, unread)),
+        Verdict::Refuse { .. } => None,
     }
 }
 
@@ -251,7 +251,7 @@
         }
     }
     let hopeless = Want { left: 500 * Duration::from_millis(1), ..want(Some(&prompt), &[]) };
-    assert!(matches!(own.place(SECOND, &hopeless), Verdict::Refuse(_)));
+    assert!(matches!(own.place(SECOND, &hopeless), Verdict::Refuse { .. }));
     assert!(placed(&mut own, SECOND, &want(Some(&prompt), &[])).is_some());
 }
 
