--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -141,9 +141,8 @@
     }
 
     /// Notes the end of a request.
-    pub fn end(&mut self, now: Duration, sign: Sign) {
+    pub fn end(&mut self) {
         self.running = self.running.saturating_sub(1);
-        self.learn(now, sign);
     }
 
     /// Takes what an attempt says about it.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -7,13 +7,17 @@
 //! more than reading the prompt again. This answers the load of many sessions with long shared
 //! prompts. For plain services the least loaded backend server wins, the own zone first.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use coordination::locate::spread;
 use rand::{RngExt, rngs::StdRng};
 
 use crate::{
-    backend::{Backend, Entry, Load},
+    backend::{Backend, Entry, Load, Sign},
     request::Prompt,
 };
 
@@ -39,6 +43,13 @@
 /// Delay in milliseconds that is expected where requests are under way and nothing is heard.
 const SILENT_MS: f64 = 3000.0;
 
+/// Time for which a zone is doubted after one of its backend servers could not be reached.
+const ZONE_DOUBT: Duration = Duration::from_millis(2500);
+
+/// Delay in milliseconds that is expected in a doubted zone; every attempt there costs the time of a
+/// connection that doesn't come about.
+const ZONE_DOUBT_MS: f64 = 1500.0;
+
 /// Delay in milliseconds that is expected where all slots are taken, and for each that waits.
 const FULL_MS: (f64, f64) = (300.0, 30.0);
 
@@ -102,17 +113,33 @@
     pub report_age: Option<Duration>,
 }
 
+/// Whether the backend servers of an availability zone are reached.
+#[derive(Debug, Default)]
+struct Zone {
+    heard: Duration,
+    unreached: Option<Duration>,
+}
+
+impl Zone {
+    /// Returns whether one of them could not be reached lately and none was heard since.
+    fn is_doubtful(&self, now: Duration) -> bool {
+        let lately = |at: Duration| now.saturating_sub(at) < ZONE_DOUBT && self.heard <= at;
+        self.unreached.is_some_and(lately)
+    }
+}
+
 /// All backend servers.
 #[derive(Debug)]
 pub struct Fleet {
     backends: BTreeMap<Arc<str>, Backend>,
+    zones: HashMap<Arc<str>, Zone>,
     rng: StdRng,
 }
 
 impl Fleet {
     /// Opens a fleet without backend servers.
     pub fn open(rng: StdRng) -> Self {
-        Self { backends: BTreeMap::new(), rng }
+        Self { backends: BTreeMap::new(), zones: HashMap::new(), rng }
     }
 
     /// Returns a backend server that is listed.
@@ -120,6 +147,36 @@
         self.backends.get_mut(id)
     }
 
+    /// Notes bytes from a backend server.
+    pub fn heard(&mut self, now: Duration, id: &str) {
+        let Some(backend) = self.backends.get_mut(id) else { return };
+        backend.heard(now);
+        match self.zones.get_mut(&backend.entry.zone) {
+            Some(zone) => zone.heard = now,
+            None => {
+                let zone = Zone { heard: now, unreached: None };
+                self.zones.insert(backend.entry.zone.clone(), zone);
+            }
+        }
+    }
+
+    /// Takes what an attempt says about a backend server, and about its zone.
+    pub fn learn(&mut self, now: Duration, id: &str, sign: Sign) {
+        let Some(backend) = self.backends.get_mut(id) else { return };
+        backend.learn(now, sign);
+        if sign == Sign::Unreached {
+            self.zones.entry(backend.entry.zone.clone()).or_default().unreached = Some(now);
+        }
+    }
+
+    /// Notes the end of a request at a backend server.
+    pub fn end(&mut self, now: Duration, id: &str, sign: Sign) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.end();
+        }
+        self.learn(now, id, sign);
+    }
+
     /// Returns the number of backend servers that take new work.
     pub fn open_count(&self) -> usize {
         self.backends.values().filter(|backend| !backend.entry.leaving).count()
@@ -131,7 +188,7 @@
     /// that the list lacks stay, as while the list is being filled again after an outage.
     pub fn replace(&mut self, list: Vec<Entry>, keep: bool) -> Vec<Arc<str>> {
         let mut changed = Vec::new();
-        let mut listed = std::collections::BTreeSet::new();
+        let mut listed = BTreeSet::new();
         for entry in list {
             listed.insert(entry.id.clone());
             match self.backends.get_mut(&entry.id) {
@@ -167,22 +224,25 @@
         let usable = |backend: &&&Backend| !backend.is_avoided(now);
         let home = all.iter().filter(usable).max_by_key(|backend| weight(backend));
         let home = home.filter(|_| session.is_some()).map(|backend| backend.hash);
-        let mut best: Option<(f64, u64, &Backend)> = None;
+        let mut best: Option<(f64, f64, u64, &Backend)> = None;
         for &backend in all.iter().filter(usable) {
             let unread = unread(now, backend, want.prompt, home);
             let jitter = self.rng.random_range(0.0..JITTER_MS);
-            let cost = delay(now, backend, want, unread) + jitter;
+            let zone = self.zones.get(&backend.entry.zone);
+            let cut = zone.is_some_and(|zone| zone.is_doubtful(now));
+            let doubt = doubt(now, backend) + if cut { ZONE_DOUBT_MS } else { 0.0 };
+            let cost = doubt + delay(backend.load(now), backend, want, unread) + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, unread, backend));
+                best = Some((cost, doubt, unread, backend));
             }
         }
-        let Some((delay_ms, unread, backend)) = best else {
+        let Some((delay_ms, doubt_ms, unread, backend)) = best else {
             return Verdict::Refuse { pause: NOBODY_PAUSE, ground: None };
         };
         let ground = Ground {
             candidates: all.iter().filter(usable).count(),
             delay_ms,
-            doubt_ms: doubt(now, backend),
+            doubt_ms,
             load: backend.load(now),
             report_age: backend.report_age(now),
         };
@@ -217,10 +277,9 @@
 }
 
 /// Returns the predicted time in milliseconds until a backend server answers.
-fn delay(now: Duration, backend: &Backend, want: &Want<'_>, unread: u64) -> f64 {
-    let load = backend.load(now);
+fn delay(load: Load, backend: &Backend, want: &Want<'_>, unread: u64) -> f64 {
     let slots = f64::from(backend.entry.slots.max(1));
-    let mut delay = doubt(now, backend);
+    let mut delay = 0.0;
     if *backend.entry.zone != *want.zone {
         delay += OTHER_ZONE_MS;
     }
--- a/crates/gateway/src/visit.rs
+++ b/crates/gateway/src/visit.rs
@@ -271,9 +271,7 @@
 
     /// Notes bytes of the answer.
     pub fn heard(&self) {
-        if let Some(backend) = self.node.fleet.borrow_mut().get_mut(&self.to.id) {
-            backend.heard(self.node.now());
-        }
+        self.node.fleet.borrow_mut().heard(self.node.now(), &self.to.id);
     }
 
     /// Notes the first event of a stream.
@@ -307,10 +305,7 @@
 impl Drop for Visit {
     fn drop(&mut self) {
         self.begun();
-        let now = self.node.now();
-        if let Some(backend) = self.node.fleet.borrow_mut().get_mut(&self.to.id) {
-            backend.end(now, self.sign);
-        }
+        self.node.fleet.borrow_mut().end(self.node.now(), &self.to.id, self.sign);
     }
 }
 
@@ -334,8 +329,6 @@
 
 fn unreached(node: &Node, job: &Job, id: &str, fault: &Fault) {
     tracing::info!(event = "backend_unreached", id = %job.call.id, backend = id, %fault);
-    if let Some(backend) = node.fleet.borrow_mut().get_mut(id) {
-        let sign = if matches!(fault, Fault::Full) { Sign::None } else { Sign::Unreached };
-        backend.learn(node.now(), sign);
-    }
+    let sign = if matches!(fault, Fault::Full) { Sign::None } else { Sign::Unreached };
+    node.fleet.borrow_mut().learn(node.now(), id, sign);
 }
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -94,8 +94,8 @@
         let backend = own.get_mut(&id).expect("listed");
         backend.begin(now, Some(&prompt), unread);
         backend.read(unread);
-        backend.heard(now);
-        backend.end(now, Sign::Sound);
+        own.heard(now, &id);
+        own.end(now, &id, Sign::Sound);
         let known = held.insert((id.clone(), number), now);
         let read = if known.is_some_and(|at| now - at < 12 * SECOND) { 6600 } else { 12_000 };
         again += if known.is_some() { read - 6600 } else { 0 };
@@ -145,9 +145,8 @@
         Case {
             name: "it can't be reached",
             disturb: |own, id| {
-                let backend = own.get_mut(id).expect("listed");
-                backend.begin(SECOND, None, 0);
-                backend.end(SECOND, Sign::Unreached);
+                own.get_mut(id).expect("listed").begin(SECOND, None, 0);
+                own.end(SECOND, id, Sign::Unreached);
             },
         },
         Case {
@@ -160,9 +159,8 @@
         Case {
             name: "it failed a request",
             disturb: |own, id| {
-                let backend = own.get_mut(id).expect("listed");
-                backend.begin(SECOND, None, 0);
-                backend.end(SECOND, Sign::Troubled);
+                own.get_mut(id).expect("listed").begin(SECOND, None, 0);
+                own.end(SECOND, id, Sign::Troubled);
             },
         },
         Case {
@@ -207,9 +205,8 @@
 #[test]
 fn trouble_is_forgotten_after_a_time() {
     let mut own = fleet(3, plain());
-    let backend = own.get_mut("p0").expect("listed");
-    backend.begin(SECOND, None, 0);
-    backend.end(SECOND, Sign::Unreached);
+    own.get_mut("p0").expect("listed").begin(SECOND, None, 0);
+    own.end(SECOND, "p0", Sign::Unreached);
     let (next, _) = placed(&mut own, 40 * SECOND, &want(None, &[])).expect("a backend server");
     assert_eq!(&*next, "p0");
 }
@@ -264,3 +261,23 @@
     let all: Vec<Arc<str>> = vec!["p0".into(), "p1".into(), "p2".into()];
     assert!(placed(&mut own, SECOND, &want(None, &all)).is_none());
 }
+
+#[test]
+fn one_backend_server_out_of_reach_puts_its_zone_in_doubt_until_another_is_heard() {
+    let in_zone = |own: &mut Fleet, zone: &str, now| {
+        let homes = (0..100).map(|number| {
+            let prompt = session(number);
+            placed(own, now, &want(Some(&prompt), &[])).expect("an engine").0
+        });
+        let homes: Vec<Arc<str>> = homes.collect();
+        let zone_of = |id: &Arc<str>| ["a", "b", "c"][id[1..].parse::<usize>().unwrap() % 3];
+        homes.iter().filter(|id| zone_of(id) == zone).count()
+    };
+    let mut own = fleet(1, engines());
+    assert!(in_zone(&mut own, "b", SECOND) > 10);
+    own.learn(SECOND, "e1", Sign::Unreached);
+    let soon = SECOND + Duration::from_millis(10);
+    assert_eq!(in_zone(&mut own, "b", soon), 0, "zone b may be cut off");
+    own.heard(soon, "e4");
+    assert!(in_zone(&mut own, "b", 2 * soon) > 5, "another engine there was heard");
+}
