--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -24,9 +24,15 @@
 /// Prompt tokens that a model engine reads in a millisecond; only ratios of times depend on it.
 const TOKENS_PER_MS: f64 = 50.0;
 
-/// How much dearer reading a shared part again is than the time it takes, since it delays all other
+/// Cost of reading a token beside the time that it takes, as a part of that time: it delays all other
 /// requests at the engine.
-const REREAD_WEIGHT: f64 = 2.0;
+const REREAD_COST: f64 = 1.5;
+
+/// Part of a route's target within which a delay costs little.
+const SLACK_PART: f64 = 0.4;
+
+/// Cost of a delay within that part.
+const SLACK_COST: f64 = 0.4;
 
 /// Delay in milliseconds that each request at a model engine adds to the tokens of the others.
 const ENGINE_SHARE_MS: f64 = 1.5;
@@ -73,6 +79,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Ids of backend servers that were tried.
     pub tried: &'a [Arc<str>],
+    /// Time within which an answer, or the first event, is wanted.
+    pub target: Duration,
     /// Time until the caller gives up.
     pub left: Duration,
 }
@@ -105,7 +113,7 @@
     pub candidates: usize,
     /// Predicted time to the answer or the first event in milliseconds.
     pub delay_ms: f64,
-    /// The part of it that comes from doubts whether the backend server works.
+    /// Further time in milliseconds that is expected from doubts whether the backend server works.
     pub doubt_ms: f64,
     /// Requests that run and wait there, as far as known.
     pub load: Load,
@@ -224,19 +232,21 @@
         let usable = |backend: &&&Backend| !backend.is_avoided(now);
         let home = all.iter().filter(usable).max_by_key(|backend| weight(backend));
         let home = home.filter(|_| session.is_some()).map(|backend| backend.hash);
-        let mut best: Option<(f64, f64, u64, &Backend)> = None;
+        let mut best: Option<(f64, f64, f64, u64, &Backend)> = None;
         for &backend in all.iter().filter(usable) {
             let unread = unread(now, backend, want.prompt, home);
             let jitter = self.rng.random_range(0.0..JITTER_MS);
             let zone = self.zones.get(&backend.entry.zone);
             let cut = zone.is_some_and(|zone| zone.is_doubtful(now));
             let doubt = doubt(now, backend) + if cut { ZONE_DOUBT_MS } else { 0.0 };
-            let cost = doubt + delay(backend.load(now), backend, want, unread) + jitter;
+            let delay = delay(backend.load(now), backend, want, unread);
+            let reread = unread as f64 / TOKENS_PER_MS * REREAD_COST;
+            let cost = doubt + cost(delay, want) + reread + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, doubt, unread, backend));
+                best = Some((cost, delay, doubt, unread, backend));
             }
         }
-        let Some((delay_ms, doubt_ms, unread, backend)) = best else {
+        let Some((_, delay_ms, doubt_ms, unread, backend)) = best else {
             return Verdict::Refuse { pause: NOBODY_PAUSE, ground: None };
         };
         let ground = Ground {
@@ -247,7 +257,7 @@
             report_age: backend.report_age(now),
         };
         // Doubts about a backend server are no proof that it would be late.
-        let certain = Duration::from_secs_f64((delay_ms - ground.doubt_ms).max(0.0) / 1000.0);
+        let certain = Duration::from_secs_f64(delay_ms / 1000.0);
         if certain > want.left {
             let pause = (certain / 2).min(PAUSE_LONGEST);
             return Verdict::Refuse { pause, ground: Some(ground) };
@@ -286,8 +296,7 @@
     let running = f64::from(load.running);
     match want.prompt {
         Some(_) => {
-            delay += backend.reading() as f64 / TOKENS_PER_MS;
-            delay += unread as f64 / TOKENS_PER_MS * REREAD_WEIGHT;
+            delay += (backend.reading() + unread) as f64 / TOKENS_PER_MS;
             delay += running * ENGINE_SHARE_MS;
         }
         None => delay += running / slots * PLAIN_MS,
@@ -297,3 +306,9 @@
     }
     delay
 }
+
+/// Returns what a delay costs, in milliseconds: little while the answer is well within the target.
+fn cost(delay: f64, want: &Want<'_>) -> f64 {
+    let slack = want.target.as_secs_f64() * 1000.0 * SLACK_PART;
+    SLACK_COST * delay.min(slack) + (delay - slack).max(0.0)
+}
--- a/crates/gateway/src/visit.rs
+++ b/crates/gateway/src/visit.rs
@@ -95,6 +95,7 @@
                 zone: &node.settings.zone,
                 prompt: job.call.prompt.as_ref(),
                 tried: &tried,
+                target: job.route.target,
                 left: job.left(),
             };
             node.fleet.borrow_mut().place(now, &want)
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -35,7 +35,7 @@
 }
 
 fn want<'a>(prompt: Option<&'a Prompt>, tried: &'a [Arc<str>]) -> Want<'a> {
-    Want { service: "s", zone: "a", prompt, tried, left: 15 * SECOND }
+    Want { service: "s", zone: "a", prompt, tried, target: SECOND, left: 15 * SECOND }
 }
 
 fn placed(fleet: &mut Fleet, now: Duration, want: &Want<'_>) -> Option<(Arc<str>, u64)> {
