--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -86,6 +86,9 @@
 /// Time after which an answer of the budget's row is no proof any more of what is left.
 const PROOF_AGE: Duration = Duration::from_millis(500);
 
+/// Time of use that a host keeps when it gives tokens back for another one.
+const CALLED_IN_KEEP: Duration = Duration::from_secs(1);
+
 /// Part of the prepaid amount below which hosts give back what they don't need, in percent.
 const SCARCE_PERCENT: u64 = 10;
 
@@ -143,7 +146,7 @@
 pub enum Urgency {
     /// The last one met a conflict, and the rows that came back are the newest.
     Conflict,
-    /// A request waits.
+    /// A request waits, here or at another host.
     Wanted,
     /// Nothing waits.
     None,
@@ -285,6 +288,8 @@
     slow_rate: Rate,
     /// Size of a request, averaged.
     typical: f64,
+    /// Another host lacks tokens.
+    called_in: bool,
     /// The last transaction met a conflict.
     held_back: bool,
     closing: bool,
@@ -317,6 +322,7 @@
             slow_rate: Rate::over(SLOW_RATE_WINDOW),
             typical: 0.0,
             holder,
+            called_in: false,
             held_back: false,
             closing: false,
         }
@@ -347,7 +353,7 @@
 
     /// Returns how much a transaction would help.
     pub fn urgency(&self) -> Urgency {
-        match (self.held_back, self.wanted > 0) {
+        match (self.held_back, self.wanted > 0 || self.called_in) {
             (true, _) => Urgency::Conflict,
             (false, true) => Urgency::Wanted,
             (false, false) => Urgency::None,
@@ -416,6 +422,23 @@
         tokens
     }
 
+    /// Gives back to the budget what is not needed soon, as another host lacks tokens; returns how
+    /// much that is.
+    pub fn call_in(&mut self, now: Duration) -> u64 {
+        let spare = self.total().saturating_sub(self.needed_soon(now));
+        self.called_in = spare > 0;
+        spare
+    }
+
+    fn needed_soon(&self, now: Duration) -> u64 {
+        (self.rate.at(now) * CALLED_IN_KEEP.as_secs_f64()) as u64
+    }
+
+    /// Forgets that the budget's row was seen, as after other hosts gave tokens back to it.
+    pub fn look_again(&mut self) {
+        self.seen = None;
+    }
+
     /// Takes tokens that another host gave up.
     pub fn borrowed(&mut self, tokens: u64) {
         self.loose += tokens;
@@ -471,7 +494,8 @@
     /// Returns the transaction to run now.
     pub fn plan(&mut self, now: Duration, setting: Setting) -> Option<Txn> {
         // A request that waits hurries what is due, but not what follows a conflict or a failure.
-        let hurried = self.wanted > 0 && self.pending.is_none() && !self.held_back;
+        let hurried =
+            (self.wanted > 0 || self.called_in) && self.pending.is_none() && !self.held_back;
         if self.under_way || (now < self.next && !hurried) {
             return None;
         }
@@ -486,13 +510,17 @@
         let remaining = self.sums.remaining(self.prepaid);
         let total = self.total();
         let missing = wanted.saturating_sub(total);
-        let low = total < target / 2 + target / 4;
+        let low = !self.called_in && total < target / 2 + target / 4;
         if !self.known || missing > 0 || (low && remaining > 0) {
             // What waits comes first; where it doesn't fit, the rows that come back prove it.
             let ahead = target.saturating_sub(total);
             let granting = if missing > remaining { 0 } else { missing.max(ahead).min(remaining) };
             return Some(self.start(now, setting, granting, 0, wanted));
         }
+        if std::mem::take(&mut self.called_in) && wanted == 0 {
+            let spare = total.saturating_sub(self.needed_soon(now));
+            return Some(self.start(now, setting, 0, spare, 0));
+        }
         let spare = total.saturating_sub(target);
         let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
         let surplus = spare > 2 * target || (scarce && spare > target / 4);
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -12,7 +12,7 @@
 use tokio::{
     sync::Notify,
     task::spawn_local,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use wire::lend::Lent;
@@ -28,6 +28,12 @@
 /// Time between two looks at all accounts where no request waits.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Times that other hosts are asked for one request.
+const ROUNDS: u32 = 3;
+
+/// Time in which other hosts give tokens back to a budget: a transaction that meets a conflict.
+const RETURN_TIME: Duration = Duration::from_millis(40);
+
 /// Part of the platform's writes that all hosts together make for budgets, in percent.
 const WRITES_PERCENT: u64 = 40;
 
@@ -160,7 +166,7 @@
         tokens: u64,
         until: Instant,
     ) -> Result<Reservation, Verdict> {
-        let mut asked = false;
+        let mut rounds = 0;
         let mut proved = false;
         loop {
             let ended = node.bank.ended.notified();
@@ -183,9 +189,16 @@
                     node.bank.due.notify_one();
                     timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
                 }
-                Verdict::Exhausted | Verdict::Unavailable if !asked => {
-                    asked = true;
-                    proved = Peers::borrow(node, workspace, tokens).await;
+                Verdict::Exhausted | Verdict::Unavailable if rounds < ROUNDS => {
+                    rounds += 1;
+                    let others = Peers::borrow(node, workspace, tokens).await;
+                    proved = others.answered;
+                    if others.returning == 0 {
+                        rounds = ROUNDS;
+                    } else {
+                        node.bank.look_again(workspace);
+                        sleep(RETURN_TIME).await;
+                    }
                 }
                 // What a host that didn't answer holds may still cover the request.
                 Verdict::Exhausted if !proved => return Err(Verdict::Unavailable),
@@ -201,6 +214,12 @@
         tokens.saturating_sub(available)
     }
 
+    fn look_again(&self, workspace: &str) {
+        if let Some(account) = self.accounts.borrow_mut().get_mut(workspace) {
+            account.look_again();
+        }
+    }
+
     /// Takes tokens that another host gave up.
     pub fn borrowed(&self, workspace: &str, tokens: u64) {
         if let Some(account) = self.accounts.borrow_mut().get_mut(workspace) {
@@ -239,9 +258,16 @@
     pub fn lend(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
         let mut accounts = self.accounts.borrow_mut();
         let Some(account) = accounts.get_mut(workspace) else {
-            return Lent { tokens: 0, left: 0 };
+            return Lent { tokens: 0, left: 0, returning: 0 };
         };
-        Lent { tokens: account.lend(now, tokens), left: account.available(now) }
+        let lent = account.lend(now, tokens);
+        let left = account.available(now);
+        let short = lent < tokens && self.reached.get();
+        let returning = if short { account.call_in(now) } else { 0 };
+        if returning > 0 {
+            self.due.notify_one();
+        }
+        Lent { tokens: lent, left, returning }
     }
 
     /// Runs the transactions of all accounts for ever.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -35,7 +35,7 @@
 const ASK: Duration = Duration::from_millis(80);
 
 /// Most hosts that are asked for one request.
-const ASKED: usize = 5;
+const ASKED: usize = 8;
 
 /// Time for which a host that didn't answer isn't asked.
 const AVOID: Duration = Duration::from_secs(2);
@@ -65,6 +65,15 @@
     left: HashMap<Arc<str>, (u64, Instant)>,
 }
 
+/// What other hosts answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Others {
+    /// All that were asked answered.
+    pub answered: bool,
+    /// Tokens that they give back to the budget.
+    pub returning: u64,
+}
+
 /// All other hosts.
 #[derive(Debug)]
 pub struct Peers {
@@ -96,31 +105,32 @@
         }
     }
 
-    /// Asks other hosts for what a request lacks here, those first that had most; returns whether
-    /// all that were asked answered.
-    pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) -> bool {
-        let mut answered_all = true;
+    /// Asks other hosts for what a request lacks here, those first that had most.
+    pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) -> Others {
+        let mut others = Others { answered: true, returning: 0 };
         for peer in node.peers.ranked(workspace).into_iter().take(ASKED) {
             let missing = node.bank.missing(node.now(), workspace, tokens);
             if missing == 0 {
-                return true;
+                return others;
             }
             let ask = Ask { workspace: workspace.clone(), tokens: missing };
             let answered = timeout(ASK, exchange(&peer, &ask)).await;
             let mut peer = peer.borrow_mut();
-            answered_all &= matches!(answered, Ok(Ok(_)));
+            others.answered &= matches!(answered, Ok(Ok(_)));
             match answered {
                 Ok(Ok(lent)) => {
                     peer.left.insert(workspace.clone(), (lent.left, Instant::now()));
                     node.bank.borrowed(workspace, lent.tokens);
+                    others.returning += lent.returning;
                     tracing::info!(event = "tokens_borrowed", %workspace, missing,
-                        tokens = lent.tokens, from = %peer.card.address, left = lent.left);
+                        tokens = lent.tokens, from = %peer.card.address, left = lent.left,
+                        returning = lent.returning);
                 }
                 Ok(Err(error)) => peer.avoid(&error),
                 Err(_) => peer.avoid(&"no answer"),
             }
         }
-        answered_all
+        others
     }
 
     /// Returns the hosts that can be asked, those first that had most; of which nothing is known
@@ -135,9 +145,7 @@
             }
             let hint = known.left.get(workspace).filter(|(_, at)| now - *at < HINT_AGE);
             let left = hint.map_or(u64::MAX, |(left, _)| *left);
-            if left > 0 {
-                ranked.push((left, peer.clone()));
-            }
+            ranked.push((left, peer.clone()));
         }
         ranked.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
         ranked.into_iter().map(|(_, peer)| peer).collect()
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -278,8 +278,9 @@
   2: required i64 tokens
 }
 
-// Tokens that the other host gave, and what it could still give.
+// Tokens that the other host gave, what it could still give, and what it gives back to the budget.
 struct Lent {
   1: required i64 tokens
   2: required i64 left
+  3: required i64 returning
 }
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -3553,13 +3553,15 @@
 pub struct Lent {
   pub tokens: i64,
   pub left: i64,
+  pub returning: i64,
 }
 
 impl Lent {
-  pub fn new(tokens: i64, left: i64) -> Lent {
+  pub fn new(tokens: i64, left: i64, returning: i64) -> Lent {
     Lent {
       tokens,
       left,
+      returning,
     }
   }
 }
@@ -3569,6 +3571,7 @@
     i_prot.read_struct_begin()?;
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3584,6 +3587,10 @@
           let val = i_prot.read_i64()?;
           f_2 = Some(val);
         },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3593,9 +3600,11 @@
     i_prot.read_struct_end()?;
     verify_required_field_exists("Lent.tokens", &f_1)?;
     verify_required_field_exists("Lent.left", &f_2)?;
+    verify_required_field_exists("Lent.returning", &f_3)?;
     let ret = Lent {
       tokens: f_1.expect("auto-generated code should have checked for presence of required fields"),
       left: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      returning: f_3.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -3608,6 +3617,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("left", TType::I64, 2))?;
     o_prot.write_i64(self.left)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("returning", TType::I64, 3))?;
+    o_prot.write_i64(self.returning)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/wire/src/lend.rs
+++ b/crates/wire/src/lend.rs
@@ -22,6 +22,8 @@
     pub tokens: u64,
     /// Tokens that the other host could still give.
     pub left: u64,
+    /// Tokens that it may not use yet and gives back to the budget.
+    pub returning: u64,
 }
 
 impl Ask {
@@ -52,7 +54,8 @@
     ///
     /// Fails where it has no form on the wire.
     pub fn encode(&self) -> thrift::Result<Vec<u8>> {
-        encode(&laburnum::Lent::new(self.tokens as i64, self.left as i64))
+        let returning = self.returning as i64;
+        encode(&laburnum::Lent::new(self.tokens as i64, self.left as i64, returning))
     }
 
     /// Reads an answer.
@@ -62,7 +65,11 @@
     /// Fails where the bytes are no answer.
     pub fn decode(bytes: &[u8]) -> thrift::Result<Self> {
         let lent: laburnum::Lent = decode(bytes)?;
-        Ok(Self { tokens: lent.tokens as u64, left: lent.left as u64 })
+        Ok(Self {
+            tokens: lent.tokens as u64,
+            left: lent.left as u64,
+            returning: lent.returning as u64,
+        })
     }
 }
 
