--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -50,15 +50,21 @@
 
     /// Takes one repeat out, as one of so many hosts; returns false where none is left.
     pub fn spend(&mut self, now: Duration, hosts: u64) -> bool {
+        let left = self.room(now, hosts) > 0.0;
+        if left {
+            self.slice(now).repeats += 1;
+        }
+        left
+    }
+
+    /// Returns the part of the repeats that is left, from 0 to 1, as one of so many hosts.
+    pub fn room(&mut self, now: Duration, hosts: u64) -> f64 {
         self.slice(now);
         let requests: u64 = self.slices.iter().map(|slice| slice.requests).sum();
         let repeats: u64 = self.slices.iter().map(|slice| slice.repeats).sum();
         let whole = self.bound.slack * 1000 / hosts.max(1) + self.bound.ratio_milli * requests;
-        if (repeats + 1) * 1000 > whole * USED_PERCENT / 100 {
-            return false;
-        }
-        self.slice(now).repeats += 1;
-        true
+        let most = whole * USED_PERCENT / 100 / 1000;
+        if repeats >= most { 0.0 } else { (most - repeats) as f64 / most as f64 }
     }
 
     /// Returns the slice of now, after those outside the window are dropped.
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -92,6 +92,11 @@
 }
 
 impl Reservation {
+    /// Returns what the request has used.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+
     /// Notes what the request has used in all.
     pub fn set_used(&mut self, used: u64) {
         self.used = used;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,11 @@
 //! Carries one request from its head to the head of its answer.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use coordination::locate::hash;
@@ -77,6 +82,10 @@
     pub course: RefCell<Course>,
     /// Ids of backend servers that it was sent to.
     pub tried: RefCell<Vec<Arc<str>>>,
+    /// Tokens that are set aside for it.
+    pub reservation: RefCell<Option<Reservation>>,
+    /// Its end has been logged.
+    pub logged: Cell<bool>,
 }
 
 impl Job {
@@ -91,8 +100,26 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Notes what the request has used in all: its prompt and so many tokens of the answer.
+    pub fn set_used(&self, output: u64) {
+        let Some(prompt) = &self.call.prompt else { return };
+        if let Some(reservation) = &mut *self.reservation.borrow_mut() {
+            reservation.set_used(prompt.input + output.min(prompt.output));
+        }
+    }
+
+    /// Notes that the request has used nothing, since it did not run.
+    fn set_unused(&self) {
+        if let Some(reservation) = &mut *self.reservation.borrow_mut() {
+            reservation.set_used(0);
+        }
+    }
+
     /// Writes the line that tells how the request ended.
     pub fn log(&self, outcome: &str, status: u16, events: u64) {
+        if self.logged.replace(true) {
+            return;
+        }
         let tried = self.tried.borrow();
         let age = self.arrived.elapsed();
         self.node.metrics.ended(outcome, &self.route.name, age);
@@ -107,6 +134,7 @@
             backend = tried.last().map(|id| &**id),
             sends = tried.len(),
             events,
+            tokens = self.reservation.borrow().as_ref().map(Reservation::used),
             ms = age.as_millis() as u64,
             left_ms = self.left().as_millis() as u64,
             config = self.version,
@@ -114,6 +142,12 @@
     }
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.log("caller_left", 0, 0);
+    }
+}
+
 /// Counts a request as under way until it is dropped.
 #[derive(Debug)]
 pub struct Active(Rc<Node>);
@@ -158,7 +192,7 @@
 ) -> Response<Body> {
     let id = call.id.clone();
     match admit(node, head, body, &call).await {
-        Ok((job, reservation)) => run(job, reservation, active).await,
+        Ok(job) => run(job, active).await,
         Err(refusal) => {
             node.metrics.refused(refusal.word());
             tracing::info!(
@@ -180,7 +214,7 @@
     head: request::Parts,
     body: Incoming,
     call: &Call,
-) -> Result<(Job, Option<Reservation>), Refusal> {
+) -> Result<Job, Refusal> {
     let arrived = Instant::now();
     let catalog = node.catalog().ok_or(Refusal::NotRun(UNREADY_PAUSE))?;
     let (route, workspace) = find(node, &catalog, &head, call)?;
@@ -217,8 +251,10 @@
         version: catalog.version(),
         course: RefCell::new(course),
         tried: RefCell::default(),
+        reservation: RefCell::new(reservation),
+        logged: Cell::new(false),
     };
-    Ok((job, reservation))
+    Ok(job)
 }
 
 /// Finds the route and the workspace of a request.
@@ -277,8 +313,8 @@
 }
 
 /// Sends a request until it is answered, and passes the answer on.
-async fn run(job: Job, mut reservation: Option<Reservation>, active: Active) -> Response<Body> {
-    let answered = match timeout_at(job.deadline, attempt(&job, &mut reservation)).await {
+async fn run(job: Job, active: Active) -> Response<Body> {
+    let answered = match timeout_at(job.deadline, attempt(&job)).await {
         Ok(answered) => answered,
         Err(_) => match job.course.borrow().outcome() {
             Outcome::NotRun => Err(Refusal::Slow),
@@ -293,7 +329,7 @@
             response
         }
         Ok(Answer::Passing { head, visit, start }) => {
-            let relay = Relay::open(job, reservation, *visit, active);
+            let relay = Relay::open(job, *visit, active);
             let body = Body::Passing(Box::pin(relay.pass(start)));
             let mut response = Response::from_parts(head, body);
             strip(&mut response);
@@ -307,14 +343,12 @@
 }
 
 /// Sends a request to one backend server after the other, as far as that is allowed.
-async fn attempt(job: &Job, reservation: &mut Option<Reservation>) -> Result<Answer, Refusal> {
+async fn attempt(job: &Job) -> Result<Answer, Refusal> {
     let mut pause = UNREADY_PAUSE;
     loop {
         let ending = match Visit::open(job, job.call.resume_after).await {
             Ok(mut visit) => {
-                if let (Some(reservation), Some(prompt)) = (&mut *reservation, &job.call.prompt) {
-                    reservation.set_used(prompt.input);
-                }
+                job.set_used(0);
                 match visit.ask(job, job.call.resume_after).await {
                     Ok(head) => match settle(job, visit, head).await {
                         Ok(answer) => return Ok(answer),
@@ -330,10 +364,8 @@
             Err(Closed::Unreached) => Ending::NotSent,
         };
         let again = job.course.borrow_mut().ended(ending);
-        if let (Some(reservation), Outcome::NotRun) =
-            (&mut *reservation, job.course.borrow().outcome())
-        {
-            reservation.set_used(0);
+        if job.course.borrow().outcome() == Outcome::NotRun {
+            job.set_unused();
         }
         tracing::info!(
             event = "send_ended",
@@ -365,12 +397,12 @@
         return Err(Ending::Failed);
     }
     let mut collected = BytesMut::new();
-    let patience = visit.patience(job);
+    let backend = visit.backend().clone();
     loop {
-        let frame = match timeout(patience, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => break,
-            Ok(Some(Err(_))) | Err(_) => {
+        let frame = match Visit::wait(job, &backend, None, body.frame()).await {
+            Some(Some(Ok(frame))) => frame,
+            Some(None) => break,
+            Some(Some(Err(_))) | None => {
                 visit.trouble();
                 return Err(Ending::Unknown);
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,10 +6,8 @@
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::{
-    bank::Reservation,
     body::Broken,
     catalog::Repeat,
     ending::Ending,
@@ -18,12 +16,13 @@
     visit::{Closed, Visit},
 };
 
-/// Longest wait for bytes before the deadline and the backend server are looked at again.
-const LOOK: Duration = Duration::from_millis(300);
-
 /// Pause of one stream, in percent of the longest pause wanted, after which it goes on elsewhere.
 const GAP_PERCENT: u32 = 250;
 
+/// Wait for the first event after the head, in percent of the target, after which it is asked for
+/// elsewhere.
+const FIRST_PERCENT: u32 = 300;
+
 /// Longest pause wanted where the route names none.
 const GAP: Duration = Duration::from_millis(500);
 
@@ -41,7 +40,6 @@
 #[derive(Debug)]
 pub struct Relay {
     job: Job,
-    reservation: Option<Reservation>,
     visit: Option<Visit>,
     splitter: Splitter,
     events: u64,
@@ -51,17 +49,9 @@
 
 impl Relay {
     /// Opens a relay of an answer whose head has come.
-    pub fn open(job: Job, reservation: Option<Reservation>, visit: Visit, active: Active) -> Self {
+    pub fn open(job: Job, visit: Visit, active: Active) -> Self {
         let splitter = Splitter::after(job.call.resume_after);
-        Self {
-            job,
-            reservation,
-            visit: Some(visit),
-            splitter,
-            events: 0,
-            ended: false,
-            _active: active,
-        }
+        Self { job, visit: Some(visit), splitter, events: 0, ended: false, _active: active }
     }
 
     /// Returns the pieces of the answer; `start` has come with its head.
@@ -104,40 +94,30 @@
     /// Reads the next bytes of the answer.
     async fn read(&mut self) -> Next {
         let gap = self.job.route.gap.unwrap_or(GAP) * GAP_PERCENT / 100;
-        let first = self.job.route.target.max(gap);
-        let patience = if self.events == 0 { first } else { gap };
-        let mut waited = Duration::ZERO;
-        let can_move = self.can_resume();
+        let first = self.job.route.target * FIRST_PERCENT / 100;
+        let patience = if self.events == 0 { first.max(gap) } else { gap };
+        let patience = if self.can_resume() { patience } else { Duration::MAX };
         let Some(visit) = &mut self.visit else { return Next::Broken("broken_off") };
-        loop {
-            let Some(body) = visit.body() else { return Next::Broken("broken_off") };
-            match timeout(LOOK.min(self.job.left()), body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    visit.heard();
-                    let Ok(bytes) = frame.into_data() else { continue };
-                    return self.take(bytes);
-                }
-                Ok(Some(Err(_))) => {
-                    visit.trouble();
-                    return Next::Broken("broken_off");
-                }
-                Ok(None) if !self.job.route.streamed || self.splitter.is_between() => {
-                    visit.finish(false);
-                    return Next::End;
-                }
-                Ok(None) => {
-                    visit.trouble();
-                    return Next::Broken("broken_off");
-                }
-                Err(_) if self.job.left().is_zero() => return Next::Broken("late"),
-                Err(_) => {
-                    waited += LOOK;
-                    let hopeless = waited >= patience || visit.is_silent();
-                    if can_move && waited > LOOK && hopeless {
-                        visit.trouble();
-                        return Next::Broken("silent");
-                    }
-                }
+        let backend = visit.backend().clone();
+        let Some(body) = visit.body() else { return Next::Broken("broken_off") };
+        let frame = Visit::wait(&self.job, &backend, Some(patience), body.frame()).await;
+        match frame {
+            Some(Some(Ok(frame))) => {
+                visit.heard();
+                self.take(frame.into_data().unwrap_or_default())
+            }
+            Some(None) if !self.job.route.streamed || self.splitter.is_between() => {
+                visit.finish(false);
+                Next::End
+            }
+            Some(None | Some(Err(_))) => {
+                visit.trouble();
+                Next::Broken("broken_off")
+            }
+            None if self.job.left().is_zero() => Next::Broken("late"),
+            None => {
+                visit.trouble();
+                Next::Broken("silent")
             }
         }
     }
@@ -154,11 +134,9 @@
             visit.begun();
         }
         self.events += whole.count;
-        if let (Some(reservation), Some(prompt)) = (&mut self.reservation, &self.job.call.prompt) {
-            let engine = self.job.service.engine;
-            let tokens = engine.map_or(EVENT_TOKENS, |engine| engine.event_tokens);
-            reservation.set_used(prompt.input + (self.events * tokens).min(prompt.output));
-        }
+        let engine = self.job.service.engine;
+        let tokens = engine.map_or(EVENT_TOKENS, |engine| engine.event_tokens);
+        self.job.set_used(self.events * tokens);
         Next::Bytes(whole.bytes)
     }
 
--- a/crates/gateway/src/visit.rs
+++ b/crates/gateway/src/visit.rs
@@ -1,11 +1,11 @@
 //! One send of a request to one backend server.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, Uri, body::Incoming, http::response};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     backend::{Entry, Sign},
@@ -30,12 +30,20 @@
 /// Pause after which a caller comes back when no repeat is left.
 const REPEAT_PAUSE: Duration = Duration::from_millis(300);
 
-/// Wait for a stream's first event before it is asked for elsewhere, in percent of the target.
-const STREAM_PATIENCE_PERCENT: u32 = 150;
+/// Wait for a stream's first event from a backend server that others hear of, before it is asked for
+/// elsewhere, in percent of the target. Shorter waits would move requests between busy engines.
+const STREAM_PATIENCE_PERCENT: u32 = 300;
 
 /// Wait for a plain answer before it is asked for elsewhere, in percent of the target.
 const PLAIN_PATIENCE_PERCENT: u32 = 70;
 
+/// Part of the allowed repeats that is kept for sends that have failed; a send that is only slow is
+/// given up while more is left.
+const ROOM_KEPT: f64 = 0.5;
+
+/// Time between two looks whether a send is to be given up.
+const LOOK: Duration = Duration::from_millis(300);
+
 /// Head and body of an answer.
 #[derive(Debug)]
 pub enum Answer {
@@ -140,16 +148,49 @@
     }
 
     /// Returns how long to wait for an answer before it is asked for elsewhere.
-    pub fn patience(&self, job: &Job) -> Duration {
-        if !job.course.borrow().can_repeat() {
-            return job.left();
-        }
+    fn patience(job: &Job) -> Duration {
         let percent = match job.route.repeat {
             Repeat::Idempotent => PLAIN_PATIENCE_PERCENT,
             Repeat::Resumable => STREAM_PATIENCE_PERCENT,
-            Repeat::Never => return job.left(),
+            Repeat::Never => return Duration::MAX,
         };
-        (job.route.target * percent / 100).min(job.left())
+        job.route.target * percent / 100
+    }
+
+    /// Returns whether a send that has brought nothing for so long is given up for another one.
+    ///
+    /// A send is never given up where no other may follow.
+    fn is_hopeless(job: &Job, backend: &str, waited: Duration, patience: Duration) -> bool {
+        if !job.course.borrow().can_repeat() {
+            return false;
+        }
+        let node = &job.node;
+        let now = node.now();
+        let room = node.allowance(&job.service.name, |own| own.room(now, node.hosts()));
+        let silent = node.fleet.borrow_mut().get_mut(backend).is_none_or(|own| own.is_silent(now));
+        (silent && room > 0.0) || (waited >= patience && room > ROOM_KEPT)
+    }
+
+    /// Waits for a part of the answer; `None` where the send is given up.
+    pub async fn wait<T>(
+        job: &Job,
+        backend: &str,
+        patience: Option<Duration>,
+        part: impl Future<Output = T>,
+    ) -> Option<T> {
+        let patience = patience.unwrap_or_else(|| Self::patience(job));
+        let look = LOOK.min(patience);
+        let started = Instant::now();
+        let mut part = pin!(part);
+        loop {
+            if let Ok(part) = timeout(look, &mut part).await {
+                return Some(part);
+            }
+            if job.left().is_zero() || Self::is_hopeless(job, backend, started.elapsed(), patience)
+            {
+                return None;
+            }
+        }
     }
 
     /// Sends the request and returns the head of its answer.
@@ -163,19 +204,19 @@
         resume_after: Option<u64>,
     ) -> Result<Response<Incoming>, Ending> {
         job.course.borrow_mut().sent();
-        let patience = self.patience(job);
-        let response = match timeout(patience, self.send(job, resume_after)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(Lost::Unsent)) => {
+        let backend = self.to.id.clone();
+        let response = match Self::wait(job, &backend, None, self.send(job, resume_after)).await {
+            Some(Ok(response)) => response,
+            Some(Err(Lost::Unsent)) => {
                 self.sign = Sign::Unreached;
                 return Err(Ending::NotSent);
             }
-            Ok(Err(Lost::Broken(error))) => {
+            Some(Err(Lost::Broken(error))) => {
                 tracing::info!(event = "send_broken", id = %job.call.id, backend = %self.to.id, %error);
                 self.sign = Sign::Troubled;
                 return Err(Ending::Unknown);
             }
-            Err(_) => {
+            None => {
                 self.sign = Sign::Troubled;
                 return Err(Ending::Unknown);
             }
@@ -283,12 +324,6 @@
         }
     }
 
-    /// Returns whether nothing comes from the backend server on any connection.
-    pub fn is_silent(&self) -> bool {
-        let now = self.node.now();
-        self.node.fleet.borrow_mut().get_mut(&self.to.id).is_none_or(|own| own.is_silent(now))
-    }
-
     /// Notes that the backend server failed, broke off or stayed silent.
     pub fn trouble(&mut self) {
         self.sign = Sign::Troubled;
