--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -219,6 +219,16 @@
         changed
     }
 
+    /// Returns whether a service has a backend server that wasn't tried and can be reached.
+    pub fn has_other(&self, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
+        self.backends.values().any(|backend| {
+            *backend.entry.service == *service
+                && !backend.entry.leaving
+                && !backend.is_avoided(now)
+                && !tried.contains(&backend.entry.id)
+        })
+    }
+
     /// Chooses a backend server, or refuses.
     pub fn place(&mut self, now: Duration, want: &Want<'_>) -> Verdict {
         let fits = |backend: &&Backend| {
--- a/crates/gateway/src/visit.rs
+++ b/crates/gateway/src/visit.rs
@@ -166,6 +166,9 @@
         }
         let node = &job.node;
         let now = node.now();
+        if !node.fleet.borrow().has_other(now, &job.service.name, &job.tried.borrow()) {
+            return false;
+        }
         let room = node.allowance(&job.service.name, |own| own.room(now, node.hosts()));
         let silent = node.fleet.borrow_mut().get_mut(backend).is_none_or(|own| own.is_silent(now));
         (silent && room > 0.0) || (waited >= patience && room > ROOM_KEPT)
