--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -92,6 +92,12 @@
 /// Part of the prepaid amount below which hosts give back what they don't need, in percent.
 const SCARCE_PERCENT: u64 = 10;
 
+/// Part of the prepaid amount from which hosts keep as much ahead as an outage may need, in percent.
+const PLENTY_PERCENT: u64 = 25;
+
+/// Time of use at the recent rate that a host keeps ahead while little is left.
+const SCARCE_AHEAD: Duration = Duration::from_secs(12);
+
 /// Prefix of the rows of stakes.
 const STAKE_PREFIX: &str = "stake/";
 
@@ -481,8 +487,11 @@
         if self.closing || self.is_overdrawn() {
             return 0;
         }
-        let by_rate = (self.slow_rate.at(now) * AHEAD.as_secs_f64()) as u64;
-        let floor = self.floor(hosts) * FLOOR_AHEAD.as_secs();
+        // While little is left, it goes to the hosts that use it.
+        let plenty = self.plenty();
+        let ahead = SCARCE_AHEAD.as_secs_f64() * (1.0 - plenty) + AHEAD.as_secs_f64() * plenty;
+        let by_rate = (self.slow_rate.at(now) * ahead) as u64;
+        let floor = (self.floor(hosts) as f64 * FLOOR_AHEAD.as_secs_f64() * plenty) as u64;
         let unspent = self.sums.remaining(self.prepaid) + self.total();
         let most = unspent / 100 * AHEAD_PERCENT;
         // A workspace's callers may come to few of the hosts.
@@ -491,6 +500,14 @@
         by_rate.max(floor).min((by_use as u64).max(most / hosts))
     }
 
+    /// Returns 0 while what no host holds is scarce, 1 while there is plenty, and in between what
+    /// lies between.
+    fn plenty(&self) -> f64 {
+        let percent = self.unspent() as f64 * 100.0 / (self.prepaid as f64).max(1.0);
+        let (scarce, plenty) = (SCARCE_PERCENT as f64, PLENTY_PERCENT as f64);
+        ((percent - scarce) / (plenty - scarce)).clamp(0.0, 1.0)
+    }
+
     /// Returns the transaction to run now.
     pub fn plan(&mut self, now: Duration, setting: Setting) -> Option<Txn> {
         // A request that waits hurries what is due, but not what follows a conflict or a failure.
