--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -92,6 +92,12 @@
 /// Part of the prepaid amount below which hosts give back what they don't need, in percent.
 const SCARCE_PERCENT: u64 = 10;
 
+/// Hosts from which a budget's row is read before it is changed, since others change it all the time.
+const READ_FIRST_HOSTS: u64 = 16;
+
+/// Age of what is known of a budget's row up to which it is changed without reading it again.
+const FRESH: Duration = Duration::from_millis(60);
+
 /// Part of the prepaid amount from which hosts keep as much ahead as an outage may need, in percent.
 const PLENTY_PERCENT: u64 = 25;
 
@@ -147,11 +153,20 @@
     Unavailable,
 }
 
+/// What an account does with the platform's table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Reads rows.
+    Read(Vec<Arc<str>>),
+    /// Commits a transaction.
+    Commit(Txn),
+}
+
 /// How much a transaction would help, the most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
-    /// The last one met a conflict, and the rows that came back are the newest.
-    Conflict,
+    /// The rows were just read, so that a transaction may succeed now.
+    Fresh,
     /// A request waits, here or at another host.
     Wanted,
     /// Nothing waits.
@@ -296,8 +311,8 @@
     typical: f64,
     /// Another host lacks tokens.
     called_in: bool,
-    /// The last transaction met a conflict.
-    held_back: bool,
+    /// The rows have just been read, by themselves or after a conflict.
+    is_fresh: bool,
     closing: bool,
 }
 
@@ -329,7 +344,7 @@
             typical: 0.0,
             holder,
             called_in: false,
-            held_back: false,
+            is_fresh: false,
             closing: false,
         }
     }
@@ -359,8 +374,8 @@
 
     /// Returns how much a transaction would help.
     pub fn urgency(&self) -> Urgency {
-        match (self.held_back, self.wanted > 0 || self.called_in) {
-            (true, _) => Urgency::Conflict,
+        match (self.is_fresh, self.wanted > 0 || self.called_in) {
+            (true, _) => Urgency::Fresh,
             (false, true) => Urgency::Wanted,
             (false, false) => Urgency::None,
         }
@@ -508,47 +523,64 @@
         ((percent - scarce) / (plenty - scarce)).clamp(0.0, 1.0)
     }
 
-    /// Returns the transaction to run now.
-    pub fn plan(&mut self, now: Duration, setting: Setting) -> Option<Txn> {
+    /// Returns what to do with the platform's table now.
+    pub fn plan(&mut self, now: Duration, setting: Setting) -> Option<Step> {
         // A request that waits hurries what is due, but not what follows a conflict or a failure.
         let hurried =
-            (self.wanted > 0 || self.called_in) && self.pending.is_none() && !self.held_back;
+            (self.wanted > 0 || self.called_in) && self.pending.is_none() && !self.is_fresh;
         if self.under_way || (now < self.next && !hurried) {
             return None;
         }
-        self.held_back = false;
+        self.is_fresh = false;
         if let Some(pending) = &self.pending {
             self.under_way = true;
-            return Some(pending.txn.clone());
+            return Some(Step::Commit(pending.txn.clone()));
+        }
+        let step = self.choose(now, setting);
+        self.under_way = step.is_some();
+        if step.is_none() {
+            self.next = now + IDLE_PAUSE;
         }
+        step
+    }
+
+    fn choose(&mut self, now: Duration, setting: Setting) -> Option<Step> {
         let hosts = setting.hosts.max(1);
         let target = self.target(now, hosts);
-        let wanted = std::mem::take(&mut self.wanted);
-        let remaining = self.sums.remaining(self.prepaid);
+        let wanted = self.wanted;
+        let remaining = self.unspent();
         let total = self.total();
         let missing = wanted.saturating_sub(total);
-        let low = !self.called_in && total < target / 2 + target / 4;
-        if !self.known || missing > 0 || (low && remaining > 0) {
-            // What waits comes first; where it doesn't fit, the rows that come back prove it.
-            let ahead = target.saturating_sub(total);
-            let granting = if missing > remaining { 0 } else { missing.max(ahead).min(remaining) };
-            return Some(self.start(now, setting, granting, 0, wanted));
-        }
-        if std::mem::take(&mut self.called_in) && wanted == 0 {
-            let spare = total.saturating_sub(self.needed_soon(now));
-            return Some(self.start(now, setting, 0, spare, 0));
-        }
+        let low = !self.called_in && total < target / 2 + target / 4 && remaining > 0;
+        let grant = !self.known || missing > 0 || low;
         let spare = total.saturating_sub(target);
         let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
         let surplus = spare > 2 * target || (scarce && spare > target / 4);
-        if wanted == 0 && spare > 0 && (self.closing || surplus) {
-            return Some(self.start(now, setting, 0, spare, 0));
-        }
-        if wanted > 0 || self.limit.is_none_or(|limit| limit.is_due(now, &setting)) {
-            return Some(self.start(now, setting, 0, 0, wanted));
+        let give_back = self.called_in || (spare > 0 && (self.closing || surplus));
+        let give_back = give_back && wanted == 0;
+        let stale = hosts >= READ_FIRST_HOSTS
+            && self.seen.is_none_or(|seen| now.saturating_sub(seen) >= FRESH);
+        if (grant || give_back) && (!self.known || stale) {
+            let stake = (!self.known).then(|| self.stake_row.key.clone());
+            let keys = stake.into_iter().chain([self.sums_row.key.clone()]);
+            return Some(Step::Read(keys.collect()));
         }
-        self.next = now + IDLE_PAUSE;
-        None
+        self.wanted = 0;
+        let called_in = std::mem::take(&mut self.called_in);
+        let (granting, returning) = if grant {
+            // What waits comes first; where it doesn't fit, the rows that come back prove it.
+            let ahead = target.saturating_sub(total);
+            (if missing > remaining { 0 } else { missing.max(ahead).min(remaining) }, 0)
+        } else if give_back && called_in {
+            (0, total.saturating_sub(self.needed_soon(now)))
+        } else if give_back {
+            (0, spare)
+        } else if wanted > 0 || self.limit.is_none_or(|limit| limit.is_due(now, &setting)) {
+            (0, 0)
+        } else {
+            return None;
+        };
+        Some(Step::Commit(self.start(now, setting, granting, returning, wanted)))
     }
 
     fn start(
@@ -599,7 +631,6 @@
         };
         let pending = Pending { txn: txn.clone(), sums, stake, limit, granting, returning };
         self.pending = Some(pending);
-        self.under_way = true;
         txn
     }
 
@@ -643,33 +674,60 @@
     fn resolve(&mut self, now: Duration, pending: Pending, rows: &[Row], platform_ms: Option<u64>) {
         // At once, while the rows that came back are still the newest.
         self.next = now;
-        self.held_back = true;
+        self.is_fresh = true;
+        if let Some(pending) = self.observe(now, Some(pending), rows, platform_ms) {
+            self.pending = Some(pending);
+            self.next = now + RETRY_PAUSE;
+        }
+    }
+
+    /// Takes the outcome of a reading of the rows.
+    pub fn looked(&mut self, now: Duration, outcome: &Outcome, platform_ms: Option<u64>) {
+        self.under_way = false;
+        self.failed = !matches!(outcome, Outcome::Rows(_));
+        self.next = now + RETRY_PAUSE;
+        if let Outcome::Rows(rows) = outcome {
+            self.next = now;
+            self.is_fresh = true;
+            self.observe(now, None, rows, platform_ms);
+        }
+    }
+
+    /// Takes the rows as they stand; gives a transaction back whose outcome they don't tell.
+    fn observe(
+        &mut self,
+        now: Duration,
+        pending: Option<Pending>,
+        rows: &[Row],
+        platform_ms: Option<u64>,
+    ) -> Option<Pending> {
         let sums_row = rows.iter().find(|row| row.key == self.sums_row.key);
         let stake_row = rows.iter().find(|row| row.key == self.stake_row.key);
         let sums = sums_row.map(parse::<Escrow>).transpose();
         let stake = stake_row.map(parse::<Stake>).transpose();
         let (sums, stake) = match (sums, stake) {
-            (Ok(sums), Ok(Some(stake))) => (sums, stake.unwrap_or_default()),
+            (Ok(sums), Ok(stake)) => (sums, stake),
             (sums, stake) => {
                 let faults = [sums.err(), stake.err()].into_iter().flatten();
                 let fault: Vec<_> = faults.map(|fault| fault.to_string()).collect();
                 tracing::error!(event = "budget_unreadable", workspace = %self.workspace, ?fault);
-                self.pending = Some(pending);
-                self.next = now + RETRY_PAUSE;
-                return;
+                return pending;
             }
         };
-        let own = stake.holder == self.holder;
-        if own && stake.number == pending.stake.number {
-            self.adopt(pending);
-        } else {
-            self.held += pending.returning;
-        }
-        if !own {
-            self.inherit(&stake, platform_ms);
-        }
-        self.known = true;
-        if let Some(row) = stake_row {
+        if let (Some(row), Some(stake)) = (stake_row, stake) {
+            let stake = stake.unwrap_or_default();
+            let own = stake.holder == self.holder;
+            match pending {
+                Some(pending) if own && stake.number == pending.stake.number => {
+                    self.adopt(pending);
+                }
+                Some(pending) => self.held += pending.returning,
+                None => {}
+            }
+            if !own {
+                self.inherit(&stake, platform_ms);
+            }
+            self.known = true;
             self.stake_row.revision = row.revision;
         }
         if let (Some(row), Some(sums)) = (sums_row, sums) {
@@ -677,6 +735,7 @@
             self.sums = sums.unwrap_or_default();
             self.seen = Some(now);
         }
+        None
     }
 
     /// Takes over what the former process of this host left.
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -18,7 +18,7 @@
 use wire::lend::Lent;
 
 use crate::{
-    account::{Account, Setting, Urgency, Verdict},
+    account::{Account, Setting, Step, Urgency, Verdict},
     catalog::Catalog,
     dialect::Source,
     node::Node,
@@ -35,7 +35,7 @@
 const RETURN_TIME: Duration = Duration::from_millis(40);
 
 /// Part of the platform's writes that all hosts together make for budgets, in percent.
-const WRITES_PERCENT: u64 = 40;
+const WRITES_PERCENT: u64 = 50;
 
 /// Seconds of its part of the writes that a host saves up.
 const SAVED_S: f64 = 1.5;
@@ -47,18 +47,26 @@
 #[derive(Debug, Default)]
 struct Writes {
     saved: f64,
+    most: f64,
     at: Duration,
 }
 
 impl Writes {
     fn refill(&mut self, now: Duration, per_s: f64) {
         let earned = now.saturating_sub(self.at).as_secs_f64() * per_s;
-        self.saved = (self.saved + earned).min((per_s * SAVED_S).max(SAVED_LEAST));
+        self.most = (per_s * SAVED_S).max(SAVED_LEAST);
+        self.saved = (self.saved + earned).min(self.most);
         self.at = now;
     }
 
-    fn is_open(&self) -> bool {
-        self.saved >= 1.0
+    /// Returns whether a transaction may be made; half of what can be saved up is kept for requests
+    /// that wait, which may also spend ahead.
+    fn is_open(&self, urgency: Urgency) -> bool {
+        match urgency {
+            Urgency::Fresh => true,
+            Urgency::Wanted => self.saved > -self.most,
+            Urgency::None => self.saved >= self.most / 2.0,
+        }
     }
 
     fn take(&mut self) {
@@ -304,26 +312,35 @@
         let mut order: Vec<_> = accounts.iter_mut().collect();
         order.sort_by_key(|(_, account)| account.urgency());
         for (workspace, account) in order {
-            if !writes.is_open() && account.urgency() != Urgency::Conflict {
+            if !writes.is_open(account.urgency()) {
                 break;
             }
-            if let Some(txn) = account.plan(now, setting) {
+            let Some(step) = account.plan(now, setting) else { continue };
+            if matches!(step, Step::Commit(_)) {
                 writes.take();
-                due.push((workspace.clone(), txn));
             }
+            due.push((workspace.clone(), step));
         }
         drop(writes);
         drop(accounts);
-        for (workspace, txn) in due {
+        for (workspace, step) in due {
             let (node, source) = (node.clone(), source.clone());
             spawn_local(async move {
-                let outcome = source.table(&Op::Commit(txn)).await;
+                let (op, reading) = match step {
+                    Step::Read(keys) => (Op::Read(keys), true),
+                    Step::Commit(txn) => (Op::Commit(txn), false),
+                };
+                let outcome = source.table(&op).await;
                 let now = node.now();
                 if matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
                     node.bank.set_reached(false);
                 }
                 if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
-                    account.ended(now, outcome, source.clock_ms());
+                    if reading {
+                        account.looked(now, &outcome, source.clock_ms());
+                    } else {
+                        account.ended(now, outcome, source.clock_ms());
+                    }
                 }
                 node.bank.ended.notify_waiters();
                 node.bank.due.notify_one();
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use coordination::table::{Outcome, Row, Txn};
-use gateway::account::{Account, Setting, Stake, Verdict};
+use gateway::account::{Account, Setting, Stake, Step, Verdict};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 use test_case::test_case;
 
@@ -18,14 +18,19 @@
 }
 
 impl Table {
-    fn commit(&mut self, txn: &Txn) -> Outcome {
-        let stands = |key: &Arc<str>| match self.rows.get(key) {
+    fn read(&self, keys: &[Arc<str>]) -> Outcome {
+        let row = |key: &Arc<str>| match self.rows.get(key) {
             Some((value, revision)) => {
                 Row { key: key.clone(), value: Some(value.clone()), revision: *revision }
             }
             None => Row { key: key.clone(), value: None, revision: 0 },
         };
-        let rows: Vec<Row> = txn.checks.iter().map(|check| stands(&check.key)).collect();
+        Outcome::Rows(keys.iter().map(row).collect())
+    }
+
+    fn commit(&mut self, txn: &Txn) -> Outcome {
+        let keys: Vec<Arc<str>> = txn.checks.iter().map(|check| check.key.clone()).collect();
+        let Outcome::Rows(rows) = self.read(&keys) else { unreachable!("a table can be read") };
         if rows.iter().zip(&txn.checks).any(|(row, check)| row.revision != check.revision) {
             return Outcome::Conflict(rows);
         }
@@ -59,6 +64,8 @@
     used: u64,
     /// Transactions whose answer was lost and that may be done later.
     late: Vec<Txn>,
+    /// Further hosts that the processes know of.
+    more_hosts: u64,
 }
 
 impl World {
@@ -72,6 +79,7 @@
             prepaid,
             used: 0,
             late: Vec::new(),
+            more_hosts: if seed.is_multiple_of(3) { 20 } else { 0 },
         };
         for host in 0..hosts {
             let process = world.start(host);
@@ -93,14 +101,22 @@
     }
 
     fn setting(&self) -> Setting {
-        let hosts = self.processes.len() as u64;
+        let hosts = self.processes.len() as u64 + self.more_hosts;
         Setting { hosts, workspaces: 1, writes_per_s: 240, platform_ms: Some(self.now_ms) }
     }
 
     /// Runs the transaction that is due at a host; `reach` tells whether the table is reached.
     fn transact(&mut self, host: usize, reach: bool) {
         let (now, setting) = (self.now(host), self.setting());
-        let Some(txn) = self.processes[host].account.plan(now, setting) else { return };
+        let txn = match self.processes[host].account.plan(now, setting) {
+            None => return,
+            Some(Step::Commit(txn)) => txn,
+            Some(Step::Read(keys)) => {
+                let rows = if reach { self.table.read(&keys) } else { Outcome::Unavailable };
+                self.processes[host].account.looked(now, &rows, Some(self.now_ms));
+                return;
+            }
+        };
         let outcome = if !reach {
             Outcome::Unavailable
         } else {
@@ -215,9 +231,11 @@
     // Conflicts are followed by short pauses.
     for step in 0..50 {
         let now = now + step * MILLI;
-        while let Some(txn) = account.plan(now, setting) {
-            let outcome = table.commit(&txn);
-            account.ended(now, outcome, Some(platform_ms));
+        while let Some(step) = account.plan(now, setting) {
+            match step {
+                Step::Read(keys) => account.looked(now, &table.read(&keys), Some(platform_ms)),
+                Step::Commit(txn) => account.ended(now, table.commit(&txn), Some(platform_ms)),
+            }
         }
     }
 }
@@ -312,7 +330,9 @@
     // The next write has a lesser burst; it is done, and its answer is lost.
     let now = Duration::from_secs(3);
     let setting = Setting { hosts: 1, workspaces: 1, writes_per_s: 240, platform_ms: Some(4000) };
-    let txn = own.plan(now, setting).expect("a stake is written anew");
+    let Some(Step::Commit(txn)) = own.plan(now, setting) else {
+        panic!("a stake is written anew");
+    };
     table.commit(&txn);
     own.ended(now, Outcome::Unknown, Some(4000));
     let (written, _) = &table.rows["stake/w/h"];
