--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -15,13 +15,19 @@
 //! sent again unchanged: it then commits, or the row that comes back tells whether it had been
 //! committed before. Until that is known, the process keeps to the old bound and the new one.
 
+mod rate;
+mod setting;
+mod stake;
+
 use std::{sync::Arc, time::Duration};
 
 use coordination::{
     escrow::{Escrow, escrow_key, parse},
     table::{Outcome, Row, Txn},
 };
-use serde::{Deserialize, Serialize};
+
+use self::{rate::Rate, stake::Limit};
+pub use self::{setting::Setting, stake::Stake};
 
 /// Time of use at the recent rate that a host keeps ahead; covers an outage of the platform in which
 /// much more is used.
@@ -47,9 +53,6 @@
 /// that died needs to start again.
 const RESTART: Duration = Duration::from_millis(2400);
 
-/// Time without use after which a stake is written as idle.
-const IDLE_AFTER: Duration = Duration::from_millis(1500);
-
 /// Part of the expected use in a second that an idle stake allows.
 const IDLE_PART: u64 = 8;
 
@@ -68,18 +71,6 @@
 /// Least time between two looks at an account for which no request waits.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Least time after which a used stake is written anew.
-const REPORT: Duration = Duration::from_millis(600);
-
-/// Least time after which an idle stake is written anew.
-const IDLE_REPORT: Duration = Duration::from_millis(2500);
-
-/// Part of the fleet's writes that renew stakes, in percent.
-const REPORTS_PERCENT: u64 = 50;
-
-/// Part of those writes that renew stakes in use, where not all can be renewed in time, in percent.
-const USED_PERCENT: u32 = 40;
-
 /// Weight of the newest request in the typical size of one.
 const TYPICAL_WEIGHT: f64 = 0.2;
 
@@ -107,39 +98,6 @@
 /// Prefix of the rows of stakes.
 const STAKE_PREFIX: &str = "stake/";
 
-/// Tokens that a process may use, as it wrote them last.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Stake {
-    /// The process.
-    pub holder: Arc<str>,
-    /// Number of its transactions.
-    pub number: u64,
-    /// Tokens that no request had set aside.
-    pub tokens: u64,
-    /// Tokens that it uses at once.
-    pub burst: u64,
-    /// Tokens that it uses in each second beside the burst.
-    pub rate: u64,
-    /// The platform's clock in milliseconds, at the latest when the row was written.
-    pub written_ms: u64,
-    /// Time in milliseconds after which it may use all tokens.
-    pub unlock_ms: u64,
-}
-
-impl Stake {
-    /// Returns what a dead process certainly left, at a time of the platform's clock that is not
-    /// before its death.
-    pub fn left(&self, now_ms: u64) -> u64 {
-        let elapsed = now_ms.saturating_sub(self.written_ms);
-        if elapsed >= self.unlock_ms {
-            return 0;
-        }
-        let used = self.burst.saturating_add(self.rate.saturating_mul(elapsed).div_ceil(1000));
-        self.tokens.saturating_sub(used)
-    }
-}
-
 /// Answer to a wish for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -173,64 +131,6 @@
     None,
 }
 
-/// Bound that a written stake puts on use.
-#[derive(Debug, Clone, Copy)]
-struct Limit {
-    /// Tokens set aside since.
-    used: u64,
-    burst: u64,
-    rate: u64,
-    unlock: Duration,
-    since: Duration,
-    idle: bool,
-}
-
-impl Limit {
-    /// Returns whether the stake is to be written anew.
-    fn is_due(&self, now: Duration, setting: &Setting) -> bool {
-        let age = now.saturating_sub(self.since);
-        match (self.used > 0, self.idle) {
-            (true, _) => age >= setting.report(),
-            (false, true) => age >= setting.idle_report(),
-            (false, false) => age >= IDLE_AFTER,
-        }
-    }
-
-    /// Returns the tokens that may be used now.
-    fn left(&self, now: Duration) -> u64 {
-        let elapsed = now.saturating_sub(self.since);
-        if elapsed >= self.unlock {
-            return u64::MAX;
-        }
-        let grown = self.rate.saturating_mul(elapsed.as_millis() as u64) / 1000;
-        (self.burst + grown).saturating_sub(self.used)
-    }
-}
-
-/// Tokens used in each second, averaged with weights that fall over a window.
-#[derive(Debug)]
-struct Rate {
-    window: f64,
-    value: f64,
-    at: Duration,
-}
-
-impl Rate {
-    fn over(window: Duration) -> Self {
-        Self { window: window.as_secs_f64(), value: 0.0, at: Duration::ZERO }
-    }
-
-    fn add(&mut self, now: Duration, tokens: u64) {
-        self.value = self.at(now) + tokens as f64 / self.window;
-        self.at = now;
-    }
-
-    fn at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.value * (-age / self.window).exp()
-    }
-}
-
 /// A transaction whose outcome isn't known.
 #[derive(Debug, Clone)]
 struct Pending {
@@ -242,38 +142,6 @@
     returning: u64,
 }
 
-impl Setting {
-    /// Returns how long all stakes of the fleet take to be written anew.
-    fn cycle(&self) -> Duration {
-        let stakes = self.hosts.max(1) * self.workspaces.max(1);
-        let writes = (self.writes_per_s * REPORTS_PERCENT / 100).max(1);
-        Duration::from_millis(stakes * 1000 / writes)
-    }
-
-    /// Returns the time after which a stake in use is written anew.
-    fn report(&self) -> Duration {
-        REPORT.max(self.cycle() * USED_PERCENT / 100)
-    }
-
-    /// Returns the time after which an idle stake is written anew.
-    fn idle_report(&self) -> Duration {
-        IDLE_REPORT.max(self.cycle())
-    }
-}
-
-/// Surroundings in which an account plans.
-#[derive(Debug, Clone, Copy)]
-pub struct Setting {
-    /// Hosts that share the budgets.
-    pub hosts: u64,
-    /// Workspaces with budgets.
-    pub workspaces: u64,
-    /// Writes in a second that all hosts together make for budgets.
-    pub writes_per_s: u64,
-    /// The platform's clock; it may be later already.
-    pub platform_ms: Option<u64>,
-}
-
 /// Prepaid tokens of one workspace at this host.
 #[derive(Debug)]
 pub struct Account {
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -35,7 +35,7 @@
 const RETURN_TIME: Duration = Duration::from_millis(40);
 
 /// Part of the platform's writes that all hosts together make for budgets, in percent.
-const WRITES_PERCENT: u64 = 50;
+const WRITES_PERCENT: u64 = 80;
 
 /// Seconds of its part of the writes that a host saves up.
 const SAVED_S: f64 = 1.5;
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -73,13 +73,9 @@
     }
 }
 
-/// What a model engine can take.
+/// How a model engine answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Engine {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens of prompts and answers that fit into its memory.
-    pub memory: u64,
     /// Most output tokens in one event of a stream.
     pub event_tokens: u64,
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -2,8 +2,10 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use eyre::WrapErr as _;
-use hyper::{server::conn::http1, service::service_fn};
+use http_body_util::Full;
+use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -47,6 +49,13 @@
     }
 }
 
+/// Returns an answer with a status and a body.
+pub fn plain(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
 /// Serves callers for ever.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
     loop {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -236,8 +236,7 @@
     let deadline = arrived + wait;
     node.allowance(&service.name, |allowance| allowance.request(node.now()));
     let reservation = reserve(node, call, &route, workspace.as_deref(), deadline).await?;
-    let sends = if route.streamed && !route.repeat.allowed() { 1 } else { route.attempts };
-    let course = Course::open(route.repeat.allowed(), sends, CONNECTS);
+    let course = Course::open(route.repeat.allowed(), route.attempts, CONNECTS);
     let job = Job {
         node: node.clone(),
         head,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -29,7 +29,10 @@
 };
 use wire::lend::{Ask, Lent};
 
-use crate::{edge::accept, node::Node};
+use crate::{
+    edge::{accept, plain},
+    node::Node,
+};
 
 /// Longest time for one host to answer.
 const ASK: Duration = Duration::from_millis(80);
@@ -238,9 +241,3 @@
         }
     }
 }
-
-fn plain(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -9,7 +9,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, task::spawn_local};
 
-use crate::{edge::accept, node::Node};
+use crate::{
+    edge::{accept, plain},
+    node::Node,
+};
 
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
@@ -43,7 +46,5 @@
     } else {
         (StatusCode::SERVICE_UNAVAILABLE, String::new())
     };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    response
+    plain(status, Bytes::from(text))
 }
