--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,7 +14,8 @@
     Request, Response,
     body::Incoming,
     header::{
-        CONNECTION, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_LENGTH, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
     },
     http::request,
 };
@@ -327,7 +328,11 @@
             strip(&mut response);
             response
         }
-        Ok(Answer::Passing { head, visit, start }) => {
+        Ok(Answer::Passing { mut head, visit, start }) => {
+            if job.route.streamed {
+                // The rest may come from another backend server.
+                head.headers.remove(CONTENT_LENGTH);
+            }
             let relay = Relay::open(job, *visit, active);
             let body = Body::Passing(Box::pin(relay.pass(start)));
             let mut response = Response::from_parts(head, body);
