--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,7 +5,12 @@
 //! lost loses tokens and never doubles them.
 
 use std::{
-    cell::RefCell, collections::HashMap, convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc,
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -40,6 +45,10 @@
 /// Most hosts that are asked for one request.
 const ASKED: usize = 8;
 
+/// Requests for which other hosts are asked at the same time; more would only add to what delays
+/// the answers.
+const ASKING: usize = 4;
+
 /// Time for which a host that didn't answer isn't asked.
 const AVOID: Duration = Duration::from_secs(2);
 
@@ -81,13 +90,15 @@
 #[derive(Debug)]
 pub struct Peers {
     own: Card,
+    /// Requests for which other hosts are being asked.
+    asking: Cell<usize>,
     others: RefCell<Vec<Rc<RefCell<Peer>>>>,
 }
 
 impl Peers {
     /// Opens an empty list of a process with this card.
     pub fn open(own: Card) -> Self {
-        Self { own, others: RefCell::default() }
+        Self { own, asking: Cell::new(0), others: RefCell::default() }
     }
 
     /// Returns the card of this process.
@@ -110,6 +121,9 @@
 
     /// Asks other hosts for what a request lacks here, those first that had most.
     pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) -> Others {
+        let Some(_asking) = Asking::open(&node.peers.asking) else {
+            return Others { answered: false, returning: 0 };
+        };
         let mut others = Others { answered: true, returning: 0 };
         for peer in node.peers.ranked(workspace).into_iter().take(ASKED) {
             let missing = node.bank.missing(node.now(), workspace, tokens);
@@ -155,6 +169,26 @@
     }
 }
 
+/// Counts a request for which other hosts are asked until it is dropped.
+struct Asking<'a>(&'a Cell<usize>);
+
+impl<'a> Asking<'a> {
+    /// Returns `None` where as many are under way as may be.
+    fn open(asking: &'a Cell<usize>) -> Option<Self> {
+        if asking.get() >= ASKING {
+            return None;
+        }
+        asking.set(asking.get() + 1);
+        Some(Self(asking))
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Peer {
     fn avoid(&mut self, error: &impl ToString) {
         tracing::info!(event = "host_unreached", peer = %self.card.address, error = error.to_string());
--- a/crates/gateway/src/visit.rs
+++ b/crates/gateway/src/visit.rs
@@ -21,6 +21,12 @@
 /// Part of a backend server's connections that all hosts together open, in percent.
 const CONNECTIONS_PERCENT: usize = 80;
 
+/// How many times its equal part a host may open, since few hosts are busy at the same time.
+const CONNECTIONS_BUSY: usize = 3;
+
+/// Hosts up to which each keeps to its equal part, since all may be busy at the same time.
+const CONNECTIONS_EQUAL_HOSTS: usize = 16;
+
 /// Fewest connections that a host may open to a backend server.
 const CONNECTIONS_LEAST: usize = 2;
 
@@ -127,7 +133,8 @@
         job.tried.borrow_mut().push(to.id.clone());
         let hosts = usize::try_from(node.hosts()).unwrap_or(usize::MAX);
         let most = job.service.connections * CONNECTIONS_PERCENT / 100 / hosts;
-        let most = most.max(CONNECTIONS_LEAST);
+        let busy = if hosts > CONNECTIONS_EQUAL_HOSTS { CONNECTIONS_BUSY } else { 1 };
+        let most = (most * busy).max(CONNECTIONS_LEAST);
         let recent = if job.route.repeat.allowed() { Duration::MAX } else { RECENT };
         let link = match node.pool.link(&to, most, recent).await {
             Ok(link) => link,
