Let one host in each zone keep a workspace's tokens and lend them for each request

A kill of all processes stranded 21.6 of 110 million tokens, 10.5 of them in stakes that no write had renewed for 8 s; a tenth of the requests was refused while other hosts held enough; 73,000 transactions in 60 s, half of them conflicts. Ruled out: use beyond the budget (used, granted and held add up). Now a rendezvous hash names one host in each zone, which keeps the zone's tokens ahead; the others ask it for what one request lacks, and it gets them whole from the budget or from the other zones' hosts. A late answer is taken all the same. Hosts count as gone only by time in which their rows could be read.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -49,6 +49,9 @@
 /// Time of use at the bound that makes a burst.
 const BURST: Duration = Duration::from_millis(600);
 
+/// Requests of typical size that a burst covers at the least.
+const BURST_REQUESTS: u64 = 2;
+
 /// Time beyond the last write of a stake after which all of it may be used; longer than a process
 /// that died needs to start again.
 const RESTART: Duration = Duration::from_millis(2400);
@@ -83,8 +86,9 @@
 /// Part of the prepaid amount below which hosts give back what they don't need, in percent.
 const SCARCE_PERCENT: u64 = 10;
 
-/// Hosts from which a budget's row is read before it is changed, since others change it all the time.
-const READ_FIRST_HOSTS: u64 = 16;
+/// Hosts keeping tokens from which a budget's row is read before it is changed, since others change it
+/// all the time.
+const READ_FIRST_KEEPERS: u64 = 16;
 
 /// Age of what is known of a budget's row up to which it is changed without reading it again.
 const FRESH: Duration = Duration::from_millis(60);
@@ -95,6 +99,9 @@
 /// Time of use at the recent rate that a host keeps ahead while little is left.
 const SCARCE_AHEAD: Duration = Duration::from_secs(12);
 
+/// Requests of typical size whose tokens a host that keeps none ahead doesn't give back.
+const LEFTOVER_REQUESTS: u64 = 4;
+
 /// Prefix of the rows of stakes.
 const STAKE_PREFIX: &str = "stake/";
 
@@ -165,8 +172,10 @@
     used: u64,
     /// Bound by the row that stands; nothing may be used before there is one.
     limit: Option<Limit>,
-    /// Tokens that requests wait for.
+    /// Most tokens that a request waits for.
     wanted: u64,
+    /// Tokens that all waiting requests need together.
+    queued: u64,
     pending: Option<Pending>,
     under_way: bool,
     failed: bool,
@@ -179,6 +188,8 @@
     typical: f64,
     /// Another host lacks tokens.
     called_in: bool,
+    /// The host leaves; it keeps nothing ahead.
+    retiring: bool,
     /// The rows have just been read, by themselves or after a conflict.
     is_fresh: bool,
     closing: bool,
@@ -203,6 +214,7 @@
             used: 0,
             limit: None,
             wanted: 0,
+            queued: 0,
             pending: None,
             under_way: false,
             failed: false,
@@ -212,6 +224,7 @@
             typical: 0.0,
             holder,
             called_in: false,
+            retiring: false,
             is_fresh: false,
             closing: false,
         }
@@ -249,7 +262,13 @@
         }
     }
 
-    /// Stops keeping tokens ahead, as before the process ends.
+    /// Gives back what is kept ahead, and goes on serving.
+    pub fn retire(&mut self) {
+        self.retiring = true;
+        self.next = Duration::ZERO;
+    }
+
+    /// Stops all use, as before the process ends.
     pub fn close(&mut self) {
         self.closing = true;
         self.next = Duration::ZERO;
@@ -273,7 +292,7 @@
     pub fn reserve(&mut self, now: Duration, tokens: u64, reached: bool) -> Verdict {
         self.typical += (tokens as f64 - self.typical) * TYPICAL_WEIGHT;
         if tokens <= self.available(now) {
-            self.take(tokens);
+            self.take(now, tokens);
             self.reserved += tokens;
             return Verdict::Reserved;
         }
@@ -289,13 +308,23 @@
         Verdict::Wait
     }
 
+    /// Notes a request that begins to wait for tokens.
+    pub fn queue(&mut self, tokens: u64) {
+        self.queued += tokens;
+    }
+
+    /// Notes that a request no longer waits.
+    pub fn unqueue(&mut self, tokens: u64) {
+        self.queued -= tokens;
+    }
+
     /// Returns the tokens that a request could set aside now.
     pub fn available(&self, now: Duration) -> u64 {
         if self.is_overdrawn() || self.closing {
             return 0;
         }
+        let Some(limit) = self.limit else { return self.loose };
         let pending = self.pending.as_ref().map(|pending| pending.limit);
-        let Some(limit) = self.limit else { return 0 };
         let allowed = pending.iter().chain([&limit]).map(|limit| limit.left(now));
         allowed.fold(self.held, u64::min) + self.loose
     }
@@ -307,10 +336,15 @@
     /// Gives tokens up to another host, at most as many as it asks for; returns how many.
     pub fn lend(&mut self, now: Duration, tokens: u64) -> u64 {
         let tokens = self.available(now).min(tokens);
-        self.take(tokens);
+        self.take(now, tokens);
         tokens
     }
 
+    /// Gives tokens that were set aside up to another host.
+    pub fn hand_over(&mut self, tokens: u64) {
+        self.reserved -= tokens;
+    }
+
     /// Gives back to the budget what is not needed soon, as another host lacks tokens; returns how
     /// much that is.
     pub fn call_in(&mut self, now: Duration) -> u64 {
@@ -334,11 +368,14 @@
     }
 
     /// Takes tokens out of what is held, under every bound that may be in force.
-    fn take(&mut self, tokens: u64) {
+    fn take(&mut self, now: Duration, tokens: u64) {
         let loose = self.loose.min(tokens);
         self.loose -= loose;
         let tokens = tokens - loose;
         self.held -= tokens;
+        self.used += tokens;
+        self.rate.add(now, tokens);
+        self.slow_rate.add(now, tokens);
         let pending = self.pending.as_mut().map(|pending| &mut pending.limit);
         for limit in self.limit.as_mut().into_iter().chain(pending) {
             limit.used += tokens;
@@ -346,41 +383,37 @@
     }
 
     /// Notes what a request used of the tokens that were set aside for it.
-    pub fn settle(&mut self, now: Duration, reserved: u64, used: u64) {
-        let used = used.min(reserved);
+    pub fn settle(&mut self, reserved: u64, used: u64) {
         self.reserved -= reserved;
-        self.loose += reserved - used;
-        self.used += used;
-        self.rate.add(now, used);
-        self.slow_rate.add(now, used);
+        self.loose += reserved.saturating_sub(used);
     }
 
-    /// Returns the bound on use in a second, as one of so many hosts.
-    fn bounded_rate(&self, now: Duration, hosts: u64) -> u64 {
-        ((self.rate.at(now) * RATE_MARGIN) as u64).max(self.floor(hosts))
+    /// Returns the bound on use in a second.
+    fn bounded_rate(&self, now: Duration, setting: &Setting) -> u64 {
+        ((self.rate.at(now) * RATE_MARGIN) as u64).max(self.floor(setting))
     }
 
     /// Returns the use in a second that is expected while nothing is known.
-    fn floor(&self, hosts: u64) -> u64 {
-        self.prepaid / 1000 * FLOOR_MILLI / hosts
+    fn floor(&self, setting: &Setting) -> u64 {
+        if setting.keeps { self.prepaid / 1000 * FLOOR_MILLI / setting.keepers.max(1) } else { 0 }
     }
 
     /// Returns the tokens that this host should hold beyond those set aside.
-    fn target(&self, now: Duration, hosts: u64) -> u64 {
-        if self.closing || self.is_overdrawn() {
+    fn target(&self, now: Duration, setting: &Setting) -> u64 {
+        if self.closing || self.retiring || self.is_overdrawn() {
             return 0;
         }
         // While little is left, it goes to the hosts that use it.
         let plenty = self.plenty();
         let ahead = SCARCE_AHEAD.as_secs_f64() * (1.0 - plenty) + AHEAD.as_secs_f64() * plenty;
         let by_rate = (self.slow_rate.at(now) * ahead) as u64;
-        let floor = (self.floor(hosts) as f64 * FLOOR_AHEAD.as_secs_f64() * plenty) as u64;
+        let floor = (self.floor(setting) as f64 * FLOOR_AHEAD.as_secs_f64() * plenty) as u64;
         let unspent = self.sums.remaining(self.prepaid) + self.total();
         let most = unspent / 100 * AHEAD_PERCENT;
         // A workspace's callers may come to few of the hosts.
         let granted = self.sums.granted.saturating_sub(self.sums.returned).max(1);
         let by_use = u128::from(most) * u128::from(self.used) / u128::from(granted);
-        by_rate.max(floor).min((by_use as u64).max(most / hosts))
+        by_rate.max(floor).min((by_use as u64).max(most / setting.keepers.max(1)))
     }
 
     /// Returns 0 while what no host holds is scarce, 1 while there is plenty, and in between what
@@ -413,20 +446,25 @@
     }
 
     fn choose(&mut self, now: Duration, setting: Setting) -> Option<Step> {
-        let hosts = setting.hosts.max(1);
-        let target = self.target(now, hosts);
-        let wanted = self.wanted;
+        let target = self.target(now, &setting);
         let remaining = self.unspent();
         let total = self.total();
+        let fits = self.wanted <= total + remaining;
+        let wanted = if self.wanted > 0 { self.wanted.max(self.queued) } else { 0 };
         let missing = wanted.saturating_sub(total);
         let low = !self.called_in && total < target / 2 + target / 4 && remaining > 0;
-        let grant = !self.known || missing > 0 || low;
+        let grant = (!self.known && setting.keeps) || missing > 0 || low;
         let spare = total.saturating_sub(target);
         let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
-        let surplus = spare > 2 * target || (scarce && spare > target / 4);
+        let surplus = if setting.keeps {
+            spare > 2 * target || (scarce && spare > target / 4)
+        } else {
+            // What requests leave of borrowed tokens serves the next ones.
+            spare > 2 * target + LEFTOVER_REQUESTS * self.typical as u64
+        };
         let give_back = self.called_in || (spare > 0 && (self.closing || surplus));
         let give_back = give_back && wanted == 0;
-        let stale = hosts >= READ_FIRST_HOSTS
+        let stale = setting.keepers >= READ_FIRST_KEEPERS
             && self.seen.is_none_or(|seen| now.saturating_sub(seen) >= FRESH);
         if (grant || give_back) && (!self.known || stale) {
             let stake = (!self.known).then(|| self.stake_row.key.clone());
@@ -438,12 +476,12 @@
         let (granting, returning) = if grant {
             // What waits comes first; where it doesn't fit, the rows that come back prove it.
             let ahead = target.saturating_sub(total);
-            (if missing > remaining { 0 } else { missing.max(ahead).min(remaining) }, 0)
+            (if fits { missing.max(ahead).min(remaining) } else { 0 }, 0)
         } else if give_back && called_in {
             (0, total.saturating_sub(self.needed_soon(now)))
         } else if give_back {
             (0, spare)
-        } else if wanted > 0 || self.limit.is_none_or(|limit| limit.is_due(now, &setting)) {
+        } else if wanted > 0 || self.is_stake_due(now, &setting) {
             (0, 0)
         } else {
             return None;
@@ -451,6 +489,15 @@
         Some(Step::Commit(self.start(now, setting, granting, returning, wanted)))
     }
 
+    /// Returns whether the stake is to be written anew; one without tokens needs no bound.
+    fn is_stake_due(&self, now: Duration, setting: &Setting) -> bool {
+        let empty = self.total() == 0 && self.stake.tokens == 0;
+        match self.limit {
+            Some(limit) => !empty && limit.is_due(now, setting),
+            None => self.known && (setting.keeps || !empty),
+        }
+    }
+
     fn start(
         &mut self,
         now: Duration,
@@ -462,14 +509,14 @@
         self.held += std::mem::take(&mut self.loose);
         self.held -= returning;
         let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
-        let hosts = setting.hosts.max(1);
-        let floor = self.floor(hosts);
+        let floor = self.floor(&setting);
         let (rate, typical, unlock) = if used {
-            (self.bounded_rate(now, hosts), self.typical as u64, setting.report() + RESTART)
+            (self.bounded_rate(now, &setting), self.typical as u64, setting.report() + RESTART)
         } else {
             (floor / IDLE_PART, 0, setting.idle_report() + RESTART)
         };
-        let burst = (rate.max(floor) * BURST.as_millis() as u64 / 1000).max(typical);
+        let burst = rate.max(floor) * BURST.as_millis() as u64 / 1000;
+        let burst = burst.max(typical * BURST_REQUESTS);
         let stake = Stake {
             holder: self.holder.clone(),
             number: self.stake.number + 1,
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -15,7 +15,7 @@
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-use wire::lend::Lent;
+use wire::lend::{Ask, Lent};
 
 use crate::{
     account::{Account, Setting, Step, Urgency, Verdict},
@@ -28,12 +28,18 @@
 /// Time between two looks at all accounts where no request waits.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Times that other hosts are asked for one request.
+/// Most times that other hosts are asked for one request.
 const ROUNDS: u32 = 3;
 
 /// Time in which other hosts give tokens back to a budget: a transaction that meets a conflict.
 const RETURN_TIME: Duration = Duration::from_millis(40);
 
+/// Longest wait for a transaction that brings tokens for another host; shorter than that host waits.
+const LEND_WAIT: Duration = Duration::from_millis(180);
+
+/// Answer where a workspace isn't known.
+const NOTHING: Lent = Lent { tokens: 0, left: 0, returning: 0, exhausted: false };
+
 /// Part of the platform's writes that all hosts together make for budgets, in percent.
 const WRITES_PERCENT: u64 = 80;
 
@@ -113,10 +119,33 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let now = self.node.now();
         let mut accounts = self.node.bank.accounts.borrow_mut();
         if let Some(account) = accounts.get_mut(&self.workspace) {
-            account.settle(now, self.reserved, self.used);
+            account.settle(self.reserved, self.used);
+        }
+    }
+}
+
+/// Counts a request as waiting for tokens until it is dropped.
+struct Queued {
+    node: Rc<Node>,
+    workspace: Arc<str>,
+    tokens: u64,
+}
+
+impl Queued {
+    fn open(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Self {
+        if let Some(account) = node.bank.accounts.borrow_mut().get_mut(workspace) {
+            account.queue(tokens);
+        }
+        Self { node: node.clone(), workspace: workspace.clone(), tokens }
+    }
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        if let Some(account) = self.node.bank.accounts.borrow_mut().get_mut(&self.workspace) {
+            account.unqueue(self.tokens);
         }
     }
 }
@@ -168,41 +197,69 @@
             .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
     }
 
-    /// Sets tokens aside, after a transaction where this host holds too few.
+    /// Sets tokens aside: from what this host holds, or from a host that keeps the workspace's tokens.
     ///
     /// # Errors
     ///
-    /// Fails with the verdict where the budget doesn't cover them, or the platform can't be reached.
+    /// Fails with the verdict where the budget doesn't cover them, or they can't be had now.
     pub async fn reserve(
         node: &Rc<Node>,
         workspace: &Arc<str>,
         tokens: u64,
         until: Instant,
     ) -> Result<Reservation, Verdict> {
+        let reserved = if node.peers.keeps(workspace) {
+            false
+        } else {
+            let asked = Self::ask_keepers(node, workspace, tokens);
+            timeout_at(until, asked).await.map_err(|_| Verdict::Unavailable)??
+        };
+        if !reserved {
+            Self::collect(node, workspace, tokens, until).await?;
+        }
+        let (node, workspace) = (node.clone(), workspace.clone());
+        Ok(Reservation { node, workspace, reserved: tokens, used: 0 })
+    }
+
+    /// Sets tokens aside after asking the hosts that keep them; returns false where none of these is
+    /// reached.
+    async fn ask_keepers(
+        node: &Rc<Node>,
+        workspace: &Arc<str>,
+        tokens: u64,
+    ) -> Result<bool, Verdict> {
+        for _ in 0..ROUNDS {
+            let missing = node.bank.missing(node.now(), workspace, tokens);
+            if missing == 0 {
+                let mut accounts = node.bank.accounts.borrow_mut();
+                let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
+                return Ok(account.reserve(node.now(), tokens, true) == Verdict::Reserved);
+            }
+            match Peers::ask_keepers(node, workspace, missing).await {
+                None => return Ok(false),
+                Some(lent) if lent.exhausted => return Err(Verdict::Exhausted),
+                Some(lent) if lent.tokens < missing => return Err(Verdict::Unavailable),
+                // Another request may have used them meanwhile.
+                Some(_) => {}
+            }
+        }
+        Err(Verdict::Unavailable)
+    }
+
+    /// Sets tokens aside as a host that keeps them: from its stake, after a transaction, or from the
+    /// other zones' hosts that keep some.
+    async fn collect(
+        node: &Rc<Node>,
+        workspace: &Arc<str>,
+        tokens: u64,
+        until: Instant,
+    ) -> Result<(), Verdict> {
         let mut rounds = 0;
         let mut proved = false;
         loop {
-            let ended = node.bank.ended.notified();
-            let verdict = {
-                let mut accounts = node.bank.accounts.borrow_mut();
-                let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
-                account.reserve(node.now(), tokens, node.bank.reached.get())
-            };
-            match verdict {
-                Verdict::Reserved => {
-                    let workspace = workspace.clone();
-                    return Ok(Reservation {
-                        node: node.clone(),
-                        workspace,
-                        reserved: tokens,
-                        used: 0,
-                    });
-                }
-                Verdict::Wait => {
-                    node.bank.due.notify_one();
-                    timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
-                }
-                Verdict::Exhausted | Verdict::Unavailable if rounds < ROUNDS => {
+            match Self::set_aside(node, workspace, tokens, until).await {
+                Ok(()) => return Ok(()),
+                Err(_) if rounds < ROUNDS => {
                     rounds += 1;
                     let others = Peers::borrow(node, workspace, tokens).await;
                     proved = others.answered;
@@ -214,7 +271,34 @@
                     }
                 }
                 // What a host that didn't answer holds may still cover the request.
-                Verdict::Exhausted if !proved => return Err(Verdict::Unavailable),
+                Err(Verdict::Exhausted) if !proved => return Err(Verdict::Unavailable),
+                Err(verdict) => return Err(verdict),
+            }
+        }
+    }
+
+    /// Sets tokens aside at this host, after a transaction where it holds too few.
+    async fn set_aside(
+        node: &Rc<Node>,
+        workspace: &Arc<str>,
+        tokens: u64,
+        until: Instant,
+    ) -> Result<(), Verdict> {
+        let mut queued = None;
+        loop {
+            let ended = node.bank.ended.notified();
+            let verdict = {
+                let mut accounts = node.bank.accounts.borrow_mut();
+                let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
+                account.reserve(node.now(), tokens, node.bank.reached.get())
+            };
+            match verdict {
+                Verdict::Reserved => return Ok(()),
+                Verdict::Wait => {
+                    queued.get_or_insert_with(|| Queued::open(node, workspace, tokens));
+                    node.bank.due.notify_one();
+                    timeout_at(until, ended).await.map_err(|_| Verdict::Unavailable)?;
+                }
                 Verdict::Exhausted | Verdict::Unavailable => return Err(verdict),
             }
         }
@@ -267,12 +351,28 @@
         );
     }
 
-    /// Gives tokens of a workspace up to another host, at most as many as it asks for.
-    pub fn lend(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
+    /// Gives tokens of a workspace up to another host.
+    pub async fn lend(node: &Rc<Node>, ask: &Ask) -> Lent {
+        if !ask.whole {
+            return node.bank.lend_held(node.now(), &ask.workspace, ask.tokens);
+        }
+        let until = Instant::now() + LEND_WAIT;
+        match Self::collect(node, &ask.workspace, ask.tokens, until).await {
+            Ok(()) => node.bank.hand_over(node.now(), &ask.workspace, ask.tokens),
+            Err(verdict) => Lent { exhausted: verdict == Verdict::Exhausted, ..NOTHING },
+        }
+    }
+
+    fn hand_over(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
         let mut accounts = self.accounts.borrow_mut();
-        let Some(account) = accounts.get_mut(workspace) else {
-            return Lent { tokens: 0, left: 0, returning: 0 };
-        };
+        let Some(account) = accounts.get_mut(workspace) else { return NOTHING };
+        account.hand_over(tokens);
+        Lent { tokens, left: account.available(now), ..NOTHING }
+    }
+
+    fn lend_held(&self, now: Duration, workspace: &str, tokens: u64) -> Lent {
+        let mut accounts = self.accounts.borrow_mut();
+        let Some(account) = accounts.get_mut(workspace) else { return NOTHING };
         let lent = account.lend(now, tokens);
         let left = account.available(now);
         let short = lent < tokens && self.reached.get();
@@ -280,7 +380,13 @@
         if returning > 0 {
             self.due.notify_one();
         }
-        Lent { tokens: lent, left, returning }
+        Lent { tokens: lent, left, returning, ..NOTHING }
+    }
+
+    /// Gives back what is kept ahead, as when the host is asked to stop.
+    pub fn retire(&self) {
+        self.accounts.borrow_mut().values_mut().for_each(Account::retire);
+        self.due.notify_one();
     }
 
     /// Runs the transactions of all accounts for ever.
@@ -301,7 +407,8 @@
         let mut accounts = node.bank.accounts.borrow_mut();
         let writes_per_s = node.settings.writes_per_s * WRITES_PERCENT / 100;
         let setting = Setting {
-            hosts: node.hosts(),
+            keepers: node.peers.keepers(),
+            keeps: false,
             workspaces: accounts.len() as u64,
             writes_per_s,
             platform_ms: source.clock_ms(),
@@ -315,6 +422,7 @@
             if !writes.is_open(account.urgency()) {
                 break;
             }
+            let setting = Setting { keeps: node.peers.keeps(workspace), ..setting };
             let Some(step) = account.plan(now, setting) else { continue };
             if matches!(step, Step::Commit(_)) {
                 writes.take();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One event loop on one thread carries callers, backend servers, the platform's table and all
 //! decisions. The decisions stand in modules of their own without input or output: [`account`]
-//! (prepaid tokens), [`allowance`] (bound on repeats), [`backend`] and [`place`] (where a request
+//! (prepaid tokens), [`keeper`] (which hosts keep them), [`allowance`] (bound on repeats), [`backend`] and [`place`] (where a request
 //! goes, or that it is refused), [`ending`] (what may be sent again and what a caller is told).
 
 pub mod account;
@@ -17,9 +17,10 @@
 pub mod events;
 pub mod exchange;
 mod follow;
+pub mod keeper;
 mod lifecycle;
 pub mod log;
-mod members;
+pub mod members;
 pub mod metrics;
 pub mod node;
 pub mod peer;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -6,7 +6,7 @@
 use tokio::{
     signal::unix::{SignalKind, signal},
     task::{LocalSet, spawn_local},
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -93,12 +93,17 @@
     let longest = node.settings.grace.saturating_sub(LEAVE_MARGIN);
     node.phase.set(Phase::Leaving(since));
     tracing::info!(event = "leave", active = node.active.get());
+    // Other hosts no longer ask this one; what it keeps ahead serves there.
+    let _ = timeout(CLOSE_LONGEST, members::leave(node, source)).await;
+    node.peers.retire();
+    node.bank.retire();
     while since.elapsed() < longest && (since.elapsed() < LEAVE_LEAST || node.active.get() > 0) {
         sleep(LOOK).await;
     }
     node.phase.set(Phase::Closed);
     Bank::close(node, CLOSE_LONGEST).await;
-    let _ = tokio::time::timeout(CLOSE_LONGEST / 2, members::leave(node, source)).await;
+    // A write of the row that was under way may have come after the first removal.
+    let _ = timeout(CLOSE_LONGEST / 2, members::leave(node, source)).await;
     tracing::info!(
         event = "stop",
         active = node.active.get(),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,9 +3,13 @@
 use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use coordination::table::{Op, Outcome, Revision, Row, Txn, Write};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-use crate::{dialect::Source, node::Node, peer::Card};
+use crate::{
+    dialect::Source,
+    node::{Node, Phase},
+    peer::Card,
+};
 
 /// Start of the keys of the hosts' rows.
 const PREFIX: &str = "host/all/";
@@ -19,33 +23,56 @@
 /// Readings after the start that follow each other closely.
 const FIRST_READINGS: u32 = 4;
 
-/// Age of a row's last change from which its host doesn't count.
-const GONE: Duration = Duration::from_secs(7);
+/// Age of a row's last change from which its host doesn't count; longer than hosts are mostly cut off
+/// from the platform, during which others may still reach them.
+const GONE: Duration = Duration::from_secs(14);
 
 /// Most hosts that are read.
 const MOST: u32 = 500;
 
-/// Follows the rows of all hosts for ever.
+/// Which hosts are alive, by the changes of their rows.
+///
+/// Only time in which the rows could be read counts: after an outage of the platform, hosts that
+/// didn't write meanwhile aren't taken for gone.
+#[derive(Debug, Default)]
+pub struct Census {
+    observed: Duration,
+    read: Option<Duration>,
+    seen: HashMap<Arc<str>, (Revision, Duration)>,
+}
+
+impl Census {
+    /// Takes the rows as they were read, and returns those of hosts that are alive.
+    pub fn take(&mut self, now: Duration, rows: Vec<Row>) -> Vec<Row> {
+        let passed = now.saturating_sub(self.read.unwrap_or(now));
+        self.observed += passed.min(2 * INTERVAL);
+        self.read = Some(now);
+        let observed = self.observed;
+        for row in &rows {
+            let known = self.seen.entry(row.key.clone()).or_insert((row.revision, observed));
+            if known.0 != row.revision {
+                *known = (row.revision, observed);
+            }
+        }
+        self.seen.retain(|_, (_, at)| observed - *at < 10 * GONE);
+        let changed = |row: &Row| self.seen.get(&row.key).map(|(_, at)| observed - *at);
+        rows.into_iter().filter(|row| changed(row).is_some_and(|age| age < GONE)).collect()
+    }
+}
+
+/// Follows the rows of all hosts until this host is asked to stop.
 pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
-    let mut seen: HashMap<Arc<str>, (Revision, Instant)> = HashMap::new();
+    let mut census = Census::default();
     let mut readings: u32 = 0;
-    loop {
+    while node.phase.get() == Phase::Serving {
         let card = serde_json::to_string(node.peers.own()).expect("a card has a JSON form");
         let write = Write { key: own_key(&node), value: Some(card.into()) };
         source.table(&Op::Commit(Txn { checks: Vec::new(), writes: vec![write] })).await;
         let scan = Op::Scan { prefix: PREFIX.into(), after: "".into(), limit: MOST };
         if let Outcome::Rows(rows) = source.table(&scan).await {
-            let now = Instant::now();
-            for row in &rows {
-                let known = seen.entry(row.key.clone()).or_insert((row.revision, now));
-                if known.0 != row.revision {
-                    *known = (row.revision, now);
-                }
-            }
-            let is_alive = |row: &&Row| seen.get(&row.key).is_some_and(|(_, at)| now - *at < GONE);
-            node.peers.replace(rows.iter().filter(is_alive).filter_map(card_of).collect());
-            seen.retain(|_, (_, at)| now - *at < 10 * GONE);
-            let alive = seen.values().filter(|(_, at)| now - *at < GONE).count() as u64;
+            let alive = census.take(node.now(), rows);
+            node.peers.replace(alive.iter().filter_map(card_of).collect());
+            let alive = alive.len() as u64;
             if node.hosts() != alive {
                 tracing::info!(event = "hosts", alive, former = node.hosts());
                 node.set_hosts(alive);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,6 +17,7 @@
     bank::Bank,
     catalog::Catalog,
     dialect::Dialect,
+    keeper::Site,
     metrics::Metrics,
     peer::{Card, Peers},
     place::Fleet,
@@ -110,10 +111,11 @@
     /// Opens a host that knows nothing yet.
     pub fn open(settings: Settings, dialect: Rc<dyn Dialect>, metrics: Metrics) -> Self {
         let rng = StdRng::seed_from_u64(settings.seed);
+        let site = Site { host: settings.host.clone(), zone: settings.zone.clone() };
         let key = hex::encode(rand::random::<[u8; 16]>()).into();
         Self {
             bank: Bank::open(settings.host.clone(), settings.process.clone()),
-            peers: Peers::open(Card { address: settings.peers, key }),
+            peers: Peers::open(Card { address: settings.peers, key, site }),
             settings,
             dialect,
             fleet: RefCell::new(Fleet::open(rng)),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,4 +1,4 @@
-//! Hosts lend each other prepaid tokens while the platform is away.
+//! Hosts lend each other prepaid tokens, those first that keep a workspace's tokens ahead.
 //!
 //! Each process publishes its address and a key in its row among the hosts; whoever asks it shows
 //! that key. The host that lends gives the tokens up before it answers, so that an answer that is
@@ -6,7 +6,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     convert::Infallible,
     net::SocketAddr,
     rc::Rc,
@@ -29,21 +28,33 @@
 use subtle::ConstantTimeEq as _;
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::oneshot,
     task::spawn_local,
     time::{Instant, timeout},
 };
 use wire::lend::{Ask, Lent};
 
 use crate::{
+    bank::Bank,
     edge::{accept, plain},
+    keeper::{Keepers, Site},
     node::Node,
 };
 
 /// Longest time for one host to answer.
 const ASK: Duration = Duration::from_millis(80);
 
-/// Most hosts that are asked for one request.
-const ASKED: usize = 8;
+/// Longest time for a host to answer that keeps the workspace's tokens; it may need a transaction.
+const ASK_KEEPER: Duration = Duration::from_millis(250);
+
+/// Longest time until an answer is given up whose tokens are then lost.
+const EXCHANGE: Duration = Duration::from_secs(5);
+
+/// Hosts keeping a workspace's tokens that are asked before this host makes a transaction itself.
+const KEEPERS_ASKED: usize = 3;
+
+/// Requests for which hosts that keep tokens are asked at the same time.
+const KEEPERS_ASKING: usize = 64;
 
 /// Requests for which other hosts are asked at the same time; more would only add to what delays
 /// the answers.
@@ -52,9 +63,6 @@
 /// Time for which a host that didn't answer isn't asked.
 const AVOID: Duration = Duration::from_secs(2);
 
-/// Time for which it is remembered what a host could give.
-const HINT_AGE: Duration = Duration::from_millis(400);
-
 /// Longest message in bytes.
 const MESSAGE_BYTES: usize = 4096;
 
@@ -65,16 +73,17 @@
     pub address: SocketAddr,
     /// Key that shows that a message comes from a host of the fleet, in hex.
     pub key: Arc<str>,
+    /// Name and availability zone; empty where the process is of a version that doesn't say.
+    #[serde(default)]
+    pub site: Site,
 }
 
 /// Another host.
 #[derive(Debug)]
 struct Peer {
     card: Card,
-    link: Option<client::SendRequest<Full<Bytes>>>,
+    links: Vec<client::SendRequest<Full<Bytes>>>,
     avoid_until: Option<Instant>,
-    /// What it could give of a workspace, and when it said so.
-    left: HashMap<Arc<str>, (u64, Instant)>,
 }
 
 /// What other hosts answered.
@@ -92,13 +101,25 @@
     own: Card,
     /// Requests for which other hosts are being asked.
     asking: Cell<usize>,
+    /// Requests for which hosts that keep tokens are being asked.
+    asking_keepers: Cell<usize>,
     others: RefCell<Vec<Rc<RefCell<Peer>>>>,
+    keepers: RefCell<Keepers>,
+    /// This host keeps nothing ahead any more.
+    retired: Cell<bool>,
 }
 
 impl Peers {
     /// Opens an empty list of a process with this card.
     pub fn open(own: Card) -> Self {
-        Self { own, asking: Cell::new(0), others: RefCell::default() }
+        Self {
+            own,
+            asking: Cell::new(0),
+            asking_keepers: Cell::new(0),
+            others: RefCell::default(),
+            keepers: RefCell::default(),
+            retired: Cell::new(false),
+        }
     }
 
     /// Returns the card of this process.
@@ -108,64 +129,131 @@
 
     /// Takes the cards of all hosts.
     pub fn replace(&self, cards: Vec<Card>) {
+        let own = std::iter::once(self.own.site.clone());
+        let sites = cards.iter().filter(|card| card.site != self.own.site).map(|c| c.site.clone());
+        *self.keepers.borrow_mut() = Keepers::open(own.chain(sites));
         let mut others = self.others.borrow_mut();
         others.retain(|peer| cards.contains(&peer.borrow().card));
         for card in cards {
-            if card == self.own || others.iter().any(|peer| peer.borrow().card == card) {
+            // The row of the process before this one may still stand.
+            let is_own = card.address == self.own.address;
+            if is_own || others.iter().any(|peer| peer.borrow().card == card) {
                 continue;
             }
-            let peer = Peer { card, link: None, avoid_until: None, left: HashMap::new() };
+            let peer = Peer { card, links: Vec::new(), avoid_until: None };
             others.push(Rc::new(RefCell::new(peer)));
         }
     }
 
-    /// Asks other hosts for what a request lacks here, those first that had most.
-    pub async fn borrow(node: &Node, workspace: &Arc<str>, tokens: u64) -> Others {
-        let Some(_asking) = Asking::open(&node.peers.asking) else {
+    /// Leaves the hosts that keep tokens, as when the host is asked to stop.
+    pub fn retire(&self) {
+        self.retired.set(true);
+    }
+
+    /// Returns whether this host keeps tokens of a workspace ahead.
+    pub fn keeps(&self, workspace: &str) -> bool {
+        !self.retired.get() && self.keepers.borrow().keeps(workspace, &self.own.site)
+    }
+
+    /// Returns how many hosts keep tokens of each workspace ahead.
+    pub fn keepers(&self) -> u64 {
+        self.keepers.borrow().count()
+    }
+
+    /// Asks the nearest host that keeps a workspace's tokens and is reached; returns its answer.
+    ///
+    /// What it gave is held loosely by this host.
+    pub async fn ask_keepers(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Option<Lent> {
+        let _asking = Asking::open(&node.peers.asking_keepers, KEEPERS_ASKING)?;
+        for peer in node.peers.keepers_of(workspace).into_iter().take(KEEPERS_ASKED) {
+            let wish = Ask { workspace: workspace.clone(), tokens, whole: true };
+            if let Some(lent) = ask(node, &peer, wish, ASK_KEEPER).await {
+                return Some(lent);
+            }
+        }
+        None
+    }
+
+    /// Returns the other hosts that keep a workspace's tokens and can be asked, the nearest first.
+    fn keepers_of(&self, workspace: &str) -> Vec<Rc<RefCell<Peer>>> {
+        let others = self.others.borrow();
+        let ranked = self.keepers.borrow().rank(workspace, &self.own.site.zone);
+        let find = |site| others.iter().find(|peer| peer.borrow().card.site == site).cloned();
+        let can_be_asked = |peer: &Rc<RefCell<Peer>>| peer.borrow().can_be_asked();
+        ranked.into_iter().filter_map(find).filter(can_be_asked).collect()
+    }
+
+    /// Asks the other hosts that keep a workspace's tokens for what a request lacks here.
+    pub async fn borrow(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Others {
+        let Some(_asking) = Asking::open(&node.peers.asking, ASKING) else {
             return Others { answered: false, returning: 0 };
         };
         let mut others = Others { answered: true, returning: 0 };
-        for peer in node.peers.ranked(workspace).into_iter().take(ASKED) {
+        for peer in node.peers.keepers_of(workspace) {
             let missing = node.bank.missing(node.now(), workspace, tokens);
             if missing == 0 {
                 return others;
             }
-            let ask = Ask { workspace: workspace.clone(), tokens: missing };
-            let answered = timeout(ASK, exchange(&peer, &ask)).await;
-            let mut peer = peer.borrow_mut();
-            others.answered &= matches!(answered, Ok(Ok(_)));
-            match answered {
-                Ok(Ok(lent)) => {
-                    peer.left.insert(workspace.clone(), (lent.left, Instant::now()));
-                    node.bank.borrowed(workspace, lent.tokens);
-                    others.returning += lent.returning;
-                    tracing::info!(event = "tokens_borrowed", %workspace, missing,
-                        tokens = lent.tokens, from = %peer.card.address, left = lent.left,
-                        returning = lent.returning);
-                }
-                Ok(Err(error)) => peer.avoid(&error),
-                Err(_) => peer.avoid(&"no answer"),
-            }
+            let wish = Ask { workspace: workspace.clone(), tokens: missing, whole: false };
+            let lent = ask(node, &peer, wish, ASK).await;
+            others.answered &= lent.is_some();
+            others.returning += lent.map_or(0, |lent| lent.returning);
         }
         others
     }
+}
 
-    /// Returns the hosts that can be asked, those first that had most; of which nothing is known
-    /// may have most.
-    fn ranked(&self, workspace: &str) -> Vec<Rc<RefCell<Peer>>> {
-        let now = Instant::now();
-        let mut ranked: Vec<(u64, Rc<RefCell<Peer>>)> = Vec::new();
-        for peer in self.others.borrow().iter() {
-            let known = peer.borrow();
-            if known.avoid_until.is_some_and(|until| now < until) {
-                continue;
-            }
-            let hint = known.left.get(workspace).filter(|(_, at)| now - *at < HINT_AGE);
-            let left = hint.map_or(u64::MAX, |(left, _)| *left);
-            ranked.push((left, peer.clone()));
+/// Tokens that another host gave; they are this host's from the moment of its answer, whether or not
+/// the request still waits for them.
+#[derive(Debug)]
+struct Loan {
+    node: Rc<Node>,
+    workspace: Arc<str>,
+    lent: Lent,
+}
+
+impl Drop for Loan {
+    fn drop(&mut self) {
+        self.node.bank.borrowed(&self.workspace, self.lent.tokens);
+    }
+}
+
+/// Asks one host for tokens and takes what it gives, also where that comes too late for the request.
+async fn ask(
+    node: &Rc<Node>,
+    peer: &Rc<RefCell<Peer>>,
+    wish: Ask,
+    longest: Duration,
+) -> Option<Lent> {
+    let (sender, answer) = oneshot::channel();
+    let (own, peer_asked) = (node.clone(), peer.clone());
+    let wished = wish.clone();
+    spawn_local(async move {
+        let exchanged = timeout(EXCHANGE, exchange(&peer_asked, &wished)).await;
+        let exchanged = exchanged.unwrap_or_else(|_| Err(eyre::eyre!("no answer")));
+        let loan =
+            exchanged.map(|lent| Loan { node: own, workspace: wished.workspace.clone(), lent });
+        // Where nobody waits any more, the loan is taken as it is dropped.
+        let _ = sender.send(loan);
+    });
+    let answered = timeout(longest, answer).await;
+    let mut peer = peer.borrow_mut();
+    match answered {
+        Ok(Ok(Ok(loan))) => {
+            let lent = loan.lent;
+            tracing::info!(event = "tokens_borrowed", workspace = %wish.workspace,
+                missing = wish.tokens, tokens = lent.tokens, from = %peer.card.address,
+                left = lent.left, returning = lent.returning, exhausted = lent.exhausted);
+            Some(lent)
+        }
+        Ok(Ok(Err(error))) => {
+            peer.avoid(&error);
+            None
+        }
+        Ok(Err(_)) | Err(_) => {
+            peer.avoid(&"no answer in time");
+            None
         }
-        ranked.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
-        ranked.into_iter().map(|(_, peer)| peer).collect()
     }
 }
 
@@ -174,8 +262,8 @@
 
 impl<'a> Asking<'a> {
     /// Returns `None` where as many are under way as may be.
-    fn open(asking: &'a Cell<usize>) -> Option<Self> {
-        if asking.get() >= ASKING {
+    fn open(asking: &'a Cell<usize>, most: usize) -> Option<Self> {
+        if asking.get() >= most {
             return None;
         }
         asking.set(asking.get() + 1);
@@ -190,16 +278,21 @@
 }
 
 impl Peer {
+    fn can_be_asked(&self) -> bool {
+        self.avoid_until.is_none_or(|until| until <= Instant::now())
+    }
+
     fn avoid(&mut self, error: &impl ToString) {
         tracing::info!(event = "host_unreached", peer = %self.card.address, error = error.to_string());
-        self.link = None;
+        self.links.clear();
         self.avoid_until = Some(Instant::now() + AVOID);
     }
 }
 
 async fn exchange(peer: &Rc<RefCell<Peer>>, ask: &Ask) -> eyre::Result<Lent> {
     let card = peer.borrow().card.clone();
-    let kept = peer.borrow_mut().link.take().filter(|link| !link.is_closed());
+    peer.borrow_mut().links.retain(|link| !link.is_closed());
+    let kept = peer.borrow_mut().links.pop();
     let mut link = match kept {
         Some(link) => link,
         None => connect(card.address).await?,
@@ -217,7 +310,7 @@
     }
     let body = Limited::new(response.into_body(), MESSAGE_BYTES).collect().await;
     let body = body.map_err(|error| eyre::eyre!(error))?.to_bytes();
-    peer.borrow_mut().link = Some(link);
+    peer.borrow_mut().links.push(link);
     Ok(Lent::decode(&body)?)
 }
 
@@ -251,7 +344,7 @@
     }
 }
 
-async fn answer(node: &Node, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let shown = request.headers().get(AUTHORIZATION).map(|value| value.as_bytes().to_vec());
     let own = node.peers.own().key.as_bytes();
     if !shown.is_some_and(|shown| bool::from(shown.ct_eq(own))) {
@@ -264,7 +357,7 @@
         tracing::warn!(event = "host_refused", reason = "malformed");
         return plain(StatusCode::BAD_REQUEST, Bytes::new());
     };
-    let lent = node.bank.lend(node.now(), &ask.workspace, ask.tokens);
+    let lent = Bank::lend(node, &ask).await;
     tracing::info!(event = "tokens_lent", workspace = %ask.workspace, asked = ask.tokens,
         tokens = lent.tokens, left = lent.left);
     match lent.encode() {
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -101,8 +101,9 @@
     }
 
     fn setting(&self) -> Setting {
-        let hosts = self.processes.len() as u64 + self.more_hosts;
-        Setting { hosts, workspaces: 1, writes_per_s: 240, platform_ms: Some(self.now_ms) }
+        let keepers = self.processes.len() as u64 + self.more_hosts;
+        let platform_ms = Some(self.now_ms);
+        Setting { keepers, keeps: true, workspaces: 1, writes_per_s: 240, platform_ms }
     }
 
     /// Runs the transaction that is due at a host; `reach` tells whether the table is reached.
@@ -147,11 +148,10 @@
     }
 
     fn settle(&mut self, host: usize) {
-        let now = self.now(host);
         let process = &mut self.processes[host];
         let Some(reserved) = process.requests.pop() else { return };
         let used = self.rng.random_range(0..=reserved);
-        process.account.settle(now, reserved, used);
+        process.account.settle(reserved, used);
         self.used -= reserved - used;
     }
 
@@ -224,10 +224,15 @@
     assert_eq!(stake.left(7000 + case.elapsed_ms), case.left);
 }
 
+/// Surroundings of the only host that keeps a workspace's tokens.
+fn setting(platform_ms: u64) -> Setting {
+    let platform_ms = Some(platform_ms);
+    Setting { keepers: 1, keeps: true, workspaces: 1, writes_per_s: 240, platform_ms }
+}
+
 /// Runs transactions until none is due.
 fn run(account: &mut Account, table: &mut Table, now: Duration, platform_ms: u64) {
-    let setting =
-        Setting { hosts: 1, workspaces: 1, writes_per_s: 240, platform_ms: Some(platform_ms) };
+    let setting = setting(platform_ms);
     // Conflicts are followed by short pauses.
     for step in 0..50 {
         let now = now + step * MILLI;
@@ -267,6 +272,14 @@
     assert_eq!(own.reserve(now, 20_000, true), Verdict::Reserved);
 }
 
+#[test]
+fn borrowed_tokens_can_be_used_without_a_stake() {
+    let mut own = account("h-1", 100_000);
+    own.borrowed(700);
+    assert_eq!(own.reserve(Duration::ZERO, 700, true), Verdict::Reserved);
+    assert_eq!(own.available(Duration::ZERO), 0);
+}
+
 #[test]
 fn budget_is_exhausted_only_once_its_rows_show_it() {
     let mut table = Table::default();
@@ -329,7 +342,7 @@
     assert!(own.available(asked) >= 20_000, "the burst covers the request");
     // The next write has a lesser burst; it is done, and its answer is lost.
     let now = Duration::from_secs(3);
-    let setting = Setting { hosts: 1, workspaces: 1, writes_per_s: 240, platform_ms: Some(4000) };
+    let setting = setting(4000);
     let Some(Step::Commit(txn)) = own.plan(now, setting) else {
         panic!("a stake is written anew");
     };
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -272,15 +272,19 @@
   list<TimelineEvent> timeline(1: string token, 2: TimelineQuery query) throws (1: Denied denied)
 }
 
-// A host asks another for prepaid tokens of a workspace while the platform is away.
+// A host asks another for prepaid tokens of a workspace.
 struct LendAsk {
   1: required string workspace
   2: required i64 tokens
+  // All or none are wanted; the host that is asked may get them from the budget and from others.
+  3: optional bool whole
 }
 
-// Tokens that the other host gave, what it could still give, and what it gives back to the budget.
+// Tokens that the other host gave, what it could still give, what it gives back to the budget, and
+// whether the budget has just been seen not to cover the wish.
 struct Lent {
   1: required i64 tokens
   2: required i64 left
   3: required i64 returning
+  4: optional bool exhausted
 }
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -3485,13 +3485,15 @@
 pub struct LendAsk {
   pub workspace: String,
   pub tokens: i64,
+  pub whole: Option<bool>,
 }
 
 impl LendAsk {
-  pub fn new(workspace: String, tokens: i64) -> LendAsk {
+  pub fn new<F3>(workspace: String, tokens: i64, whole: F3) -> LendAsk where F3: Into<Option<bool>> {
     LendAsk {
       workspace,
       tokens,
+      whole: whole.into(),
     }
   }
 }
@@ -3501,6 +3503,7 @@
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
     let mut f_2: Option<i64> = None;
+    let mut f_3: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3516,6 +3519,10 @@
           let val = i_prot.read_i64()?;
           f_2 = Some(val);
         },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3528,6 +3535,7 @@
     let ret = LendAsk {
       workspace: f_1.expect("auto-generated code should have checked for presence of required fields"),
       tokens: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      whole: f_3,
     };
     Ok(ret)
   }
@@ -3540,6 +3548,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("tokens", TType::I64, 2))?;
     o_prot.write_i64(self.tokens)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.whole {
+      o_prot.write_field_begin(&TFieldIdentifier::new("whole", TType::Bool, 3))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3554,14 +3567,16 @@
   pub tokens: i64,
   pub left: i64,
   pub returning: i64,
+  pub exhausted: Option<bool>,
 }
 
 impl Lent {
-  pub fn new(tokens: i64, left: i64, returning: i64) -> Lent {
+  pub fn new<F4>(tokens: i64, left: i64, returning: i64, exhausted: F4) -> Lent where F4: Into<Option<bool>> {
     Lent {
       tokens,
       left,
       returning,
+      exhausted: exhausted.into(),
     }
   }
 }
@@ -3572,6 +3587,7 @@
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<i64> = None;
+    let mut f_4: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3591,6 +3607,10 @@
           let val = i_prot.read_i64()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_bool()?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3605,6 +3625,7 @@
       tokens: f_1.expect("auto-generated code should have checked for presence of required fields"),
       left: f_2.expect("auto-generated code should have checked for presence of required fields"),
       returning: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      exhausted: f_4,
     };
     Ok(ret)
   }
@@ -3620,6 +3641,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("returning", TType::I64, 3))?;
     o_prot.write_i64(self.returning)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.exhausted {
+      o_prot.write_field_begin(&TFieldIdentifier::new("exhausted", TType::Bool, 4))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/wire/src/lend.rs
+++ b/crates/wire/src/lend.rs
@@ -11,8 +11,10 @@
 pub struct Ask {
     /// Workspace whose tokens are wanted.
     pub workspace: Arc<str>,
-    /// Number of tokens; fewer are of no use.
+    /// Number of tokens.
     pub tokens: u64,
+    /// Fewer are of no use; the host that is asked may get them from the budget and from others.
+    pub whole: bool,
 }
 
 /// Answer to an [`Ask`].
@@ -24,6 +26,8 @@
     pub left: u64,
     /// Tokens that it may not use yet and gives back to the budget.
     pub returning: u64,
+    /// The budget has just been seen not to cover the wish.
+    pub exhausted: bool,
 }
 
 impl Ask {
@@ -33,7 +37,8 @@
     ///
     /// Fails where it has no form on the wire.
     pub fn encode(&self) -> thrift::Result<Vec<u8>> {
-        encode(&laburnum::LendAsk::new(self.workspace.to_string(), self.tokens as i64))
+        let workspace = self.workspace.to_string();
+        encode(&laburnum::LendAsk::new(workspace, self.tokens as i64, self.whole))
     }
 
     /// Reads a wish.
@@ -43,7 +48,8 @@
     /// Fails where the bytes are no wish.
     pub fn decode(bytes: &[u8]) -> thrift::Result<Self> {
         let ask: laburnum::LendAsk = decode(bytes)?;
-        Ok(Self { workspace: ask.workspace.into(), tokens: ask.tokens as u64 })
+        let whole = ask.whole.unwrap_or_default();
+        Ok(Self { workspace: ask.workspace.into(), tokens: ask.tokens as u64, whole })
     }
 }
 
@@ -54,8 +60,8 @@
     ///
     /// Fails where it has no form on the wire.
     pub fn encode(&self) -> thrift::Result<Vec<u8>> {
-        let returning = self.returning as i64;
-        encode(&laburnum::Lent::new(self.tokens as i64, self.left as i64, returning))
+        let (tokens, left) = (self.tokens as i64, self.left as i64);
+        encode(&laburnum::Lent::new(tokens, left, self.returning as i64, self.exhausted))
     }
 
     /// Reads an answer.
@@ -69,6 +75,7 @@
             tokens: lent.tokens as u64,
             left: lent.left as u64,
             returning: lent.returning as u64,
+            exhausted: lent.exhausted.unwrap_or_default(),
         })
     }
 }
