Take a former process's stake over before the budget's row is changed

A stake that was 0.3 s past its time was lost as a whole (1.6 million tokens). The stake's row is now written alone, the fleet has one key in a row of its own, requests wait up to 150 ms for the list of hosts, and use loosens before a stake opens. A process of an earlier version that reads a stake of this one takes its looser use for none; the two must not follow each other on a host with open budgets.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -52,10 +52,14 @@
 /// Requests of typical size that a burst covers at the least.
 const BURST_REQUESTS: u64 = 2;
 
-/// Time beyond the last write of a stake after which all of it may be used; longer than a process
-/// that died needs to start again.
+/// Time beyond the last write of a stake after which more of it may be used; longer than a process
+/// that died mostly needs to start again.
 const RESTART: Duration = Duration::from_millis(2400);
 
+/// Further time for which the rest of a stake in use is kept for a process that starts late; use is
+/// only looser meanwhile.
+const LATE_RESTART: Duration = Duration::from_millis(2500);
+
 /// Part of the expected use in a second that an idle stake allows.
 const IDLE_PART: u64 = 8;
 
@@ -93,15 +97,12 @@
 /// Age of what is known of a budget's row up to which it is changed without reading it again.
 const FRESH: Duration = Duration::from_millis(60);
 
-/// Part of the prepaid amount from which hosts keep as much ahead as an outage may need, in percent.
-const PLENTY_PERCENT: u64 = 25;
-
-/// Time of use at the recent rate that a host keeps ahead while little is left.
-const SCARCE_AHEAD: Duration = Duration::from_secs(12);
-
 /// Requests of typical size whose tokens a host that keeps none ahead doesn't give back.
 const LEFTOVER_REQUESTS: u64 = 4;
 
+/// Requests of typical size from which a part of the unspent budget is worth a transaction.
+const LEAST_REQUESTS: u64 = 2;
+
 /// Prefix of the rows of stakes.
 const STAKE_PREFIX: &str = "stake/";
 
@@ -403,25 +404,17 @@
         if self.closing || self.retiring || self.is_overdrawn() {
             return 0;
         }
-        // While little is left, it goes to the hosts that use it.
-        let plenty = self.plenty();
-        let ahead = SCARCE_AHEAD.as_secs_f64() * (1.0 - plenty) + AHEAD.as_secs_f64() * plenty;
-        let by_rate = (self.slow_rate.at(now) * ahead) as u64;
-        let floor = (self.floor(setting) as f64 * FLOOR_AHEAD.as_secs_f64() * plenty) as u64;
-        let unspent = self.sums.remaining(self.prepaid) + self.total();
-        let most = unspent / 100 * AHEAD_PERCENT;
+        let by_rate = (self.slow_rate.at(now) * AHEAD.as_secs_f64()) as u64;
+        by_rate.max(self.floor(setting) * FLOOR_AHEAD.as_secs())
+    }
+
+    /// Returns this host's part of the tokens that no host holds, as a part of those it keeps ahead.
+    fn share(&self, setting: &Setting) -> u64 {
+        let most = self.unspent() / 100 * AHEAD_PERCENT;
         // A workspace's callers may come to few of the hosts.
         let granted = self.sums.granted.saturating_sub(self.sums.returned).max(1);
         let by_use = u128::from(most) * u128::from(self.used) / u128::from(granted);
-        by_rate.max(floor).min((by_use as u64).max(most / setting.keepers.max(1)))
-    }
-
-    /// Returns 0 while what no host holds is scarce, 1 while there is plenty, and in between what
-    /// lies between.
-    fn plenty(&self) -> f64 {
-        let percent = self.unspent() as f64 * 100.0 / (self.prepaid as f64).max(1.0);
-        let (scarce, plenty) = (SCARCE_PERCENT as f64, PLENTY_PERCENT as f64);
-        ((percent - scarce) / (plenty - scarce)).clamp(0.0, 1.0)
+        (by_use as u64).max(most / setting.keepers.max(1))
     }
 
     /// Returns what to do with the platform's table now.
@@ -452,7 +445,9 @@
         let fits = self.wanted <= total + remaining;
         let wanted = if self.wanted > 0 { self.wanted.max(self.queued) } else { 0 };
         let missing = wanted.saturating_sub(total);
-        let low = !self.called_in && total < target / 2 + target / 4 && remaining > 0;
+        let share = self.share(&setting);
+        let worthwhile = share > (total / 4).max(self.typical as u64 * LEAST_REQUESTS);
+        let low = !self.called_in && total < target / 2 + target / 4 && worthwhile;
         let grant = (!self.known && setting.keeps) || missing > 0 || low;
         let spare = total.saturating_sub(target);
         let scarce = remaining < self.prepaid / 100 * SCARCE_PERCENT;
@@ -466,16 +461,22 @@
         let give_back = give_back && wanted == 0;
         let stale = setting.keepers >= READ_FIRST_KEEPERS
             && self.seen.is_none_or(|seen| now.saturating_sub(seen) >= FRESH);
+        let stale = stale && (self.limit.is_some() || self.held == 0);
         if (grant || give_back) && (!self.known || stale) {
             let stake = (!self.known).then(|| self.stake_row.key.clone());
             let keys = stake.into_iter().chain([self.sums_row.key.clone()]);
             return Some(Step::Read(keys.collect()));
         }
+        if self.known && self.limit.is_none() && self.held > 0 {
+            // Less is left of the former process's stake with every moment, and no other host
+            // changes its row.
+            return Some(Step::Commit(self.start(now, setting, 0, 0, wanted.min(self.held))));
+        }
         self.wanted = 0;
         let called_in = std::mem::take(&mut self.called_in);
         let (granting, returning) = if grant {
             // What waits comes first; where it doesn't fit, the rows that come back prove it.
-            let ahead = target.saturating_sub(total);
+            let ahead = target.saturating_sub(total).min(share);
             (if fits { missing.max(ahead).min(remaining) } else { 0 }, 0)
         } else if give_back && called_in {
             (0, total.saturating_sub(self.needed_soon(now)))
@@ -510,10 +511,11 @@
         self.held -= returning;
         let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
         let floor = self.floor(&setting);
-        let (rate, typical, unlock) = if used {
-            (self.bounded_rate(now, &setting), self.typical as u64, setting.report() + RESTART)
+        let (rate, typical, loosen, unlock) = if used {
+            let loosen = setting.report() + RESTART;
+            (self.bounded_rate(now, &setting), self.typical as u64, loosen, loosen + LATE_RESTART)
         } else {
-            (floor / IDLE_PART, 0, setting.idle_report() + RESTART)
+            (floor / IDLE_PART, 0, Duration::ZERO, setting.idle_report() + RESTART)
         };
         let burst = rate.max(floor) * BURST.as_millis() as u64 / 1000;
         let burst = burst.max(typical * BURST_REQUESTS);
@@ -524,6 +526,7 @@
             burst: wanted + burst,
             rate,
             written_ms: setting.platform_ms.unwrap_or_default(),
+            loosen_ms: loosen.as_millis() as u64,
             unlock_ms: unlock.as_millis() as u64,
         };
         let mut txn = Txn::default();
@@ -540,6 +543,7 @@
             used: 0,
             burst: stake.burst,
             rate: stake.rate,
+            loosen,
             unlock,
             since: now,
             idle: !used,
--- a/crates/gateway/src/account/stake.rs
+++ b/crates/gateway/src/account/stake.rs
@@ -9,6 +9,9 @@
 /// Time without use after which a stake is written as idle.
 const IDLE_AFTER: Duration = Duration::from_millis(1500);
 
+/// Rate of use while the platform must be away, as a multiple of the rate before.
+const LOOSE_FACTOR: u64 = 4;
+
 /// Tokens that a process may use, as it wrote them last.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -25,6 +28,9 @@
     pub rate: u64,
     /// The platform's clock in milliseconds, at the latest when the row was written.
     pub written_ms: u64,
+    /// Time in milliseconds after which it may use more than at the rate, as the platform must be
+    /// away; 0 where it never may.
+    pub loosen_ms: u64,
     /// Time in milliseconds after which it may use all tokens.
     pub unlock_ms: u64,
 }
@@ -37,11 +43,19 @@
         if elapsed >= self.unlock_ms {
             return 0;
         }
-        let used = self.burst.saturating_add(self.rate.saturating_mul(elapsed).div_ceil(1000));
+        let weighted = weigh(elapsed, self.loosen_ms);
+        let used = self.burst.saturating_add(self.rate.saturating_mul(weighted).div_ceil(1000));
         self.tokens.saturating_sub(used)
     }
 }
 
+/// Returns a time in milliseconds, with what lies beyond the start of looser use counted several
+/// times.
+fn weigh(elapsed_ms: u64, loosen_ms: u64) -> u64 {
+    let loose = if loosen_ms == 0 { 0 } else { elapsed_ms.saturating_sub(loosen_ms) };
+    elapsed_ms + loose * (LOOSE_FACTOR - 1)
+}
+
 /// Bound that a written stake puts on use.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Limit {
@@ -51,6 +65,8 @@
     pub burst: u64,
     /// Tokens that are used in each second beside.
     pub rate: u64,
+    /// Time after which more may be used than at the rate; zero where it never may.
+    pub loosen: Duration,
     /// Time after which all may be used.
     pub unlock: Duration,
     /// When the stake was written, at the latest.
@@ -76,7 +92,8 @@
         if elapsed >= self.unlock {
             return u64::MAX;
         }
-        let grown = self.rate.saturating_mul(elapsed.as_millis() as u64) / 1000;
+        let weighted = weigh(elapsed.as_millis() as u64, self.loosen.as_millis() as u64);
+        let grown = self.rate.saturating_mul(weighted) / 1000;
         (self.burst + grown).saturating_sub(self.used)
     }
 }
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -37,6 +37,9 @@
 /// Longest wait for a transaction that brings tokens for another host; shorter than that host waits.
 const LEND_WAIT: Duration = Duration::from_millis(180);
 
+/// Longest wait of a request until the other hosts are known.
+const KNOWN_WAIT: Duration = Duration::from_millis(150);
+
 /// Answer where a workspace isn't known.
 const NOTHING: Lent = Lent { tokens: 0, left: 0, returning: 0, exhausted: false };
 
@@ -208,6 +211,8 @@
         tokens: u64,
         until: Instant,
     ) -> Result<Reservation, Verdict> {
+        // A process that has just started doesn't know yet whom to ask.
+        let _ = timeout(KNOWN_WAIT, node.peers.until_known()).await;
         let reserved = if node.peers.keeps(workspace) {
             false
         } else {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
-use coordination::table::{Op, Outcome, Revision, Row, Txn, Write};
+use coordination::table::{Check, Op, Outcome, Revision, Row, Txn, Write};
 use tokio::time::sleep;
 
 use crate::{
@@ -14,6 +14,9 @@
 /// Start of the keys of the hosts' rows.
 const PREFIX: &str = "host/all/";
 
+/// Row of the fleet's key.
+const KEY: &str = "fleet/key";
+
 /// Time between two writes of the own row.
 const INTERVAL: Duration = Duration::from_secs(2);
 
@@ -64,7 +67,12 @@
 pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
     let mut census = Census::default();
     let mut readings: u32 = 0;
+    let mut keyed = false;
     while node.phase.get() == Phase::Serving {
+        if !keyed && let Some(key) = key(&*source).await {
+            node.peers.set_key(key);
+            keyed = true;
+        }
         let card = serde_json::to_string(node.peers.own()).expect("a card has a JSON form");
         let write = Write { key: own_key(&node), value: Some(card.into()) };
         source.table(&Op::Commit(Txn { checks: Vec::new(), writes: vec![write] })).await;
@@ -83,6 +91,26 @@
     }
 }
 
+/// Reads the fleet's key, or makes one where there is none.
+async fn key(source: &impl Source) -> Option<Arc<str>> {
+    let row = match source.table(&Op::Read(vec![KEY.into()])).await {
+        Outcome::Rows(rows) => rows.into_iter().next()?,
+        _ => return None,
+    };
+    if let Some(key) = row.value {
+        return Some(key);
+    }
+    let fresh: Arc<str> = hex::encode(rand::random::<[u8; 16]>()).into();
+    let check = Check { key: KEY.into(), revision: row.revision };
+    let write = Write { key: KEY.into(), value: Some(fresh.clone()) };
+    match source.table(&Op::Commit(Txn { checks: vec![check], writes: vec![write] })).await {
+        Outcome::Committed(_) => Some(fresh),
+        // Another host made one at the same time.
+        Outcome::Conflict(rows) => rows.into_iter().next()?.value,
+        _ => None,
+    }
+}
+
 /// Removes the row of a host that stops.
 pub async fn leave(node: &Node, source: &impl Source) {
     let write = Write { key: own_key(node), value: None };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -112,10 +112,9 @@
     pub fn open(settings: Settings, dialect: Rc<dyn Dialect>, metrics: Metrics) -> Self {
         let rng = StdRng::seed_from_u64(settings.seed);
         let site = Site { host: settings.host.clone(), zone: settings.zone.clone() };
-        let key = hex::encode(rand::random::<[u8; 16]>()).into();
         Self {
             bank: Bank::open(settings.host.clone(), settings.process.clone()),
-            peers: Peers::open(Card { address: settings.peers, key, site }),
+            peers: Peers::open(Card { address: settings.peers, site }),
             settings,
             dialect,
             fleet: RefCell::new(Fleet::open(rng)),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,7 +1,7 @@
 //! Hosts lend each other prepaid tokens, those first that keep a workspace's tokens ahead.
 //!
-//! Each process publishes its address and a key in its row among the hosts; whoever asks it shows
-//! that key. The host that lends gives the tokens up before it answers, so that an answer that is
+//! Each process publishes its address in its row among the hosts. Whoever asks it shows the fleet's
+//! key, which stands in a row too, so that a process that starts again can be asked at once. The host that lends gives the tokens up before it answers, so that an answer that is
 //! lost loses tokens and never doubles them.
 
 use std::{
@@ -28,7 +28,7 @@
 use subtle::ConstantTimeEq as _;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::oneshot,
+    sync::{Notify, oneshot},
     task::spawn_local,
     time::{Instant, timeout},
 };
@@ -71,8 +71,6 @@
 pub struct Card {
     /// Where it takes messages.
     pub address: SocketAddr,
-    /// Key that shows that a message comes from a host of the fleet, in hex.
-    pub key: Arc<str>,
     /// Name and availability zone; empty where the process is of a version that doesn't say.
     #[serde(default)]
     pub site: Site,
@@ -105,6 +103,11 @@
     asking_keepers: Cell<usize>,
     others: RefCell<Vec<Rc<RefCell<Peer>>>>,
     keepers: RefCell<Keepers>,
+    /// Key that shows that a message comes from a host of the fleet.
+    key: RefCell<Option<Arc<str>>>,
+    /// The other hosts have been read.
+    known: Cell<bool>,
+    read: Notify,
     /// This host keeps nothing ahead any more.
     retired: Cell<bool>,
 }
@@ -118,6 +121,9 @@
             asking_keepers: Cell::new(0),
             others: RefCell::default(),
             keepers: RefCell::default(),
+            key: RefCell::default(),
+            known: Cell::new(false),
+            read: Notify::new(),
             retired: Cell::new(false),
         }
     }
@@ -127,8 +133,23 @@
         &self.own
     }
 
+    /// Takes the fleet's key.
+    pub fn set_key(&self, key: Arc<str>) {
+        *self.key.borrow_mut() = Some(key);
+    }
+
+    /// Waits until the other hosts have been read once.
+    pub async fn until_known(&self) {
+        let read = self.read.notified();
+        if !self.known.get() {
+            read.await;
+        }
+    }
+
     /// Takes the cards of all hosts.
     pub fn replace(&self, cards: Vec<Card>) {
+        self.known.set(true);
+        self.read.notify_waiters();
         let own = std::iter::once(self.own.site.clone());
         let sites = cards.iter().filter(|card| card.site != self.own.site).map(|c| c.site.clone());
         *self.keepers.borrow_mut() = Keepers::open(own.chain(sites));
@@ -229,7 +250,7 @@
     let (own, peer_asked) = (node.clone(), peer.clone());
     let wished = wish.clone();
     spawn_local(async move {
-        let exchanged = timeout(EXCHANGE, exchange(&peer_asked, &wished)).await;
+        let exchanged = timeout(EXCHANGE, exchange(&own, &peer_asked, &wished)).await;
         let exchanged = exchanged.unwrap_or_else(|_| Err(eyre::eyre!("no answer")));
         let loan =
             exchanged.map(|lent| Loan { node: own, workspace: wished.workspace.clone(), lent });
@@ -289,8 +310,9 @@
     }
 }
 
-async fn exchange(peer: &Rc<RefCell<Peer>>, ask: &Ask) -> eyre::Result<Lent> {
+async fn exchange(node: &Node, peer: &Rc<RefCell<Peer>>, ask: &Ask) -> eyre::Result<Lent> {
     let card = peer.borrow().card.clone();
+    let key = node.peers.key.borrow().clone().ok_or_else(|| eyre::eyre!("no key yet"))?;
     peer.borrow_mut().links.retain(|link| !link.is_closed());
     let kept = peer.borrow_mut().links.pop();
     let mut link = match kept {
@@ -301,7 +323,7 @@
         .method(Method::POST)
         .uri("/lend")
         .header(HOST, card.address.to_string())
-        .header(AUTHORIZATION, &*card.key)
+        .header(AUTHORIZATION, &*key)
         .body(Full::new(Bytes::from(ask.encode()?)))?;
     link.ready().await?;
     let response = link.send_request(request).await?;
@@ -346,8 +368,10 @@
 
 async fn answer(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let shown = request.headers().get(AUTHORIZATION).map(|value| value.as_bytes().to_vec());
-    let own = node.peers.own().key.as_bytes();
-    if !shown.is_some_and(|shown| bool::from(shown.ct_eq(own))) {
+    let key = node.peers.key.borrow().clone();
+    let is_shown =
+        |key: Arc<str>| shown.as_ref().is_some_and(|shown| bool::from(shown.ct_eq(key.as_bytes())));
+    if !key.is_some_and(is_shown) {
         tracing::warn!(event = "host_refused", reason = "wrong key");
         return plain(StatusCode::FORBIDDEN, Bytes::new());
     }
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -213,11 +213,24 @@
 #[test_case(Left { elapsed_ms: 2999, left: 750 }; "until all may have been used")]
 #[test_case(Left { elapsed_ms: 3000, left: 0 }; "from then on nothing is certain")]
 fn next_process_takes_over_what_is_certainly_left(case: Left) {
+    assert_left(&case, 0);
+}
+
+#[test_case(Left { elapsed_ms: 2000, left: 800 }; "the rate holds at first")]
+#[test_case(Left { elapsed_ms: 2500, left: 700 }; "then use is looser")]
+#[test_case(Left { elapsed_ms: 2999, left: 600 }; "until all may have been used")]
+#[test_case(Left { elapsed_ms: 3000, left: 0 }; "from then on nothing is certain")]
+fn process_that_starts_late_takes_over_what_looser_use_left(case: Left) {
+    assert_left(&case, 2000);
+}
+
+fn assert_left(case: &Left, loosen_ms: u64) {
     let stake = Stake {
         tokens: 1000,
         burst: 100,
         rate: 50,
         written_ms: 7000,
+        loosen_ms,
         unlock_ms: 3000,
         ..Stake::default()
     };
@@ -331,6 +344,26 @@
     assert!(sums * 100 >= held * 85, "{sums} of {held} taken over");
 }
 
+#[test]
+fn next_process_takes_its_stake_over_without_the_budget_row() {
+    let mut table = Table::default();
+    let mut dead = account("h-1", 100_000);
+    run(&mut dead, &mut table, Duration::ZERO, 1000);
+    let mut next = account("h-2", 100_000);
+    assert_eq!(next.reserve(Duration::ZERO, 2_000, true), Verdict::Wait);
+    let Some(Step::Read(keys)) = next.plan(Duration::ZERO, setting(2000)) else {
+        panic!("the rows are read first");
+    };
+    next.looked(Duration::ZERO, &table.read(&keys), Some(2000));
+    let Some(Step::Commit(txn)) = next.plan(Duration::ZERO, setting(2000)) else {
+        panic!("the stake is taken over");
+    };
+    let written: Vec<&str> = txn.writes.iter().map(|write| &*write.key).collect();
+    assert_eq!(written, ["stake/w/h"], "other hosts change the budget's row meanwhile");
+    next.ended(Duration::ZERO, table.commit(&txn), Some(2000));
+    assert_eq!(next.reserve(Duration::ZERO, 2_000, true), Verdict::Reserved);
+}
+
 #[test]
 fn lost_answer_leaves_the_stricter_of_two_bounds_in_force() {
     let mut table = Table::default();
