Keep the meaning of a stake's unlock time for processes of earlier versions

The time from which all may be used now has a field of its own, and the former one keeps its meaning.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -511,11 +511,12 @@
         self.held -= returning;
         let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
         let floor = self.floor(&setting);
-        let (rate, typical, loosen, unlock) = if used {
-            let loosen = setting.report() + RESTART;
-            (self.bounded_rate(now, &setting), self.typical as u64, loosen, loosen + LATE_RESTART)
+        let (rate, typical, unlock, open) = if used {
+            let unlock = setting.report() + RESTART;
+            (self.bounded_rate(now, &setting), self.typical as u64, unlock, unlock + LATE_RESTART)
         } else {
-            (floor / IDLE_PART, 0, Duration::ZERO, setting.idle_report() + RESTART)
+            let unlock = setting.idle_report() + RESTART;
+            (floor / IDLE_PART, 0, unlock, unlock)
         };
         let burst = rate.max(floor) * BURST.as_millis() as u64 / 1000;
         let burst = burst.max(typical * BURST_REQUESTS);
@@ -526,8 +527,8 @@
             burst: wanted + burst,
             rate,
             written_ms: setting.platform_ms.unwrap_or_default(),
-            loosen_ms: loosen.as_millis() as u64,
             unlock_ms: unlock.as_millis() as u64,
+            open_ms: open.as_millis() as u64,
         };
         let mut txn = Txn::default();
         let sums =
@@ -543,8 +544,8 @@
             used: 0,
             burst: stake.burst,
             rate: stake.rate,
-            loosen,
             unlock,
+            open,
             since: now,
             idle: !used,
         };
--- a/crates/gateway/src/account/stake.rs
+++ b/crates/gateway/src/account/stake.rs
@@ -29,10 +29,12 @@
     /// The platform's clock in milliseconds, at the latest when the row was written.
     pub written_ms: u64,
     /// Time in milliseconds after which it may use more than at the rate, as the platform must be
-    /// away; 0 where it never may.
-    pub loosen_ms: u64,
-    /// Time in milliseconds after which it may use all tokens.
+    /// away.
     pub unlock_ms: u64,
+    /// Time in milliseconds after which it may use all tokens, where that is later.
+    ///
+    /// Processes of earlier versions know only `unlock_ms`, and take nothing over after it.
+    pub open_ms: u64,
 }
 
 impl Stake {
@@ -40,10 +42,10 @@
     /// before its death.
     pub fn left(&self, now_ms: u64) -> u64 {
         let elapsed = now_ms.saturating_sub(self.written_ms);
-        if elapsed >= self.unlock_ms {
+        if elapsed >= self.unlock_ms.max(self.open_ms) {
             return 0;
         }
-        let weighted = weigh(elapsed, self.loosen_ms);
+        let weighted = weigh(elapsed, self.unlock_ms);
         let used = self.burst.saturating_add(self.rate.saturating_mul(weighted).div_ceil(1000));
         self.tokens.saturating_sub(used)
     }
@@ -51,9 +53,8 @@
 
 /// Returns a time in milliseconds, with what lies beyond the start of looser use counted several
 /// times.
-fn weigh(elapsed_ms: u64, loosen_ms: u64) -> u64 {
-    let loose = if loosen_ms == 0 { 0 } else { elapsed_ms.saturating_sub(loosen_ms) };
-    elapsed_ms + loose * (LOOSE_FACTOR - 1)
+fn weigh(elapsed_ms: u64, unlock_ms: u64) -> u64 {
+    elapsed_ms + elapsed_ms.saturating_sub(unlock_ms) * (LOOSE_FACTOR - 1)
 }
 
 /// Bound that a written stake puts on use.
@@ -65,10 +66,10 @@
     pub burst: u64,
     /// Tokens that are used in each second beside.
     pub rate: u64,
-    /// Time after which more may be used than at the rate; zero where it never may.
-    pub loosen: Duration,
-    /// Time after which all may be used.
+    /// Time after which more may be used than at the rate.
     pub unlock: Duration,
+    /// Time after which all may be used.
+    pub open: Duration,
     /// When the stake was written, at the latest.
     pub since: Duration,
     /// No request had used the stake before.
@@ -89,10 +90,10 @@
     /// Returns the tokens that may be used now.
     pub fn left(&self, now: Duration) -> u64 {
         let elapsed = now.saturating_sub(self.since);
-        if elapsed >= self.unlock {
+        if elapsed >= self.open {
             return u64::MAX;
         }
-        let weighted = weigh(elapsed.as_millis() as u64, self.loosen.as_millis() as u64);
+        let weighted = weigh(elapsed.as_millis() as u64, self.unlock.as_millis() as u64);
         let grown = self.rate.saturating_mul(weighted) / 1000;
         (self.burst + grown).saturating_sub(self.used)
     }
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -213,7 +213,8 @@
 #[test_case(Left { elapsed_ms: 2999, left: 750 }; "until all may have been used")]
 #[test_case(Left { elapsed_ms: 3000, left: 0 }; "from then on nothing is certain")]
 fn next_process_takes_over_what_is_certainly_left(case: Left) {
-    assert_left(&case, 0);
+    // An earlier version's row doesn't say when all may be used.
+    assert_left(&case, 3000, 0);
 }
 
 #[test_case(Left { elapsed_ms: 2000, left: 800 }; "the rate holds at first")]
@@ -221,17 +222,17 @@
 #[test_case(Left { elapsed_ms: 2999, left: 600 }; "until all may have been used")]
 #[test_case(Left { elapsed_ms: 3000, left: 0 }; "from then on nothing is certain")]
 fn process_that_starts_late_takes_over_what_looser_use_left(case: Left) {
-    assert_left(&case, 2000);
+    assert_left(&case, 2000, 3000);
 }
 
-fn assert_left(case: &Left, loosen_ms: u64) {
+fn assert_left(case: &Left, unlock_ms: u64, open_ms: u64) {
     let stake = Stake {
         tokens: 1000,
         burst: 100,
         rate: 50,
         written_ms: 7000,
-        loosen_ms,
-        unlock_ms: 3000,
+        unlock_ms,
+        open_ms,
         ..Stake::default()
     };
     assert_eq!(stake.left(7000 + case.elapsed_ms), case.left);
