Agree on a second home for sessions, and open stakes later

Causes: (1) sessions whose home engine was busy went to engines that each host chose for itself, and were read again at many (the new test: 40 hosts chose three engines, now one). Stakes now open 4 s later and loosen until then; part of such a stake is taken over. (3) A host was killed at the end of the grace with its last call under way; it now ends 0.3 s sooner.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -56,12 +56,12 @@
 /// that died mostly needs to start again.
 const RESTART: Duration = Duration::from_millis(2400);
 
-/// Further time for which the rest of a stake in use is kept for a process that starts late; use is
-/// only looser meanwhile.
-const LATE_RESTART: Duration = Duration::from_millis(2500);
+/// Further time for which the rest of a stake is kept for a process that starts late, as after a loss
+/// of power; use is only looser meanwhile.
+const LATE_RESTART: Duration = Duration::from_secs(4);
 
 /// Part of the expected use in a second that an idle stake allows.
-const IDLE_PART: u64 = 8;
+const IDLE_PART: u64 = 2;
 
 /// Time over which the rate of use is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -511,13 +511,13 @@
         self.held -= returning;
         let used = self.limit.is_some_and(|limit| limit.used > 0) || wanted > 0;
         let floor = self.floor(&setting);
-        let (rate, typical, unlock, open) = if used {
-            let unlock = setting.report() + RESTART;
-            (self.bounded_rate(now, &setting), self.typical as u64, unlock, unlock + LATE_RESTART)
+        let (rate, typical, report) = if used {
+            (self.bounded_rate(now, &setting), self.typical as u64, setting.report())
         } else {
-            let unlock = setting.idle_report() + RESTART;
-            (floor / IDLE_PART, 0, unlock, unlock)
+            (floor / IDLE_PART, 0, setting.idle_report())
         };
+        let unlock = report + RESTART;
+        let open = unlock + LATE_RESTART;
         let burst = rate.max(floor) * BURST.as_millis() as u64 / 1000;
         let burst = burst.max(typical * BURST_REQUESTS);
         let stake = Stake {
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -22,7 +22,7 @@
 const LEAVE_LEAST: Duration = Duration::from_millis(2800);
 
 /// Time kept at the end of the grace for what follows the last request.
-const LEAVE_MARGIN: Duration = Duration::from_millis(700);
+const LEAVE_MARGIN: Duration = Duration::from_millis(1000);
 
 /// Longest time for giving back tokens at the end.
 const CLOSE_LONGEST: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -4,7 +4,7 @@
 //! wait to be read, tokens of this prompt that the engine doesn't hold, requests that run there.
 //! Each shared prompt has a home among the engines by rendezvous hash, so that all hosts send it to
 //! the same engine without asking each other; it leaves its home only where the home's queue costs
-//! more than reading the prompt again. This answers the load of many sessions with long shared
+//! more than reading the prompt again, and mostly for a second home, on which hosts agree too. This answers the load of many sessions with long shared
 //! prompts. For plain services the least loaded backend server wins, the own zone first.
 
 use std::{
@@ -28,6 +28,9 @@
 /// requests at the engine.
 const REREAD_COST: f64 = 1.5;
 
+/// Part of a prompt's shared tokens that its second home is expected to hold, in percent.
+const SECOND_HELD_PERCENT: u64 = 50;
+
 /// Part of a route's target within which a delay costs little.
 const SLACK_PART: f64 = 0.4;
 
@@ -240,17 +243,17 @@
         let session = want.prompt.and_then(|prompt| prompt.shared.last());
         let weight = |backend: &Backend| session.map(|part| spread(backend.hash ^ part.chain));
         let usable = |backend: &&&Backend| !backend.is_avoided(now);
-        let home = all.iter().filter(usable).max_by_key(|backend| weight(backend));
-        let home = home.filter(|_| session.is_some()).map(|backend| backend.hash);
+        let homes = Homes::find(all.iter().filter(usable).map(|b| (weight(b), b.hash)));
         let mut best: Option<(f64, f64, f64, u64, &Backend)> = None;
         for &backend in all.iter().filter(usable) {
-            let unread = unread(now, backend, want.prompt, home);
+            let unread = unread(now, backend, want.prompt, homes.first);
+            let expected = unread.min(homes.most_unread(backend, want.prompt));
             let jitter = self.rng.random_range(0.0..JITTER_MS);
             let zone = self.zones.get(&backend.entry.zone);
             let cut = zone.is_some_and(|zone| zone.is_doubtful(now));
             let doubt = doubt(now, backend) + if cut { ZONE_DOUBT_MS } else { 0.0 };
-            let delay = delay(backend.load(now), backend, want, unread);
-            let reread = unread as f64 / TOKENS_PER_MS * REREAD_COST;
+            let delay = delay(backend.load(now), backend, want, expected);
+            let reread = expected as f64 / TOKENS_PER_MS * REREAD_COST;
             let cost = doubt + cost(delay, want) + reread + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, delay, doubt, unread, backend));
@@ -280,12 +283,47 @@
     known.born == entry.born && known.address == entry.address && known.service == entry.service
 }
 
+/// Hashes of the backend servers to which all hosts send a prompt's shared parts.
+#[derive(Debug, Clone, Copy, Default)]
+struct Homes {
+    first: Option<u64>,
+    /// Takes what the first one has no room for.
+    second: Option<u64>,
+}
+
+impl Homes {
+    /// Finds the two greatest weights; there are no homes without weights.
+    fn find(weighed: impl Iterator<Item = (Option<u64>, u64)>) -> Self {
+        let mut ranked: [Option<(u64, u64)>; 2] = [None; 2];
+        for (weight, hash) in weighed {
+            let own = weight.map(|weight| (weight, hash));
+            if own > ranked[0] {
+                ranked = [own, ranked[0]];
+            } else if own > ranked[1] {
+                ranked[1] = own;
+            }
+        }
+        let [first, second] = ranked.map(|found| found.map(|(_, hash)| hash));
+        Self { first, second }
+    }
+
+    /// Returns the tokens that a backend server is expected to read at the most.
+    fn most_unread(&self, backend: &Backend, prompt: Option<&Prompt>) -> u64 {
+        match prompt {
+            Some(prompt) if self.second == Some(backend.hash) => {
+                let held = prompt.shared_tokens() * SECOND_HELD_PERCENT / 100;
+                prompt.input.saturating_sub(held)
+            }
+            _ => u64::MAX,
+        }
+    }
+}
+
 /// Returns the tokens that a backend server has to read; the home of a prompt holds its shared part.
 fn unread(now: Duration, backend: &Backend, prompt: Option<&Prompt>, home: Option<u64>) -> u64 {
     let Some(prompt) = prompt else { return 0 };
     if home == Some(backend.hash) {
-        let shared: u64 = prompt.shared.iter().map(|part| part.tokens).sum();
-        return prompt.input.saturating_sub(shared);
+        return prompt.input.saturating_sub(prompt.shared_tokens());
     }
     backend.unread(now, prompt)
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -39,6 +39,11 @@
         Self { input, output, shared: shared.collect() }
     }
 
+    /// Returns the tokens that other requests share.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared.iter().map(|part| part.tokens).sum()
+    }
+
     /// Returns the most tokens that the request can use.
     pub fn worst(&self) -> u64 {
         self.input + self.output
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -77,6 +77,22 @@
     assert!(counts.values().all(|&count| count < 100), "{counts:?}");
 }
 
+#[test]
+fn sessions_of_a_busy_home_meet_at_a_second_one() {
+    let mut hosts: Vec<Fleet> = (0..40).map(|seed| fleet(seed, engines())).collect();
+    let prompt = session(1);
+    let (home, _) = placed(&mut hosts[0], SECOND, &want(Some(&prompt), &[])).expect("an engine");
+    let mut seconds: HashMap<Arc<str>, u32> = HashMap::new();
+    for host in &mut hosts {
+        let backend = host.get_mut(&home).expect("listed");
+        backend.report(SECOND, Load { running: 64, waiting: 30 });
+        let (id, _) = placed(host, SECOND, &want(Some(&prompt), &[])).expect("an engine");
+        assert_ne!(id, home);
+        *seconds.entry(id).or_default() += 1;
+    }
+    assert_eq!(seconds.len(), 1, "{seconds:?}");
+}
+
 /// Prompt tokens read again by seven hosts that share twelve engines, and the greatest queue.
 fn play(mut pick: impl FnMut(&mut Fleet, Duration, &Prompt) -> (Arc<str>, u64)) -> (u64, u64) {
     let mut rng = StdRng::seed_from_u64(5);
