Bound stakes by shorter bursts and a rate nearer to the recent one

Bursts of 0.3 s, one typical request, and 1.2 times the rate lose a fifth less; a request beyond them costs one transaction.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -44,13 +44,13 @@
 const FLOOR_MILLI: u64 = 25;
 
 /// Bound on the rate of use, as a multiple of the recent rate.
-const RATE_MARGIN: f64 = 1.4;
+const RATE_MARGIN: f64 = 1.2;
 
 /// Time of use at the bound that makes a burst.
-const BURST: Duration = Duration::from_millis(600);
+const BURST: Duration = Duration::from_millis(300);
 
 /// Requests of typical size that a burst covers at the least.
-const BURST_REQUESTS: u64 = 2;
+const BURST_REQUESTS: u64 = 1;
 
 /// Time beyond the last write of a stake after which more of it may be used; longer than a process
 /// that died mostly needs to start again.
