Write a stake anew at once after an outage, and don't share what a request borrowed

(2) A request asked for what it lacked beside the tokens that the host had left over, other requests took these meanwhile, and after three rounds it was refused while a keeper held 870,000 tokens; what is here is now set aside first.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -309,6 +309,13 @@
         Verdict::Wait
     }
 
+    /// Sets tokens aside for a request, as many of them as can be used now; returns how many.
+    pub fn reserve_part(&mut self, now: Duration, tokens: u64) -> u64 {
+        let tokens = self.lend(now, tokens);
+        self.reserved += tokens;
+        tokens
+    }
+
     /// Notes a request that begins to wait for tokens.
     pub fn queue(&mut self, tokens: u64) {
         self.queued += tokens;
@@ -567,7 +574,8 @@
                     self.sums_row.revision = revision;
                     self.seen = Some(now);
                 }
-                self.next = now + ADJUST_PAUSE;
+                // One that was under way for long left a bound of long ago.
+                self.next = now.max(pending.limit.since + ADJUST_PAUSE);
                 self.adopt(pending);
             }
             Outcome::Conflict(rows) => self.resolve(now, pending, &rows, platform_ms),
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -109,6 +109,32 @@
 }
 
 impl Reservation {
+    fn open(node: &Rc<Node>, workspace: &Arc<str>) -> Self {
+        Self { node: node.clone(), workspace: workspace.clone(), reserved: 0, used: 0 }
+    }
+
+    /// Sets more tokens aside, as many of them as this host may use now.
+    fn take(&mut self, tokens: u64) {
+        let now = self.node.now();
+        if let Some(account) = self.node.bank.accounts.borrow_mut().get_mut(&self.workspace) {
+            self.reserved += account.reserve_part(now, tokens);
+        }
+    }
+
+    /// Sets more tokens aside, from the nearest host that keeps them and is reached.
+    async fn ask_keepers(&mut self, missing: u64) -> Result<(), Verdict> {
+        if missing == 0 {
+            return Ok(());
+        }
+        match Peers::ask_keepers(&self.node, &self.workspace, missing).await {
+            None => {}
+            Some(lent) if lent.exhausted => return Err(Verdict::Exhausted),
+            Some(lent) if lent.tokens < missing => return Err(Verdict::Unavailable),
+            Some(_) => self.take(missing),
+        }
+        Ok(())
+    }
+
     /// Returns what the request has used.
     pub fn used(&self) -> u64 {
         self.used
@@ -213,42 +239,19 @@
     ) -> Result<Reservation, Verdict> {
         // A process that has just started doesn't know yet whom to ask.
         let _ = timeout(KNOWN_WAIT, node.peers.until_known()).await;
-        let reserved = if node.peers.keeps(workspace) {
-            false
-        } else {
-            let asked = Self::ask_keepers(node, workspace, tokens);
-            timeout_at(until, asked).await.map_err(|_| Verdict::Unavailable)??
-        };
-        if !reserved {
-            Self::collect(node, workspace, tokens, until).await?;
+        let mut own = Reservation::open(node, workspace);
+        if !node.peers.keeps(workspace) {
+            // What is here is set aside first, so that no other request takes it meanwhile.
+            own.take(tokens);
+            let asked = own.ask_keepers(tokens - own.reserved);
+            timeout_at(until, asked).await.map_err(|_| Verdict::Unavailable)??;
         }
-        let (node, workspace) = (node.clone(), workspace.clone());
-        Ok(Reservation { node, workspace, reserved: tokens, used: 0 })
-    }
-
-    /// Sets tokens aside after asking the hosts that keep them; returns false where none of these is
-    /// reached.
-    async fn ask_keepers(
-        node: &Rc<Node>,
-        workspace: &Arc<str>,
-        tokens: u64,
-    ) -> Result<bool, Verdict> {
-        for _ in 0..ROUNDS {
-            let missing = node.bank.missing(node.now(), workspace, tokens);
-            if missing == 0 {
-                let mut accounts = node.bank.accounts.borrow_mut();
-                let account = accounts.get_mut(workspace).ok_or(Verdict::Unavailable)?;
-                return Ok(account.reserve(node.now(), tokens, true) == Verdict::Reserved);
-            }
-            match Peers::ask_keepers(node, workspace, missing).await {
-                None => return Ok(false),
-                Some(lent) if lent.exhausted => return Err(Verdict::Exhausted),
-                Some(lent) if lent.tokens < missing => return Err(Verdict::Unavailable),
-                // Another request may have used them meanwhile.
-                Some(_) => {}
-            }
+        if own.reserved < tokens {
+            let missing = tokens - own.reserved;
+            Self::collect(node, workspace, missing, until).await?;
+            own.reserved += missing;
         }
-        Err(Verdict::Unavailable)
+        Ok(own)
     }
 
     /// Sets tokens aside as a host that keeps them: from its stake, after a transaction, or from the
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -379,6 +379,31 @@
     assert_eq!(next.reserve(Duration::ZERO, 2_000, true), Verdict::Reserved);
 }
 
+#[test]
+fn stake_is_written_anew_at_once_after_an_outage() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    let lost = Duration::from_secs(3);
+    let Some(Step::Commit(txn)) = own.plan(lost, setting(4000)) else {
+        panic!("a stake is written anew");
+    };
+    own.ended(lost, Outcome::Unavailable, Some(4000));
+    let back = Duration::from_secs(11);
+    let Some(Step::Commit(again)) = own.plan(back, setting(12_000)) else {
+        panic!("the transaction is sent again");
+    };
+    assert_eq!(again, txn);
+    own.ended(back, table.commit(&again), Some(12_000));
+    let Some(Step::Commit(next)) = own.plan(back, setting(12_000)) else {
+        panic!("the bound of before the outage is replaced");
+    };
+    own.ended(back, table.commit(&next), Some(12_000));
+    let (written, _) = &table.rows["stake/w/h"];
+    let stake: Stake = serde_json::from_str(written).expect("a stake");
+    assert!(stake.left(12_500) * 100 >= stake.tokens * 85, "a kill now loses little");
+}
+
 #[test]
 fn lost_answer_leaves_the_stricter_of_two_bounds_in_force() {
     let mut table = Table::default();
