--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -34,7 +34,8 @@
 /// Time in which other hosts give tokens back to a budget: a transaction that meets a conflict.
 const RETURN_TIME: Duration = Duration::from_millis(40);
 
-/// Longest wait for a transaction that brings tokens for another host; shorter than that host waits.
+/// Longest time in which tokens are collected for another host; shorter than that host waits, so that
+/// it doesn't take this one for unreached.
 const LEND_WAIT: Duration = Duration::from_millis(180);
 
 /// Longest wait of a request until the other hosts are known.
@@ -365,9 +366,11 @@
             return node.bank.lend_held(node.now(), &ask.workspace, ask.tokens);
         }
         let until = Instant::now() + LEND_WAIT;
-        match Self::collect(node, &ask.workspace, ask.tokens, until).await {
-            Ok(()) => node.bank.hand_over(node.now(), &ask.workspace, ask.tokens),
-            Err(verdict) => Lent { exhausted: verdict == Verdict::Exhausted, ..NOTHING },
+        let collected = Self::collect(node, &ask.workspace, ask.tokens, until);
+        match timeout_at(until, collected).await {
+            Ok(Ok(())) => node.bank.hand_over(node.now(), &ask.workspace, ask.tokens),
+            Ok(Err(verdict)) => Lent { exhausted: verdict == Verdict::Exhausted, ..NOTHING },
+            Err(_) => NOTHING,
         }
     }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -60,8 +60,11 @@
 /// the answers.
 const ASKING: usize = 4;
 
-/// Time for which a host that didn't answer isn't asked.
-const AVOID: Duration = Duration::from_secs(2);
+/// Time for which a host that didn't answer isn't asked; doubles with each further failure in a row.
+const AVOID_FIRST: Duration = Duration::from_secs(2);
+
+/// Longest time for which a host that didn't answer isn't asked.
+const AVOID_LONGEST: Duration = Duration::from_secs(8);
 
 /// Longest message in bytes.
 const MESSAGE_BYTES: usize = 4096;
@@ -82,6 +85,8 @@
     card: Card,
     links: Vec<client::SendRequest<Full<Bytes>>>,
     avoid_until: Option<Instant>,
+    /// Times in a row that it didn't answer.
+    failures: u32,
 }
 
 /// What other hosts answered.
@@ -161,7 +166,7 @@
             if is_own || others.iter().any(|peer| peer.borrow().card == card) {
                 continue;
             }
-            let peer = Peer { card, links: Vec::new(), avoid_until: None };
+            let peer = Peer { card, links: Vec::new(), avoid_until: None, failures: 0 };
             others.push(Rc::new(RefCell::new(peer)));
         }
     }
@@ -262,6 +267,7 @@
     match answered {
         Ok(Ok(Ok(loan))) => {
             let lent = loan.lent;
+            peer.failures = 0;
             tracing::info!(event = "tokens_borrowed", workspace = %wish.workspace,
                 missing = wish.tokens, tokens = lent.tokens, from = %peer.card.address,
                 left = lent.left, returning = lent.returning, exhausted = lent.exhausted);
@@ -306,7 +312,9 @@
     fn avoid(&mut self, error: &impl ToString) {
         tracing::info!(event = "host_unreached", peer = %self.card.address, error = error.to_string());
         self.links.clear();
-        self.avoid_until = Some(Instant::now() + AVOID);
+        self.failures += 1;
+        let pause = coordination::retry::backoff(AVOID_FIRST, AVOID_LONGEST, self.failures);
+        self.avoid_until = Some(Instant::now() + pause);
     }
 }
 
