Take over what a former process left at the start of the next one

Cause: a stake was counted as used until its row was read, though the former process was dead when the next one started; after a kill of all processes that adds 0.1 to 0.7 s of use, and an outage at the start adds all of it. The platform's clock at the start follows from an answer and the time of the call. The random histories hand over this time too. Ruled out: a clock that stands still while a host is suspended makes the start look later, which is safe.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -561,8 +561,9 @@
         txn
     }
 
-    /// Takes the outcome of the transaction that was planned last.
-    pub fn ended(&mut self, now: Duration, outcome: Outcome, platform_ms: Option<u64>) {
+    /// Takes the outcome of the transaction that was planned last; `born_ms` is the platform's clock
+    /// at the start of this process, at the latest.
+    pub fn ended(&mut self, now: Duration, outcome: Outcome, born_ms: Option<u64>) {
         self.under_way = false;
         let Some(pending) = self.pending.take() else { return };
         self.failed = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
@@ -578,7 +579,7 @@
                 self.next = now.max(pending.limit.since + ADJUST_PAUSE);
                 self.adopt(pending);
             }
-            Outcome::Conflict(rows) => self.resolve(now, pending, &rows, platform_ms),
+            Outcome::Conflict(rows) => self.resolve(now, pending, &rows, born_ms),
             // Neither answer proves that the transaction won't be done later.
             _ => {
                 self.pending = Some(pending);
@@ -599,25 +600,25 @@
     }
 
     /// Reads from the rows whether a transaction had been committed by an earlier send.
-    fn resolve(&mut self, now: Duration, pending: Pending, rows: &[Row], platform_ms: Option<u64>) {
+    fn resolve(&mut self, now: Duration, pending: Pending, rows: &[Row], born_ms: Option<u64>) {
         // At once, while the rows that came back are still the newest.
         self.next = now;
         self.is_fresh = true;
-        if let Some(pending) = self.observe(now, Some(pending), rows, platform_ms) {
+        if let Some(pending) = self.observe(now, Some(pending), rows, born_ms) {
             self.pending = Some(pending);
             self.next = now + RETRY_PAUSE;
         }
     }
 
     /// Takes the outcome of a reading of the rows.
-    pub fn looked(&mut self, now: Duration, outcome: &Outcome, platform_ms: Option<u64>) {
+    pub fn looked(&mut self, now: Duration, outcome: &Outcome, born_ms: Option<u64>) {
         self.under_way = false;
         self.failed = !matches!(outcome, Outcome::Rows(_));
         self.next = now + RETRY_PAUSE;
         if let Outcome::Rows(rows) = outcome {
             self.next = now;
             self.is_fresh = true;
-            self.observe(now, None, rows, platform_ms);
+            self.observe(now, None, rows, born_ms);
         }
     }
 
@@ -627,7 +628,7 @@
         now: Duration,
         pending: Option<Pending>,
         rows: &[Row],
-        platform_ms: Option<u64>,
+        born_ms: Option<u64>,
     ) -> Option<Pending> {
         let sums_row = rows.iter().find(|row| row.key == self.sums_row.key);
         let stake_row = rows.iter().find(|row| row.key == self.stake_row.key);
@@ -653,7 +654,7 @@
                 None => {}
             }
             if !own {
-                self.inherit(&stake, platform_ms);
+                self.inherit(&stake, born_ms);
             }
             self.known = true;
             self.stake_row.revision = row.revision;
@@ -668,9 +669,9 @@
 
     /// Takes over what the former process of this host left.
     ///
-    /// It can be used once a transaction of this process has been committed on top of that row.
-    fn inherit(&mut self, stake: &Stake, platform_ms: Option<u64>) {
-        self.held = platform_ms.map_or(0, |now| stake.left(now));
+    /// That process used nothing after the start of this one. What is left can be used once a transaction of this process has been committed on top of that row.
+    fn inherit(&mut self, stake: &Stake, born_ms: Option<u64>) {
+        self.held = born_ms.map_or(0, |born| stake.left(born));
         self.stake = stake.clone();
         self.limit = None;
         if stake.tokens == 0 {
@@ -682,7 +683,7 @@
             former = %stake.holder,
             tokens = stake.tokens,
             held = self.held,
-            age_ms = platform_ms.map(|now| now.saturating_sub(stake.written_ms)),
+            age_ms = born_ms.map(|born| born.saturating_sub(stake.written_ms)),
         );
     }
 
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -449,16 +449,20 @@
                     Step::Read(keys) => (Op::Read(keys), true),
                     Step::Commit(txn) => (Op::Commit(txn), false),
                 };
+                let asked = node.now();
                 let outcome = source.table(&op).await;
                 let now = node.now();
+                // The clock in the answer isn't before the call.
+                let asked_ms = asked.as_millis() as u64;
+                let born_ms = source.clock_ms().map(|clock| clock.saturating_sub(asked_ms));
                 if matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
                     node.bank.set_reached(false);
                 }
                 if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
                     if reading {
-                        account.looked(now, &outcome, source.clock_ms());
+                        account.looked(now, &outcome, born_ms);
                     } else {
-                        account.ended(now, outcome, source.clock_ms());
+                        account.ended(now, outcome, born_ms);
                     }
                 }
                 node.bank.ended.notify_waiters();
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -109,12 +109,13 @@
     /// Runs the transaction that is due at a host; `reach` tells whether the table is reached.
     fn transact(&mut self, host: usize, reach: bool) {
         let (now, setting) = (self.now(host), self.setting());
+        let born = Some(self.processes[host].started);
         let txn = match self.processes[host].account.plan(now, setting) {
             None => return,
             Some(Step::Commit(txn)) => txn,
             Some(Step::Read(keys)) => {
                 let rows = if reach { self.table.read(&keys) } else { Outcome::Unavailable };
-                self.processes[host].account.looked(now, &rows, Some(self.now_ms));
+                self.processes[host].account.looked(now, &rows, born);
                 return;
             }
         };
@@ -133,7 +134,7 @@
                 _ => self.table.commit(&txn),
             }
         };
-        self.processes[host].account.ended(now, outcome, Some(self.now_ms));
+        self.processes[host].account.ended(now, outcome, born);
     }
 
     fn request(&mut self, host: usize) {
@@ -379,6 +380,23 @@
     assert_eq!(next.reserve(Duration::ZERO, 2_000, true), Verdict::Reserved);
 }
 
+#[test]
+fn late_reading_takes_over_what_was_left_at_the_start() {
+    let mut table = Table::default();
+    let mut dead = account("h-1", 100_000);
+    run(&mut dead, &mut table, Duration::ZERO, 1000);
+    let held = dead.balance().0;
+    // The platform is away for a minute after the start at 2500 ms.
+    let mut next = account("h-2", 100_000);
+    let now = Duration::from_secs(60);
+    let Some(Step::Read(keys)) = next.plan(now, setting(62_500)) else {
+        panic!("the rows are read first");
+    };
+    next.looked(now, &table.read(&keys), Some(2500));
+    let sums = next.balance().0;
+    assert!(sums * 100 >= held * 85, "{sums} of {held} taken over");
+}
+
 #[test]
 fn stake_is_written_anew_at_once_after_an_outage() {
     let mut table = Table::default();
