--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -1,5 +1,8 @@
 //! Drives the accounts of all workspaces by transactions on the platform's table.
 
+mod reservation;
+mod writes;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -14,11 +17,12 @@
     task::spawn_local,
     time::{Instant, sleep, timeout, timeout_at},
 };
-
 use wire::lend::{Ask, Lent};
 
+pub use self::reservation::Reservation;
+use self::{reservation::Queued, writes::Writes};
 use crate::{
-    account::{Account, Setting, Step, Urgency, Verdict},
+    account::{Account, Setting, Step, Verdict},
     catalog::Catalog,
     dialect::Source,
     node::Node,
@@ -47,43 +51,6 @@
 /// Part of the platform's writes that all hosts together make for budgets, in percent.
 const WRITES_PERCENT: u64 = 80;
 
-/// Seconds of its part of the writes that a host saves up.
-const SAVED_S: f64 = 1.5;
-
-/// Fewest writes that a host saves up.
-const SAVED_LEAST: f64 = 4.0;
-
-/// This host's part of the platform's writes.
-#[derive(Debug, Default)]
-struct Writes {
-    saved: f64,
-    most: f64,
-    at: Duration,
-}
-
-impl Writes {
-    fn refill(&mut self, now: Duration, per_s: f64) {
-        let earned = now.saturating_sub(self.at).as_secs_f64() * per_s;
-        self.most = (per_s * SAVED_S).max(SAVED_LEAST);
-        self.saved = (self.saved + earned).min(self.most);
-        self.at = now;
-    }
-
-    /// Returns whether a transaction may be made; half of what can be saved up is kept for requests
-    /// that wait, which may also spend ahead.
-    fn is_open(&self, urgency: Urgency) -> bool {
-        match urgency {
-            Urgency::Fresh => true,
-            Urgency::Wanted => self.saved > -self.most,
-            Urgency::None => self.saved >= self.most / 2.0,
-        }
-    }
-
-    fn take(&mut self) {
-        self.saved -= 1.0;
-    }
-}
-
 /// All accounts, and the wake-ups between requests and transactions.
 #[derive(Debug)]
 pub struct Bank {
@@ -100,86 +67,6 @@
     ended: Notify,
 }
 
-/// Tokens that are set aside for one request; what it didn't use is free again at the end.
-#[derive(Debug)]
-pub struct Reservation {
-    node: Rc<Node>,
-    workspace: Arc<str>,
-    reserved: u64,
-    used: u64,
-}
-
-impl Reservation {
-    fn open(node: &Rc<Node>, workspace: &Arc<str>) -> Self {
-        Self { node: node.clone(), workspace: workspace.clone(), reserved: 0, used: 0 }
-    }
-
-    /// Sets more tokens aside, as many of them as this host may use now.
-    fn take(&mut self, tokens: u64) {
-        let now = self.node.now();
-        if let Some(account) = self.node.bank.accounts.borrow_mut().get_mut(&self.workspace) {
-            self.reserved += account.reserve_part(now, tokens);
-        }
-    }
-
-    /// Sets more tokens aside, from the nearest host that keeps them and is reached.
-    async fn ask_keepers(&mut self, missing: u64) -> Result<(), Verdict> {
-        if missing == 0 {
-            return Ok(());
-        }
-        match Peers::ask_keepers(&self.node, &self.workspace, missing).await {
-            None => {}
-            Some(lent) if lent.exhausted => return Err(Verdict::Exhausted),
-            Some(lent) if lent.tokens < missing => return Err(Verdict::Unavailable),
-            Some(_) => self.take(missing),
-        }
-        Ok(())
-    }
-
-    /// Returns what the request has used.
-    pub fn used(&self) -> u64 {
-        self.used
-    }
-
-    /// Notes what the request has used in all.
-    pub fn set_used(&mut self, used: u64) {
-        self.used = used;
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let mut accounts = self.node.bank.accounts.borrow_mut();
-        if let Some(account) = accounts.get_mut(&self.workspace) {
-            account.settle(self.reserved, self.used);
-        }
-    }
-}
-
-/// Counts a request as waiting for tokens until it is dropped.
-struct Queued {
-    node: Rc<Node>,
-    workspace: Arc<str>,
-    tokens: u64,
-}
-
-impl Queued {
-    fn open(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Self {
-        if let Some(account) = node.bank.accounts.borrow_mut().get_mut(workspace) {
-            account.queue(tokens);
-        }
-        Self { node: node.clone(), workspace: workspace.clone(), tokens }
-    }
-}
-
-impl Drop for Queued {
-    fn drop(&mut self) {
-        if let Some(account) = self.node.bank.accounts.borrow_mut().get_mut(&self.workspace) {
-            account.unqueue(self.tokens);
-        }
-    }
-}
-
 impl Bank {
     /// Opens the accounts of a host; workspaces come with the configuration.
     pub fn open(host: Arc<str>, holder: Arc<str>) -> Self {
@@ -443,32 +330,33 @@
         drop(writes);
         drop(accounts);
         for (workspace, step) in due {
-            let (node, source) = (node.clone(), source.clone());
-            spawn_local(async move {
-                let (op, reading) = match step {
-                    Step::Read(keys) => (Op::Read(keys), true),
-                    Step::Commit(txn) => (Op::Commit(txn), false),
-                };
-                let asked = node.now();
-                let outcome = source.table(&op).await;
-                let now = node.now();
-                // The clock in the answer isn't before the call.
-                let asked_ms = asked.as_millis() as u64;
-                let born_ms = source.clock_ms().map(|clock| clock.saturating_sub(asked_ms));
-                if matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
-                    node.bank.set_reached(false);
-                }
-                if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
-                    if reading {
-                        account.looked(now, &outcome, born_ms);
-                    } else {
-                        account.ended(now, outcome, born_ms);
-                    }
-                }
-                node.bank.ended.notify_waiters();
-                node.bank.due.notify_one();
-            });
+            spawn_local(Self::carry_out(node.clone(), source.clone(), workspace, step));
+        }
+    }
+
+    /// Carries out what an account planned, and tells it the outcome.
+    async fn carry_out(node: Rc<Node>, source: Rc<impl Source>, workspace: Arc<str>, step: Step) {
+        let (op, reading) = match step {
+            Step::Read(keys) => (Op::Read(keys), true),
+            Step::Commit(txn) => (Op::Commit(txn), false),
+        };
+        let asked_ms = node.now().as_millis() as u64;
+        let outcome = source.table(&op).await;
+        let now = node.now();
+        // The clock in the answer isn't before the call.
+        let born_ms = source.clock_ms().map(|clock| clock.saturating_sub(asked_ms));
+        if matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
+            node.bank.set_reached(false);
         }
+        if let Some(account) = node.bank.accounts.borrow_mut().get_mut(&workspace) {
+            if reading {
+                account.looked(now, &outcome, born_ms);
+            } else {
+                account.ended(now, outcome, born_ms);
+            }
+        }
+        node.bank.ended.notify_waiters();
+        node.bank.due.notify_one();
     }
 
     /// Gives back all that is kept ahead; returns when it is done or the time is over.
--- /dev/null
+++ b/crates/gateway/src/bank/reservation.rs
@@ -0,0 +1,87 @@
+//! Tokens that a request has set aside, and requests that wait for some.
+
+use std::{rc::Rc, sync::Arc};
+
+use crate::{account::Verdict, node::Node, peer::Peers};
+
+/// Tokens that are set aside for one request; what it didn't use is free again at the end.
+#[derive(Debug)]
+pub struct Reservation {
+    node: Rc<Node>,
+    workspace: Arc<str>,
+    pub(super) reserved: u64,
+    used: u64,
+}
+
+impl Reservation {
+    /// Opens a reservation of no tokens.
+    pub(super) fn open(node: &Rc<Node>, workspace: &Arc<str>) -> Self {
+        Self { node: node.clone(), workspace: workspace.clone(), reserved: 0, used: 0 }
+    }
+
+    /// Sets more tokens aside, as many of them as this host may use now.
+    pub(super) fn take(&mut self, tokens: u64) {
+        let now = self.node.now();
+        if let Some(account) = self.node.bank.accounts.borrow_mut().get_mut(&self.workspace) {
+            self.reserved += account.reserve_part(now, tokens);
+        }
+    }
+
+    /// Sets more tokens aside, from the nearest host that keeps them and is reached.
+    pub(super) async fn ask_keepers(&mut self, missing: u64) -> Result<(), Verdict> {
+        if missing == 0 {
+            return Ok(());
+        }
+        match Peers::ask_keepers(&self.node, &self.workspace, missing).await {
+            None => {}
+            Some(lent) if lent.exhausted => return Err(Verdict::Exhausted),
+            Some(lent) if lent.tokens < missing => return Err(Verdict::Unavailable),
+            Some(_) => self.take(missing),
+        }
+        Ok(())
+    }
+
+    /// Returns what the request has used.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+
+    /// Notes what the request has used in all.
+    pub fn set_used(&mut self, used: u64) {
+        self.used = used;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut accounts = self.node.bank.accounts.borrow_mut();
+        if let Some(account) = accounts.get_mut(&self.workspace) {
+            account.settle(self.reserved, self.used);
+        }
+    }
+}
+
+/// Counts a request as waiting for tokens until it is dropped.
+pub(super) struct Queued {
+    node: Rc<Node>,
+    workspace: Arc<str>,
+    tokens: u64,
+}
+
+impl Queued {
+    /// Counts a request that begins to wait.
+    pub fn open(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Self {
+        if let Some(account) = node.bank.accounts.borrow_mut().get_mut(workspace) {
+            account.queue(tokens);
+        }
+        Self { node: node.clone(), workspace: workspace.clone(), tokens }
+    }
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        if let Some(account) = self.node.bank.accounts.borrow_mut().get_mut(&self.workspace) {
+            account.unqueue(self.tokens);
+        }
+    }
+}
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -224,28 +224,18 @@
 
     /// Returns whether a service has a backend server that wasn't tried and can be reached.
     pub fn has_other(&self, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
-        self.backends.values().any(|backend| {
-            *backend.entry.service == *service
-                && !backend.entry.leaving
-                && !backend.is_avoided(now)
-                && !tried.contains(&backend.entry.id)
-        })
+        self.backends.values().any(|backend| is_candidate(backend, now, service, tried))
     }
 
     /// Chooses a backend server, or refuses.
     pub fn place(&mut self, now: Duration, want: &Want<'_>) -> Verdict {
-        let fits = |backend: &&Backend| {
-            *backend.entry.service == *want.service
-                && !backend.entry.leaving
-                && !want.tried.contains(&backend.entry.id)
-        };
-        let all: Vec<&Backend> = self.backends.values().filter(fits).collect();
+        let fits = |backend: &&Backend| is_candidate(backend, now, want.service, want.tried);
+        let candidates: Vec<&Backend> = self.backends.values().filter(fits).collect();
         let session = want.prompt.and_then(|prompt| prompt.shared.last());
         let weight = |backend: &Backend| session.map(|part| spread(backend.hash ^ part.chain));
-        let usable = |backend: &&&Backend| !backend.is_avoided(now);
-        let homes = Homes::find(all.iter().filter(usable).map(|b| (weight(b), b.hash)));
+        let homes = Homes::find(candidates.iter().map(|backend| (weight(backend), backend.hash)));
         let mut best: Option<(f64, f64, f64, u64, &Backend)> = None;
-        for &backend in all.iter().filter(usable) {
+        for &backend in &candidates {
             let unread = unread(now, backend, want.prompt, homes.first);
             let expected = unread.min(homes.most_unread(backend, want.prompt));
             let jitter = self.rng.random_range(0.0..JITTER_MS);
@@ -263,7 +253,7 @@
             return Verdict::Refuse { pause: NOBODY_PAUSE, ground: None };
         };
         let ground = Ground {
-            candidates: all.iter().filter(usable).count(),
+            candidates: candidates.len(),
             delay_ms,
             doubt_ms,
             load: backend.load(now),
@@ -279,6 +269,14 @@
     }
 }
 
+/// Returns whether a backend server of a service takes new work, wasn't tried and can be reached.
+fn is_candidate(backend: &Backend, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
+    *backend.entry.service == *service
+        && !backend.entry.leaving
+        && !backend.is_avoided(now)
+        && !tried.contains(&backend.entry.id)
+}
+
 fn is_same_start(known: &Entry, entry: &Entry) -> bool {
     known.born == entry.born && known.address == entry.address && known.service == entry.service
 }
