Let hosts that keep no tokens keep what one request may leave

Cause: such hosts never noted the size of requests, so that every leftover was given back by a reading and a transaction of its own.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -234,7 +234,7 @@
     ///
     /// While the platform is not reached no transaction can help.
     pub fn reserve(&mut self, now: Duration, tokens: u64, reached: bool) -> Verdict {
-        self.typical += (tokens as f64 - self.typical) * TYPICAL_WEIGHT;
+        self.note_size(tokens);
         if tokens <= self.available(now) {
             self.take(now, tokens);
             self.reserved += tokens;
@@ -252,6 +252,11 @@
         Verdict::Wait
     }
 
+    /// Notes the size of a request.
+    pub fn note_size(&mut self, tokens: u64) {
+        self.typical += (tokens as f64 - self.typical) * TYPICAL_WEIGHT;
+    }
+
     /// Sets tokens aside for a request, as many of them as can be used now; returns how many.
     pub fn reserve_part(&mut self, now: Duration, tokens: u64) -> u64 {
         let tokens = self.lend(now, tokens);
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -54,7 +54,7 @@
 const FRESH: Duration = Duration::from_millis(60);
 
 /// Requests of typical size whose tokens a host that keeps none ahead doesn't give back.
-const LEFTOVER_REQUESTS: u64 = 4;
+const LEFTOVER_REQUESTS: u64 = 1;
 
 /// Requests of typical size from which a part of the unspent budget is worth a transaction.
 const LEAST_REQUESTS: u64 = 2;
--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -129,6 +129,7 @@
         let _ = timeout(KNOWN_WAIT, node.peers.until_known()).await;
         let mut own = Reservation::open(node, workspace);
         if !node.peers.keeps(workspace) {
+            node.bank.note_size(workspace, tokens);
             // What is here is set aside first, so that no other request takes it meanwhile.
             own.take(tokens);
             let asked = own.ask_keepers(tokens - own.reserved);
@@ -207,6 +208,12 @@
         tokens.saturating_sub(available)
     }
 
+    fn note_size(&self, workspace: &str, tokens: u64) {
+        if let Some(account) = self.accounts.borrow_mut().get_mut(workspace) {
+            account.note_size(tokens);
+        }
+    }
+
     fn look_again(&self, workspace: &str) {
         if let Some(account) = self.accounts.borrow_mut().get_mut(workspace) {
             account.look_again();
