--- a/crates/wire/src/lend.rs
+++ b/crates/wire/src/lend.rs
@@ -6,6 +6,9 @@
 
 use crate::laburnum;
 
+/// Most tokens that one message may name; sums of them can't overflow.
+const MOST_TOKENS: u64 = 1 << 50;
+
 /// A wish for tokens.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
@@ -49,7 +52,7 @@
     pub fn decode(bytes: &[u8]) -> thrift::Result<Self> {
         let ask: laburnum::LendAsk = decode(bytes)?;
         let whole = ask.whole.unwrap_or_default();
-        Ok(Self { workspace: ask.workspace.into(), tokens: ask.tokens as u64, whole })
+        Ok(Self { workspace: ask.workspace.into(), tokens: count(ask.tokens)?, whole })
     }
 }
 
@@ -72,14 +75,25 @@
     pub fn decode(bytes: &[u8]) -> thrift::Result<Self> {
         let lent: laburnum::Lent = decode(bytes)?;
         Ok(Self {
-            tokens: lent.tokens as u64,
-            left: lent.left as u64,
-            returning: lent.returning as u64,
+            tokens: count(lent.tokens)?,
+            left: count(lent.left)?,
+            returning: count(lent.returning)?,
             exhausted: lent.exhausted.unwrap_or_default(),
         })
     }
 }
 
+/// Reads a number of tokens.
+fn count(tokens: i64) -> thrift::Result<u64> {
+    match u64::try_from(tokens) {
+        Ok(tokens) if tokens <= MOST_TOKENS => Ok(tokens),
+        _ => Err(thrift::Error::Protocol(thrift::ProtocolError::new(
+            thrift::ProtocolErrorKind::InvalidData,
+            format!("{tokens} tokens"),
+        ))),
+    }
+}
+
 fn encode(value: &impl TSerializable) -> thrift::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     value.write_to_out_protocol(&mut TBinaryOutputProtocol::new(&mut bytes, true))?;
--- /dev/null
+++ b/crates/wire/tests/lend.rs
@@ -0,0 +1,28 @@
+//! Messages by which hosts lend each other tokens.
+
+use test_case::test_case;
+use wire::lend::{Ask, Lent};
+
+fn ask(tokens: u64) -> Ask {
+    Ask { workspace: "w".into(), tokens, whole: true }
+}
+
+#[test]
+fn messages_are_read_as_they_were_written() {
+    let wish = ask(7_000);
+    assert_eq!(Ask::decode(&wish.encode().expect("written")).expect("read"), wish);
+    let lent = Lent { tokens: 7_000, left: 3, returning: 20, exhausted: true };
+    assert_eq!(Lent::decode(&lent.encode().expect("written")).expect("read"), lent);
+}
+
+#[test_case(u64::MAX; "a negative number")]
+#[test_case(1 << 51; "more than any budget")]
+fn wish_for_an_impossible_number_is_refused(tokens: u64) {
+    assert!(Ask::decode(&ask(tokens).encode().expect("written")).is_err());
+}
+
+#[test]
+fn bytes_of_something_else_are_refused() {
+    assert!(Ask::decode(b"").is_err());
+    assert!(Lent::decode(b"not thrift").is_err());
+}
