Tell which host refused tokens, and why

Cause: since hosts ask the one that keeps a workspace's tokens, the line of a refused request showed only what the asking host held, which is nothing. It now names the host that said so, and that host's line shows what it held, what the budget's row showed and how old that is.

--- a/crates/gateway/src/bank.rs
+++ b/crates/gateway/src/bank.rs
@@ -19,7 +19,7 @@
 };
 use wire::lend::{Ask, Lent};
 
-pub use self::reservation::Reservation;
+pub use self::reservation::{Denial, Reservation};
 use self::{reservation::Queued, writes::Writes};
 use crate::{
     account::{Account, Setting, Step, Verdict},
@@ -118,13 +118,13 @@
     ///
     /// # Errors
     ///
-    /// Fails with the verdict where the budget doesn't cover them, or they can't be had now.
+    /// Fails where the budget doesn't cover them, or they can't be had now.
     pub async fn reserve(
         node: &Rc<Node>,
         workspace: &Arc<str>,
         tokens: u64,
         until: Instant,
-    ) -> Result<Reservation, Verdict> {
+    ) -> Result<Reservation, Denial> {
         // A process that has just started doesn't know yet whom to ask.
         let _ = timeout(KNOWN_WAIT, node.peers.until_known()).await;
         let mut own = Reservation::open(node, workspace);
@@ -133,11 +133,13 @@
             // What is here is set aside first, so that no other request takes it meanwhile.
             own.take(tokens);
             let asked = own.ask_keepers(tokens - own.reserved);
-            timeout_at(until, asked).await.map_err(|_| Verdict::Unavailable)??;
+            let late = |_| Denial { verdict: Verdict::Unavailable, keeper: None };
+            timeout_at(until, asked).await.map_err(late)??;
         }
         if own.reserved < tokens {
             let missing = tokens - own.reserved;
-            Self::collect(node, workspace, missing, until).await?;
+            let collected = Self::collect(node, workspace, missing, until).await;
+            collected.map_err(|verdict| Denial { verdict, keeper: None })?;
             own.reserved += missing;
         }
         Ok(own)
@@ -227,6 +229,25 @@
         }
     }
 
+    /// Writes the line that tells what another host was given, and why.
+    pub fn log_lent(&self, now: Duration, ask: &Ask, lent: &Lent) {
+        let accounts = self.accounts.borrow();
+        let account = accounts.get(&ask.workspace);
+        tracing::info!(
+            event = "tokens_lent",
+            workspace = %ask.workspace,
+            asked = ask.tokens,
+            whole = ask.whole,
+            tokens = lent.tokens,
+            left = lent.left,
+            exhausted = lent.exhausted,
+            held = account.map(|account| account.balance().0),
+            unspent = account.map(Account::unspent),
+            seen_ms = account.and_then(|own| own.seen_age(now)).map(|age| age.as_millis() as u64),
+            reached = self.reached.get(),
+        );
+    }
+
     /// Writes the line that tells why a request gets no tokens.
     pub fn log_refused(
         &self,
@@ -234,7 +255,7 @@
         id: &str,
         workspace: &str,
         tokens: u64,
-        verdict: Verdict,
+        denial: Denial,
     ) {
         let accounts = self.accounts.borrow();
         let account = accounts.get(workspace);
@@ -244,7 +265,8 @@
             id,
             workspace,
             tokens,
-            verdict = ?verdict,
+            verdict = ?denial.verdict,
+            keeper = denial.keeper.map(tracing::field::display),
             available = account.map(|account| account.available(now)),
             held,
             reserved,
--- a/crates/gateway/src/bank/reservation.rs
+++ b/crates/gateway/src/bank/reservation.rs
@@ -1,9 +1,18 @@
 //! Tokens that a request has set aside, and requests that wait for some.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use crate::{account::Verdict, node::Node, peer::Peers};
 
+/// Why a request gets no tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct Denial {
+    /// What is known of the budget.
+    pub verdict: Verdict,
+    /// The host that keeps the workspace's tokens and said so; this host itself where there is none.
+    pub keeper: Option<SocketAddr>,
+}
+
 /// Tokens that are set aside for one request; what it didn't use is free again at the end.
 #[derive(Debug)]
 pub struct Reservation {
@@ -28,17 +37,18 @@
     }
 
     /// Sets more tokens aside, from the nearest host that keeps them and is reached.
-    pub(super) async fn ask_keepers(&mut self, missing: u64) -> Result<(), Verdict> {
+    pub(super) async fn ask_keepers(&mut self, missing: u64) -> Result<(), Denial> {
         if missing == 0 {
             return Ok(());
         }
-        match Peers::ask_keepers(&self.node, &self.workspace, missing).await {
-            None => {}
-            Some(lent) if lent.exhausted => return Err(Verdict::Exhausted),
-            Some(lent) if lent.tokens < missing => return Err(Verdict::Unavailable),
-            Some(_) => self.take(missing),
+        let asked = Peers::ask_keepers(&self.node, &self.workspace, missing).await;
+        let Some(answer) = asked else { return Ok(()) };
+        if answer.lent.tokens >= missing {
+            self.take(missing);
+            return Ok(());
         }
-        Ok(())
+        let verdict = if answer.lent.exhausted { Verdict::Exhausted } else { Verdict::Unavailable };
+        Err(Denial { verdict, keeper: Some(answer.from) })
     }
 
     /// Returns what the request has used.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -299,12 +299,12 @@
     }
     let until = deadline.min(Instant::now() + route.target * RESERVE_PERCENT / 100);
     let tokens = prompt.worst();
-    let verdict = match Bank::reserve(node, &workspace.name, tokens, until).await {
+    let denial = match Bank::reserve(node, &workspace.name, tokens, until).await {
         Ok(reservation) => return Ok(Some(reservation)),
-        Err(verdict) => verdict,
+        Err(denial) => denial,
     };
-    node.bank.log_refused(node.now(), &call.id, &workspace.name, tokens, verdict);
-    match verdict {
+    node.bank.log_refused(node.now(), &call.id, &workspace.name, tokens, denial);
+    match denial.verdict {
         Verdict::Exhausted => Err(Refusal::Exhausted),
         // The other hosts were asked too, so that another one can't help sooner.
         Verdict::Unavailable => Err(Refusal::NotRun(AWAY_PAUSE)),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -89,6 +89,15 @@
     failures: u32,
 }
 
+/// Answer of one host.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer {
+    /// The host.
+    pub from: SocketAddr,
+    /// What it gave.
+    pub lent: Lent,
+}
+
 /// What other hosts answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Others {
@@ -189,12 +198,13 @@
     /// Asks the nearest host that keeps a workspace's tokens and is reached; returns its answer.
     ///
     /// What it gave is held loosely by this host.
-    pub async fn ask_keepers(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Option<Lent> {
+    pub async fn ask_keepers(node: &Rc<Node>, workspace: &Arc<str>, tokens: u64) -> Option<Answer> {
         let _asking = Asking::open(&node.peers.asking_keepers, KEEPERS_ASKING)?;
         for peer in node.peers.keepers_of(workspace).into_iter().take(KEEPERS_ASKED) {
             let wish = Ask { workspace: workspace.clone(), tokens, whole: true };
             if let Some(lent) = ask(node, &peer, wish, ASK_KEEPER).await {
-                return Some(lent);
+                let from = peer.borrow().card.address;
+                return Some(Answer { from, lent });
             }
         }
         None
@@ -390,8 +400,7 @@
         return plain(StatusCode::BAD_REQUEST, Bytes::new());
     };
     let lent = Bank::lend(node, &ask).await;
-    tracing::info!(event = "tokens_lent", workspace = %ask.workspace, asked = ask.tokens,
-        tokens = lent.tokens, left = lent.left);
+    node.bank.log_lent(node.now(), &ask, &lent);
     match lent.encode() {
         Ok(bytes) => plain(StatusCode::OK, Bytes::from(bytes)),
         Err(error) => {
