--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -302,11 +302,11 @@
     }
 
     /// Gives back to the budget what is not needed soon, as another host lacks tokens; returns how
-    /// much that is.
+    /// much is on its way there.
     pub fn call_in(&mut self, now: Duration) -> u64 {
         let spare = self.total().saturating_sub(self.needed_soon(now));
         self.called_in = spare > 0;
-        spare
+        spare + self.pending.as_ref().map_or(0, |pending| pending.returning)
     }
 
     fn needed_soon(&self, now: Duration) -> u64 {
--- a/crates/gateway/tests/account.rs
+++ b/crates/gateway/tests/account.rs
@@ -397,6 +397,22 @@
     assert!(sums * 100 >= held * 85, "{sums} of {held} taken over");
 }
 
+#[test]
+fn every_host_that_asks_hears_of_tokens_on_their_way_back() {
+    let mut table = Table::default();
+    let mut own = account("h-1", 100_000);
+    run(&mut own, &mut table, Duration::ZERO, 1000);
+    let now = Duration::from_secs(1);
+    let first = own.call_in(now);
+    assert!(first > 40_000, "{first} given back");
+    let Some(Step::Commit(txn)) = own.plan(now, setting(2000)) else {
+        panic!("tokens are given back");
+    };
+    assert_eq!(own.call_in(now), first, "the transaction is under way");
+    own.ended(now, table.commit(&txn), Some(1000));
+    assert!(own.call_in(now) < first / 10, "they are back");
+}
+
 #[test]
 fn stake_is_written_anew_at_once_after_an_outage() {
     let mut table = Table::default();
