--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -4,12 +4,12 @@
 //! A transaction moves tokens from the budget to a host's stake before any request can use them, so
 //! that the sum of all use never exceeds the prepaid amount, whatever fails.
 //!
-//! A stake is large, since the host serves from it while the platform can't be reached. A process
+//! A stake is large, since hosts are served from it while the platform can't be reached. A process
 //! that dies must not take it along, though. So each stake names a burst and a rate, and the process
 //! uses no more than burst + rate x time since it wrote them, until so much time has passed that the
-//! platform must be away: then all of the stake may be used. The next process on the host takes over
-//! what that leaves, by the platform's clock; only the rest is lost. A request that exceeds the burst
-//! waits for one transaction that raises it.
+//! platform must be away: then it may use more, and some seconds later all of the stake. The next
+//! process on the host takes over what that leaves at its own start, by the platform's clock; only
+//! the rest is lost. A request that exceeds the burst waits for one transaction that raises it.
 //!
 //! Every transaction has the host's row as a condition and numbers it. One whose answer was lost is
 //! sent again unchanged: it then commits, or the row that comes back tells whether it had been
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,8 +1,9 @@
 //! Hosts lend each other prepaid tokens, those first that keep a workspace's tokens ahead.
 //!
 //! Each process publishes its address in its row among the hosts. Whoever asks it shows the fleet's
-//! key, which stands in a row too, so that a process that starts again can be asked at once. The host that lends gives the tokens up before it answers, so that an answer that is
-//! lost loses tokens and never doubles them.
+//! key, which stands in a row too, so that a process that starts again can be asked at once. The host
+//! that lends gives the tokens up before it answers, so that an answer that is lost loses tokens and
+//! never doubles them; one that comes late still counts.
 
 use std::{
     cell::{Cell, RefCell},
