Wait for a host's link in the test of a ticket on both sides of a cut

That answer is allowed until its link is back, as the loop above in the same test says; the last look had no such loop. What must hold, the same answer at both and the number of runs, is asked for as before.

--- a/crates/daemon/tests/cut.rs
+++ b/crates/daemon/tests/cut.rs
@@ -222,7 +222,12 @@
         disburse(&fleet, "host-d", &unused).refusal().0 != "unknown"
     });
     let settled = disburse(&fleet, "host-d", &unused);
-    assert_eq!(disburse(&fleet, "host-c", &unused), settled);
+    let mut last = Reply::default();
+    fleet.wait("host-c learns the outcome of the unused ticket", || {
+        last = disburse(&fleet, "host-c", &unused);
+        last.refusal().0 != "unknown"
+    });
+    assert_eq!(last, settled);
     let last = u64::from(settled.whole());
     assert_eq!(runs(&fleet), 2 + last);
     wait_spent(&fleet, OPENING + 5 * (2 + last));
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -139,8 +139,8 @@
             return Some(Step::Read(keys.collect()));
         }
         if self.known && self.limit.is_none() && self.held > 0 {
-            // Less is left of the former process's stake with every moment, and no other host
-            // changes its row.
+            // No other host changes the row of the former process's stake, so that this meets no
+            // conflict; the budget's row may be changed all the time.
             return Some(Step::Commit(self.start(now, setting, 0, 0, wanted.min(self.held))));
         }
         self.wanted = 0;
