Respect backend servers that say that they leave or rest

Cause: neither the header by which a backend server announces in any response that it is leaving nor the Retry-After of a 503 was read; the host went on sending until the entry in the list changed.

A backend server that announces that it is leaving gets nothing new from this host while the process lives under that start time, also after it was unlisted for a while. One that asks for no requests gets none until that time has passed, and then one until it answers; where all rest, callers are refused at once with the earliest time, spread over half a second. Entries of one instance never go back to an older sequence number or from draining to ready, since the list may come from an older copy. The header isn't passed on.

Also: a connect that is cancelled no longer counts as open for ever, and idle connections of an entry that changed are closed.

Ruled out: probing a resting server, which would count against it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,9 +10,9 @@
 use crate::{
     backend::{Entry, HealthSignal},
     catalog::RetryPolicy,
-    dialect::Dispatch,
+    dialect::{Dispatch, Reply},
     node::Node,
-    placement::{Decision, Estimate, Requirements},
+    placement::{Decision, Estimate, Excluded, Requirements},
     pool::{ConnectError, Connection, SendError},
     proxy::Job,
     retry_state::AttemptFailure,
@@ -118,12 +118,12 @@
             node.backends.borrow_mut().place(now, &requirements)
         };
         let (to, prefill_tokens) = match decision {
-            Decision::Send { to, prefill_tokens, estimate } => {
-                log_placement(job, Some(&to.id), prefill_tokens, Some(estimate));
+            Decision::Send { to, prefill_tokens, estimate, excluded } => {
+                log_placement(job, Some(&to.id), prefill_tokens, Some(estimate), excluded);
                 (to, prefill_tokens)
             }
-            Decision::Refuse { retry_after, estimate } => {
-                log_placement(job, None, 0, estimate);
+            Decision::Refuse { retry_after, estimate, excluded } => {
+                log_placement(job, None, 0, estimate, excluded);
                 return Err(StartError::Rejected(retry_after));
             }
         };
@@ -156,6 +156,11 @@
                 return Err(StartError::Unreachable);
             }
         };
+        // It may have stated meanwhile that it wants no requests.
+        if !node.backends.borrow().accepts_requests(node.now(), &to.id) {
+            node.pool.release(&to.id, connection);
+            return Err(StartError::Unreachable);
+        }
         if let Some(backend) = node.backends.borrow_mut().get_mut(&to.id) {
             backend.start_request(node.now(), job.call.prompt.as_ref(), prefill_tokens);
         }
@@ -289,6 +294,9 @@
                     return Err(SendError::NotSent);
                 }
             };
+            if !self.node.backends.borrow().may_send(self.node.now(), &self.to.id) {
+                return Err(SendError::NotSent);
+            }
             sent = connection.send(self.build_request(job, resume_after)).await;
         }
         self.connection = Some(connection);
@@ -321,6 +329,7 @@
         let (head, body) = response.into_parts();
         let reply = self.node.dialect.parse_response(&head);
         let is_success = head.status.is_success();
+        self.record_statements(&reply);
         let is_own = reply.id.as_ref().map(|id| **id == *job.call.id);
         if is_own == Some(false) || (is_success && !(is_own == Some(true) && reply.authentic)) {
             tracing::warn!(
@@ -351,6 +360,34 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Records what a response states about the backend server's further requests.
+    ///
+    /// A response to another request on this connection counts too: it comes from the same process.
+    fn record_statements(&self, reply: &Reply) {
+        if !reply.leaving && reply.rest.is_none() {
+            return;
+        }
+        let mut backends = self.node.backends.borrow_mut();
+        let Some(backend) = backends.get_mut(&self.to.id) else { return };
+        let was_leaving = backend.is_leaving();
+        if reply.leaving {
+            backend.record_leaving();
+        }
+        if let Some(rest) = reply.rest {
+            backend.record_rest(self.node.now(), rest);
+        }
+        tracing::info!(
+            event = "backend_statement",
+            backend = %self.to.id,
+            leaving = reply.leaving,
+            known = was_leaving,
+            rest_ms = reply.rest.map(|rest| rest.as_millis() as u64),
+        );
+        if reply.leaving {
+            self.node.pool.forget(&self.to.id);
+        }
+    }
+
     /// Sets the rest of the response body, which is passed on as it arrives.
     pub fn set_body(&mut self, body: Incoming) {
         self.body = Some(body);
@@ -396,7 +433,13 @@
 }
 
 /// Logs which backend server was chosen and why, or that none was.
-fn log_placement(job: &Job, to: Option<&str>, prefill_tokens: u64, estimate: Option<Estimate>) {
+fn log_placement(
+    job: &Job,
+    to: Option<&str>,
+    prefill_tokens: u64,
+    estimate: Option<Estimate>,
+    excluded: Excluded,
+) {
     tracing::info!(
         event = "placed",
         id = %job.call.id,
@@ -404,6 +447,8 @@
         backend = to,
         unread = prefill_tokens,
         candidates = estimate.map_or(0, |estimate| estimate.candidates),
+        leaving = excluded.leaving,
+        resting = excluded.resting,
         delay_ms = estimate.map(|estimate| estimate.latency_ms as u64),
         doubt_ms = estimate.map(|estimate| estimate.penalty_ms as u64),
         running = estimate.map(|estimate| estimate.load.running),
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -49,6 +49,25 @@
     pub draining: bool,
     /// Unix time of its start in milliseconds; 0 if the entry doesn't say.
     pub started_unix_ms: u64,
+    /// Number of the update that wrote the entry; rises with each update of one instance.
+    pub sequence: u64,
+}
+
+impl Entry {
+    /// Returns whether both entries describe the same process.
+    pub fn is_same_instance(&self, other: &Self) -> bool {
+        self.started_unix_ms == other.started_unix_ms
+            && self.address == other.address
+            && self.service == other.service
+    }
+
+    /// Returns whether this is an older entry of the same instance, as in a restored copy of the
+    /// list. Without a start time a lower number may come from a restart.
+    pub fn is_outdated_by(&self, newest: &Self) -> bool {
+        self.started_unix_ms != 0
+            && self.is_same_instance(newest)
+            && self.sequence < newest.sequence
+    }
 }
 
 /// Load that a backend server reports.
@@ -89,6 +108,12 @@
     busy_since: Duration,
     failures: u32,
     backoff_until: Duration,
+    /// Whether it stated in a response that it is leaving.
+    leaving: bool,
+    /// End of the time for which it asked for no requests.
+    resting_until: Duration,
+    /// After a rest: requests in progress until one succeeds.
+    trial_requests: Option<u32>,
     recorded_failure_rate: f64,
     failure_rate_at: Duration,
     /// When each prompt part was last sent, by its prefix hash.
@@ -108,18 +133,37 @@
             busy_since: Duration::ZERO,
             failures: 0,
             backoff_until: Duration::ZERO,
+            leaving: false,
+            resting_until: Duration::ZERO,
+            trial_requests: None,
             recorded_failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
             cached_parts: HashMap::new(),
         }
     }
 
+    /// Creates the state of the same instance when it is listed again; of the former state only its
+    /// own statements still hold.
+    pub fn relist(self, entry: Entry) -> Self {
+        let entry = Entry { draining: entry.draining || self.entry.draining, ..entry };
+        let trial_requests = self.trial_requests.map(|_| 0);
+        Self {
+            leaving: self.leaving,
+            resting_until: self.resting_until,
+            trial_requests,
+            ..Self::new(entry)
+        }
+    }
+
     /// Records a request that is sent to it; `prefill_tokens` of its prompt aren't cached there.
     pub fn start_request(&mut self, now: Duration, prompt: Option<&Prompt>, prefill_tokens: u64) {
         if self.running == 0 {
             self.busy_since = now;
         }
         self.running += 1;
+        if let Some(trials) = &mut self.trial_requests {
+            *trials += 1;
+        }
         let Some(prompt) = prompt else { return };
         self.pending_prefill += prefill_tokens;
         if self.cached_parts.len() >= MAX_CACHED_PARTS {
@@ -146,6 +190,47 @@
     /// Records the end of a request.
     pub fn finish_request(&mut self) {
         self.running = self.running.saturating_sub(1);
+        if let Some(trials) = &mut self.trial_requests {
+            *trials = trials.saturating_sub(1);
+        }
+    }
+
+    /// Records that it stated in a response that it is leaving; this instance gets no new requests
+    /// any more, whatever its entry says.
+    pub fn record_leaving(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Records that it asked for no requests for a time.
+    pub fn record_rest(&mut self, now: Duration, rest: Duration) {
+        self.resting_until = self.resting_until.max(now + rest);
+        self.trial_requests = Some(0);
+    }
+
+    /// Returns whether it takes no new requests for good, by its entry or its own responses.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.leaving
+    }
+
+    /// Returns the end of the time for which it asked for no requests, if that is in the future.
+    pub fn resting_until(&self, now: Duration) -> Option<Duration> {
+        (now < self.resting_until).then_some(self.resting_until)
+    }
+
+    /// Returns whether it gets no request for now, since it asked for none, or since a first one
+    /// after that time is still in progress.
+    pub fn is_resting(&self, now: Duration) -> bool {
+        self.resting_until(now).is_some() || self.trial_requests.is_some_and(|trials| trials > 0)
+    }
+
+    /// Returns whether a new request may be sent to it now.
+    pub fn accepts_requests(&self, now: Duration) -> bool {
+        !self.is_leaving() && !self.is_resting(now)
+    }
+
+    /// Returns whether its statements still matter once it isn't listed any more.
+    pub fn has_statement(&self, now: Duration) -> bool {
+        self.is_leaving() || self.resting_until(now).is_some()
     }
 
     /// Records what the end of an attempt says about its health.
@@ -160,6 +245,9 @@
         self.failure_rate_at = now;
         if signal == HealthSignal::Healthy {
             self.failures = 0;
+            if self.resting_until(now).is_none() {
+                self.trial_requests = None;
+            }
             return;
         }
         if signal == HealthSignal::Unreachable {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -45,6 +45,10 @@
     pub load: Option<Load>,
     /// How long the backend server keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the backend server states that it is leaving.
+    pub leaving: bool,
+    /// Time for which the backend server, which turned the request away, asks for no others.
+    pub rest: Option<Duration>,
 }
 
 /// Protocol of the heads of requests and responses on a platform.
@@ -62,6 +66,9 @@
     /// Parses the head of a backend server's response.
     fn parse_response(&self, head: &response::Parts) -> Reply;
 
+    /// Removes the headers of a backend server's response that are meant for this host only.
+    fn remove_private_headers(&self, headers: &mut HeaderMap);
+
     /// Returns the response that tells a caller about a refusal.
     fn refusal_response(&self, call: Option<&Call>, refusal: Refusal) -> Response<Full<Bytes>>;
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -75,6 +75,17 @@
 /// Longest time after which a caller may retry if all backend servers are busy.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Time after the end of the earliest rest over which callers are spread if all backend servers
+/// asked for no requests, so that they don't return at the same moment.
+const REST_SPREAD: Duration = Duration::from_millis(500);
+
+/// Time for which the statements of a backend server are kept that isn't listed any more, as it may
+/// be listed again after an outage or from an older copy of the list.
+const UNLISTED_TTL: Duration = Duration::from_secs(600);
+
+/// Maximum number of unlisted backend servers whose statements are kept.
+const MAX_UNLISTED: usize = 4096;
+
 /// What a request needs of a backend server.
 #[derive(Debug)]
 pub struct Requirements<'a> {
@@ -103,6 +114,8 @@
         prefill_tokens: u64,
         /// Estimate on which the choice is based.
         estimate: Estimate,
+        /// Backend servers that couldn't be chosen by their own statements.
+        excluded: Excluded,
     },
     /// Refuse the request, since it can't be served in time.
     Refuse {
@@ -110,9 +123,20 @@
         retry_after: Duration,
         /// Estimate for the best candidate; `None` if there was no candidate.
         estimate: Option<Estimate>,
+        /// Backend servers that couldn't be chosen by their own statements.
+        excluded: Excluded,
     },
 }
 
+/// Numbers of a service's backend servers that get no request by their own statements.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Excluded {
+    /// They are leaving.
+    pub leaving: usize,
+    /// They asked for no requests for a time.
+    pub resting: usize,
+}
+
 /// Estimate for a backend server, and the facts behind it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
@@ -148,6 +172,8 @@
 #[derive(Debug)]
 pub struct Backends {
     backends: BTreeMap<Arc<str>, Backend>,
+    /// Unlisted backend servers whose statements still matter, and since when they are unlisted.
+    unlisted: BTreeMap<Arc<str>, (Duration, Backend)>,
     zones: HashMap<Arc<str>, Zone>,
     rng: StdRng,
 }
@@ -155,7 +181,12 @@
 impl Backends {
     /// Creates an empty set; `rng` makes the random choices.
     pub fn new(rng: StdRng) -> Self {
-        Self { backends: BTreeMap::new(), zones: HashMap::new(), rng }
+        Self { backends: BTreeMap::new(), unlisted: BTreeMap::new(), zones: HashMap::new(), rng }
+    }
+
+    /// Returns whether a new request may be sent to a backend server now.
+    pub fn accepts_requests(&self, now: Duration, id: &str) -> bool {
+        self.backends.get(id).is_some_and(|backend| backend.accepts_requests(now))
     }
 
     /// Returns a listed backend server.
@@ -163,6 +194,12 @@
         self.backends.get_mut(id)
     }
 
+    /// Returns whether a request that was placed at a backend server may still be sent to it.
+    pub fn may_send(&self, now: Duration, id: &str) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|own| !own.is_leaving() && own.resting_until(now).is_none())
+    }
+
     /// Records that bytes arrived from a backend server.
     pub fn record_activity(&mut self, now: Duration, id: &str) {
         let Some(backend) = self.backends.get_mut(id) else { return };
@@ -195,40 +232,78 @@
 
     /// Returns the number of backend servers that accept new requests.
     pub fn accepting_count(&self) -> usize {
-        self.backends.values().filter(|backend| !backend.entry.draining).count()
+        self.backends.values().filter(|backend| !backend.is_leaving()).count()
     }
 
     /// Applies the newest list and returns the ids of the entries that were added, changed or
     /// removed.
     ///
-    /// A backend server that restarted under the same id starts with an empty state. With
-    /// `keep_unlisted`, those that are missing from the list stay, as while the list is being
-    /// filled again after an outage.
-    pub fn replace(&mut self, list: Vec<Entry>, keep_unlisted: bool) -> Vec<Arc<str>> {
+    /// A backend server that restarted under the same id starts with an empty state. One instance
+    /// never goes back to an older entry, nor from draining to accepting requests: the list may
+    /// come from an older copy. With `keep_unlisted`, those that are missing from the list stay, as
+    /// while the list is being filled again after an outage.
+    pub fn replace(
+        &mut self,
+        now: Duration,
+        list: Vec<Entry>,
+        keep_unlisted: bool,
+    ) -> Vec<Arc<str>> {
         let mut changed = Vec::new();
         let mut listed = BTreeSet::new();
         for entry in list {
-            listed.insert(entry.id.clone());
-            match self.backends.get_mut(&entry.id) {
-                Some(current) if current.entry == entry => {}
-                Some(current) if is_same_instance(&current.entry, &entry) => {
-                    changed.push(entry.id.clone());
-                    current.entry = entry;
-                }
-                _ => {
-                    changed.push(entry.id.clone());
-                    self.backends.insert(entry.id.clone(), Backend::new(entry));
+            let id = entry.id.clone();
+            match self.backends.get_mut(&id) {
+                Some(current) if entry.is_outdated_by(&current.entry) => {}
+                Some(current) if current.entry.is_same_instance(&entry) => {
+                    if update_entry(&mut current.entry, entry) {
+                        changed.push(id.clone());
+                    }
                 }
+                _ => match self.unlisted.remove(&id) {
+                    // Only an update that follows its removal shows that it still runs.
+                    Some(former) if entry.is_outdated_by(&former.1.entry) => {
+                        self.unlisted.insert(id, former);
+                        continue;
+                    }
+                    Some((_, former)) if former.entry.is_same_instance(&entry) => {
+                        changed.push(id.clone());
+                        self.backends.insert(id.clone(), former.relist(entry));
+                    }
+                    _ => {
+                        changed.push(id.clone());
+                        self.backends.insert(id.clone(), Backend::new(entry));
+                    }
+                },
             }
+            listed.insert(id);
         }
         if !keep_unlisted {
             let is_unlisted = |id: &Arc<str>| !listed.contains(id);
-            changed.extend(self.backends.keys().filter(|id| is_unlisted(id)).cloned());
-            self.backends.retain(|id, _| listed.contains(id));
+            let removed: Vec<_> =
+                self.backends.keys().filter(|id| is_unlisted(id)).cloned().collect();
+            for id in removed {
+                self.unlist(now, &id);
+                changed.push(id);
+            }
         }
         changed
     }
 
+    /// Removes a backend server from the candidates and keeps what it stated.
+    fn unlist(&mut self, now: Duration, id: &Arc<str>) {
+        let Some(mut backend) = self.backends.remove(id) else { return };
+        // An older copy of the list may contain the entry that was just removed.
+        backend.entry.sequence += 1;
+        self.unlisted.retain(|_, (since, _)| now.saturating_sub(*since) < UNLISTED_TTL);
+        if self.unlisted.len() >= MAX_UNLISTED {
+            let is_idle = |(_, backend): &mut (Duration, Backend)| backend.has_statement(now);
+            self.unlisted.retain(|_, kept| is_idle(kept));
+        }
+        if self.unlisted.len() < MAX_UNLISTED {
+            self.unlisted.insert(id.clone(), (now, backend));
+        }
+    }
+
     /// Returns whether a service has a candidate that wasn't tried.
     pub fn has_other(&self, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
         self.backends.values().any(|backend| is_candidate(backend, now, service, tried))
@@ -240,6 +315,7 @@
             is_candidate(backend, now, requirements.service, requirements.tried)
         };
         let candidates: Vec<&Backend> = self.backends.values().filter(is_candidate_for).collect();
+        let excluded = self.excluded(now, requirements.service);
         let session = requirements.prompt.and_then(|prompt| prompt.shared.last());
         let weight = |backend: &Backend| session.map(|part| mix64(backend.hash ^ part.prefix_hash));
         let preferred = PreferredEngines::find(
@@ -266,7 +342,8 @@
             }
         }
         let Some((_, latency_ms, penalty_ms, prefill_tokens, backend)) = best else {
-            return Decision::Refuse { retry_after: NO_CANDIDATE_RETRY_AFTER, estimate: None };
+            let retry_after = self.rest_of(now, requirements).unwrap_or(NO_CANDIDATE_RETRY_AFTER);
+            return Decision::Refuse { retry_after, estimate: None, excluded };
         };
         let estimate = Estimate {
             candidates: candidates.len(),
@@ -279,27 +356,54 @@
         let latency = Duration::from_secs_f64(latency_ms / 1000.0);
         if latency > requirements.time_left {
             let retry_after = (latency / 2).min(MAX_RETRY_AFTER);
-            return Decision::Refuse { retry_after, estimate: Some(estimate) };
+            return Decision::Refuse { retry_after, estimate: Some(estimate), excluded };
         }
-        Decision::Send { to: backend.entry.clone(), prefill_tokens, estimate }
+        Decision::Send { to: backend.entry.clone(), prefill_tokens, estimate, excluded }
     }
+
+    /// Counts the backend servers of a service that get no request by their own statements.
+    fn excluded(&self, now: Duration, service: &str) -> Excluded {
+        let mut excluded = Excluded::default();
+        for backend in self.backends.values().filter(|own| *own.entry.service == *service) {
+            if backend.is_leaving() {
+                excluded.leaving += 1;
+            } else if backend.is_resting(now) {
+                excluded.resting += 1;
+            }
+        }
+        excluded
+    }
+
+    /// Returns the time until the first backend server accepts requests again, plus a random part,
+    /// if some asked for none.
+    fn rest_of(&mut self, now: Duration, requirements: &Requirements<'_>) -> Option<Duration> {
+        let serves = |backend: &&Backend| {
+            *backend.entry.service == *requirements.service && !backend.is_leaving()
+        };
+        let rests = self.backends.values().filter(serves);
+        let earliest = rests.filter_map(|backend| backend.resting_until(now)).min()?;
+        let spread = self.rng.random_range(0.0..REST_SPREAD.as_secs_f64());
+        Some(earliest - now + Duration::from_secs_f64(spread))
+    }
+}
+
+/// Takes over a newer entry of an instance; returns whether its content changed.
+fn update_entry(current: &mut Entry, newer: Entry) -> bool {
+    let newer = Entry { draining: current.draining || newer.draining, ..newer };
+    let is_changed = Entry { sequence: newer.sequence, ..current.clone() } != newer;
+    *current = newer;
+    is_changed
 }
 
-/// Returns whether a backend server belongs to the service, accepts new requests, isn't backing off
-/// and wasn't tried.
+/// Returns whether a backend server belongs to the service, accepts requests, isn't backing off and
+/// wasn't tried.
 fn is_candidate(backend: &Backend, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
     *backend.entry.service == *service
-        && !backend.entry.draining
+        && backend.accepts_requests(now)
         && !backend.is_backing_off(now)
         && !tried.contains(&backend.entry.id)
 }
 
-fn is_same_instance(current: &Entry, entry: &Entry) -> bool {
-    current.started_unix_ms == entry.started_unix_ms
-        && current.address == entry.address
-        && current.service == entry.service
-}
-
 /// Hashes of the backend servers to which all hosts send a shared prompt.
 #[derive(Debug, Clone, Copy, Default)]
 struct PreferredEngines {
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -84,13 +84,12 @@
             last_read_at = Some(now);
             let keep = keep_until.is_some_and(|until| now < until);
             let listed = entries.len();
-            let changed = node.backends.borrow_mut().replace(entries, keep);
+            let changed = node.backends.borrow_mut().replace(node.now(), entries, keep);
             for id in changed {
                 let entry =
                     node.backends.borrow_mut().get_mut(&id).map(|backend| backend.entry.clone());
-                if entry.as_ref().is_none_or(|entry| entry.draining) {
-                    node.pool.forget(&id);
-                }
+                // Idle connections may lead to an instance that is gone or leaving.
+                node.pool.forget(&id);
                 tracing::info!(
                     event = "backend",
                     id = %id,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -60,12 +60,29 @@
     Broken(hyper::Error),
 }
 
+/// Guard that counts a connection as open, also while it is being established, until it is dropped.
+#[derive(Debug)]
+struct OpenSlot(Rc<Cell<usize>>);
+
+impl OpenSlot {
+    fn new(open: Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
+    }
+}
+
+impl Drop for OpenSlot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A connection to a backend server; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    open: Rc<Cell<usize>>,
+    _slot: OpenSlot,
     idle_since: Instant,
     max_idle_time: Duration,
     /// Whether it was idle in the pool.
@@ -110,7 +127,6 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
-        self.open.set(self.open.get() - 1);
     }
 }
 
@@ -145,25 +161,17 @@
         if open.get() >= max_open {
             return Err(ConnectError::Full);
         }
-        open.set(open.get() + 1);
+        let slot = OpenSlot::new(open);
         let result = timeout(CONNECT_TIMEOUT, connect(to)).await.map_err(|_| ConnectError::Silent);
-        match result.and_then(|result| result) {
-            Ok((sender, driver)) => {
-                let idle_since = Instant::now();
-                Ok(Connection {
-                    sender,
-                    driver,
-                    open,
-                    idle_since,
-                    max_idle_time: MAX_IDLE_TIME,
-                    reused: false,
-                })
-            }
-            Err(error) => {
-                open.set(open.get() - 1);
-                Err(error)
-            }
-        }
+        let (sender, driver) = result.and_then(|result| result)?;
+        Ok(Connection {
+            sender,
+            driver,
+            _slot: slot,
+            idle_since: Instant::now(),
+            max_idle_time: MAX_IDLE_TIME,
+            reused: false,
+        })
     }
 
     fn take_idle(&self, id: &str, max_idle: Duration) -> Option<Connection> {
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -330,6 +330,7 @@
         Ok(UpstreamResponse::Buffered { head, body }) => {
             job.log("answered", head.status.as_u16(), 0);
             let mut response = Response::from_parts(head, Body::Buffered(Full::new(body)));
+            job.node.dialect.remove_private_headers(response.headers_mut());
             remove_hop_by_hop_headers(&mut response);
             response
         }
@@ -338,6 +339,7 @@
                 // The rest may come from another backend server.
                 head.headers.remove(CONTENT_LENGTH);
             }
+            job.node.dialect.remove_private_headers(&mut head.headers);
             let relay = Relay::new(job, *attempt, active);
             let body = Body::Streaming(Box::pin(relay.into_stream(start)));
             let mut response = Response::from_parts(head, body);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -21,12 +21,13 @@
         slots,
         draining: false,
         started_unix_ms: 1,
+        sequence: 1,
     }
 }
 
 fn new_backends(seed: u64, entries: impl IntoIterator<Item = Entry>) -> Backends {
     let mut backends = Backends::new(StdRng::seed_from_u64(seed));
-    backends.replace(entries.into_iter().collect(), false);
+    backends.replace(Duration::ZERO, entries.into_iter().collect(), false);
     backends
 }
 
@@ -221,14 +222,14 @@
                 for entry in &mut list {
                     entry.draining = entry.id == *id;
                 }
-                backends.replace(list, false);
+                backends.replace(SECOND, list, false);
             },
         },
         Case {
             name: "it is gone",
             disturb: |backends, id| {
                 let list = plain_services().into_iter().filter(|entry| entry.id != *id).collect();
-                backends.replace(list, false);
+                backends.replace(SECOND, list, false);
             },
         },
     ];
@@ -267,7 +268,7 @@
     assert_eq!(backends.get_mut("e1").expect("listed").uncached_tokens(SECOND, &prompt), 6600);
     let mut list = engines();
     list[1].started_unix_ms = 2;
-    let changed = backends.replace(list, false);
+    let changed = backends.replace(SECOND, list, false);
     assert_eq!(changed, [Arc::from("e1")]);
     let backend = backends.get_mut("e1").expect("listed");
     assert_eq!(backend.uncached_tokens(SECOND, &prompt), 12_000);
@@ -277,9 +278,9 @@
 #[test]
 fn entries_that_expired_in_an_outage_stay_while_the_list_is_filled_again() {
     let mut backends = new_backends(1, plain_services());
-    backends.replace(vec![entry("p1", "b", 6)], true);
+    backends.replace(SECOND, vec![entry("p1", "b", 6)], true);
     assert!(backends.get_mut("p0").is_some());
-    backends.replace(vec![entry("p1", "b", 6)], false);
+    backends.replace(SECOND, vec![entry("p1", "b", 6)], false);
     assert!(backends.get_mut("p0").is_none());
 }
 
@@ -332,3 +333,138 @@
     backends.record_activity(soon, "e4");
     assert!(in_zone(&mut backends, "b", 2 * soon) > 5, "bytes came from another engine there");
 }
+
+#[test]
+fn backend_server_that_states_that_it_is_leaving_gets_no_new_requests() {
+    struct Case {
+        name: &'static str,
+        list_again: fn(&mut Backends),
+        accepts: bool,
+    }
+    let cases = [
+        Case { name: "its entry still says ready", list_again: |_| {}, accepts: false },
+        Case {
+            name: "its entry is written again",
+            list_again: |backends| {
+                let mut list = plain_services();
+                list[0].sequence = 9;
+                backends.replace(SECOND, list, false);
+            },
+            accepts: false,
+        },
+        Case {
+            name: "it was unlisted meanwhile",
+            list_again: |backends| {
+                backends.replace(SECOND, plain_services().split_off(1), false);
+                let mut list = plain_services();
+                list[0].sequence = 9;
+                backends.replace(2 * SECOND, list, false);
+            },
+            accepts: false,
+        },
+        Case {
+            name: "another process has started under its id",
+            list_again: |backends| {
+                let mut list = plain_services();
+                list[0].started_unix_ms = 2;
+                backends.replace(SECOND, list, false);
+            },
+            accepts: true,
+        },
+    ];
+    for case in cases {
+        let mut backends = new_backends(3, plain_services());
+        backends.get_mut("p0").expect("listed").record_leaving();
+        (case.list_again)(&mut backends);
+        let (next, _) = placed(&mut backends, 3 * SECOND, &requirements(None, &[])).expect("one");
+        assert_eq!(&*next == "p0", case.accepts, "{}", case.name);
+        assert_eq!(backends.accepts_requests(3 * SECOND, "p0"), case.accepts, "{}", case.name);
+    }
+}
+
+#[test]
+fn older_copy_of_the_list_takes_nothing_back() {
+    struct Case {
+        name: &'static str,
+        /// What the hosts read of p0 before the copy is restored.
+        newest: fn(&mut Vec<Entry>),
+        /// What the backend server writes after that.
+        rewritten: fn(&mut Vec<Entry>),
+        accepts: bool,
+    }
+    let cases = [
+        Case {
+            name: "it was draining",
+            newest: |list| (list[0].draining, list[0].sequence) = (true, 5),
+            rewritten: |list| (list[0].draining, list[0].sequence) = (true, 6),
+            accepts: false,
+        },
+        Case {
+            name: "it was removed and doesn't write again",
+            newest: |list| drop(list.remove(0)),
+            rewritten: |_| {},
+            accepts: false,
+        },
+        Case {
+            name: "it was removed in an outage and writes again",
+            newest: |list| drop(list.remove(0)),
+            rewritten: |list| list[0].sequence = 6,
+            accepts: true,
+        },
+    ];
+    for case in cases {
+        let mut copy = plain_services();
+        copy[0].sequence = 4;
+        let mut backends = new_backends(3, copy.clone());
+        let mut newest = copy.clone();
+        (case.newest)(&mut newest);
+        backends.replace(SECOND, newest, false);
+        backends.replace(2 * SECOND, copy.clone(), false);
+        assert!(!backends.accepts_requests(2 * SECOND, "p0"), "{}: restored", case.name);
+        let mut rewritten = copy;
+        (case.rewritten)(&mut rewritten);
+        backends.replace(3 * SECOND, rewritten, false);
+        assert_eq!(backends.accepts_requests(3 * SECOND, "p0"), case.accepts, "{}", case.name);
+    }
+}
+
+#[test]
+fn backend_server_that_asks_for_no_requests_gets_none_and_then_one_at_first() {
+    let mut backends = new_backends(3, vec![entry("p0", "a", 6)]);
+    let requirements = requirements(None, &[]);
+    backends.get_mut("p0").expect("listed").record_rest(SECOND, 2 * SECOND);
+    for millis in [0, 400, 1000, 1999] {
+        let now = SECOND + Duration::from_millis(millis);
+        let Decision::Refuse { retry_after, excluded, .. } = backends.place(now, &requirements)
+        else {
+            panic!("placed {millis} ms after its answer");
+        };
+        assert_eq!(excluded.resting, 1);
+        let rest = 3 * SECOND - now;
+        assert!(retry_after >= rest && retry_after <= rest + SECOND / 2, "{retry_after:?}");
+    }
+    let end = 3 * SECOND;
+    assert!(placed(&mut backends, end, &requirements).is_some());
+    backends.get_mut("p0").expect("listed").start_request(end, None, 0);
+    assert!(placed(&mut backends, end, &requirements).is_none(), "one request at first");
+    backends.finish_request(end, "p0", HealthSignal::Healthy);
+    for _ in 0..5 {
+        assert!(placed(&mut backends, end, &requirements).is_some());
+        backends.get_mut("p0").expect("listed").start_request(end, None, 0);
+    }
+}
+
+#[test]
+fn callers_of_resting_backend_servers_are_spread_over_some_time() {
+    let mut backends = new_backends(3, vec![entry("p0", "a", 6)]);
+    backends.get_mut("p0").expect("listed").record_rest(SECOND, SECOND);
+    let mut returns: Vec<_> = (0..100)
+        .map(|_| match backends.place(SECOND, &requirements(None, &[])) {
+            Decision::Refuse { retry_after, .. } => retry_after,
+            Decision::Send { .. } => panic!("placed"),
+        })
+        .collect();
+    returns.sort();
+    assert!(returns[0] >= SECOND);
+    assert!(returns[75] - returns[25] > Duration::from_millis(100), "{returns:?}");
+}
