Bound figures of backend servers and let last refusals out before the end

At the end of a planned stop the process waits, within the grace, for requests that came while it returned its tokens and that are being refused.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,6 +1,6 @@
 //! One workspace's prepaid tokens at this host.
 //!
-//! Two kinds of rows record a budget: its totals over all hosts ([`Escrow`]) and each host's
+//! Two kinds of rows record a budget: its totals over all hosts ([`Budget`]) and each host's
 //! [`Allocation`]. A transaction moves tokens from the budget to a host's allocation before any
 //! request can use them, so that total use never exceeds the prepaid amount, whatever fails.
 //!
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -288,7 +288,7 @@
     pub fn load(&self, now: Duration) -> Load {
         match self.last_report {
             Some((load, at, own_running)) if now.saturating_sub(at) < LOAD_REPORT_MAX_AGE => {
-                let running = (load.running + self.running).saturating_sub(own_running);
+                let running = load.running.saturating_add(self.running).saturating_sub(own_running);
                 Load { running: running.max(self.running), waiting: load.waiting }
             }
             _ => Load { running: self.running, waiting: 0 },
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -25,6 +25,9 @@
 /// Time kept at the end of the grace period for the steps that follow the last request.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1000);
 
+/// Time kept at the end of the grace period for the end of the process itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(150);
+
 /// Longest time for returning the tokens at the end.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -111,6 +114,11 @@
     Budgets::close(node, CLOSE_TIMEOUT).await;
     // A write of the row that was in progress may have followed the first removal.
     let _ = timeout(CLOSE_TIMEOUT / 2, membership::leave(node, source)).await;
+    // Requests that came meanwhile are being refused.
+    let max_time = node.settings.grace.saturating_sub(EXIT_MARGIN);
+    while node.active.get() > 0 && since.elapsed() < max_time {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
     tracing::info!(
         event = "stop",
         active = node.active.get(),
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -47,10 +47,11 @@
 const OVERLOAD_TIME: Duration = Duration::from_millis(500);
 
 /// Time for which the host has to be overloaded without a break before it isn't ready any more.
-const UNREADY_DELAY: Duration = Duration::from_millis(700);
+const UNREADY_DELAY: Duration = Duration::from_millis(200);
 
-/// Longest time for which it isn't ready, after which it tries again.
-const MAX_UNREADY_TIME: Duration = Duration::from_millis(2500);
+/// Time for which it isn't ready then: long enough for the load balancer to notice it and for the
+/// connections to be spread over other hosts.
+const UNREADY_TIME: Duration = Duration::from_secs(6);
 
 impl Capacity {
     /// Returns how many requests may wait for the first part of their response.
@@ -75,12 +76,21 @@
     refused_at: Option<Duration>,
     /// When the current overload began.
     since: Duration,
+    /// End of the time for which the host isn't ready.
+    unready_until: Duration,
 }
 
 impl Overload {
     /// Creates the load of an idle host.
     pub fn new(capacity: Capacity) -> Self {
-        Self { capacity, pending: 0, connections: 0, refused_at: None, since: Duration::ZERO }
+        Self {
+            capacity,
+            pending: 0,
+            connections: 0,
+            refused_at: None,
+            since: Duration::ZERO,
+            unready_until: Duration::ZERO,
+        }
     }
 
     /// Returns whether one more request can be accepted, and counts it if so; else the host counts
@@ -93,6 +103,15 @@
                 self.since = now;
             }
             self.refused_at = Some(now);
+            if now - self.since >= UNREADY_DELAY && now >= self.unready_until {
+                self.unready_until = now + UNREADY_TIME;
+                tracing::warn!(
+                    event = "overloaded",
+                    pending = self.pending,
+                    connections = self.connections,
+                    unready_ms = UNREADY_TIME.as_millis() as u64,
+                );
+            }
             return false;
         }
         self.pending += 1;
@@ -127,10 +146,7 @@
 
     /// Returns whether the host should get new connections.
     pub fn is_ready(&self, now: Duration) -> bool {
-        let lasted = now.saturating_sub(self.since);
-        // After that time it tries again, as the others might be overloaded too.
-        let is_retry = lasted.as_millis() / MAX_UNREADY_TIME.as_millis() % 2 == 1;
-        !self.is_overloaded(now) || lasted < UNREADY_DELAY || is_retry
+        now >= self.unready_until
     }
 
     /// Returns the requests that wait for their response, and the callers' connections.
