--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -38,7 +38,7 @@
 
 pub use self::{
     allocation::Allocation,
-    budget::{Budget, Ceiling, Marker},
+    budget::{Budget, COPY_MAX_AGE, Ceiling, Marker},
     environment::{Environment, Loss},
 };
 use self::{allocation::SpendLimit, budget::marker_key, rate::Rate};
@@ -127,6 +127,8 @@
     allocation_row: Row,
     /// The rows have been read.
     is_loaded: bool,
+    /// When the rows were first read in this era.
+    loaded_at: Option<Duration>,
     /// When the budget's row was last read or written.
     escrow_seen_at: Option<Duration>,
     held: u64,
@@ -186,6 +188,7 @@
             workspace,
             allocation: Allocation::default(),
             is_loaded: false,
+            loaded_at: None,
             escrow_seen_at: None,
             held: 0,
             unallocated: 0,
--- a/crates/gateway/src/account/budget.rs
+++ b/crates/gateway/src/account/budget.rs
@@ -16,7 +16,7 @@
 
 /// Time after a row was seen from which every copy that may be restored contains it: the greatest
 /// age of a copy, 10 s, and a margin.
-pub(super) const COPY_MAX_AGE: Duration = Duration::from_secs(12);
+pub const COPY_MAX_AGE: Duration = Duration::from_secs(12);
 
 /// Ceiling of a new budget, as a multiple of its prepaid amount: high enough not to limit grants
 /// before a rate of use is known.
@@ -63,8 +63,7 @@
     pub fn create(prepaid: u64, environment: &Environment) -> Self {
         let next = prepaid.saturating_mul(INITIAL_CEILING_FACTOR);
         let first_grant = prepaid / 100 * FIRST_GRANT_PERCENT;
-        let is_first_start = environment.first_start && environment.lost_rows == Loss::None;
-        let current = if is_first_start { next } else { first_grant };
+        let current = if environment.is_founding { next } else { first_grant };
         let withheld = match environment.lost_rows {
             Loss::None => 0,
             Loss::New => first_grant,
@@ -115,16 +114,24 @@
         self.ceiling.is_some_and(|own| limit(own) > self.totals.granted.saturating_add(max))
     }
 
+    /// Returns whether the ceiling leaves so little room that it has to be raised before grants need
+    /// it.
+    pub fn is_ceiling_low(&self, prepaid: u64, rate: f64) -> bool {
+        let wanted = (Self::headroom(prepaid, rate) / 2).min(self.remaining(prepaid));
+        let room = |ceiling: Ceiling| ceiling.next.saturating_sub(self.totals.granted);
+        self.ceiling.is_some_and(|own| room(own) < wanted)
+    }
+
     /// Adjusts the ceiling to what is granted and used. Lowering takes effect at once; a raise is
     /// begun only when the one before may be used.
-    pub fn adjust_ceiling(&mut self, prepaid: u64, rate: f64, is_mature: bool) {
+    pub fn adjust_ceiling(&mut self, prepaid: u64, rate: f64, is_mature: bool, may_lower: bool) {
         let wanted = self.totals.granted + Self::headroom(prepaid, rate);
         let is_excessive = self.is_ceiling_excessive(prepaid, rate);
         let ceiling = self.ceiling.get_or_insert_with(Ceiling::default);
         if is_mature {
             ceiling.current = ceiling.current.max(ceiling.next);
         }
-        if is_excessive {
+        if is_excessive && may_lower {
             ceiling.current = ceiling.current.min(wanted);
             ceiling.next = wanted;
         } else if is_mature && wanted > ceiling.next {
--- a/crates/gateway/src/account/environment.rs
+++ b/crates/gateway/src/account/environment.rs
@@ -44,8 +44,8 @@
     pub platform_ms: Option<u64>,
     /// Era of the platform's table.
     pub era: u64,
-    /// Whether the whole fleet starts for the first time, so that budgets without rows are new.
-    pub first_start: bool,
+    /// Whether the fleet is being founded, so that budgets without rows are new.
+    pub is_founding: bool,
     /// Which rows may be missing in this era.
     pub lost_rows: Loss,
 }
--- a/crates/gateway/src/account/outcome.rs
+++ b/crates/gateway/src/account/outcome.rs
@@ -149,6 +149,7 @@
                 self.take_over(&allocation, process_start_ms);
             }
             self.is_loaded = true;
+            self.loaded_at.get_or_insert(now);
             self.allocation_row.revision = row.revision;
         }
         if let (Some(row), Some(budget)) = (escrow_row, budget) {
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -56,9 +56,8 @@
 /// change it all the time.
 const READ_FIRST_MIN_LENDERS: u64 = 16;
 
-/// Time after the start of a process from which the rate of use is known well enough to adjust the
-/// ceiling of a budget.
-const CEILING_ADJUST_DELAY: Duration = Duration::from_secs(60);
+/// Time for which the use of a budget is observed before its ceiling is lowered by the rate.
+const RATE_OBSERVATION_TIME: Duration = Duration::from_secs(60);
 
 /// Age up to which a budget's row is changed without reading it again.
 const ESCROW_MAX_AGE: Duration = Duration::from_millis(60);
@@ -147,6 +146,7 @@
         if self.era.is_some() {
             // What was read in an earlier era says nothing about this one.
             self.is_loaded &= has_state;
+            self.loaded_at = None;
             self.next_ceiling = None;
             self.ceiling_mature_at = Duration::MAX;
             self.escrow_seen_at = None;
@@ -247,7 +247,7 @@
             (0, spare)
         } else if requested > 0
             || self.is_renewal_due(now, &environment)
-            || self.is_ceiling_excessive(now, &environment)
+            || self.is_ceiling_due(now, &environment)
         {
             (0, 0)
         } else {
@@ -265,13 +265,22 @@
         }
     }
 
-    /// Returns whether the ceiling of the budget is to be lowered, once the rate of use is known.
-    fn is_ceiling_excessive(&self, now: Duration, environment: &Environment) -> bool {
-        let is_rate_known = now >= CEILING_ADJUST_DELAY;
-        environment.is_lender
-            && self.is_loaded
-            && is_rate_known
-            && self.budget.is_ceiling_excessive(self.prepaid, self.fleet_rate(now, environment))
+    /// Returns whether the rate of use has been observed for long enough to lower a ceiling by it.
+    fn is_rate_known(&self, now: Duration) -> bool {
+        self.loaded_at.is_some_and(|at| now.saturating_sub(at) >= RATE_OBSERVATION_TIME)
+    }
+
+    /// Returns whether the ceiling of the budget is to be raised or lowered.
+    fn is_ceiling_due(&self, now: Duration, environment: &Environment) -> bool {
+        if !environment.is_lender || !self.is_loaded {
+            return false;
+        }
+        let rate = self.fleet_rate(now, environment);
+        let is_low =
+            now >= self.ceiling_mature_at && self.budget.is_ceiling_low(self.prepaid, rate);
+        let is_excessive =
+            self.is_rate_known(now) && self.budget.is_ceiling_excessive(self.prepaid, rate);
+        is_low || is_excessive
     }
 
     /// Returns the rate of use by all hosts in tokens per second, as far as this one can tell.
@@ -291,17 +300,15 @@
         let is_new = self.escrow_row.revision == 0;
         let is_restored = self.is_budget_outdated(environment);
         let mut is_mature = now >= self.ceiling_mature_at;
-        if is_new {
-            is_mature = false;
-        } else if is_restored {
+        if is_restored && !is_new {
             budget.restore(self.prepaid);
             is_mature = true;
         }
         budget.totals.granted += granting;
         budget.totals.returned += returning;
-        if is_restored || now >= CEILING_ADJUST_DELAY {
+        if !is_new {
             let rate = self.fleet_rate(now, environment);
-            budget.adjust_ceiling(self.prepaid, rate, is_mature);
+            budget.adjust_ceiling(self.prepaid, rate, is_mature, self.is_rate_known(now));
         }
         budget
     }
@@ -344,13 +351,13 @@
         };
         let mut txn = Txn::default();
         let needs_marker = self.marker.as_ref().is_none_or(|own| own.era < environment.era);
-        let is_lowering = self.is_ceiling_excessive(now, &environment);
+        let is_ceiling_due = self.is_ceiling_due(now, &environment);
         let writes_budget = granting > 0
             || returning > 0
             || !self.is_loaded
             || requested > self.held
             || needs_marker
-            || is_lowering;
+            || is_ceiling_due;
         let budget =
             writes_budget.then(|| self.next_budget(now, &environment, granting, returning));
         if let Some(budget) = &budget {
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -345,7 +345,7 @@
         if !node.budgets.platform_reachable.get() {
             return;
         }
-        let Some(lost_rows) = node.lost_rows(&**source) else { return };
+        let Some((is_founding, lost_rows)) = node.era_facts(&**source) else { return };
         let now = node.now();
         let mut due = Vec::new();
         let mut accounts = node.budgets.accounts.borrow_mut();
@@ -358,7 +358,7 @@
             writes_per_s,
             platform_ms: source.clock_ms(),
             era: source.era(),
-            first_start: node.settings.first_start,
+            is_founding,
             lost_rows,
         };
         let mut writes = node.budgets.writes.borrow_mut();
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -12,7 +12,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::{account::Loss, dialect::Source, node::Node};
+use crate::{
+    account::{COPY_MAX_AGE, Loss},
+    dialect::Source,
+    node::Node,
+};
 
 /// Key of the row that records the start of the current era.
 const ERA_ROW: &str = "fleet/era";
@@ -23,6 +27,13 @@
 /// Time after the start of an era within which hosts that know of a budget write its row again.
 const RECREATION_TIME: Duration = Duration::from_secs(60);
 
+/// Time after the fleet was founded within which budgets are granted in full as soon as their rows
+/// are created.
+const FOUNDING_TIME: Duration = Duration::from_secs(8);
+
+/// Time after the fleet was founded up to which a copy may lack rows from then.
+const FOUNDING_LOSS_TIME: Duration = FOUNDING_TIME.saturating_add(COPY_MAX_AGE);
+
 /// Row that records the start of an era, in milliseconds of the platform's clock.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -43,18 +54,20 @@
         Self { era, since_ms: now_ms, founded_ms }
     }
 
+    /// Returns whether the fleet is being founded at a time, so that every budget is new.
+    pub fn is_founding(&self, now_ms: u64) -> bool {
+        let age = Duration::from_millis(now_ms.saturating_sub(self.founded_ms));
+        self.since_ms == self.founded_ms && age < FOUNDING_TIME
+    }
+
     /// Returns which rows of budgets may be missing at a time.
     pub fn lost_rows(&self, now_ms: u64) -> Loss {
-        let recreation_ms = RECREATION_TIME.as_millis() as u64;
-        if self.since_ms == self.founded_ms || now_ms.saturating_sub(self.since_ms) > recreation_ms
-        {
+        let age = Duration::from_millis(now_ms.saturating_sub(self.since_ms));
+        if self.since_ms == self.founded_ms || age > RECREATION_TIME {
             return Loss::None;
         }
-        if self.since_ms.saturating_sub(self.founded_ms) < recreation_ms {
-            Loss::Any
-        } else {
-            Loss::New
-        }
+        let fleet_age = Duration::from_millis(self.since_ms.saturating_sub(self.founded_ms));
+        if fleet_age < FOUNDING_LOSS_TIME { Loss::Any } else { Loss::New }
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -216,11 +216,12 @@
         self.directory.borrow().mode(self.moment(source))
     }
 
-    /// Returns which rows of budgets may be missing in the current era of the platform's table;
-    /// `None` if that isn't known yet.
-    pub fn lost_rows(&self, source: &impl Source) -> Option<Loss> {
+    /// Returns whether the fleet is being founded, and which rows of budgets may be missing in the
+    /// current era of the platform's table; `None` if that isn't known yet.
+    pub fn era_facts(&self, source: &impl Source) -> Option<(bool, Loss)> {
         let start = self.era_start.get().filter(|start| start.era == source.era())?;
-        Some(start.lost_rows(source.clock_ms()?))
+        let now_ms = source.clock_ms()?;
+        Some((start.is_founding(now_ms), start.lost_rows(now_ms)))
     }
 
     /// Returns what this host knows of the platform's lists by its own reads.
