Leave out events of a stream that begins anew instead of going on

An event whose id doesn't follow those that were passed on is left out, and the stream goes on elsewhere or breaks off.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -19,12 +19,15 @@
 pub struct Splitter {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Id of the last event that was passed on.
+    passed_id: Option<u64>,
+    is_out_of_order: bool,
 }
 
 impl Splitter {
     /// Creates a splitter for a stream that continues after the event with this id.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last_id }
+        Self { partial: BytesMut::new(), last_id, passed_id: None, is_out_of_order: false }
     }
 
     /// Returns the id of the last whole event.
@@ -42,9 +45,16 @@
         self.partial.split().freeze()
     }
 
-    /// Discards the bytes of an event that broke off.
+    /// Returns whether an event arrived whose id doesn't follow those before, as from a backend
+    /// server that begins anew instead of resuming. It and what follows it are left out.
+    pub fn is_out_of_order(&self) -> bool {
+        self.is_out_of_order
+    }
+
+    /// Discards the bytes of an event that broke off or doesn't follow those before.
     pub fn discard(&mut self) {
         self.partial.clear();
+        self.is_out_of_order = false;
     }
 
     /// Adds the next bytes and returns the events that are whole now.
@@ -69,7 +79,12 @@
                 continue;
             }
             if line_start - end > length + 1 {
+                if id.is_some() && id <= self.passed_id {
+                    self.is_out_of_order = true;
+                    return WholeEvents { bytes: bytes.slice(..end), count };
+                }
                 count += 1;
+                self.passed_id = id.or(self.passed_id);
                 self.last_id = id.take().or(self.last_id);
             }
             end = line_start;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -117,11 +117,18 @@
         if self.job.time_left().is_zero() {
             return ReadResult::Interrupted("late");
         }
-        if self.job.route.streamed && self.progress_at.elapsed() > timeout {
+        let fault = match () {
+            _ if self.splitter.is_out_of_order() => Some("out_of_order"),
+            _ if self.job.route.streamed && self.progress_at.elapsed() > timeout => {
+                Some("no_progress")
+            }
+            _ => None,
+        };
+        if let Some(fault) = fault {
             if let Some(attempt) = &mut self.attempt {
                 attempt.record_failure();
             }
-            return ReadResult::Interrupted("no_progress");
+            return ReadResult::Interrupted(fault);
         }
         let Some(attempt) = &mut self.attempt else { return ReadResult::Interrupted("broken_off") };
         let backend = attempt.backend().clone();
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -87,3 +87,15 @@
     assert_eq!(&events.bytes[..], b"id: 2\ndata: b\n\n");
     assert_eq!(splitter.last_id(), Some(2));
 }
+
+#[test]
+fn event_that_does_not_follow_those_before_is_left_out() {
+    let mut splitter = Splitter::after(Some(4));
+    let events = splitter.push(Bytes::from_static(b"id: 5\ndata: a\n\nid: 1\ndata: b\n\nid: 6\n"));
+    assert_eq!((events.bytes.as_ref(), events.count), (&b"id: 5\ndata: a\n\n"[..], 1));
+    assert!(splitter.is_out_of_order());
+    assert_eq!(splitter.last_id(), Some(5));
+    splitter.discard();
+    let events = splitter.push(Bytes::from_static(b"id: 6\ndata: c\n\n"));
+    assert_eq!((events.count, splitter.is_out_of_order()), (1, false));
+}
