Log what a backend server was working on when its responses break off

When a response breaks off, the host now looks whether the backend server still accepts connections, and logs a line for each broken response with the parts of its prompt, the events that had arrived and what was found. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::{
     backend::{Entry, HealthSignal},
     catalog::RetryPolicy,
+    crash::BrokenRequest,
     dialect::{Dispatch, Reply},
     node::Node,
     placement::{Decision, Estimate, Excluded, Requirements},
@@ -93,6 +94,9 @@
     prefill_tokens: u64,
     connection: Option<Connection>,
     body: Option<Incoming>,
+    /// Number of events that arrived, and when the first one did.
+    events: u64,
+    first_event_at: Option<Instant>,
     health: HealthSignal,
 }
 
@@ -171,6 +175,8 @@
             prefill_tokens,
             connection: Some(connection),
             body: None,
+            events: 0,
+            first_event_at: None,
             health: HealthSignal::Neutral,
         })
     }
@@ -262,7 +268,7 @@
                         backend = %self.to.id,
                         %error,
                     );
-                    self.health = HealthSignal::Failed;
+                    self.record_broken(job);
                     return Err(AttemptFailure::Unknown);
                 }
                 None => {
@@ -403,19 +409,38 @@
         self.node.backends.borrow_mut().record_activity(self.node.now(), &self.to.id);
     }
 
-    /// Records the first event of a stream, which ends the prefill.
-    pub fn record_first_event(&mut self) {
+    /// Records events of a stream; the first one ends the prefill.
+    pub fn record_events(&mut self, count: u64) {
+        self.events += count;
+        self.first_event_at.get_or_insert_with(Instant::now);
+        self.finish_prefill();
+    }
+
+    fn finish_prefill(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
         if let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id) {
             backend.finish_prefill(prefill_tokens);
         }
     }
 
-    /// Records that the backend server failed, broke the response off or stayed silent.
+    /// Records that the backend server failed or stayed silent.
     pub fn record_failure(&mut self) {
         self.health = HealthSignal::Failed;
     }
 
+    /// Records that the response broke off, or its connection did before it began.
+    pub fn record_broken(&mut self, job: &Job) {
+        self.record_failure();
+        let parts = job.call.prompt.iter().flat_map(|prompt| &prompt.shared);
+        let request = BrokenRequest {
+            id: job.call.id.clone(),
+            parts: parts.map(|part| part.name.clone()).collect(),
+            events: self.events,
+            responding_for: self.first_event_at.map(|at| at.elapsed()),
+        };
+        self.node.crashes.record(&self.node, &self.to, request);
+    }
+
     /// Records that the response has been read to its end, and releases the connection to the pool.
     pub fn finish(&mut self, failed: bool) {
         self.health = if failed { HealthSignal::Failed } else { HealthSignal::Healthy };
@@ -427,7 +452,7 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.record_first_event();
+        self.finish_prefill();
         self.node.backends.borrow_mut().finish_request(self.node.now(), &self.to.id, self.health);
     }
 }
--- /dev/null
+++ b/crates/gateway/src/crash.rs
@@ -0,0 +1,100 @@
+//! Finds out whether a backend server has ended when its responses break off.
+//!
+//! A response that breaks off says nothing by itself: a connection may be reset, or a backend server
+//! may stop after it announced that. Only one that should be running and refuses connections at
+//! once has ended unexpectedly.
+
+use std::{cell::RefCell, collections::HashMap, io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{
+    net::TcpStream,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{backend::Entry, node::Node};
+
+/// Time for which the responses of one backend server that break off are gathered.
+const GATHER_TIME: Duration = Duration::from_millis(40);
+
+/// Longest wait for a backend server to accept or refuse a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Maximum number of responses that are kept for one backend server.
+const MAX_GATHERED: usize = 256;
+
+/// A request whose response broke off.
+#[derive(Debug, Clone)]
+pub struct BrokenRequest {
+    /// Id of the request.
+    pub id: Arc<str>,
+    /// Names of the shared parts of its prompt.
+    pub parts: Vec<Arc<str>>,
+    /// Number of events that arrived in this attempt.
+    pub events: u64,
+    /// Time since the first event of this attempt; `None` if there was none.
+    pub responding_for: Option<Duration>,
+}
+
+/// State in which a backend server is found after a response broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// It refuses connections, and nothing announced that.
+    Ended,
+    /// It has announced that it leaves, or is no longer listed.
+    Leaving,
+    /// It accepts connections.
+    Running,
+    /// It neither accepts nor refuses connections.
+    Unreachable,
+}
+
+/// Responses that broke off lately, by backend server.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    gathered: RefCell<HashMap<Arc<str>, Vec<BrokenRequest>>>,
+}
+
+impl Crashes {
+    /// Records a response that broke off, and finds out whether its backend server has ended.
+    pub fn record(&self, node: &Rc<Node>, to: &Entry, request: BrokenRequest) {
+        let mut gathered = self.gathered.borrow_mut();
+        let is_first = !gathered.contains_key(&to.id);
+        let requests = gathered.entry(to.id.clone()).or_default();
+        if requests.len() < MAX_GATHERED {
+            requests.push(request);
+        }
+        if is_first {
+            spawn_local(examine(node.clone(), to.clone()));
+        }
+    }
+
+    fn take(&self, id: &str) -> Vec<BrokenRequest> {
+        self.gathered.borrow_mut().remove(id).unwrap_or_default()
+    }
+}
+
+async fn examine(node: Rc<Node>, to: Entry) {
+    let is_expected = !node.backends.borrow().is_in_service(&to.id);
+    sleep(GATHER_TIME).await;
+    let finding = if is_expected { Finding::Leaving } else { find(&to).await };
+    for request in node.crashes.take(&to.id) {
+        tracing::info!(
+            event = "response_broken",
+            id = %request.id,
+            backend = %to.id,
+            found = ?finding,
+            parts = request.parts.join(","),
+            events = request.events,
+            responding_ms = request.responding_for.map(|time| time.as_millis() as u64),
+        );
+    }
+}
+
+async fn find(to: &Entry) -> Finding {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(to.address)).await {
+        Ok(Ok(_)) => Finding::Running,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Finding::Ended,
+        Ok(Err(_)) | Err(_) => Finding::Unreachable,
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod budgets;
 pub mod catalog;
+pub mod crash;
 pub mod dialect;
 pub mod directory;
 pub mod edge;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
     account::Loss,
     budgets::Budgets,
     catalog::Catalog,
+    crash::Crashes,
     dialect::{Dialect, Source},
     directory::{Directory, Mode, Moment, OwnView, Timing},
     era::EraStart,
@@ -97,6 +98,8 @@
     pub backends: RefCell<Backends>,
     /// Connections to the backend servers.
     pub pool: Pool,
+    /// Responses that broke off lately.
+    pub crashes: Crashes,
     /// Prepaid budgets.
     pub budgets: Budgets,
     /// Other hosts.
@@ -158,6 +161,7 @@
             dialect,
             backends: RefCell::new(Backends::new(rng)),
             pool: Pool::default(),
+            crashes: Crashes::default(),
             directory: RefCell::new(directory),
             directory_changed: Notify::new(),
             own_reads: RefCell::default(),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -200,6 +200,11 @@
         backend.is_some_and(|own| !own.is_leaving() && own.resting_until(now).is_none())
     }
 
+    /// Returns whether a backend server is listed and hasn't announced that it leaves.
+    pub fn is_in_service(&self, id: &str) -> bool {
+        self.backends.get(id).is_some_and(|backend| !backend.is_leaving())
+    }
+
     /// Records that bytes arrived from a backend server.
     pub fn record_activity(&mut self, now: Duration, id: &str) {
         let Some(backend) = self.backends.get_mut(id) else { return };
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -469,7 +469,11 @@
         let frame = match Attempt::wait_for(job, &backend, None, body.frame()).await {
             Some(Some(Ok(frame))) => frame,
             Some(None) => break,
-            Some(Some(Err(_))) | None => {
+            Some(Some(Err(_))) => {
+                attempt.record_broken(job);
+                return Err(AttemptFailure::Unknown);
+            }
+            None => {
                 attempt.record_failure();
                 return Err(AttemptFailure::Unknown);
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -144,7 +144,7 @@
                 ReadResult::End
             }
             Some(None | Some(Err(_))) => {
-                attempt.record_failure();
+                attempt.record_broken(&self.job);
                 ReadResult::Interrupted("broken_off")
             }
             None if self.job.time_left().is_zero() => ReadResult::Interrupted("late"),
@@ -164,7 +164,7 @@
         if events.count > 0 {
             self.progress_at = Instant::now();
             if let Some(attempt) = &mut self.attempt {
-                attempt.record_first_event();
+                attempt.record_events(events.count);
             }
         }
         self.events += events.count;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,9 +4,14 @@
 
 use coordination::locate::{hash, mix64};
 
+/// Longest name of a part of a prompt that is kept, in bytes.
+const MAX_PART_NAME_BYTES: usize = 64;
+
 /// A part of a prompt that other requests share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Part {
+    /// Name that the caller gave to it; a long one is replaced by its hash.
+    pub name: Arc<str>,
     /// Hash of this part and all parts before it.
     pub prefix_hash: u64,
     /// Length in tokens.
@@ -33,8 +38,13 @@
     ) -> Self {
         let mut prefix_hash = 0;
         let shared = parts.into_iter().map(|(name, tokens)| {
-            prefix_hash = mix64(prefix_hash ^ hash(name.as_bytes()));
-            Part { prefix_hash, tokens }
+            let name_hash = hash(name.as_bytes());
+            prefix_hash = mix64(prefix_hash ^ name_hash);
+            let name = match name.len() {
+                0..=MAX_PART_NAME_BYTES => Arc::from(name),
+                _ => Arc::from(format!("#{name_hash:016x}")),
+            };
+            Part { name, prefix_hash, tokens }
         });
         Self { input, output, shared: shared.collect() }
     }
