Treat a stream without a length that ends before its first event as broken off

A response may come with neither a length nor chunks and end with its connection. A backend server that ended before the first event then looked like a complete, empty stream: the caller got a success without an event, and a stream that may be resumed was not. The tests of a cut before the first event failed before (complete, one attempt) and pass now; those of whole responses and of a cut within an event passed before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, Uri, body::Incoming, http::response};
+use hyper::{
+    Request, Response, Uri,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 use tokio::time::{Instant, timeout};
 
 use crate::{
@@ -99,6 +104,8 @@
     /// Number of events that arrived, and when the first one did.
     events: u64,
     first_event_at: Option<Instant>,
+    /// Whether the response states its length or marks its end.
+    is_framed: bool,
     health: HealthSignal,
 }
 
@@ -186,6 +193,7 @@
             body: None,
             events: 0,
             first_event_at: None,
+            is_framed: true,
             health: HealthSignal::Neutral,
         })
     }
@@ -345,6 +353,8 @@
         let (head, body) = response.into_parts();
         let reply = self.node.dialect.parse_response(&head);
         let is_success = head.status.is_success();
+        self.is_framed = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
         self.record_statements(&reply);
         let is_own = reply.id.as_ref().map(|id| **id == *job.call.id);
         if is_own == Some(false) || (is_success && !(is_own == Some(true) && reply.authentic)) {
@@ -426,6 +436,12 @@
         self.finish_prefill();
     }
 
+    /// Returns whether the end of the connection may be the end of a stream: without a frame, one
+    /// that has no event yet has broken off.
+    pub fn may_end_stream(&self) -> bool {
+        self.is_framed || self.events > 0
+    }
+
     fn finish_prefill(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
         if let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -139,7 +139,10 @@
                 attempt.record_activity();
                 self.process(frame.into_data().unwrap_or_default())
             }
-            Some(None) if !self.job.route.streamed || self.splitter.is_at_boundary() => {
+            Some(None)
+                if !self.job.route.streamed
+                    || (self.splitter.is_at_boundary() && attempt.may_end_stream()) =>
+            {
                 attempt.finish(false);
                 self.job.record_whole_response();
                 ReadResult::End
