Run a service of a host again after it panics

The tasks that read the platform's table were spawned and forgotten. One that panicked, as on a row that it can't bear, ended silently, and the host went on without configurations, backend servers or tokens until it was restarted, and then read the same row again. A service that panics is now logged and runs again with the state that the host has. Transactions that it left without an outcome count as unknown.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod request;
 pub mod retry_budget;
 pub mod retry_state;
+pub mod service;
 mod subscription;
 
 pub use crate::lifecycle::run;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -15,7 +15,7 @@
     edge, era, membership,
     metrics::Metrics,
     node::{Node, Phase, Settings},
-    peer, poll, probe, quarantine_sync, subscription,
+    peer, poll, probe, quarantine_sync, service, subscription,
 };
 
 /// Minimum time between the request to stop and the end; by then the load balancer sends nothing
@@ -73,14 +73,7 @@
         version = env!("CARGO_PKG_VERSION"),
     );
     let node = Rc::new(Node::new(settings, dialect, Metrics::new()?));
-    spawn_local(era::track(node.clone(), source.clone()));
-    spawn_local(subscription::follow(node.clone(), source.clone()));
-    spawn_local(subscription::publish(node.clone(), source.clone()));
-    spawn_local(quarantine_sync::run(node.clone(), source.clone()));
-    spawn_local(poll::catalog(node.clone(), source.clone()));
-    spawn_local(poll::backends(node.clone(), source.clone()));
-    spawn_local(membership::run(node.clone(), source.clone()));
-    spawn_local(Budgets::run(node.clone(), source.clone()));
+    spawn_services(&node, &source);
     spawn_local(probe::run(node.clone(), ready));
     spawn_local(probe::run(node.clone(), metrics));
     spawn_local(peer::run(node.clone(), peers));
@@ -95,6 +88,24 @@
     Ok(())
 }
 
+/// Spawns the services that read and write the platform's table.
+fn spawn_services(node: &Rc<Node>, source: &Rc<impl Source>) {
+    macro_rules! spawn {
+        ($name:literal, $run:path) => {{
+            let (node, source) = (node.clone(), source.clone());
+            service::spawn($name, move || $run(node.clone(), source.clone()));
+        }};
+    }
+    spawn!("era", era::track);
+    spawn!("subscription", subscription::follow);
+    spawn!("publisher", subscription::publish);
+    spawn!("quarantine", quarantine_sync::run);
+    spawn!("configuration", poll::catalog);
+    spawn!("backend servers", poll::backends);
+    spawn!("hosts", membership::run);
+    spawn!("budgets", Budgets::run);
+}
+
 /// Lets requests in progress end, returns the tokens and removes this host from the list of hosts.
 async fn drain(node: &Rc<Node>, source: &impl Source) {
     let since = Instant::now();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -136,7 +136,7 @@
 
     fn platform_ms(&self, now: Duration) -> u64 {
         let (at, platform_ms) = self.clock.unwrap_or_default();
-        platform_ms + now.saturating_sub(at).as_millis() as u64
+        platform_ms.saturating_add(now.saturating_sub(at).as_millis() as u64)
     }
 
     /// Records that a backend server ended at a time while these requests were in progress there.
--- a/crates/gateway/src/quarantine_sync.rs
+++ b/crates/gateway/src/quarantine_sync.rs
@@ -23,6 +23,8 @@
 
 /// Shares what this host knows, forever.
 pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
+    // A former run may have failed within a transaction.
+    node.quarantine.borrow_mut().finish(node.now(), &Outcome::Unknown);
     loop {
         if !node.quarantine.borrow().has_news() {
             let _ = timeout(SHARE_INTERVAL, node.quarantine_changed.notified()).await;
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use coordination::table::{Op, Revision};
+use coordination::table::{Op, Outcome, Revision};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -74,6 +74,8 @@
 /// it is this host's turn.
 pub async fn publish(node: Rc<Node>, source: Rc<impl Source>) {
     let interval = node.directory.borrow().timing().read_interval() / LOOKS_PER_READ;
+    // A former run may have failed within a transaction.
+    node.directory.borrow_mut().finish(&Outcome::Unknown);
     while node.phase.get() == Phase::Serving {
         let moment = node.moment(&*source);
         let is_candidate = node.directory.borrow().mode(moment) != Mode::Subscribe;
