Tell ends of backend servers from cuts and dead connections

Hosts notice at different times, as they next use a connection, so that the ends didn't count as one: new requests on connections that were dead before broke within 3 ms, and each of these counted as a further end. Nothing took the false ends back.

- A request that was sent less than 20 ms before is no suspect.
- Bytes of the same instance that any host hears later disprove its end; an answer of another instance at its address (421) no longer counts as a sign of life.
- Four ends are needed in place of three, still before the users' fifth.
A whole response outweighs four of them, so that one doesn't clear a part under which five ended.
Trials come after 5 s.
- Of two parts of the same requests the later one is taken, as fewer requests share it; the first part of a route without other traffic was quarantined too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response, Uri,
+    Request, Response, StatusCode, Uri,
     body::Incoming,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
@@ -101,6 +101,8 @@
     prefill_tokens: u64,
     connection: Option<Connection>,
     body: Option<Incoming>,
+    /// When the request was sent.
+    sent_at: Instant,
     /// Number of events that arrived, and when the first one did.
     events: u64,
     first_event_at: Option<Instant>,
@@ -191,6 +193,7 @@
             prefill_tokens,
             connection: Some(connection),
             body: None,
+            sent_at: Instant::now(),
             events: 0,
             first_event_at: None,
             is_framed: true,
@@ -293,7 +296,10 @@
                     return Err(AttemptFailure::Unknown);
                 }
             };
-        self.record_activity();
+        // Another instance at the same address says nothing about this one.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.record_activity();
+        }
         self.validate(job, response)
     }
 
@@ -378,7 +384,7 @@
             connection.set_keep_alive(reply.keep_alive);
         }
         if reply.not_run {
-            let is_misdirected = head.status == hyper::StatusCode::MISDIRECTED_REQUEST;
+            let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
             self.health =
                 if is_misdirected { HealthSignal::Unreachable } else { HealthSignal::Failed };
             return Err(AttemptFailure::NotRun);
@@ -461,6 +467,7 @@
         let request = BrokenRequest {
             id: job.call.id.clone(),
             parts: parts.map(|part| part.name.clone()).collect(),
+            in_progress_for: self.sent_at.elapsed(),
             events: self.events,
             responding_for: self.first_event_at.map(|at| at.elapsed()),
         };
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -274,6 +274,11 @@
             && now.saturating_sub(self.last_heard_at.max(self.busy_since)) > SILENCE_TIMEOUT
     }
 
+    /// Returns when bytes last arrived from it.
+    pub fn last_heard_at(&self) -> Duration {
+        self.last_heard_at
+    }
+
     /// Returns the number of this host's requests in progress there.
     pub fn running(&self) -> u32 {
         self.running
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -30,6 +30,8 @@
     pub id: Arc<str>,
     /// Names of the shared parts of its prompt.
     pub parts: Vec<Arc<str>>,
+    /// Time since it was sent.
+    pub in_progress_for: Duration,
     /// Number of events that arrived in this attempt.
     pub events: u64,
     /// Time since the first event of this attempt; `None` if there was none.
@@ -81,7 +83,7 @@
     let finding = if is_expected { Finding::Leaving } else { find(&to).await };
     let requests = node.crashes.take(&to.id);
     if finding == Finding::Ended {
-        node.quarantine.borrow_mut().record_end(node.now(), at, &to.id, &requests);
+        node.quarantine.borrow_mut().record_end(node.now(), at, &to, &requests);
         node.quarantine_changed.notify_waiters();
     }
     for request in requests {
@@ -91,6 +93,7 @@
             backend = %to.id,
             found = ?finding,
             parts = request.parts.join(","),
+            in_progress_ms = request.in_progress_for.as_millis() as u64,
             events = request.events,
             responding_ms = request.responding_for.map(|time| time.as_millis() as u64),
         );
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -205,6 +205,13 @@
         self.backends.get(id).is_some_and(|backend| !backend.is_leaving())
     }
 
+    /// Returns whether bytes of this instance of a backend server arrived later than a time.
+    pub fn is_heard_since(&self, id: &str, started_unix_ms: u64, since: Duration) -> bool {
+        let backend = self.backends.get(id);
+        let backend = backend.filter(|own| own.entry.started_unix_ms == started_unix_ms);
+        backend.is_some_and(|own| own.last_heard_at() > since)
+    }
+
     /// Records that bytes arrived from a backend server.
     pub fn record_activity(&mut self, now: Duration, id: &str) {
         let Some(backend) = self.backends.get_mut(id) else { return };
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,8 +6,11 @@
 //! is a part of their prompts. Each end of a backend server makes the parts suspect of the requests
 //! to which it had only just begun to respond, or hadn't yet. A part is quarantined once several
 //! backend servers have ended under it and next to no response to a prompt with it was whole. Whole
-//! responses clear the parts that the suspect requests share with others. Backend servers that end
-//! at the same moment, as with a rack that loses power, count as one.
+//! responses clear the parts that the suspect requests share with others, and of two parts that may
+//! have ended the same backend servers the later one is taken, as fewer requests share it. Backend
+//! servers that end
+//! at the same moment, as with a rack that loses power or a link that is cut, count as one, and one
+//! that any host hears again hasn't ended.
 //!
 //! All hosts share their evidence in rows of the platform's table, and each decides on all of it.
 //! No request with a quarantined part is sent, neither a new one nor a retry, except for a few
@@ -16,6 +19,8 @@
 //!
 //! This suits a load of many prompts with shared parts of which very few are harmful.
 
+mod outage;
+mod report;
 mod row;
 mod suspect;
 
@@ -30,9 +35,15 @@
     table::{Outcome, Row, Txn, Write},
 };
 
-pub use self::row::{EndRow, PartRow, QUARANTINE_PREFIX, part_key};
-use self::suspect::{Share, Suspect};
-use crate::{crash::BrokenRequest, dialect::Changes, request::Prompt};
+use self::{
+    outage::Outages,
+    suspect::{Evidence, Share, Suspect},
+};
+pub use self::{
+    report::Report,
+    row::{EndRow, PartRow, QUARANTINE_PREFIX, part_key},
+};
+use crate::{backend::Entry, crash::BrokenRequest, dialect::Changes, request::Prompt};
 
 /// Time since the first event of a response up to which its request may have ended its backend
 /// server.
@@ -50,9 +61,19 @@
 /// Maximum number of parts that one host makes suspect at the end of one backend server.
 const MAX_PARTS_PER_END: usize = 32;
 
+/// Maximum number of backend servers whose ends are kept.
+const MAX_ENDS: usize = 1024;
+
 /// Maximum number of ends that a host keeps of its own.
 const MAX_OWN_ENDS: usize = 128;
 
+/// Minimum time from when a request was sent to the end of a backend server that it ended; a sooner
+/// one is that of a connection which was dead before.
+const MIN_WORK_TIME: Duration = Duration::from_millis(20);
+
+/// Time by which bytes of a backend server have to follow its supposed end to disprove it.
+const MIN_ALIVE_TIME: Duration = Duration::from_millis(100);
+
 /// Maximum number of rows that one transaction writes.
 const MAX_WRITES: usize = 32;
 
@@ -80,6 +101,17 @@
     at: Duration,
 }
 
+/// The supposed end of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownEnd {
+    /// Id of the backend server.
+    pub backend: Arc<str>,
+    /// Unix time of its start in milliseconds.
+    pub started_unix_ms: u64,
+    /// Time of this process from which bytes of it would disprove the end.
+    pub disproved_from: Duration,
+}
+
 /// An end that this host has observed.
 #[derive(Debug)]
 struct OwnEnd {
@@ -106,8 +138,13 @@
     suspects: BTreeMap<Arc<str>, Suspect>,
     sound: HashMap<Arc<str>, SoundCount>,
     own_ends: VecDeque<OwnEnd>,
-    /// Keys and times of the rows of all hosts' ends.
-    stored_ends: BTreeMap<Arc<str>, u64>,
+    /// Start time and earliest observation of the end of each backend server, in milliseconds.
+    ends: BTreeMap<Arc<str>, (u64, u64)>,
+    outages: Outages,
+    /// Rows of all hosts' ends.
+    stored_ends: BTreeMap<Arc<str>, (Arc<str>, u64)>,
+    /// Keys of rows that are to be removed, since their backend servers run.
+    disproved: Vec<Arc<str>>,
     /// The platform's clock in milliseconds at a time of this process.
     clock: Option<(Duration, u64)>,
     pending: Option<Pending>,
@@ -121,7 +158,10 @@
             suspects: BTreeMap::new(),
             sound: HashMap::new(),
             own_ends: VecDeque::new(),
+            ends: BTreeMap::new(),
+            outages: Outages::default(),
             stored_ends: BTreeMap::new(),
+            disproved: Vec::new(),
             clock: None,
             pending: None,
         }
@@ -144,24 +184,29 @@
         &mut self,
         now: Duration,
         at: Duration,
-        backend: &Arc<str>,
+        backend: &Entry,
         requests: &[BrokenRequest],
     ) {
-        let parts = self.suspect_parts(requests);
-        if parts.is_empty() {
-            return;
-        }
         let at_ms = self.platform_ms(now).saturating_sub((now - at).as_millis() as u64);
-        let row = EndRow { backend: backend.clone(), at_ms, parts };
+        let row = EndRow {
+            backend: backend.id.clone(),
+            started_unix_ms: backend.started_unix_ms,
+            host: self.host.clone(),
+            at_ms,
+            parts: self.suspect_parts(requests),
+        };
         tracing::info!(
             event = "backend_ended",
-            backend = %backend,
+            backend = %backend.id,
             requests = requests.len(),
-            suspects = row.parts.join(","),
+            suspects = row.parts.iter().map(|(name, _)| &**name).collect::<Vec<_>>().join(","),
             at_ms,
         );
         self.apply_end(now, &row);
-        let key = row::end_key(backend, &self.host);
+        if row.parts.is_empty() {
+            return;
+        }
+        let key = row::end_key(&backend.id, &self.host);
         if self.own_ends.len() >= MAX_OWN_ENDS {
             self.own_ends.pop_front();
         }
@@ -170,18 +215,19 @@
 
     /// Returns the parts of the requests that may have ended a backend server: known suspects
     /// first, then those with the fewest whole responses.
-    fn suspect_parts(&self, requests: &[BrokenRequest]) -> Vec<Arc<str>> {
+    fn suspect_parts(&self, requests: &[BrokenRequest]) -> Vec<(Arc<str>, usize)> {
         let may_have_ended = |request: &&BrokenRequest| {
-            request.responding_for.is_none_or(|time| time < RESPONSE_START_TIME)
+            request.in_progress_for >= MIN_WORK_TIME
+                && request.responding_for.is_none_or(|time| time < RESPONSE_START_TIME)
         };
-        let mut parts: Vec<Arc<str>> = requests
+        let mut parts: Vec<(Arc<str>, usize)> = requests
             .iter()
             .filter(may_have_ended)
-            .flat_map(|request| request.parts.iter().cloned())
+            .flat_map(|request| request.parts.iter().cloned().zip(0..))
             .collect();
         parts.sort();
-        parts.dedup();
-        parts.sort_by_key(|part| {
+        parts.dedup_by(|next, former| next.0 == former.0);
+        parts.sort_by_key(|(part, _)| {
             let ends = self.suspects.get(part).map_or(0, Suspect::backend_count);
             (std::cmp::Reverse(ends), self.sound.get(part).map_or(0, |sound| sound.count))
         });
@@ -221,7 +267,7 @@
         }
         let now_ms = self.platform_ms(now);
         let parts = prompt.shared.iter().filter(|part| Some(&part.name) != tried);
-        parts.filter_map(|part| self.suspects.get(&part.name)?.quarantined(now_ms)).next()
+        parts.filter_map(|part| self.quarantined(now_ms, self.suspects.get(&part.name)?)).next()
     }
 
     /// Decides whether a request may be served: returns the quarantined part of which it is a trial,
@@ -248,10 +294,29 @@
         Err(found)
     }
 
+    fn quarantined(&self, now_ms: u64, suspect: &Suspect) -> Option<Quarantined> {
+        if !suspect.may_be_harmful() {
+            return None;
+        }
+        suspect.quarantined(now_ms, &self.evidence(now_ms, suspect))
+    }
+
+    /// Returns the evidence against a part: separate ends that no harmful part after it explains.
+    fn evidence(&self, now_ms: u64, suspect: &Suspect) -> Evidence {
+        if !suspect.may_be_harmful() {
+            return suspect.evidence(&self.outages, &[]);
+        }
+        let later = self.suspects.values();
+        let later = later.filter(|own| own.may_be_harmful() && own.depth() > suspect.depth());
+        let harmful = later.filter(|own| own.is_harmful(now_ms, &own.evidence(&self.outages, &[])));
+        suspect.evidence(&self.outages, &harmful.collect::<Vec<_>>())
+    }
+
     /// Returns all quarantined parts.
     pub fn parts(&self, now: Duration) -> Vec<Quarantined> {
         let now_ms = self.platform_ms(now);
-        self.suspects.values().filter_map(|suspect| suspect.quarantined(now_ms)).collect()
+        let suspects = self.suspects.values();
+        suspects.filter_map(|suspect| self.quarantined(now_ms, suspect)).collect()
     }
 
     /// Applies rows that were read; `whole` tells that these are all rows.
@@ -277,7 +342,7 @@
             if let Some(own) = self.own_ends.iter_mut().find(|own| own.key == row.key) {
                 own.is_stored = true;
             }
-            self.stored_ends.insert(row.key.clone(), end.at_ms);
+            self.stored_ends.insert(row.key.clone(), (end.backend.clone(), end.at_ms));
             self.apply_end(now, &end);
         } else if row::is_part_key(&row.key) {
             let Some(value) = &row.value else {
@@ -286,8 +351,11 @@
             };
             let Some(part) = row::parse::<PartRow>(row, value) else { return };
             let name = part.name.clone();
-            if let Some(suspect) = self.suspect_mut(now, &name) {
-                suspect.apply_row(part, row.revision);
+            let suspect = self.suspect_mut(now, &name);
+            let dismissed = suspect.map(|suspect| suspect.apply_row(part, row.revision));
+            // They don't speak against the parts that came with it either.
+            for backend in dismissed.into_iter().flatten() {
+                self.suspects.values_mut().for_each(|suspect| suspect.discard_end(&backend));
             }
         }
     }
@@ -295,6 +363,7 @@
     /// Records that the table no longer has a row.
     fn record_removal(&mut self, key: &str) {
         self.stored_ends.remove(key);
+        self.disproved.retain(|own| **own != *key);
         let mut suspects = self.suspects.values_mut();
         if let Some(suspect) = suspects.find(|suspect| &**suspect.key() == key) {
             suspect.forget_stored();
@@ -306,13 +375,44 @@
         if suspect::is_expired(now_ms, end.at_ms) {
             return;
         }
-        for part in end.parts.iter().take(MAX_PARTS_PER_END) {
+        if self.ends.len() < MAX_ENDS || self.ends.contains_key(&end.backend) {
+            let known = (end.started_unix_ms, end.at_ms);
+            let known = self.ends.entry(end.backend.clone()).or_insert(known);
+            known.1 = known.1.min(end.at_ms);
+            self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
+        }
+        for (part, depth) in end.parts.iter().take(MAX_PARTS_PER_END) {
             if let Some(suspect) = self.suspect_mut(now, part) {
-                suspect.record_end(&end.backend, end.at_ms);
+                suspect.record_end(&end.backend, end.at_ms, *depth);
             }
         }
     }
 
+    /// Returns the supposed ends of backend servers.
+    pub fn known_ends(&self, now: Duration) -> Vec<KnownEnd> {
+        let now_ms = self.platform_ms(now);
+        let known_end = |(backend, (started_unix_ms, at_ms)): (&Arc<str>, &(u64, u64))| {
+            let age = Duration::from_millis(now_ms.saturating_sub(*at_ms));
+            KnownEnd {
+                backend: backend.clone(),
+                started_unix_ms: *started_unix_ms,
+                disproved_from: now.saturating_sub(age) + MIN_ALIVE_TIME,
+            }
+        };
+        self.ends.iter().map(known_end).collect()
+    }
+
+    /// Discards the supposed end of a backend server that was heard since.
+    pub fn discard_end(&mut self, backend: &Arc<str>) {
+        tracing::info!(event = "backend_end_disproved", %backend);
+        self.ends.remove(backend);
+        self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
+        self.own_ends.retain(|own| own.row.backend != *backend);
+        self.suspects.values_mut().for_each(|suspect| suspect.discard_end(backend));
+        let stored = self.stored_ends.iter().filter(|(_, (own, _))| own == backend);
+        self.disproved.extend(stored.map(|(key, _)| key.clone()));
+    }
+
     /// Returns a suspect part, which becomes one now if it wasn't; `None` if there are too many.
     fn suspect_mut(&mut self, now: Duration, part: &Arc<str>) -> Option<&mut Suspect> {
         if !self.suspects.contains_key(part) {
@@ -332,7 +432,7 @@
     fn evict(&mut self, now: Duration) -> bool {
         let now_ms = self.platform_ms(now);
         let suspects = self.suspects.values();
-        let suspects = suspects.filter(|suspect| suspect.quarantined(now_ms).is_none());
+        let suspects = suspects.filter(|suspect| self.quarantined(now_ms, suspect).is_none());
         let weakest = suspects.min_by_key(|own| (own.backend_count(), own.last_end_ms()));
         let Some(weakest) = weakest.map(|suspect| suspect.name().clone()) else { return false };
         self.suspects.remove(&weakest);
@@ -360,7 +460,9 @@
         }
         if pending.ends.is_empty() {
             for suspect in self.suspects.values() {
-                let Some(share) = suspect.due_row(now_ms) else { continue };
+                let Some(share) = suspect.due_row(now_ms, &self.evidence(now_ms, suspect)) else {
+                    continue;
+                };
                 txn.put(&share.stored, &share.row);
                 pending.parts.push((suspect.name().clone(), share));
                 if txn.writes.len() >= MAX_WRITES {
@@ -382,6 +484,8 @@
     /// Removes suspects of which nothing is known any more.
     fn expire(&mut self, now_ms: u64) {
         self.own_ends.retain(|end| !suspect::is_expired(now_ms, end.row.at_ms));
+        self.ends.retain(|_, (_, at_ms)| !suspect::is_expired(now_ms, *at_ms));
+        self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
         self.suspects.retain(|_, suspect| {
             suspect.expire(now_ms);
             suspect.is_needed(now_ms) || suspect.is_stored()
@@ -394,9 +498,10 @@
         let spread = hash(self.host.as_bytes()) % REMOVAL_SPREAD.as_millis() as u64;
         let before_ms = now_ms.saturating_sub(spread);
         let stale_ms = before_ms.saturating_sub(STALE_END_AGE.as_millis() as u64);
-        let ends = self.stored_ends.iter().filter(|(_, at_ms)| **at_ms < stale_ms);
+        let ends = self.stored_ends.iter().filter(|(_, (_, at_ms))| *at_ms < stale_ms);
+        let ends = self.disproved.iter().chain(ends.map(|(key, _)| key));
         let removal = |key: &Arc<str>| Write { key: key.clone(), value: None };
-        txn.writes.extend(ends.map(|(key, _)| removal(key)).take(MAX_WRITES));
+        txn.writes.extend(ends.map(removal).take(MAX_WRITES));
         let parts = self.suspects.values().filter_map(|suspect| suspect.stale_row(before_ms));
         for row in parts.take(MAX_WRITES - txn.writes.len()) {
             txn.check(&row);
--- a/crates/gateway/src/quarantine/row.rs
+++ b/crates/gateway/src/quarantine/row.rs
@@ -14,10 +14,14 @@
 pub struct EndRow {
     /// Id of the backend server.
     pub backend: Arc<str>,
+    /// Unix time of its start in milliseconds.
+    pub started_unix_ms: u64,
+    /// Name of the host.
+    pub host: Arc<str>,
     /// The platform's clock in milliseconds when its responses broke off.
     pub at_ms: u64,
-    /// Names of the parts of prompts that may have ended it.
-    pub parts: Vec<Arc<str>>,
+    /// Names of the parts of prompts that may have ended it, and how many parts came before each.
+    pub parts: Vec<(Arc<str>, usize)>,
 }
 
 /// What all hosts together know of a suspect part.
@@ -46,6 +50,13 @@
     pub released_ms: u64,
 }
 
+impl PartRow {
+    /// Returns the row of a part that an operator releases.
+    pub fn released(name: &str, now_ms: u64) -> Self {
+        Self { name: name.into(), released_ms: now_ms, ..Self::default() }
+    }
+}
+
 /// Returns the key of the row for the end of a backend server that a host observed.
 pub fn end_key(backend: &str, host: &str) -> Arc<str> {
     let id = hash(format!("{backend} {host}").as_bytes());
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -6,11 +6,12 @@
 
 use super::{
     Quarantined,
+    outage::Outages,
     row::{PartRow, part_key},
 };
 
 /// Number of ends under a part from which it may be quarantined.
-const MIN_ENDED: usize = 3;
+const MIN_ENDED: usize = 4;
 
 /// Number of backend servers that ended under a part from which it isn't tried any more.
 const MAX_TRIED_ENDED: usize = 5;
@@ -23,10 +24,7 @@
 const MIN_ROW_TIME: Duration = Duration::from_secs(5);
 
 /// Number of ends that a whole response outweighs.
-const SOUND_WEIGHT: usize = 2;
-
-/// Time within which backend servers that end count as one, as they may have a common cause.
-const SIMULTANEOUS: Duration = Duration::from_millis(30);
+const SOUND_WEIGHT: usize = 4;
 
 /// Time for which the end of a backend server counts.
 const END_TTL: Duration = Duration::from_secs(300);
@@ -52,7 +50,7 @@
 const SOUND_SHARE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Time between two trials of a quarantined part.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(15);
+const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Maximum number of trials of a quarantined part.
 const MAX_TRIALS: u32 = 2;
@@ -69,6 +67,13 @@
     Duration::from_millis(now_ms.saturating_sub(at_ms))
 }
 
+/// Separate ends of backend servers that speak against a part.
+#[derive(Debug)]
+pub struct Evidence {
+    /// Their times in ascending order, in milliseconds of the platform's clock.
+    ends: Vec<u64>,
+}
+
 /// A row that is due to be written.
 #[derive(Debug)]
 pub struct Share {
@@ -78,6 +83,8 @@
     pub row: PartRow,
     /// Whole responses of this host that it shares.
     pub sound: u32,
+    /// Disproved ends that it no longer counts.
+    pub disproved: usize,
     /// Whether it claims a trial for this host.
     pub is_trial: bool,
 }
@@ -87,6 +94,8 @@
 pub struct Suspect {
     name: Arc<str>,
     key: Arc<str>,
+    /// Smallest number of parts that came before it in a prompt.
+    depth: usize,
     /// When each backend server ended, in milliseconds of the platform's clock.
     ends: BTreeMap<Arc<str>, u64>,
     /// What the hosts share, as this host last read or wrote it.
@@ -98,6 +107,8 @@
     own_sound_before: u32,
     /// When this host last had a whole response.
     own_sound_ms: u64,
+    /// Ends that this host has disproved and the row still counts.
+    disproved: usize,
     /// When this host last refused a request with it.
     refused_ms: u64,
     /// Until when this host may make a trial.
@@ -111,11 +122,13 @@
             key: part_key(&name),
             shared: PartRow { name: name.clone(), ..PartRow::default() },
             name,
+            depth: usize::MAX,
             ends: BTreeMap::new(),
             revision: 0,
             own_sound: 0,
             own_sound_ms: 0,
             own_sound_before: sound_before.min(MAX_SOUND_BEFORE),
+            disproved: 0,
             refused_ms: 0,
             trial_until_ms: 0,
         }
@@ -142,7 +155,8 @@
     }
 
     /// Records the end of a backend server; of several observations the earliest counts.
-    pub fn record_end(&mut self, backend: &Arc<str>, at_ms: u64) {
+    pub fn record_end(&mut self, backend: &Arc<str>, at_ms: u64, depth: usize) {
+        self.depth = self.depth.min(depth);
         if at_ms <= self.shared.released_ms || self.ends.len() >= MAX_ENDS {
             return;
         }
@@ -161,24 +175,23 @@
         self.refused_ms = now_ms;
     }
 
-    /// Returns the times of the ends in order, without those at the same moment as an earlier one.
-    fn separate_ends(&self) -> Vec<u64> {
-        let mut ends: Vec<u64> = self.ends.values().copied().collect();
-        ends.sort_unstable();
-        let mut separate: Vec<u64> = Vec::with_capacity(ends.len());
-        for at_ms in ends {
-            let last = separate.last();
-            if last.is_none_or(|last| elapsed(at_ms, *last) >= SIMULTANEOUS) {
-                separate.push(at_ms);
-            }
-        }
-        separate
+    /// Returns the smallest number of parts that came before it in a prompt.
+    pub fn depth(&self) -> usize {
+        self.depth
+    }
+
+    /// Returns the separate ends that none of the other parts explains.
+    pub fn evidence(&self, outages: &Outages, others: &[&Self]) -> Evidence {
+        let is_explained = |id: &Arc<str>| others.iter().any(|other| other.ends.contains_key(id));
+        let ends = self.ends.iter().filter(|(id, _)| !is_explained(id));
+        Evidence { ends: outages.separate(ends.map(|(_, at_ms)| *at_ms)) }
     }
 
     /// Returns the number of ends that count.
-    fn ended(&self) -> usize {
+    fn ended(&self, evidence: &Evidence) -> usize {
         let known = if self.shared.quarantined_ms > 0 { self.shared.ended } else { 0 };
-        self.separate_ends().len().max(known)
+        let known = known.saturating_sub(self.disproved);
+        evidence.ends.len().max(known)
     }
 
     /// Returns the number of whole responses that count.
@@ -191,11 +204,11 @@
     }
 
     /// Returns whether no response has been whole over many ends.
-    fn is_harmful_lately(&self) -> bool {
+    fn is_harmful_lately(&self, evidence: &Evidence) -> bool {
         let sound_ms = self.shared.sound_ms.max(self.own_sound_ms);
-        let ends = self.separate_ends();
+        let ends = &evidence.ends;
         let ends = &ends[ends.partition_point(|at_ms| *at_ms <= sound_ms)..];
-        ends.len() >= MIN_ENDED_IN_A_ROW && elapsed(self.last_end_ms(), ends[0]) >= MIN_ROW_TIME
+        ends.len() >= MIN_ENDED_IN_A_ROW && elapsed(ends[ends.len() - 1], ends[0]) >= MIN_ROW_TIME
     }
 
     /// Returns whether requests with the part still come, as far as all hosts know.
@@ -204,16 +217,26 @@
         elapsed(now_ms, last.max(self.shared.quarantined_ms)) >= QUIET_TIME
     }
 
+    /// Returns whether enough backend servers ended under the part for it to be harmful.
+    pub fn may_be_harmful(&self) -> bool {
+        self.ends.len().max(self.shared.ended) >= MIN_ENDED
+    }
+
+    /// Returns whether the evidence outweighs the whole responses.
+    pub fn is_harmful(&self, now_ms: u64, evidence: &Evidence) -> bool {
+        let ended = self.ended(evidence);
+        let sound = self.sound(now_ms) as usize;
+        (ended >= MIN_ENDED && sound * SOUND_WEIGHT < ended) || self.is_harmful_lately(evidence)
+    }
+
     /// Returns the state of the part if it is quarantined.
-    pub fn quarantined(&self, now_ms: u64) -> Option<Quarantined> {
-        let ended = self.ended();
-        let sound = self.sound(now_ms);
-        let is_harmful = (ended >= MIN_ENDED && (sound as usize) * SOUND_WEIGHT < ended)
-            || self.is_harmful_lately();
-        (is_harmful && !self.is_quiet(now_ms)).then(|| Quarantined {
+    pub fn quarantined(&self, now_ms: u64, evidence: &Evidence) -> Option<Quarantined> {
+        let is_quarantined =
+            self.may_be_harmful() && self.is_harmful(now_ms, evidence) && !self.is_quiet(now_ms);
+        is_quarantined.then(|| Quarantined {
             part: self.name.clone(),
-            ended,
-            sound,
+            ended: self.ended(evidence),
+            sound: self.sound(now_ms),
         })
     }
 
@@ -240,13 +263,17 @@
         Row { key: self.key.clone(), value: None, revision: self.revision }
     }
 
-    /// Applies the row that the hosts share.
-    pub fn apply_row(&mut self, row: PartRow, revision: u64) {
+    /// Applies the row that the hosts share; returns the backend servers whose ends an operator has
+    /// dismissed.
+    pub fn apply_row(&mut self, row: PartRow, revision: u64) -> Vec<Arc<str>> {
         if revision < self.revision {
-            return;
+            return Vec::new();
         }
+        let mut dismissed = Vec::new();
         self.revision = revision;
         if row.released_ms > self.shared.released_ms {
+            let ends = self.ends.iter().filter(|(_, at_ms)| **at_ms <= row.released_ms);
+            dismissed.extend(ends.map(|(backend, _)| backend.clone()));
             self.ends.retain(|_, at_ms| *at_ms > row.released_ms);
             self.own_sound = 0;
         }
@@ -264,6 +291,7 @@
             );
         }
         self.shared = row;
+        dismissed
     }
 
     /// Records that the table no longer has the row; what it held still counts.
@@ -272,10 +300,10 @@
     }
 
     /// Returns the row that is due to be written, if any.
-    pub fn due_row(&self, now_ms: u64) -> Option<Share> {
+    pub fn due_row(&self, now_ms: u64, evidence: &Evidence) -> Option<Share> {
         let mut row = self.shared.clone();
         let shared_sound = self.shared.sound.max(self.shared.sound_before) as usize;
-        let is_sound_needed = shared_sound * SOUND_WEIGHT < self.ended() + SOUND_MARGIN;
+        let is_sound_needed = shared_sound * SOUND_WEIGHT < self.ended(evidence) + SOUND_MARGIN;
         let is_sound_outdated = self.last_end_ms() > row.sound_ms
             && elapsed(self.own_sound_ms, row.sound_ms) >= SOUND_SHARE_INTERVAL;
         let mut sound = 0;
@@ -286,7 +314,7 @@
             row.sound_before = row.sound_before.max(self.own_sound_before);
         }
         let is_trial = self.is_trial_due(now_ms);
-        match self.quarantined(now_ms) {
+        match self.quarantined(now_ms, evidence) {
             Some(state) if row.quarantined_ms == 0 => {
                 row.quarantined_ms = now_ms;
                 row.refused_ms = now_ms;
@@ -294,7 +322,7 @@
                 row.ended = state.ended;
             }
             Some(state) => {
-                row.ended = row.ended.max(state.ended);
+                row.ended = row.ended.saturating_sub(self.disproved).max(state.ended);
                 if elapsed(self.refused_ms, row.refused_ms) >= RENEWAL_INTERVAL {
                     row.refused_ms = self.refused_ms;
                 }
@@ -307,12 +335,19 @@
         }
         let is_lost = self.revision == 0 && row.quarantined_ms > 0;
         let stored = self.stored_row();
-        (is_lost || row != self.shared).then_some(Share { stored, row, sound, is_trial })
+        (is_lost || row != self.shared).then_some(Share {
+            stored,
+            row,
+            sound,
+            disproved: self.disproved,
+            is_trial,
+        })
     }
 
     /// Applies a row that this host has written.
     pub fn finish_share(&mut self, share: Share, revision: u64) {
         self.own_sound = self.own_sound.saturating_sub(share.sound);
+        self.disproved = self.disproved.saturating_sub(share.disproved);
         if share.is_trial {
             self.trial_until_ms = share.row.trial_ms + TRIAL_INTERVAL.as_millis() as u64;
         }
@@ -329,6 +364,13 @@
         self.revision > 0
     }
 
+    /// Removes the end of a backend server that turned out to run.
+    pub fn discard_end(&mut self, backend: &str) {
+        if self.ends.remove(backend).is_some() {
+            self.disproved += 1;
+        }
+    }
+
     /// Removes ends that no longer count.
     pub fn expire(&mut self, now_ms: u64) {
         self.ends.retain(|_, at_ms| !is_expired(now_ms, *at_ms));
--- a/crates/gateway/src/quarantine_sync.rs
+++ b/crates/gateway/src/quarantine_sync.rs
@@ -32,6 +32,7 @@
         if !node.quarantine.borrow().has_news() {
             sleep(random_delay(&node)).await;
         }
+        discard_disproved_ends(&node);
         let planned = node.quarantine.borrow_mut().plan(node.now());
         let Some(txn) = planned else { continue };
         let writes = txn.writes.len();
@@ -47,6 +48,17 @@
     }
 }
 
+/// Discards the ends of backend servers that this host has heard since.
+fn discard_disproved_ends(node: &Node) {
+    let known = node.quarantine.borrow().known_ends(node.now());
+    let backends = node.backends.borrow();
+    for end in known {
+        if backends.is_heard_since(&end.backend, end.started_unix_ms, end.disproved_from) {
+            node.quarantine.borrow_mut().discard_end(&end.backend);
+        }
+    }
+}
+
 fn random_delay(node: &Node) -> Duration {
     let hosts = u32::try_from(node.hosts()).unwrap_or(u32::MAX);
     let max_delay = DELAY_PER_HOST.saturating_mul(hosts).min(MAX_DELAY);
