--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    dialect::Source,
+    dialect::{Changes, Source},
     directory::{DIRECTORY_TABLE, Mode},
     node::{Node, Phase},
 };
@@ -50,11 +50,7 @@
             Ok(Some(changes)) => {
                 position = Some((source.era(), changes.through));
                 node.directory.borrow_mut().apply(&changes, after.is_none());
-                let mut quarantine = node.quarantine.borrow_mut();
-                quarantine.set_clock(node.now(), source.clock_ms());
-                quarantine.apply(node.now(), &changes, after.is_none());
-                drop(quarantine);
-                node.quarantine_changed.notify_waiters();
+                apply_to_quarantine(&node, source.clock_ms(), &changes, after.is_none());
                 if !changes.rows.is_empty() || after.is_none() {
                     node.directory_changed.notify_waiters();
                 } else if started.elapsed() < MIN_READ_INTERVAL {
@@ -70,6 +66,13 @@
     }
 }
 
+fn apply_to_quarantine(node: &Node, clock_ms: Option<u64>, changes: &Changes, whole: bool) {
+    let mut quarantine = node.quarantine.borrow_mut();
+    quarantine.set_clock(node.now(), clock_ms);
+    quarantine.apply(node.now(), changes, whole);
+    node.quarantine_changed.notify_waiters();
+}
+
 /// Publishes the directory while this host is its publisher, and tries to become the publisher when
 /// it is this host's turn.
 pub async fn publish(node: Rc<Node>, source: Rc<impl Source>) {
