--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     hosts: Gauge<u64>,
     version: Gauge<u64>,
     ready: Gauge<u64>,
+    quarantined: Gauge<u64>,
 }
 
 impl Metrics {
@@ -67,6 +68,10 @@
             hosts: gauge("laburnum_hosts", "Hosts that share budgets and bounds"),
             version: gauge("laburnum_config_version", "Configuration in force"),
             ready: gauge("laburnum_ready", "1 while the host takes requests"),
+            quarantined: gauge(
+                "laburnum_quarantined_parts",
+                "Parts of prompts that aren't sent to backend servers",
+            ),
             registry,
             provider,
         })
@@ -98,6 +103,8 @@
         self.hosts.record(node.hosts(), &[]);
         self.version.record(node.catalog().map_or(0, |catalog| catalog.version()), &[]);
         self.ready.record(u64::from(node.is_ready()), &[]);
+        let quarantined = node.quarantine.borrow().parts(node.now()).len();
+        self.quarantined.record(quarantined as u64, &[]);
         self.provider.force_flush().wrap_err("step=flush metrics")?;
         TextEncoder::new().encode_to_string(&self.registry.gather()).wrap_err("step=encode metrics")
     }
