Publish many changed rows of the directory without pauses

Cause, shown by the test: the publisher wrote at most 80 rows each 200 ms and read the entries anew each 400 ms, so that no more than 160 of 256 rows were written for each read. A release changes more than that, the directory then stays as old as it was when the changes began, and after 2.4 s each host reads all entries itself, which loads the store that the publisher writes to.

The publisher now goes on writing until all rows of a read are written.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -173,6 +173,8 @@
     published: BTreeMap<Arc<str>, Entry>,
     is_publisher: bool,
     beat_written_ms: u64,
+    /// Whether rows were left to write when the last transaction was planned.
+    is_partial: bool,
     pending: Option<Pending>,
 }
 
@@ -194,6 +196,7 @@
             published: BTreeMap::new(),
             is_publisher: false,
             beat_written_ms: 0,
+            is_partial: false,
             pending: None,
         }
     }
@@ -329,6 +332,7 @@
             return None;
         }
         let is_complete = changed.len() <= MAX_WRITES;
+        self.is_partial = !is_complete;
         let former_read_ms = self.beat.as_ref().map_or(0, |beat| beat.read_ms);
         let beat = Beat {
             publisher: self.process.clone(),
@@ -343,6 +347,12 @@
         Some(self.begin(beat, rows))
     }
 
+    /// Returns whether this host is the publisher and has more rows to write at once: until all are
+    /// written, the directory is as old as it was.
+    pub fn has_unpublished(&self) -> bool {
+        self.is_publisher && self.is_partial && self.pending.is_none()
+    }
+
     /// Returns the transaction by which a publisher that stops asks the others to replace it.
     pub fn resign(&mut self) -> Option<Txn> {
         if !self.is_publisher || self.pending.is_some() {
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -88,8 +88,11 @@
         if let Some(txn) = planned {
             let outcome = source.table(&Op::Commit(txn)).await;
             node.directory.borrow_mut().finish(&outcome);
+            let is_committed = matches!(outcome, Outcome::Committed(_));
+            if is_committed && node.directory.borrow().has_unpublished() {
+                continue;
+            }
         }
-        // Another part of the rows may be left to write.
         sleep(interval).await;
     }
     let resignation = node.directory.borrow_mut().resign();
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -75,6 +75,7 @@
     /// What it has read of the lists itself.
     own: Option<OwnView>,
     next_direct_ms: u64,
+    next_look_ms: u64,
     is_alive: bool,
     reaches_platform: bool,
 }
@@ -131,6 +132,7 @@
             position: None,
             own: None,
             next_direct_ms: 0,
+            next_look_ms: 0,
             is_alive: true,
             reaches_platform: true,
         }
@@ -177,9 +179,16 @@
                 });
             }
             let Some(own) = &host.own else { continue };
-            if let Some(txn) = host.directory.plan(moment, own) {
+            if self.now_ms < host.next_look_ms {
+                continue;
+            }
+            host.next_look_ms = self.now_ms + (APPLY / 20).as_millis() as u64;
+            while let Some(txn) = host.directory.plan(moment, own) {
                 let outcome = self.platform.commit(&txn);
                 host.directory.finish(&outcome);
+                if !host.directory.has_unpublished() {
+                    break;
+                }
             }
         }
     }
@@ -359,6 +368,21 @@
     assert_eq!(directory.mode(moment), Mode::Direct);
 }
 
+/// As while a service is replaced: hosts that read everything would load the platform on which the
+/// publisher waits.
+#[test]
+fn changes_of_many_backend_servers_turn_no_subscriber_into_a_reader() {
+    let mut fleet = Fleet::new(40, 3000);
+    fleet.run(5_000);
+    for round in 0..8 {
+        for entry in fleet.platform.backends.iter_mut().skip(round % 4).step_by(4) {
+            entry.draining = !entry.draining;
+        }
+        fleet.run(400);
+        assert_eq!(fleet.subscribers(), 39, "round {round}");
+    }
+}
+
 #[test]
 fn all_backend_servers_are_published_in_several_transactions() {
     let mut fleet = Fleet::new(20, 3000);
