Keep what is known of suspect parts through a restore of the table, and merge late breaks

Read as a newcomer, before any failure: a restored table holds older rows of parts, or none, and a host took them over in place of what it knew, so that whole responses that clear a part, or a release, would have been lost (test fails without this: no row). Breaks at one backend server that come later than the first replaced the row of its end in place of adding to it (test). The body of a refused request is read before the refusal, as for other refusals that follow it, so that its connection isn't reset. Counts of whole responses have a module of their own.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -282,7 +282,6 @@
     let catalog = node.catalog().ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?;
     let (route, workspace) = find_route(node, &catalog, &head, call)?;
     check_draining(node, &route)?;
-    let trial = check_quarantine(node, call)?;
     let service = route.service(hash(call.id.as_bytes()));
     let service = service.and_then(|name| catalog.service(name));
     let service = service.ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?.clone();
@@ -297,6 +296,7 @@
         Ok(Err(_)) => return Err(Refusal::Malformed),
         Err(_) => return Err(Refusal::TimeoutNotRun),
     };
+    let trial = check_quarantine(node, call)?;
     let max_wait = call.max_wait.map_or(route.timeout, |max_wait| max_wait.min(route.timeout));
     let deadline = arrived + max_wait;
     node.with_retry_budget(&service.name, |budget| budget.record_request(node.now()));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -22,10 +22,11 @@
 mod outage;
 mod report;
 mod row;
+mod sound;
 mod suspect;
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -37,6 +38,7 @@
 
 use self::{
     outage::Outages,
+    sound::Sound,
     suspect::{Evidence, Share, Suspect},
 };
 pub use self::{
@@ -49,12 +51,6 @@
 /// server.
 const RESPONSE_START_TIME: Duration = Duration::from_millis(300);
 
-/// Time for which a whole response speaks for a part of which nothing bad is known.
-const SOUND_TTL: Duration = Duration::from_secs(60);
-
-/// Maximum number of parts of which whole responses are counted.
-const MAX_SOUND_PARTS: usize = 4096;
-
 /// Maximum number of suspect parts.
 const MAX_SUSPECTS: usize = 512;
 
@@ -94,13 +90,6 @@
     pub sound: u32,
 }
 
-/// Whole responses to prompts with a part, and when the last one ended.
-#[derive(Debug, Clone, Copy)]
-struct SoundCount {
-    count: u32,
-    at: Duration,
-}
-
 /// The supposed end of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownEnd {
@@ -136,7 +125,7 @@
 pub struct Quarantine {
     host: Arc<str>,
     suspects: BTreeMap<Arc<str>, Suspect>,
-    sound: HashMap<Arc<str>, SoundCount>,
+    sound: Sound,
     own_ends: VecDeque<OwnEnd>,
     /// Start time and earliest observation of the end of each backend server, in milliseconds.
     ends: BTreeMap<Arc<str>, (u64, u64)>,
@@ -156,7 +145,7 @@
         Self {
             host,
             suspects: BTreeMap::new(),
-            sound: HashMap::new(),
+            sound: Sound::default(),
             own_ends: VecDeque::new(),
             ends: BTreeMap::new(),
             outages: Outages::default(),
@@ -193,7 +182,7 @@
             started_unix_ms: backend.started_unix_ms,
             host: self.host.clone(),
             at_ms,
-            parts: self.suspect_parts(requests),
+            parts: self.suspect_parts(now, requests),
         };
         tracing::info!(
             event = "backend_ended",
@@ -203,19 +192,37 @@
             at_ms,
         );
         self.apply_end(now, &row);
-        if row.parts.is_empty() {
+        self.find_outages();
+        if !row.parts.is_empty() {
+            self.add_own_end(row);
+        }
+    }
+
+    /// Adds an end that is to be shared; of one backend server, requests may break off at different
+    /// times.
+    fn add_own_end(&mut self, row: EndRow) {
+        let key = row::end_key(&row.backend, &self.host);
+        if let Some(own) = self.own_ends.iter_mut().find(|own| own.key == key) {
+            let added = row.parts.into_iter().filter(|part| !own.row.parts.contains(part));
+            let added: Vec<_> = added.collect();
+            own.is_stored &= added.is_empty();
+            own.row.parts.extend(added);
+            own.row.parts.truncate(MAX_PARTS_PER_END);
             return;
         }
-        let key = row::end_key(&backend.id, &self.host);
         if self.own_ends.len() >= MAX_OWN_ENDS {
             self.own_ends.pop_front();
         }
         self.own_ends.push_back(OwnEnd { key, row, is_stored: false });
     }
 
+    fn find_outages(&mut self) {
+        self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
+    }
+
     /// Returns the parts of the requests that may have ended a backend server: known suspects
     /// first, then those with the fewest whole responses.
-    fn suspect_parts(&self, requests: &[BrokenRequest]) -> Vec<(Arc<str>, usize)> {
+    fn suspect_parts(&self, now: Duration, requests: &[BrokenRequest]) -> Vec<(Arc<str>, usize)> {
         let may_have_ended = |request: &&BrokenRequest| {
             request.in_progress_for >= MIN_WORK_TIME
                 && request.responding_for.is_none_or(|time| time < RESPONSE_START_TIME)
@@ -229,7 +236,7 @@
         parts.dedup_by(|next, former| next.0 == former.0);
         parts.sort_by_key(|(part, _)| {
             let ends = self.suspects.get(part).map_or(0, Suspect::backend_count);
-            (std::cmp::Reverse(ends), self.sound.get(part).map_or(0, |sound| sound.count))
+            (std::cmp::Reverse(ends), self.sound.responses(now, part))
         });
         parts.truncate(MAX_PARTS_PER_END);
         parts
@@ -237,22 +244,13 @@
 
     /// Records a whole response to a prompt.
     pub fn record_whole(&mut self, now: Duration, prompt: &Prompt) {
-        if self.sound.len() >= MAX_SOUND_PARTS {
-            self.sound.retain(|_, sound| now.saturating_sub(sound.at) < SOUND_TTL);
-        }
         let now_ms = self.platform_ms(now);
-        let has_room = self.sound.len() + prompt.shared.len() <= MAX_SOUND_PARTS;
         for part in &prompt.shared {
             if let Some(suspect) = self.suspects.get_mut(&part.name) {
                 suspect.record_sound(now_ms);
             }
-            if let Some(sound) = self.sound.get_mut(&part.name) {
-                let is_old = now.saturating_sub(sound.at) >= SOUND_TTL;
-                *sound = SoundCount { count: if is_old { 1 } else { sound.count + 1 }, at: now };
-            } else if has_room {
-                self.sound.insert(part.name.clone(), SoundCount { count: 1, at: now });
-            }
         }
+        self.sound.record(now, prompt);
     }
 
     /// Returns a quarantined part of a prompt, other than the one that is being tried.
@@ -330,6 +328,7 @@
         for row in &changes.rows {
             self.apply_row(now, row);
         }
+        self.find_outages();
     }
 
     fn apply_row(&mut self, now: Duration, row: &Row) {
@@ -379,7 +378,6 @@
             let known = (end.started_unix_ms, end.at_ms);
             let known = self.ends.entry(end.backend.clone()).or_insert(known);
             known.1 = known.1.min(end.at_ms);
-            self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
         }
         for (part, depth) in end.parts.iter().take(MAX_PARTS_PER_END) {
             if let Some(suspect) = self.suspect_mut(now, part) {
@@ -406,7 +404,7 @@
     pub fn discard_end(&mut self, backend: &Arc<str>) {
         tracing::info!(event = "backend_end_disproved", %backend);
         self.ends.remove(backend);
-        self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
+        self.find_outages();
         self.own_ends.retain(|own| own.row.backend != *backend);
         self.suspects.values_mut().for_each(|suspect| suspect.discard_end(backend));
         let stored = self.stored_ends.iter().filter(|(_, (own, _))| own == backend);
@@ -420,9 +418,7 @@
                 tracing::warn!(event = "suspect_left_out", part = %part);
                 return None;
             }
-            let sound = self.sound.get(part);
-            let sound = sound.filter(|sound| now.saturating_sub(sound.at) < SOUND_TTL);
-            let suspect = Suspect::new(part.clone(), sound.map_or(0, |sound| sound.count));
+            let suspect = Suspect::new(part.clone(), self.sound.responses(now, part));
             self.suspects.insert(part.clone(), suspect);
         }
         self.suspects.get_mut(part)
@@ -485,7 +481,7 @@
     fn expire(&mut self, now_ms: u64) {
         self.own_ends.retain(|end| !suspect::is_expired(now_ms, end.row.at_ms));
         self.ends.retain(|_, (_, at_ms)| !suspect::is_expired(now_ms, *at_ms));
-        self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
+        self.find_outages();
         self.suspects.retain(|_, suspect| {
             suspect.expire(now_ms);
             suspect.is_needed(now_ms) || suspect.is_stored()
--- a/crates/gateway/src/quarantine/row.rs
+++ b/crates/gateway/src/quarantine/row.rs
@@ -1,6 +1,6 @@
 //! Rows by which hosts share evidence against parts of prompts.
 
-use std::sync::Arc;
+use std::{cmp::Ordering, sync::Arc};
 
 use coordination::{locate::hash, table::Row};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -55,6 +55,28 @@
     pub fn released(name: &str, now_ms: u64) -> Self {
         Self { name: name.into(), released_ms: now_ms, ..Self::default() }
     }
+
+    /// Returns what is known by this row and an older or newer one, as after a restore of the table;
+    /// a release ends what was known before it.
+    pub fn newest(&self, other: &Self) -> Self {
+        match self.released_ms.cmp(&other.released_ms) {
+            Ordering::Less => return other.clone(),
+            Ordering::Greater => return self.clone(),
+            Ordering::Equal => {}
+        }
+        Self {
+            name: self.name.clone(),
+            sound: self.sound.max(other.sound),
+            sound_ms: self.sound_ms.max(other.sound_ms),
+            sound_before: self.sound_before.max(other.sound_before),
+            ended: self.ended.max(other.ended),
+            quarantined_ms: self.quarantined_ms.max(other.quarantined_ms),
+            refused_ms: self.refused_ms.max(other.refused_ms),
+            trials: self.trials.max(other.trials),
+            trial_ms: self.trial_ms.max(other.trial_ms),
+            released_ms: self.released_ms,
+        }
+    }
 }
 
 /// Returns the key of the row for the end of a backend server that a host observed.
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -102,6 +102,8 @@
     shared: PartRow,
     /// Revision of the row; 0 if there is none.
     revision: u64,
+    /// Whether the row holds less than is known, as in a restored table.
+    is_outdated: bool,
     /// Whole responses that this host has still to share.
     own_sound: u32,
     own_sound_before: u32,
@@ -125,6 +127,7 @@
             depth: usize::MAX,
             ends: BTreeMap::new(),
             revision: 0,
+            is_outdated: false,
             own_sound: 0,
             own_sound_ms: 0,
             own_sound_before: sound_before.min(MAX_SOUND_BEFORE),
@@ -269,8 +272,12 @@
         if revision < self.revision {
             return Vec::new();
         }
+        let is_first = self.revision == 0;
+        let stored = row;
+        let row = if is_first { self.shared.newest(&stored) } else { stored.clone() };
         let mut dismissed = Vec::new();
         self.revision = revision;
+        self.is_outdated = row != stored;
         if row.released_ms > self.shared.released_ms {
             let ends = self.ends.iter().filter(|(_, at_ms)| **at_ms <= row.released_ms);
             dismissed.extend(ends.map(|(backend, _)| backend.clone()));
@@ -333,7 +340,8 @@
             }
             None => row.quarantined_ms = 0,
         }
-        let is_lost = self.revision == 0 && row.quarantined_ms > 0;
+        let is_missing = self.revision == 0 && (row.quarantined_ms > 0 || row.sound > 0);
+        let is_lost = self.is_outdated || is_missing;
         let stored = self.stored_row();
         (is_lost || row != self.shared).then_some(Share {
             stored,
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -356,6 +356,43 @@
     assert!(fleet.is_quarantined(HOSTS, &["x"]), "a host that starts learns it");
 }
 
+#[test]
+fn restored_table_takes_back_no_whole_responses_and_no_release() {
+    let mut fleet = Fleet::new();
+    fleet.end_backends(1, &["a"]);
+    let copy = (fleet.table.clone(), fleet.revision);
+    for _ in 0..30 {
+        fleet.hosts[0].record_whole(fleet.now, &prompt(&["a"]));
+        fleet.end_backends(1, &["a"]);
+    }
+    fleet.now += Duration::from_secs(6);
+    assert_eq!(fleet.refusing(&["a"]), 0);
+    (fleet.table, fleet.revision) = copy;
+    fleet.read(true);
+    assert_eq!(fleet.refusing(&["a"]), 0);
+    fleet.share();
+    let row = &fleet.table[&part_key("a")];
+    let row: PartRow = serde_json::from_str(row.value.as_ref().expect("a row")).expect("JSON");
+    assert!(row.sound > 4, "{row:?}");
+}
+
+#[test]
+fn later_breaks_at_one_backend_server_add_to_its_end() {
+    let mut fleet = Fleet::new();
+    for number in 0..4 {
+        fleet.now += STEP;
+        for part in ["x", "y"] {
+            fleet.next_backend = number;
+            fleet.end_backend(0, &[broken(&[part], None)]);
+            fleet.share();
+        }
+    }
+    fleet.hosts.push(Quarantine::new("new".into()));
+    fleet.read_at(HOSTS, true);
+    assert!(fleet.is_quarantined(HOSTS, &["x"]) && fleet.is_quarantined(HOSTS, &["y"]));
+    assert_eq!(fleet.table.keys().filter(|key| key.contains("/end:")).count(), 4);
+}
+
 #[test]
 fn invented_parts_do_not_push_out_a_harmful_one() {
     let mut fleet = Fleet::new();
