Log what each process got, used, gave and still has of a workspace's tokens

That test found that a second read before the first transaction dropped borrowed tokens which had been merged into the allocation; they stay now.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -28,6 +28,7 @@
 mod outcome;
 mod plan;
 mod rate;
+mod turnover;
 
 use std::{sync::Arc, time::Duration};
 
@@ -40,6 +41,7 @@
     allocation::Allocation,
     budget::{Budget, COPY_MAX_AGE, Ceiling, Marker},
     environment::{Environment, Loss},
+    turnover::{ByProgress, Progress, Turnover},
 };
 use self::{allocation::SpendLimit, budget::marker_key, rate::Rate};
 
@@ -135,7 +137,8 @@
     /// Tokens outside the allocation: borrowed ones, and what requests left of their reservations.
     /// No row promises them to the next process, so that no limit applies to them.
     unallocated: u64,
-    reserved: u64,
+    reserved: ByProgress,
+    turnover: Turnover,
     /// Tokens that this process has taken from its allocation.
     used: u64,
     /// Limit in the row that this process wrote last; no allocated token may be used before there
@@ -192,7 +195,8 @@
             escrow_seen_at: None,
             held: 0,
             unallocated: 0,
-            reserved: 0,
+            reserved: ByProgress::default(),
+            turnover: Turnover::default(),
             used: 0,
             limit: None,
             largest_request: 0,
@@ -218,7 +222,12 @@
 
     /// Returns the tokens that are held and not reserved, and those that are reserved.
     pub fn balance(&self) -> (u64, u64) {
-        (self.total(), self.reserved)
+        (self.total(), self.reserved.total())
+    }
+
+    /// Returns the tokens that are reserved, and all that this process got and gave.
+    pub fn turnover(&self) -> (ByProgress, Turnover) {
+        (self.reserved, self.turnover)
     }
 
     /// Returns the tokens of the budget that are granted to no host, by the row as last seen.
@@ -295,7 +304,7 @@
         self.record_request_size(tokens);
         if tokens <= self.available(now) {
             self.deduct(now, tokens);
-            self.reserved += tokens;
+            self.reserved.unsent += tokens;
             return ReserveResult::Reserved;
         }
         let max_available = self.total() + self.ungranted();
@@ -324,8 +333,9 @@
 
     /// Reserves as many of a request's tokens as can be used now; returns how many.
     pub fn reserve_available(&mut self, now: Duration, tokens: u64) -> u64 {
-        let tokens = self.lend(now, tokens);
-        self.reserved += tokens;
+        let tokens = self.available(now).min(tokens);
+        self.deduct(now, tokens);
+        self.reserved.unsent += tokens;
         tokens
     }
 
@@ -358,6 +368,7 @@
     pub fn lend(&mut self, now: Duration, tokens: u64) -> u64 {
         let tokens = self.available(now).min(tokens);
         self.deduct(now, tokens);
+        self.turnover.lent += tokens;
         tokens
     }
 
@@ -370,12 +381,20 @@
         }
         let tokens = self.available(now);
         self.take(tokens);
+        self.turnover.lent += tokens;
         tokens
     }
 
     /// Gives reserved tokens to another host.
     pub fn transfer_reserved(&mut self, tokens: u64) {
-        self.reserved -= tokens;
+        self.reserved.unsent -= tokens;
+        self.turnover.lent += tokens;
+    }
+
+    /// Notes how far the request has come that reserved these tokens.
+    pub fn note_progress(&mut self, reserved: u64, from: Progress, to: Progress) {
+        *self.reserved.get_mut(from) -= reserved;
+        *self.reserved.get_mut(to) += reserved;
     }
 
     /// Returns to the budget what is not needed soon, since another host lacks tokens; returns how
@@ -398,6 +417,7 @@
     /// Adds tokens that another host lent.
     pub fn add_borrowed(&mut self, tokens: u64) {
         self.unallocated += tokens;
+        self.turnover.borrowed += tokens;
     }
 
     /// Deducts tokens from what is held and counts them against every limit that may be in force.
@@ -423,8 +443,10 @@
     }
 
     /// Ends a reservation; tokens that the request didn't use are available again.
-    pub fn settle(&mut self, reserved: u64, used: u64) {
-        self.reserved -= reserved;
-        self.unallocated += reserved.saturating_sub(used);
+    pub fn settle(&mut self, reserved: u64, used: u64, progress: Progress) {
+        *self.reserved.get_mut(progress) -= reserved;
+        let used = used.min(reserved);
+        *self.turnover.used.get_mut(progress) += used;
+        self.unallocated += reserved - used;
     }
 }
--- a/crates/gateway/src/account/outcome.rs
+++ b/crates/gateway/src/account/outcome.rs
@@ -55,6 +55,7 @@
     /// Applies a transaction that was committed.
     fn apply_committed(&mut self, pending: Pending) {
         self.held += pending.granting;
+        self.turnover.granted += pending.granting;
         if let Some(budget) = pending.budget {
             self.budget = budget;
         }
@@ -141,7 +142,10 @@
                 // It may have been committed before the table was restored, and what it returned
                 // may have been granted to others.
                 Some(pending) if self.is_restoring => self.abandon(&pending),
-                Some(pending) => self.held += pending.returning,
+                Some(pending) => {
+                    self.held += pending.returning;
+                    self.turnover.returned -= pending.returning;
+                }
                 None => {}
             }
             let has_own_figures = self.is_restoring && self.limit.is_some();
@@ -185,10 +189,14 @@
     /// of this process has been committed on top of that row.
     fn take_over(&mut self, previous: &Allocation, process_start_ms: Option<u64>) {
         let is_current = self.era == Some(previous.era);
-        self.held = match process_start_ms {
+        let held = match process_start_ms {
             Some(start) if is_current => previous.min_unspent(start),
             _ => 0,
         };
+        // An earlier read may have taken over the same row; borrowed tokens stay.
+        let others = self.held.saturating_sub(self.turnover.taken_over);
+        self.turnover.taken_over = self.turnover.taken_over + others + held - self.held;
+        self.held = others + held;
         self.allocation = previous.clone();
         self.limit = None;
         if previous.tokens == 0 {
@@ -199,7 +207,7 @@
             workspace = %self.workspace,
             former = %previous.holder,
             tokens = previous.tokens,
-            held = self.held,
+            held,
             era = previous.era,
             is_current,
             age_ms = process_start_ms.map(|start| start.saturating_sub(previous.written_ms)),
@@ -223,7 +231,7 @@
             unspent = self.ungranted(),
             withheld = self.withheld(),
             held = self.total(),
-            reserved = self.reserved,
+            reserved = self.reserved.total(),
             rate = self.rate.at(now) as u64,
             burst = pending.allocation.burst,
             seen_ms = self.escrow_seen_at.map(|seen| now.saturating_sub(seen).as_millis() as u64),
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -158,7 +158,7 @@
                 era,
                 former = self.era,
                 held = self.total(),
-                reserved = self.reserved,
+                reserved = self.reserved.total(),
                 unknown = self.pending.is_some(),
             );
         }
@@ -323,6 +323,7 @@
     ) -> Txn {
         self.held += std::mem::take(&mut self.unallocated);
         self.held -= returning;
+        self.turnover.returned += returning;
         let in_use = self.limit.is_some_and(|limit| limit.used > 0) || requested > 0;
         let default_rate = self.default_rate(&environment);
         let (rate, mean_request, renewal_interval) = if in_use {
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -2,6 +2,7 @@
 //! lends tokens for requests.
 
 mod reservation;
+mod statement;
 mod write_limiter;
 
 use std::{
@@ -21,7 +22,7 @@
 use wire::lend::{Ask, Lent};
 
 pub use self::reservation::{Reservation, ReserveError};
-use self::{reservation::QueuedRequest, write_limiter::WriteLimiter};
+use self::{reservation::QueuedRequest, statement::Statements, write_limiter::WriteLimiter};
 use crate::{
     account::{Account, Environment, ReserveResult, Step},
     catalog::Catalog,
@@ -60,6 +61,7 @@
     holder: Arc<str>,
     accounts: RefCell<HashMap<Arc<str>, Account>>,
     writes: RefCell<WriteLimiter>,
+    statements: RefCell<Statements>,
     /// Whether the platform answered recently.
     platform_reachable: Cell<bool>,
     /// Notified when a request waits for tokens or a condition of transactions has changed.
@@ -76,6 +78,7 @@
             holder,
             accounts: RefCell::default(),
             writes: RefCell::default(),
+            statements: RefCell::default(),
             platform_reachable: Cell::new(true),
             work_due: Notify::new(),
             transaction_ended: Notify::new(),
@@ -336,6 +339,7 @@
         loop {
             Self::start_due_steps(&node, &source);
             Self::give_leftovers_back(&node);
+            node.budgets.statements.borrow_mut().log(node.now(), &node.budgets.accounts.borrow());
             // Without a notification the accounts are checked once per poll interval.
             let _ = timeout(POLL_INTERVAL, node.budgets.work_due.notified()).await;
         }
--- a/crates/gateway/src/budgets/reservation.rs
+++ b/crates/gateway/src/budgets/reservation.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
-use crate::{account::ReserveResult, node::Node, peer::Peers};
+use crate::{
+    account::{Progress, ReserveResult},
+    node::Node,
+    peer::Peers,
+};
 
 /// Error if a request gets no tokens.
 #[derive(Debug, Clone, Copy)]
@@ -21,12 +25,19 @@
     workspace: Arc<str>,
     pub(super) reserved: u64,
     used: u64,
+    progress: Progress,
 }
 
 impl Reservation {
     /// Creates a reservation of no tokens.
     pub(super) fn new(node: &Rc<Node>, workspace: &Arc<str>) -> Self {
-        Self { node: node.clone(), workspace: workspace.clone(), reserved: 0, used: 0 }
+        Self {
+            node: node.clone(),
+            workspace: workspace.clone(),
+            reserved: 0,
+            used: 0,
+            progress: Progress::default(),
+        }
     }
 
     /// Reserves more tokens, as many of them as this host may use now.
@@ -70,13 +81,21 @@
     pub fn set_used(&mut self, used: u64) {
         self.used = used;
     }
+
+    /// Notes how far the request has come.
+    pub fn set_progress(&mut self, progress: Progress) {
+        let former = std::mem::replace(&mut self.progress, progress);
+        if let Some(account) = self.node.budgets.accounts.borrow_mut().get_mut(&self.workspace) {
+            account.note_progress(self.reserved, former, progress);
+        }
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut accounts = self.node.budgets.accounts.borrow_mut();
         if let Some(account) = accounts.get_mut(&self.workspace) {
-            account.settle(self.reserved, self.used);
+            account.settle(self.reserved, self.used, self.progress);
         }
     }
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -22,7 +22,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
-    account::ReserveResult,
+    account::{Progress, ReserveResult},
     attempt::{Attempt, StartError, UpstreamResponse},
     body::Body,
     budgets::{Budgets, Reservation},
@@ -62,6 +62,9 @@
 /// be retried if the response breaks off.
 const MAX_BUFFERED_BYTES: usize = 128 * 1024;
 
+/// Outcome of a request whose whole response was passed on.
+pub const ANSWERED: &str = "answered";
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub struct Job {
@@ -131,6 +134,11 @@
         let Some(prompt) = &self.call.prompt else { return };
         if let Some(reservation) = &mut *self.reservation.borrow_mut() {
             reservation.set_used(prompt.input + output.min(prompt.output));
+            reservation.set_progress(if output > 0 {
+                Progress::Responding
+            } else {
+                Progress::Sent
+            });
         }
     }
 
@@ -138,6 +146,7 @@
     fn clear_used(&self) {
         if let Some(reservation) = &mut *self.reservation.borrow_mut() {
             reservation.set_used(0);
+            reservation.set_progress(Progress::Unsent);
         }
     }
 
@@ -146,6 +155,11 @@
         if self.logged.replace(true) {
             return;
         }
+        if outcome == ANSWERED
+            && let Some(reservation) = &mut *self.reservation.borrow_mut()
+        {
+            reservation.set_progress(Progress::Answered);
+        }
         let tried = self.tried.borrow();
         let elapsed = self.arrived.elapsed();
         self.node.metrics.ended(outcome, &self.route.name, elapsed);
@@ -419,7 +433,7 @@
     drop(pending);
     match response {
         Ok(UpstreamResponse::Buffered { head, body }) => {
-            job.log("answered", head.status.as_u16(), 0);
+            job.log(ANSWERED, head.status.as_u16(), 0);
             let mut response = Response::from_parts(head, Body::Buffered(Full::new(body)));
             job.node.dialect.remove_private_headers(response.headers_mut());
             remove_hop_by_hop_headers(&mut response);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
     body::Truncated,
     catalog::RetryPolicy,
     events::Splitter,
-    proxy::{ActiveRequest, Job},
+    proxy::{ANSWERED, ActiveRequest, Job},
     retry_state::AttemptFailure,
 };
 
@@ -86,7 +86,7 @@
                 ReadResult::Bytes(bytes) if bytes.is_empty() => continue,
                 ReadResult::Bytes(bytes) => return Some(Ok(bytes)),
                 ReadResult::End => {
-                    self.finish("answered");
+                    self.finish(ANSWERED);
                     let rest = self.splitter.finish();
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use coordination::table::Outcome;
-use gateway::account::{Account, Allocation, Environment, Loss, ReserveResult, Step};
+use gateway::account::{Account, Allocation, Environment, Loss, Progress, ReserveResult, Step};
 use test_case::test_case;
 
 use crate::simulation::{MILLISECOND, Simulation, Table, WORKSPACE};
@@ -26,6 +26,22 @@
     assert!(served > 300 * 30_000, "{served} used in all");
 }
 
+#[test]
+fn what_a_process_got_is_what_it_gave_used_and_still_has() {
+    for seed in 0..100 {
+        let mut simulation = Simulation::new(seed, 4, 60_000);
+        for step in 0..1500 {
+            simulation.step();
+            for process in &simulation.processes {
+                let (reserved, turnover) = process.account.turnover();
+                let (held, total_reserved) = process.account.balance();
+                assert_eq!(reserved.total(), total_reserved);
+                assert_eq!(turnover.remaining(), held + total_reserved, "seed {seed}, step {step}");
+            }
+        }
+    }
+}
+
 struct Case {
     elapsed_ms: u64,
     unspent: u64,
@@ -335,7 +351,7 @@
         let host = &mut hosts[(number % HOSTS) as usize];
         host.add_borrowed(RESERVED);
         assert_eq!(host.reserve_available(now, RESERVED), RESERVED);
-        host.settle(RESERVED, USED);
+        host.settle(RESERVED, USED, Progress::Unsent);
         served += 1;
         for host in &mut hosts {
             let leftover = host.take_leftover(now);
@@ -353,7 +369,7 @@
     let mut account = new_account("h-1", 100_000);
     account.add_borrowed(900);
     assert_eq!(account.reserve_available(Duration::from_secs(1), 400), 400);
-    account.settle(400, 100);
+    account.settle(400, 100, Progress::Unsent);
     let soon = Duration::from_millis(1100);
     assert_eq!(account.take_leftover(soon), 0, "used a moment ago");
     account.enqueue(2000);
--- a/crates/gateway/tests/account/simulation.rs
+++ b/crates/gateway/tests/account/simulation.rs
@@ -8,7 +8,7 @@
 
 use coordination::table::{Outcome, Row, Txn};
 use gateway::{
-    account::{Account, Environment, Loss, ReserveResult, Step},
+    account::{Account, Environment, Loss, Progress, ReserveResult, Step},
     era::EraStart,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -262,7 +262,7 @@
         let process = &mut self.processes[host];
         let Some(reserved) = process.reservations.pop() else { return };
         let used = self.rng.random_range(0..=reserved);
-        process.account.settle(reserved, used);
+        process.account.settle(reserved, used, Progress::Unsent);
         self.used -= reserved - used;
     }
 
