--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -1,5 +1,6 @@
 //! Prepaid accounts of several hosts that share one table, with kills, lost answers and outages.
 
+mod killed;
 mod restored;
 mod simulation;
 
