Limit an allocation by its observed use until a killed process would be back

What was seen: at each end of all processes 2.5 to 4.4 % of a budget was given up beside what requests had reserved, since the limit on use took at least 2.5 % of the budget a second for granted, whatever was used, and a request of mean size as burst. Now the limit is 1.15 times the average of 12 s (the next process inherits it) with a burst of 0.1 s, for 1.3 s after a renewal is due; then the process must be cut off from the platform, and may use 2.2 times the default or the recent rate. While the platform can't be reached, a request waits up to 0.6 s for the limit instead of being refused at once. Rows of earlier versions are read as before, and those versions take over nothing of a new row after its first limit.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -37,13 +37,13 @@
     table::{Row, Txn},
 };
 
+use self::{allocation::SpendLimit, budget::marker_key, rate::Rate};
 pub use self::{
-    allocation::Allocation,
+    allocation::{Allocation, Relaxed},
     budget::{Budget, COPY_MAX_AGE, Ceiling, Marker},
     environment::{Environment, Loss},
     turnover::{ByProgress, Progress, Turnover},
 };
-use self::{allocation::SpendLimit, budget::marker_key, rate::Rate};
 
 /// Window over which the rate of use is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -63,6 +63,12 @@
 /// Time without use after which a host that isn't a lender gives back what requests left over.
 const LEFTOVER_DELAY: Duration = Duration::from_millis(200);
 
+/// Longest time for which a request waits for the limit on use to allow its tokens.
+const MAX_LIMIT_WAIT: Duration = Duration::from_millis(600);
+
+/// Precision of that time.
+const LIMIT_WAIT_STEP: Duration = Duration::from_millis(20);
+
 /// Prefix of the rows of allocations.
 const ALLOCATION_PREFIX: &str = "stake/";
 
@@ -73,6 +79,8 @@
     Reserved,
     /// A transaction may provide them; try again once it has ended.
     Wait,
+    /// The platform is unreachable, and the limit on use allows them after this time.
+    WaitFor(Duration),
     /// The budget doesn't cover them, as its recently read rows prove.
     Exhausted,
     /// The platform is unreachable, and this host may not use so many tokens.
@@ -156,6 +164,8 @@
     rate: Rate,
     /// Tokens used per second, averaged over a long window.
     slow_rate: Rate,
+    /// Time that the last transaction took.
+    transaction_time: Duration,
     /// When tokens were last used.
     used_at: Duration,
     /// Moving average of request sizes in tokens.
@@ -207,6 +217,7 @@
             next_step_at: Duration::ZERO,
             rate: Rate::over(RATE_WINDOW),
             slow_rate: Rate::over(SLOW_RATE_WINDOW),
+            transaction_time: Duration::ZERO,
             used_at: Duration::ZERO,
             mean_request: 0.0,
             holder,
@@ -320,7 +331,9 @@
             return ReserveResult::Unavailable;
         }
         if self.last_step_failed || !reachable {
-            return ReserveResult::Unavailable;
+            return self
+                .time_until_available(now, tokens)
+                .map_or(ReserveResult::Unavailable, ReserveResult::WaitFor);
         }
         self.largest_request = self.largest_request.max(tokens);
         ReserveResult::Wait
@@ -360,6 +373,17 @@
         allowed.fold(self.held, u64::min) + self.unallocated
     }
 
+    /// Returns the time until a request could reserve tokens that are held, if nothing else is used
+    /// meanwhile; `None` if that takes longer than [`MAX_LIMIT_WAIT`].
+    fn time_until_available(&self, now: Duration, tokens: u64) -> Option<Duration> {
+        if tokens > self.total() {
+            return None;
+        }
+        let mut times = (1..).map(|step| LIMIT_WAIT_STEP * step);
+        let mut times = times.by_ref().take_while(|time| *time <= MAX_LIMIT_WAIT);
+        times.find(|time| self.available(now + *time) >= tokens)
+    }
+
     fn total(&self) -> u64 {
         self.held + self.unallocated
     }
--- a/crates/gateway/src/account/allocation.rs
+++ b/crates/gateway/src/account/allocation.rs
@@ -9,8 +9,17 @@
 /// Time without use after which an allocation is written as idle.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Rate of use while the platform must be unreachable, as a multiple of the rate before.
-const RELAXED_RATE_FACTOR: u64 = 4;
+/// Relaxed rate of rows of earlier versions, which don't state it, as a multiple of their rate.
+const UNSTATED_RELAXED_RATE_FACTOR: u64 = 4;
+
+/// Use of an allocation while the platform must be unreachable.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relaxed {
+    /// Tokens per second.
+    pub rate: u64,
+    /// Time since the write in milliseconds after which all tokens may be used.
+    pub until_ms: u64,
+}
 
 /// Tokens that a process may use, as recorded in its row, whose key starts with `stake/`.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,10 +41,11 @@
     /// must be unreachable.
     pub unlock_ms: u64,
     /// Time since the write in milliseconds after which it may use all tokens, if later than
-    /// `unlock_ms`.
-    ///
-    /// Processes of earlier versions know only `unlock_ms` and take nothing over after it.
+    /// `unlock_ms`; only in rows without `relaxed`.
     pub open_ms: u64,
+    /// What it may use after `unlock_ms`; absent in rows of earlier versions. Processes of those
+    /// versions take nothing over after `unlock_ms`, as `open_ms` is 0.
+    pub relaxed: Option<Relaxed>,
     /// Era of the table in which the row was written. In a later one it may be outdated and proves
     /// nothing.
     pub era: u64,
@@ -46,20 +56,24 @@
     /// platform's clock at or after its death.
     pub fn min_unspent(&self, now_ms: u64) -> u64 {
         let elapsed = now_ms.saturating_sub(self.written_ms);
-        if elapsed >= self.unlock_ms.max(self.open_ms) {
+        let relaxed = self.relaxed.unwrap_or(Relaxed {
+            rate: self.rate.saturating_mul(UNSTATED_RELAXED_RATE_FACTOR),
+            until_ms: self.open_ms,
+        });
+        if elapsed >= self.unlock_ms.max(relaxed.until_ms) {
             return 0;
         }
-        let weighted_ms = weighted_elapsed_ms(elapsed, self.unlock_ms);
-        let max_used =
-            self.burst.saturating_add(self.rate.saturating_mul(weighted_ms).div_ceil(1000));
-        self.tokens.saturating_sub(max_used)
+        let accrued = accrued_milli(elapsed, self.unlock_ms, self.rate, relaxed.rate);
+        self.tokens.saturating_sub(self.burst.saturating_add(accrued.div_ceil(1000)))
     }
 }
 
-/// Returns an elapsed time in milliseconds, with the part after the rate is relaxed counted
-/// [`RELAXED_RATE_FACTOR`] times.
-fn weighted_elapsed_ms(elapsed_ms: u64, unlock_ms: u64) -> u64 {
-    elapsed_ms + elapsed_ms.saturating_sub(unlock_ms) * (RELAXED_RATE_FACTOR - 1)
+/// Returns the thousandths of tokens that may be used beside the burst after a time in
+/// milliseconds, at one rate up to `relax_ms` and at another one from then on.
+fn accrued_milli(elapsed_ms: u64, relax_ms: u64, rate: u64, relaxed_rate: u64) -> u64 {
+    let relaxed_ms = elapsed_ms.saturating_sub(relax_ms);
+    let at_rate = rate.saturating_mul(elapsed_ms - relaxed_ms);
+    at_rate.saturating_add(relaxed_rate.saturating_mul(relaxed_ms))
 }
 
 /// Limit that a written allocation puts on use.
@@ -71,6 +85,8 @@
     pub burst: u64,
     /// Tokens per second that may be used beside the burst.
     pub rate: u64,
+    /// Tokens per second that may be used once the rate is relaxed.
+    pub relaxed_rate: u64,
     /// Time since the write after which the rate is relaxed.
     pub relax_after: Duration,
     /// Time since the write after which all may be used.
@@ -98,9 +114,9 @@
         if elapsed >= self.unlimited_after {
             return u64::MAX;
         }
-        let weighted_ms =
-            weighted_elapsed_ms(elapsed.as_millis() as u64, self.relax_after.as_millis() as u64);
-        let accrued = self.rate.saturating_mul(weighted_ms) / 1000;
+        let relax_ms = self.relax_after.as_millis() as u64;
+        let elapsed_ms = elapsed.as_millis() as u64;
+        let accrued = accrued_milli(elapsed_ms, relax_ms, self.rate, self.relaxed_rate) / 1000;
         (self.burst + accrued).saturating_sub(self.used)
     }
 }
--- a/crates/gateway/src/account/outcome.rs
+++ b/crates/gateway/src/account/outcome.rs
@@ -7,13 +7,15 @@
     table::{Outcome, Row},
 };
 
-use super::{Account, Allocation, Budget, Marker, Pending, budget::COPY_MAX_AGE};
+use super::{
+    Account, Allocation, Budget, Marker, Pending, budget::COPY_MAX_AGE, plan::RATE_MARGIN,
+};
 
 /// Delay after a transaction or a read that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Minimum time between two transactions that only adjust the prefetched tokens.
-const MIN_ADJUST_INTERVAL: Duration = Duration::from_millis(700);
+const MIN_ADJUST_INTERVAL: Duration = Duration::from_millis(600);
 
 impl Account {
     /// Applies the outcome of the transaction that was planned last. `process_start_ms` is the
@@ -31,6 +33,7 @@
         match outcome {
             Outcome::Committed(revision) => {
                 self.allocation_row.revision = revision;
+                self.transaction_time = now.saturating_sub(pending.limit.written_at);
                 if pending.budget.is_some() {
                     self.escrow_row.revision = revision;
                     self.escrow_seen_at = Some(now);
@@ -150,7 +153,7 @@
             }
             let has_own_figures = self.is_restoring && self.limit.is_some();
             if !is_own && !has_own_figures {
-                self.take_over(&allocation, process_start_ms);
+                self.take_over(now, &allocation, process_start_ms);
             }
             self.is_loaded = true;
             self.loaded_at.get_or_insert(now);
@@ -185,9 +188,9 @@
 
     /// Takes over what the previous process of this host left.
     ///
-    /// That process used nothing after this one started. The tokens can be used once a transaction
+    /// That process used nothing after this one started, and this one is expected to be used like it. The tokens can be used once a transaction
     /// of this process has been committed on top of that row.
-    fn take_over(&mut self, previous: &Allocation, process_start_ms: Option<u64>) {
+    fn take_over(&mut self, now: Duration, previous: &Allocation, process_start_ms: Option<u64>) {
         let is_current = self.era == Some(previous.era);
         let held = match process_start_ms {
             Some(start) if is_current => previous.min_unspent(start),
@@ -202,6 +205,9 @@
         if previous.tokens == 0 {
             return;
         }
+        if self.used == 0 {
+            self.slow_rate.begin_with(now, previous.rate as f64 / RATE_MARGIN);
+        }
         tracing::info!(
             event = "stake_taken_over",
             workspace = %self.workspace,
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -5,7 +5,8 @@
 use coordination::table::Txn;
 
 use super::{
-    Account, Allocation, Budget, Environment, Marker, Pending, Step, allocation::SpendLimit,
+    Account, Allocation, Budget, Environment, Marker, Pending, Relaxed, Step,
+    allocation::SpendLimit,
 };
 
 /// Time of use at the recent rate for which a host prefetches tokens; long enough to cover an
@@ -25,22 +26,35 @@
 /// of use is known, in thousandths.
 const DEFAULT_RATE_PER_MILLE: u64 = 25;
 
+/// Time for which use has to be observed before its average limits it.
+const MIN_OBSERVATION_TIME: Duration = Duration::from_secs(2);
+
 /// Limit on the rate of use, as a multiple of the recent rate.
-const RATE_MARGIN: f64 = 1.2;
+pub(super) const RATE_MARGIN: f64 = 1.15;
+
+/// Part of the default rate below which the limit doesn't fall while little is used, as a divisor.
+const MIN_RATE_DIVISOR: u64 = 4;
+
+/// Rate once it is relaxed, in percent of the recent or the default rate, whichever is higher: an
+/// outage may bring use that the average doesn't show.
+const RELAXED_RATE_PERCENT: u64 = 220;
 
-/// Time of use at the limit that a burst covers.
-const BURST_TIME: Duration = Duration::from_millis(300);
+/// Time of use at the limit that a burst covers beside that of transactions.
+const BURST_TIME: Duration = Duration::from_millis(100);
 
-/// Minimum number of requests of mean size that a burst covers.
-const MIN_BURST_REQUESTS: u64 = 1;
+/// Number of transactions, each as long as the last one took, whose time of use a burst covers.
+const BURST_TRANSACTIONS: u32 = 4;
+
+/// Longest time of use that a burst covers, as after an outage of the platform.
+const MAX_BURST_TIME: Duration = Duration::from_millis(600);
 
 /// Time after an allocation was due to be renewed, from which the rate is relaxed; longer than a
 /// process that died usually takes to start again.
-const RESTART_TIMEOUT: Duration = Duration::from_millis(2400);
+const RESTART_TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// Further time for which the rest of an allocation is kept for a process that starts late, as
 /// after a power failure; the rate is only relaxed meanwhile.
-const LATE_RESTART_GRACE: Duration = Duration::from_secs(4);
+const LATE_RESTART_GRACE: Duration = Duration::from_millis(5100);
 
 /// Divisor of the default rate that gives the rate of an idle allocation.
 const IDLE_RATE_DIVISOR: u64 = 2;
@@ -71,7 +85,17 @@
 impl Account {
     /// Returns the limit on the rate of use, in tokens per second.
     fn max_rate(&self, now: Duration, environment: &Environment) -> u64 {
-        ((self.rate.at(now) * RATE_MARGIN) as u64).max(self.default_rate(environment))
+        let default_rate = self.default_rate(environment);
+        match self.slow_rate.average(now, MIN_OBSERVATION_TIME) {
+            Some(average) => ((average * RATE_MARGIN) as u64).max(default_rate / MIN_RATE_DIVISOR),
+            None => default_rate,
+        }
+    }
+
+    /// Returns the limit on the rate of use once the platform must be unreachable.
+    fn relaxed_rate(&self, now: Duration, environment: &Environment) -> u64 {
+        let rate = (self.rate.at(now) as u64).max(self.default_rate(environment));
+        rate.max(self.max_rate(now, environment)) * RELAXED_RATE_PERCENT / 100
     }
 
     /// Returns the rate of use expected while none is known, in tokens per second.
@@ -266,7 +290,7 @@
     }
 
     /// Returns whether the rate of use has been observed for long enough to lower a ceiling by it.
-    fn is_rate_known(&self, now: Duration) -> bool {
+    fn may_lower_ceiling(&self, now: Duration) -> bool {
         self.loaded_at.is_some_and(|at| now.saturating_sub(at) >= RATE_OBSERVATION_TIME)
     }
 
@@ -279,7 +303,7 @@
         let is_low =
             now >= self.ceiling_mature_at && self.budget.is_ceiling_low(self.prepaid, rate);
         let is_excessive =
-            self.is_rate_known(now) && self.budget.is_ceiling_excessive(self.prepaid, rate);
+            self.may_lower_ceiling(now) && self.budget.is_ceiling_excessive(self.prepaid, rate);
         is_low || is_excessive
     }
 
@@ -308,11 +332,18 @@
         budget.totals.returned += returning;
         if !is_new {
             let rate = self.fleet_rate(now, environment);
-            budget.adjust_ceiling(self.prepaid, rate, is_mature, self.is_rate_known(now));
+            budget.adjust_ceiling(self.prepaid, rate, is_mature, self.may_lower_ceiling(now));
         }
         budget
     }
 
+    /// Returns the tokens that may be used at once beside those that requests wait for.
+    fn burst(&self, max_rate: u64) -> u64 {
+        let time = BURST_TIME + self.transaction_time * BURST_TRANSACTIONS;
+        let time = time.min(MAX_BURST_TIME);
+        max_rate * time.as_millis() as u64 / 1000
+    }
+
     fn begin_transaction(
         &mut self,
         now: Duration,
@@ -325,20 +356,16 @@
         self.held -= returning;
         self.turnover.returned += returning;
         let in_use = self.limit.is_some_and(|limit| limit.used > 0) || requested > 0;
-        let default_rate = self.default_rate(&environment);
-        let (rate, mean_request, renewal_interval) = if in_use {
-            (
-                self.max_rate(now, &environment),
-                self.mean_request as u64,
-                environment.renewal_interval(),
-            )
+        let max_rate = self.max_rate(now, &environment);
+        let (rate, renewal_interval) = if in_use {
+            (max_rate, environment.renewal_interval())
         } else {
-            (default_rate / IDLE_RATE_DIVISOR, 0, environment.idle_renewal_interval())
+            (max_rate / IDLE_RATE_DIVISOR, environment.idle_renewal_interval())
         };
         let relax_after = renewal_interval + RESTART_TIMEOUT;
         let unlimited_after = relax_after + LATE_RESTART_GRACE;
-        let burst = rate.max(default_rate) * BURST_TIME.as_millis() as u64 / 1000;
-        let burst = burst.max(mean_request * MIN_BURST_REQUESTS);
+        let relaxed_rate = self.relaxed_rate(now, &environment);
+        let burst = self.burst(max_rate);
         let allocation = Allocation {
             holder: self.holder.clone(),
             number: self.allocation.number + 1,
@@ -347,7 +374,11 @@
             rate,
             written_ms: environment.platform_ms.unwrap_or_default(),
             unlock_ms: relax_after.as_millis() as u64,
-            open_ms: unlimited_after.as_millis() as u64,
+            open_ms: 0,
+            relaxed: Some(Relaxed {
+                rate: relaxed_rate,
+                until_ms: unlimited_after.as_millis() as u64,
+            }),
             era: environment.era,
         };
         let mut txn = Txn::default();
@@ -373,7 +404,8 @@
         let limit = SpendLimit {
             used: 0,
             burst: allocation.burst,
-            rate: allocation.rate,
+            rate,
+            relaxed_rate,
             relax_after,
             unlimited_after,
             written_at: now,
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -208,6 +208,10 @@
                     node.budgets.work_due.notify_one();
                     timeout_at(deadline, ended).await.map_err(|_| ReserveResult::Unavailable)?;
                 }
+                ReserveResult::WaitFor(time) if Instant::now() + time <= deadline => {
+                    let _ = timeout(time, ended).await;
+                }
+                ReserveResult::WaitFor(_) => return Err(ReserveResult::Unavailable),
                 ReserveResult::Exhausted | ReserveResult::Unavailable => return Err(outcome),
             }
         }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -413,7 +413,9 @@
         ReserveResult::Exhausted => Err(Refusal::BudgetExhausted),
         // The other hosts were asked too, so that none of them could serve the caller sooner.
         ReserveResult::Unavailable => Err(Refusal::NotRun(PLATFORM_DOWN_RETRY_AFTER)),
-        ReserveResult::Wait | ReserveResult::Reserved => Err(Refusal::NotRun(UNREADY_RETRY_AFTER)),
+        ReserveResult::Wait | ReserveResult::WaitFor(_) | ReserveResult::Reserved => {
+            Err(Refusal::NotRun(UNREADY_RETRY_AFTER))
+        }
     }
 }
 
--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use coordination::table::Outcome;
-use gateway::account::{Account, Allocation, Environment, Loss, Progress, ReserveResult, Step};
+use gateway::account::{
+    Account, Allocation, Environment, Loss, Progress, Relaxed, ReserveResult, Step,
+};
 use test_case::test_case;
 
 use crate::simulation::{MILLISECOND, Simulation, Table, WORKSPACE};
@@ -66,6 +68,23 @@
     assert_min_unspent(&case, 2000, 3000);
 }
 
+#[test_case(Case { elapsed_ms: 1500, unspent: 825 }; "the rate holds at first")]
+#[test_case(Case { elapsed_ms: 2500, unspent: 650 }; "then the stated rate applies")]
+#[test_case(Case { elapsed_ms: 3999, unspent: 200 }; "until all may have been used")]
+#[test_case(Case { elapsed_ms: 4000, unspent: 0 }; "from then on nothing is certain")]
+fn relaxed_use_is_as_the_row_states_it(case: Case) {
+    let allocation = Allocation {
+        tokens: 1000,
+        burst: 100,
+        rate: 50,
+        written_ms: 7000,
+        unlock_ms: 2000,
+        relaxed: Some(Relaxed { rate: 300, until_ms: 4000 }),
+        ..Allocation::default()
+    };
+    assert_eq!(allocation.min_unspent(7000 + case.elapsed_ms), case.unspent);
+}
+
 fn assert_min_unspent(case: &Case, unlock_ms: u64, open_ms: u64) {
     let allocation = Allocation {
         tokens: 1000,
