--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -184,6 +184,33 @@
     assert_eq!(fleet.refusing(&["a", "x"]), if case.is_quarantined { HOSTS } else { 0 });
 }
 
+struct OutageCase {
+    /// Backend servers that end at the same moment, again and again.
+    backends: usize,
+    /// How many of them had just begun to work on the part.
+    with_part: usize,
+    is_quarantined: bool,
+}
+
+#[test_case(OutageCase { backends: 7, with_part: 1, is_quarantined: false }; "one of seven")]
+#[test_case(OutageCase { backends: 7, with_part: 3, is_quarantined: false }; "three of seven")]
+#[test_case(OutageCase { backends: 3, with_part: 1, is_quarantined: false }; "one of three")]
+#[test_case(OutageCase { backends: 3, with_part: 3, is_quarantined: true }; "all of three")]
+#[test_case(OutageCase { backends: 7, with_part: 6, is_quarantined: true }; "six of seven")]
+fn outages_speak_against_a_part_only_if_most_of_their_backend_servers_had_it(case: OutageCase) {
+    let mut fleet = Fleet::new();
+    for round in 0..6 {
+        fleet.now += Duration::from_secs(2);
+        for number in 0..case.backends {
+            let other = format!("y{round}-{number}");
+            let part = if number < case.with_part { "x" } else { &other };
+            fleet.end_backend(number % HOSTS, &[broken(&[part], None)]);
+        }
+        fleet.share();
+    }
+    assert_eq!(fleet.refusing(&["x"]), if case.is_quarantined { HOSTS } else { 0 });
+}
+
 #[test]
 fn parts_that_sound_requests_share_are_not_quarantined() {
     let mut fleet = Fleet::new();
