Tell the outage of an end by its backend server, not by its time

Cause: hosts notice one end some milliseconds apart. An outage spans the earliest observations, while a part has the time at which a host with its requests noticed; up to 5 ms after the span it counted as an end of its own. The new test fails before.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -217,7 +217,7 @@
     }
 
     fn find_outages(&mut self) {
-        self.outages = Outages::find(self.ends.values().map(|(_, at_ms)| *at_ms));
+        self.outages = Outages::find(self.ends.iter().map(|(id, (_, at_ms))| (id, *at_ms)));
     }
 
     /// Returns the parts of the requests that may have ended a backend server: known suspects
--- a/crates/gateway/src/quarantine/outage.rs
+++ b/crates/gateway/src/quarantine/outage.rs
@@ -1,6 +1,6 @@
 //! Tells ends of backend servers with a common cause from separate ones.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Time within which two backend servers end together.
 const SIMULTANEOUS: Duration = Duration::from_millis(30);
@@ -17,70 +17,62 @@
 /// to speak against it. A part that ends backend servers was at each of them.
 const MIN_BACKENDS_PERCENT: usize = 50;
 
-/// An outage.
-#[derive(Debug)]
-struct Span {
-    /// First and last end in milliseconds of the platform's clock.
-    first_ms: u64,
-    last_ms: u64,
-    /// Number of backend servers that ended.
-    backends: usize,
-}
-
 /// Outages among the ends of all backend servers.
 #[derive(Debug, Default)]
 pub struct Outages {
-    spans: Vec<Span>,
+    /// Outage of each backend server that ended in one.
+    members: BTreeMap<Arc<str>, usize>,
+    /// Number of backend servers of each outage.
+    sizes: Vec<usize>,
 }
 
 impl Outages {
-    /// Finds the outages among the times of ends.
-    pub fn find(ends: impl Iterator<Item = u64>) -> Self {
-        let mut times: Vec<u64> = ends.collect();
-        times.sort_unstable();
+    /// Finds the outages among the ends of backend servers, given by id and time.
+    pub fn find<'a>(ends: impl Iterator<Item = (&'a Arc<str>, u64)>) -> Self {
+        let mut ends: Vec<_> = ends.collect();
+        ends.sort_unstable_by_key(|(_, at_ms)| *at_ms);
         let max_gap_ms = MAX_GAP.as_millis() as u64;
-        let chains = times.chunk_by(|former, next| next - former <= max_gap_ms);
-        let outages = chains.filter(|chain| chain.len() >= MIN_BACKENDS);
-        let spans = outages.map(|chain| Span {
-            first_ms: chain[0],
-            last_ms: chain[chain.len() - 1],
-            backends: chain.len(),
-        });
-        Self { spans: spans.collect() }
+        let mut outages = Self::default();
+        for chain in ends.chunk_by(|former, next| next.1 - former.1 <= max_gap_ms) {
+            if chain.len() < MIN_BACKENDS {
+                continue;
+            }
+            let outage = outages.sizes.len();
+            outages.members.extend(chain.iter().map(|(id, _)| ((*id).clone(), outage)));
+            outages.sizes.push(chain.len());
+        }
+        outages
     }
 
-    /// Returns those of the times at which backend servers ended under one part, in ascending
-    /// order, that belong to separate causes: the first one of each outage that speaks against the
-    /// part, and of ends at the same moment.
-    pub fn separate(&self, ends: impl Iterator<Item = u64>) -> Vec<u64> {
-        let mut times: Vec<u64> = ends.collect();
-        times.sort_unstable();
-        let mut separate: Vec<u64> = Vec::with_capacity(times.len());
-        for &at_ms in times.iter().filter(|at_ms| !self.is_unrelated(**at_ms, &times)) {
-            let is_separate = separate.last().is_none_or(|last| {
-                at_ms - last >= SIMULTANEOUS.as_millis() as u64 && !self.contain(*last, at_ms)
+    /// Returns the times of those ends under one part, in ascending order, that belong to separate
+    /// causes: the first one of each outage that speaks against the part, and of ends at the same
+    /// moment.
+    ///
+    /// Hosts notice an end at slightly different times, so that the outage is that of the backend
+    /// server, not of the time.
+    pub fn separate<'a>(&self, ends: impl Iterator<Item = (&'a Arc<str>, u64)>) -> Vec<u64> {
+        let mut ends: Vec<_> =
+            ends.map(|(id, at_ms)| (at_ms, self.members.get(id).copied())).collect();
+        ends.sort_unstable();
+        let mut separate = Vec::with_capacity(ends.len());
+        let mut last: Option<(u64, Option<usize>)> = None;
+        for &(at_ms, outage) in ends.iter().filter(|(_, outage)| self.is_related(*outage, &ends)) {
+            let is_separate = last.is_none_or(|(last_ms, last_outage)| {
+                at_ms - last_ms >= SIMULTANEOUS.as_millis() as u64
+                    && (outage.is_none() || outage != last_outage)
             });
             if is_separate {
                 separate.push(at_ms);
+                last = Some((at_ms, outage));
             }
         }
         separate
     }
 
-    /// Returns whether an end is part of an outage that few of the ends under the part belong to.
-    fn is_unrelated(&self, at_ms: u64, part_ends: &[u64]) -> bool {
-        let Some(span) = self.spans.iter().find(|span| span.contains(at_ms)) else { return false };
-        let own = part_ends.iter().filter(|end_ms| span.contains(**end_ms)).count();
-        own * 100 < span.backends * MIN_BACKENDS_PERCENT
-    }
-
-    fn contain(&self, first_ms: u64, last_ms: u64) -> bool {
-        self.spans.iter().any(|span| span.contains(first_ms) && span.contains(last_ms))
-    }
-}
-
-impl Span {
-    fn contains(&self, at_ms: u64) -> bool {
-        (self.first_ms..=self.last_ms).contains(&at_ms)
+    /// Returns whether an end may have been caused by the part under which these ended.
+    fn is_related(&self, outage: Option<usize>, ends: &[(u64, Option<usize>)]) -> bool {
+        let Some(outage) = outage else { return true };
+        let own = ends.iter().filter(|(_, other)| *other == Some(outage)).count();
+        own * 100 >= self.sizes[outage] * MIN_BACKENDS_PERCENT
     }
 }
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -187,7 +187,7 @@
     pub fn evidence(&self, outages: &Outages, others: &[&Self]) -> Evidence {
         let is_explained = |id: &Arc<str>| others.iter().any(|other| other.ends.contains_key(id));
         let ends = self.ends.iter().filter(|(id, _)| !is_explained(id));
-        Evidence { ends: outages.separate(ends.map(|(_, at_ms)| *at_ms)) }
+        Evidence { ends: outages.separate(ends.map(|(id, at_ms)| (id, *at_ms))) }
     }
 
     /// Returns the number of ends that count.
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -211,6 +211,24 @@
     assert_eq!(fleet.refusing(&["x"]), if case.is_quarantined { HOSTS } else { 0 });
 }
 
+/// A host with requests of the part notices the end of its backend server later than another host,
+/// and than the ends of the other backend servers.
+#[test]
+fn end_of_an_outage_that_a_host_notices_late_belongs_to_the_outage() {
+    let mut fleet = Fleet::new();
+    for round in 0..6 {
+        fleet.now += Duration::from_secs(2);
+        for number in 0..5 {
+            fleet.end_backend(0, &[broken(&[&format!("y{round}-{number}")], None)]);
+        }
+        fleet.now += Duration::from_millis(3);
+        fleet.next_backend -= 1;
+        fleet.end_backend(1, &[broken(&["x"], None)]);
+        fleet.share();
+    }
+    assert_eq!(fleet.refusing(&["x"]), 0);
+}
+
 #[test]
 fn parts_that_sound_requests_share_are_not_quarantined() {
     let mut fleet = Fleet::new();
