Require a part at three quarters of an outage's backend servers to count the outage against it

Two parts were at two of four backend servers in four of 13 outages by chance, and no response with them had been whole, as all streams broke.

--- a/crates/gateway/src/quarantine/outage.rs
+++ b/crates/gateway/src/quarantine/outage.rs
@@ -15,7 +15,7 @@
 
 /// Part of an outage's backend servers, in percent, that must have worked on a part for the outage
 /// to speak against it. A part that ends backend servers was at each of them.
-const MIN_BACKENDS_PERCENT: usize = 50;
+const MIN_BACKENDS_PERCENT: usize = 75;
 
 /// Outages among the ends of all backend servers.
 #[derive(Debug, Default)]
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -194,6 +194,7 @@
 
 #[test_case(OutageCase { backends: 7, with_part: 1, is_quarantined: false }; "one of seven")]
 #[test_case(OutageCase { backends: 7, with_part: 3, is_quarantined: false }; "three of seven")]
+#[test_case(OutageCase { backends: 4, with_part: 2, is_quarantined: false }; "two of four")]
 #[test_case(OutageCase { backends: 3, with_part: 1, is_quarantined: false }; "one of three")]
 #[test_case(OutageCase { backends: 3, with_part: 3, is_quarantined: true }; "all of three")]
 #[test_case(OutageCase { backends: 7, with_part: 6, is_quarantined: true }; "six of seven")]
