Charge a request that breaks off only if an event of its response was passed on

Cause: the input was charged with the send, and stayed charged unless the server proved that it had not run. The protocol counts input and the output that was delivered; a request runs from its first token. The reservation still stands until the request has ended.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -155,10 +155,8 @@
         if self.logged.replace(true) {
             return;
         }
-        if outcome == ANSWERED
-            && let Some(reservation) = &mut *self.reservation.borrow_mut()
-        {
-            reservation.set_progress(Progress::Answered);
+        if let Some(reservation) = &mut *self.reservation.borrow_mut() {
+            reservation.finish(outcome == ANSWERED);
         }
         let tried = self.tried.borrow();
         let elapsed = self.arrived.elapsed();
