--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -379,8 +379,8 @@
         if tokens > self.total() {
             return None;
         }
-        let mut times = (1..).map(|step| LIMIT_WAIT_STEP * step);
-        let mut times = times.by_ref().take_while(|time| *time <= MAX_LIMIT_WAIT);
+        let steps = (1..).map(|number| LIMIT_WAIT_STEP * number);
+        let mut times = steps.take_while(|time| *time <= MAX_LIMIT_WAIT);
         times.find(|time| self.available(now + *time) >= tokens)
     }
 
--- a/crates/gateway/src/account/outcome.rs
+++ b/crates/gateway/src/account/outcome.rs
@@ -188,8 +188,9 @@
 
     /// Takes over what the previous process of this host left.
     ///
-    /// That process used nothing after this one started, and this one is expected to be used like it. The tokens can be used once a transaction
-    /// of this process has been committed on top of that row.
+    /// That process used nothing after this one started. The tokens can be used once a transaction
+    /// of this process has been committed on top of that row. Its rate of use stands in for this
+    /// process's own until that has been observed.
     fn take_over(&mut self, now: Duration, previous: &Allocation, process_start_ms: Option<u64>) {
         let is_current = self.era == Some(previous.era);
         let held = match process_start_ms {
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -29,7 +29,7 @@
 /// Time for which use has to be observed before its average limits it.
 const MIN_OBSERVATION_TIME: Duration = Duration::from_secs(2);
 
-/// Limit on the rate of use, as a multiple of the recent rate.
+/// Limit on the rate of use, as a multiple of the average rate.
 pub(super) const RATE_MARGIN: f64 = 1.15;
 
 /// Part of the default rate below which the limit doesn't fall while little is used, as a divisor.
@@ -56,7 +56,7 @@
 /// after a power failure; the rate is only relaxed meanwhile.
 const LATE_RESTART_GRACE: Duration = Duration::from_millis(5100);
 
-/// Divisor of the default rate that gives the rate of an idle allocation.
+/// Divisor of the limit on the rate that gives the rate of an idle allocation.
 const IDLE_RATE_DIVISOR: u64 = 2;
 
 /// Minimum time between two checks of an account that has nothing to do.
--- a/crates/gateway/src/account/turnover.rs
+++ b/crates/gateway/src/account/turnover.rs
@@ -30,7 +30,7 @@
 }
 
 impl ByProgress {
-    /// Returns the tokens of the requests that have come so far.
+    /// Returns the tokens of the requests with this progress.
     pub(super) fn get_mut(&mut self, progress: Progress) -> &mut u64 {
         match progress {
             Progress::Unsent => &mut self.unsent,
--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -160,6 +160,25 @@
     assert_eq!(account.reserve(now, 20_000, true), ReserveResult::Reserved);
 }
 
+#[test]
+fn request_waits_for_the_limit_while_the_platform_is_unreachable() {
+    let mut table = Table::default();
+    let mut account = new_account("h-1", 100_000);
+    run(&mut account, &mut table, Duration::ZERO, 1000);
+    let now = 200 * MILLISECOND;
+    let tokens = account.available(now) + 300;
+    let ReserveResult::WaitFor(time) = account.reserve(now, tokens, false) else {
+        panic!("the limit allows the tokens soon");
+    };
+    assert_ne!(account.reserve(now + time / 2, tokens, false), ReserveResult::Reserved);
+    assert_eq!(account.reserve(now + time, tokens, false), ReserveResult::Reserved);
+    assert_eq!(
+        account.reserve(now + time, 20_000, false),
+        ReserveResult::Unavailable,
+        "the limit doesn't allow them in time"
+    );
+}
+
 #[test]
 fn borrowed_tokens_can_be_used_without_an_allocation() {
     let mut account = new_account("h-1", 100_000);
