--- a/crates/gateway/src/budgets/reservation.rs
+++ b/crates/gateway/src/budgets/reservation.rs
@@ -82,16 +82,6 @@
         self.used = used;
     }
 
-    /// Ends the request: a whole response is charged, and one that broke off after its first event.
-    /// A request that delivered nothing uses no tokens.
-    pub fn finish(&mut self, is_answered: bool) {
-        if is_answered {
-            self.set_progress(Progress::Answered);
-        } else if self.progress != Progress::Responding {
-            self.used = 0;
-        }
-    }
-
     /// Notes how far the request has come.
     pub fn set_progress(&mut self, progress: Progress) {
         let former = std::mem::replace(&mut self.progress, progress);
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -155,8 +155,10 @@
         if self.logged.replace(true) {
             return;
         }
-        if let Some(reservation) = &mut *self.reservation.borrow_mut() {
-            reservation.finish(outcome == ANSWERED);
+        if outcome == ANSWERED
+            && let Some(reservation) = &mut *self.reservation.borrow_mut()
+        {
+            reservation.set_progress(Progress::Answered);
         }
         let tried = self.tried.borrow();
         let elapsed = self.arrived.elapsed();
