Read the limit that a backend server names, and log when it changes

Nothing in the logs told which host had got which statement, and when, so that a host that doesn't know a limit, one that keeps to it for itself and one whose sends were decided before looked alike. The line backend_limit has the value, the former one, the age of the request that it responds to and this host's requests in progress. No decision uses it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     backend::{Entry, HealthSignal},
     catalog::RetryPolicy,
     crash::BrokenRequest,
-    dialect::{Dispatch, Reply},
+    dialect::{Dispatch, LimitStatement, Reply},
     node::Node,
     placement::{Decision, Estimate, Excluded, Requirements},
     pool::{ConnectError, Connection, SendError},
@@ -375,6 +375,9 @@
             self.health = HealthSignal::Failed;
             return Err(AttemptFailure::Unknown);
         }
+        if is_own == Some(true) && head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_limit(reply.limit);
+        }
         if let Some(load) = reply.load
             && let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id)
         {
@@ -420,6 +423,28 @@
         }
     }
 
+    /// Records what a response states about the rate of requests that the backend server takes.
+    fn record_limit(&self, limit: LimitStatement) {
+        let per_s = match limit {
+            LimitStatement::Absent => None,
+            LimitStatement::PerSecond(per_s) => Some(per_s),
+            LimitStatement::Unreadable => return,
+        };
+        let mut backends = self.node.backends.borrow_mut();
+        let Some(backend) = backends.get_mut(&self.to.id) else { return };
+        let former = backend.record_limit(per_s);
+        if former != per_s {
+            tracing::info!(
+                event = "backend_limit",
+                backend = %self.to.id,
+                per_s,
+                former,
+                sent_ms_ago = self.sent_at.elapsed().as_millis() as u64,
+                running = backend.running(),
+            );
+        }
+    }
+
     /// Sets the rest of the response body, which is passed on as it arrives.
     pub fn set_body(&mut self, body: Incoming) {
         self.body = Some(body);
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -112,6 +112,8 @@
     leaving: bool,
     /// End of the time for which it asked for no requests.
     resting_until: Duration,
+    /// Requests per second that it takes from all hosts together, as its newest response states.
+    stated_limit: Option<f64>,
     /// After a rest: requests in progress until one succeeds.
     trial_requests: Option<u32>,
     recorded_failure_rate: f64,
@@ -135,6 +137,7 @@
             backoff_until: Duration::ZERO,
             leaving: false,
             resting_until: Duration::ZERO,
+            stated_limit: None,
             trial_requests: None,
             recorded_failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
@@ -207,6 +210,11 @@
         self.trial_requests = Some(0);
     }
 
+    /// Records the limit that a response states, and returns the former one.
+    pub fn record_limit(&mut self, per_s: Option<f64>) -> Option<f64> {
+        std::mem::replace(&mut self.stated_limit, per_s)
+    }
+
     /// Returns whether it takes no new requests for good, by its entry or its own responses.
     pub fn is_leaving(&self) -> bool {
         self.entry.draining || self.leaving
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -32,7 +32,7 @@
 }
 
 /// Parsed head of a backend server's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
     /// Id of the request that it responds to.
     pub id: Option<Arc<str>>,
@@ -49,6 +49,20 @@
     pub leaving: bool,
     /// Time for which the backend server, which turned the request away, asks for no others.
     pub rest: Option<Duration>,
+    /// Requests per second that the backend server takes from all hosts together.
+    pub limit: LimitStatement,
+}
+
+/// What a response states about the rate of requests that its backend server takes from all hosts
+/// together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LimitStatement {
+    /// It names no limit.
+    Absent,
+    /// It names one that isn't a rate, which says nothing.
+    Unreadable,
+    /// It names this rate in requests per second.
+    PerSecond(f64),
 }
 
 /// Protocol of the heads of requests and responses on a platform.
