Divide the limit that a backend server names among all hosts by permits

Cause: a bound that all hosts owe together wasn't known, and knowing it at each host alone would have multiplied it by the number of hosts.

A limit now issues numbered permits by the platform's clock, and rendezvous hashing over the hosts that are alive gives each permit to one of them, so that the sum holds without a message. A host holds permits only while the others certainly count it, 10 s after its last write of its row, and not in its first 2.5 s. Every send takes a permit: first sends, retries, resumed streams, a second connection; it is put back only if nothing was sent. Statements are shared by a row for each backend server, so that hosts that start or send little know them; the newest counts, also one without a limit. Callers that find all servers limited are refused at once and told to return one after the other.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,8 +17,9 @@
     catalog::RetryPolicy,
     crash::BrokenRequest,
     dialect::{Dispatch, LimitStatement, Reply},
+    limit::Permit,
     node::Node,
-    placement::{Decision, Estimate, Excluded, Requirements},
+    placement::{Decision, Estimate, Excluded, Limited, Requirements},
     pool::{ConnectError, Connection, SendError},
     proxy::Job,
     retry_state::AttemptFailure,
@@ -91,6 +92,47 @@
     Unreachable,
 }
 
+/// Permit of an attempt, if its backend server is limited; it is put back when dropped unless a
+/// request was sent under it.
+#[derive(Debug)]
+struct PermitGuard {
+    node: Rc<Node>,
+    to: Arc<str>,
+    permit: Option<Permit>,
+    is_sent: bool,
+}
+
+impl PermitGuard {
+    /// Takes a permit out if the backend server is limited and there is none yet.
+    fn take(&mut self) -> Result<(), Limited> {
+        if self.permit.is_none() {
+            self.permit = self.node.backends.borrow_mut().take_permit(self.node.now(), &self.to)?;
+        }
+        Ok(())
+    }
+
+    /// Sends a request under the permit. It is used up unless certainly nothing was sent, also if
+    /// this is cancelled.
+    async fn send(
+        &mut self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.is_sent = true;
+        let sent = connection.send(request).await;
+        self.is_sent = !matches!(sent, Err(SendError::NotSent));
+        sent
+    }
+}
+
+impl Drop for PermitGuard {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take().filter(|_| !self.is_sent) {
+            self.node.backends.borrow_mut().put_back_permit(&self.to, permit);
+        }
+    }
+}
+
 /// An attempt in progress; it is cancelled when dropped.
 #[derive(Debug)]
 pub struct Attempt {
@@ -99,6 +141,7 @@
     max_connections: usize,
     /// Prompt tokens that count as waiting for prefill until the first event.
     prefill_tokens: u64,
+    permit: PermitGuard,
     connection: Option<Connection>,
     body: Option<Incoming>,
     /// When the request was sent.
@@ -158,6 +201,11 @@
             return Err(StartError::Rejected(BUDGET_SPENT_RETRY_AFTER));
         }
         job.tried.borrow_mut().push(to.id.clone());
+        let mut permit =
+            PermitGuard { node: node.clone(), to: to.id.clone(), permit: None, is_sent: false };
+        if permit.take().is_err() {
+            return Err(StartError::Unreachable);
+        }
         let hosts = usize::try_from(node.hosts()).unwrap_or(usize::MAX);
         let max_connections = job.service.max_connections * CONNECTIONS_USED_PERCENT / 100 / hosts;
         let overcommit = if hosts > EQUAL_SHARE_MAX_HOSTS { CONNECTIONS_OVERCOMMIT } else { 1 };
@@ -178,8 +226,9 @@
             node.pool.release(&to.id, connection);
             return Err(StartError::Quarantined(part));
         }
-        // It may have stated meanwhile that it wants no requests.
-        if !node.backends.borrow().accepts_requests(node.now(), &to.id) {
+        // It may have stated meanwhile that it wants no requests, or only few.
+        let accepts_requests = node.backends.borrow().accepts_requests(node.now(), &to.id);
+        if !accepts_requests || permit.take().is_err() {
             node.pool.release(&to.id, connection);
             return Err(StartError::Unreachable);
         }
@@ -191,6 +240,7 @@
             to,
             max_connections,
             prefill_tokens,
+            permit,
             connection: Some(connection),
             body: None,
             sent_at: Instant::now(),
@@ -309,7 +359,8 @@
         resume_after: Option<u64>,
     ) -> Result<Response<Incoming>, SendError> {
         let Some(mut connection) = self.connection.take() else { return Err(SendError::NotSent) };
-        let mut sent = connection.send(self.build_request(job, resume_after)).await;
+        let request = self.build_request(job, resume_after);
+        let mut sent = self.permit.send(&mut connection, request).await;
         if matches!(sent, Err(SendError::NotSent)) && connection.is_reused() {
             connection = match self
                 .node
@@ -324,10 +375,11 @@
                 }
             };
             let may_send = self.node.backends.borrow().may_send(self.node.now(), &self.to.id);
-            if !may_send || job.quarantined_part().is_some() {
+            if !may_send || self.permit.take().is_err() || job.quarantined_part().is_some() {
                 return Err(SendError::NotSent);
             }
-            sent = connection.send(self.build_request(job, resume_after)).await;
+            let request = self.build_request(job, resume_after);
+            sent = self.permit.send(&mut connection, request).await;
         }
         self.connection = Some(connection);
         sent
@@ -430,18 +482,10 @@
             LimitStatement::PerSecond(per_s) => Some(per_s),
             LimitStatement::Unreadable => return,
         };
-        let mut backends = self.node.backends.borrow_mut();
-        let Some(backend) = backends.get_mut(&self.to.id) else { return };
-        let former = backend.record_limit(per_s);
-        if former != per_s {
-            tracing::info!(
-                event = "backend_limit",
-                backend = %self.to.id,
-                per_s,
-                former,
-                sent_ms_ago = self.sent_at.elapsed().as_millis() as u64,
-                running = backend.running(),
-            );
+        let now = self.node.now();
+        let sent_at = now.saturating_sub(self.sent_at.elapsed());
+        if self.node.backends.borrow_mut().record_limit(now, &self.to.id, sent_at, per_s) {
+            self.node.limit_changed.notify_one();
         }
     }
 
@@ -532,6 +576,7 @@
         candidates = estimate.map_or(0, |estimate| estimate.candidates),
         leaving = excluded.leaving,
         resting = excluded.resting,
+        limited = excluded.limited,
         delay_ms = estimate.map(|estimate| estimate.latency_ms as u64),
         doubt_ms = estimate.map(|estimate| estimate.penalty_ms as u64),
         running = estimate.map(|estimate| estimate.load.running),
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -5,7 +5,7 @@
 
 use coordination::locate::hash;
 
-use crate::request::Prompt;
+use crate::{limit::Limit, request::Prompt};
 
 /// Age from which a backend server's own report of its load is ignored.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -99,6 +99,8 @@
     pub entry: Entry,
     /// Hash of the id.
     pub hash: u64,
+    /// Limit on the requests of all hosts together.
+    pub limit: Limit,
     running: u32,
     /// Prompt tokens of this host's requests whose first event hasn't arrived.
     pending_prefill: u64,
@@ -112,8 +114,6 @@
     leaving: bool,
     /// End of the time for which it asked for no requests.
     resting_until: Duration,
-    /// Requests per second that it takes from all hosts together, as its newest response states.
-    stated_limit: Option<f64>,
     /// After a rest: requests in progress until one succeeds.
     trial_requests: Option<u32>,
     recorded_failure_rate: f64,
@@ -128,6 +128,7 @@
         Self {
             hash: hash(entry.id.as_bytes()),
             entry,
+            limit: Limit::default(),
             running: 0,
             pending_prefill: 0,
             last_report: None,
@@ -137,7 +138,6 @@
             backoff_until: Duration::ZERO,
             leaving: false,
             resting_until: Duration::ZERO,
-            stated_limit: None,
             trial_requests: None,
             recorded_failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
@@ -151,6 +151,7 @@
         let entry = Entry { draining: entry.draining || self.entry.draining, ..entry };
         let trial_requests = self.trial_requests.map(|_| 0);
         Self {
+            limit: self.limit,
             leaving: self.leaving,
             resting_until: self.resting_until,
             trial_requests,
@@ -210,11 +211,6 @@
         self.trial_requests = Some(0);
     }
 
-    /// Records the limit that a response states, and returns the former one.
-    pub fn record_limit(&mut self, per_s: Option<f64>) -> Option<f64> {
-        std::mem::replace(&mut self.stated_limit, per_s)
-    }
-
     /// Returns whether it takes no new requests for good, by its entry or its own responses.
     pub fn is_leaving(&self) -> bool {
         self.entry.draining || self.leaving
@@ -238,7 +234,7 @@
 
     /// Returns whether its statements still matter once it isn't listed any more.
     pub fn has_statement(&self, now: Duration) -> bool {
-        self.is_leaving() || self.resting_until(now).is_some()
+        self.is_leaving() || self.resting_until(now).is_some() || self.limit.per_s().is_some()
     }
 
     /// Records what the end of an attempt says about its health.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! decisions. These modules decide without input or output: [`account`] (prepaid tokens),
 //! [`lender`] (which hosts prefetch them), [`directory`] (which host reads the platform's lists for
 //! the others), [`retry_budget`] (limit on retries), [`overload`] (whether this host can take a
-//! request at all), [`quarantine`] (prompts that aren't sent, since they end backend servers),
+//! request at all), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
+//! requests a backend server takes from all hosts together),
 //! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
 //! (whether a request may be sent again and what its caller is told).
 
@@ -22,6 +23,8 @@
 pub mod events;
 pub mod lender;
 mod lifecycle;
+pub mod limit;
+mod limit_sync;
 pub mod log;
 pub mod membership;
 pub mod metrics;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -12,7 +12,7 @@
 use crate::{
     budgets::Budgets,
     dialect::{Dialect, Source},
-    edge, era, membership,
+    edge, era, limit_sync, membership,
     metrics::Metrics,
     node::{Node, Phase, Settings},
     peer, poll, probe, quarantine_sync, service, subscription,
@@ -100,6 +100,7 @@
     spawn!("subscription", subscription::follow);
     spawn!("publisher", subscription::publish);
     spawn!("quarantine", quarantine_sync::run);
+    spawn!("limits", limit_sync::run);
     spawn!("configuration", poll::catalog);
     spawn!("backend servers", poll::backends);
     spawn!("hosts", membership::run);
--- /dev/null
+++ b/crates/gateway/src/limit.rs
@@ -0,0 +1,110 @@
+//! Divides the rate that a backend server takes from all hosts together among the hosts.
+//!
+//! A backend server may name a limit in its responses. Each limit issues numbered permits at its
+//! rate by the platform's clock, and rendezvous hashing gives each permit to one of the hosts that
+//! are alive. So every permit has one holder without any message, hosts that disagree on who is
+//! alive differ in few permits, and a host that dies takes only its own share along. A permit is
+//! valid for a short time, so that a host with few requests can use it, and expires then.
+//!
+//! Hosts learn a limit from responses to their own requests and from rows that others write. Of all
+//! statements about a process of a backend server the newest counts, also one that names no limit
+//! any more.
+//!
+//! This suits a load of many hosts, each with requests all the time, and limits far below what the
+//! hosts would send.
+
+use std::time::Duration;
+
+mod fleet;
+mod permits;
+mod row;
+mod sharing;
+mod statement;
+
+pub use self::{
+    fleet::Fleet,
+    permits::Permit,
+    row::{LIMIT_PREFIX, LimitRow},
+    sharing::Sharing,
+    statement::{Source, Statement},
+};
+use self::{permits::Permits, statement::Statements};
+
+/// Lowest rate in requests per second at which a backend server is still asked whether its limit
+/// holds.
+const MIN_RATE_PER_S: f64 = 0.1;
+
+/// Limit of one process of a backend server, and the permits that this host holds under it.
+#[derive(Debug, Default)]
+pub struct Limit {
+    statements: Statements,
+    permits: Permits,
+}
+
+impl Limit {
+    /// Records what a response to an own request states. Times are those of the platform's clock
+    /// in milliseconds; `share` is a random number from 0 to 1 for each permit that may be kept.
+    pub fn record_own(
+        &mut self,
+        sent_ms: u64,
+        now_ms: u64,
+        per_s: Option<f64>,
+        share: impl FnMut() -> f64,
+    ) {
+        let former = self.per_s();
+        self.statements.record_own(sent_ms, now_ms, per_s);
+        self.apply_change(now_ms, former, share);
+    }
+
+    /// Records what another host has shared.
+    pub fn record_shared(&mut self, now_ms: u64, statement: Statement, share: impl FnMut() -> f64) {
+        let former = self.per_s();
+        self.statements.record_shared(statement);
+        self.apply_change(now_ms, former, share);
+    }
+
+    fn apply_change(&mut self, now_ms: u64, former: Option<f64>, mut share: impl FnMut() -> f64) {
+        match (former, self.per_s()) {
+            (Some(former), Some(per_s)) if per_s < former => {
+                // A lower rate would have issued fewer permits.
+                self.permits.retain(|| share() * former < per_s);
+            }
+            (Some(_), Some(_)) => {}
+            (None, _) | (_, None) => self.permits = Permits::issued_after(now_ms),
+        }
+    }
+
+    /// Returns the newest statement.
+    pub fn newest(&self) -> Option<(Statement, Source)> {
+        self.statements.newest()
+    }
+
+    /// Returns the requests per second that all hosts together may send, if there is a limit.
+    pub fn per_s(&self) -> Option<f64> {
+        let (statement, _) = self.newest()?;
+        statement.per_s.map(|per_s| per_s.max(MIN_RATE_PER_S))
+    }
+
+    /// Adds the permits that were issued meanwhile and removes those that expired; `backend` is the
+    /// hash of the backend server's id.
+    pub fn refresh(&mut self, now: Duration, fleet: &Fleet, backend: u64) {
+        if let Some(per_s) = self.per_s() {
+            self.permits.refresh(now, per_s, fleet, backend);
+        }
+    }
+
+    /// Returns whether a request may be sent, as of the last refresh.
+    pub fn allows_request(&self) -> bool {
+        self.per_s().is_none() || !self.permits.is_empty()
+    }
+
+    /// Takes a permit out.
+    pub fn take(&mut self) -> Option<Permit> {
+        self.permits.take()
+    }
+
+    /// Puts a permit back under which nothing was sent.
+    pub fn put_back(&mut self, permit: Permit) {
+        self.permits.put_back(permit);
+    }
+}
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -47,6 +47,9 @@
 /// platform for one host, during which other hosts may still reach it.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(14);
 
+/// Time since its last write for which a host is taken to be alive by all others for certain.
+const LISTED_TIME: Duration = Duration::from_secs(10);
+
 /// Tells which hosts are alive by the changes of their rows.
 ///
 /// Only time in which the rows could be read counts: after an outage of the platform, hosts that
@@ -183,6 +186,8 @@
 
 fn replace_hosts(node: &Node, alive: Vec<PeerInfo>) {
     let count = alive.len() as u64;
+    let names = alive.iter().map(|info| &info.site.host);
+    node.backends.borrow_mut().fleet_mut().set_hosts(node.now(), names);
     node.peers.replace(alive);
     if node.hosts() != count {
         tracing::info!(event = "hosts", alive = count, former = node.hosts());
@@ -196,7 +201,16 @@
     let key = host_row_key(&node.peers.own().site);
     let write = Write { key, value: Some(peer_info.into()) };
     let txn = Txn { checks: Vec::new(), writes: vec![write] };
-    matches!(source.table(&Op::Commit(txn)).await, Outcome::Committed(_))
+    let started = node.now();
+    let is_written = matches!(source.table(&Op::Commit(txn)).await, Outcome::Committed(_));
+    let mut backends = node.backends.borrow_mut();
+    if let Some(clock_ms) = source.clock_ms() {
+        backends.fleet_mut().set_clock(node.now(), clock_ms);
+    }
+    if is_written {
+        backends.fleet_mut().set_listed_until(node.now(), started + LISTED_TIME);
+    }
+    is_written
 }
 
 /// Reads the secret shared by all hosts, or creates it if there is none.
@@ -221,6 +235,7 @@
 
 /// Removes this host's row when it stops.
 pub async fn leave(node: &Node, source: &impl Source) {
+    node.backends.borrow_mut().fleet_mut().set_hosts(node.now(), []);
     let write = Write { key: host_row_key(&node.peers.own().site), value: None };
     source.table(&Op::Commit(Txn { checks: Vec::new(), writes: vec![write] })).await;
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
     directory::{Directory, Mode, Moment, OwnView, Timing},
     era::EraStart,
     lender::Site,
+    limit,
     metrics::Metrics,
     overload::{Capacity, Overload},
     peer::{PeerInfo, Peers},
@@ -105,6 +106,10 @@
     pub quarantine: RefCell<Quarantine>,
     /// Notified when there is something to share about them.
     pub quarantine_changed: Notify,
+    /// Limits of backend servers as the hosts share them.
+    pub limits: RefCell<limit::Sharing>,
+    /// Notified when this host has learned of a change of a limit.
+    pub limit_changed: Notify,
     /// Prepaid budgets.
     pub budgets: Budgets,
     /// Other hosts.
@@ -164,9 +169,11 @@
             overload: RefCell::new(Overload::new(settings.capacity)),
             quarantine: RefCell::new(Quarantine::new(settings.host.clone())),
             quarantine_changed: Notify::new(),
+            limits: RefCell::new(limit::Sharing::new(settings.host.clone())),
+            limit_changed: Notify::new(),
+            backends: RefCell::new(Backends::new(&settings.host, rng)),
             settings,
             dialect,
-            backends: RefCell::new(Backends::new(rng)),
             pool: Pool::default(),
             crashes: Crashes::default(),
             directory: RefCell::new(directory),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     backend::{Backend, Entry, HealthSignal, Load},
+    limit::{Fleet, Permit, Sharing, Source},
     request::Prompt,
 };
 
@@ -79,6 +80,10 @@
 /// asked for no requests, so that they don't return at the same moment.
 const REST_SPREAD: Duration = Duration::from_millis(500);
 
+/// Longest time after which a caller may retry if all backend servers are limited. Callers beyond
+/// what is served within it are spread over its second half.
+const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Time for which the statements of a backend server are kept that isn't listed any more, as it may
 /// be listed again after an outage or from an older copy of the list.
 const UNLISTED_TTL: Duration = Duration::from_secs(600);
@@ -135,8 +140,14 @@
     pub leaving: usize,
     /// They asked for no requests for a time.
     pub resting: usize,
+    /// They named a limit, under which this host may send nothing now.
+    pub limited: usize,
 }
 
+/// A limited backend server gets no request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limited;
+
 /// Estimate for a backend server, and the facts behind it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
@@ -175,13 +186,94 @@
     /// Unlisted backend servers whose statements still matter, and since when they are unlisted.
     unlisted: BTreeMap<Arc<str>, (Duration, Backend)>,
     zones: HashMap<Arc<str>, Zone>,
+    /// Hosts among which limits are divided.
+    fleet: Fleet,
+    /// Until when refused callers of a service were told to wait, while its limits are used up.
+    limited_until: HashMap<Arc<str>, Duration>,
     rng: StdRng,
 }
 
 impl Backends {
-    /// Creates an empty set; `rng` makes the random choices.
-    pub fn new(rng: StdRng) -> Self {
-        Self { backends: BTreeMap::new(), unlisted: BTreeMap::new(), zones: HashMap::new(), rng }
+    /// Creates an empty set for a host; `rng` makes the random choices.
+    pub fn new(host: &str, rng: StdRng) -> Self {
+        Self {
+            backends: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
+            zones: HashMap::new(),
+            fleet: Fleet::new(host),
+            limited_until: HashMap::new(),
+            rng,
+        }
+    }
+
+    /// Returns the hosts among which limits are divided.
+    pub fn fleet_mut(&mut self) -> &mut Fleet {
+        &mut self.fleet
+    }
+
+    /// Records the limit that a response to a request of this host states, or that it states none.
+    /// Returns whether the limit changed.
+    pub fn record_limit(
+        &mut self,
+        now: Duration,
+        id: &str,
+        sent_at: Duration,
+        per_s: Option<f64>,
+    ) -> bool {
+        let Some(backend) = self.backends.get_mut(id) else { return false };
+        let (Some(sent_ms), Some(now_ms)) =
+            (self.fleet.platform_ms(sent_at), self.fleet.platform_ms(now))
+        else {
+            return false;
+        };
+        let former = backend.limit.per_s();
+        backend.limit.record_own(sent_ms, now_ms, per_s, || self.rng.random_range(0.0..1.0));
+        let is_changed = backend.limit.per_s() != former;
+        if is_changed {
+            log_limit(backend, former, now_ms, None);
+        }
+        is_changed
+    }
+
+    /// Takes over the limits that other hosts have shared.
+    pub fn apply_limits(&mut self, now: Duration, sharing: &Sharing) {
+        let Some(now_ms) = self.fleet.platform_ms(now).filter(|_| !sharing.is_empty()) else {
+            return;
+        };
+        for backend in self.backends.values_mut() {
+            let Some((statement, host)) = sharing.statement(&backend.entry) else { continue };
+            let former = backend.limit.per_s();
+            backend.limit.record_shared(now_ms, statement, || self.rng.random_range(0.0..1.0));
+            if backend.limit.per_s() != former {
+                log_limit(backend, former, now_ms, Some(&host));
+            }
+        }
+    }
+
+    /// Returns the backend servers about whose limits something is known.
+    pub fn limited(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.values().filter(|backend| backend.limit.newest().is_some())
+    }
+
+    /// Takes the permit for one request out; `None` if the backend server isn't limited.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is limited and this host holds no permit.
+    pub fn take_permit(&mut self, now: Duration, id: &str) -> Result<Option<Permit>, Limited> {
+        let Some(backend) = self.backends.get_mut(id) else { return Ok(None) };
+        backend.limit.refresh(now, &self.fleet, backend.hash);
+        match backend.limit.per_s() {
+            Some(_) => backend.limit.take().map(Some).ok_or(Limited),
+            None => Ok(None),
+        }
+    }
+
+    /// Puts a permit back under which nothing was sent.
+    pub fn put_back_permit(&mut self, id: &str, permit: Permit) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.limit.put_back(permit);
+        }
     }
 
     /// Returns whether a new request may be sent to a backend server now.
@@ -328,6 +420,10 @@
 
     /// Chooses a backend server for a request, or refuses the request.
     pub fn place(&mut self, now: Duration, requirements: &Requirements<'_>) -> Decision {
+        let of_service = self.backends.values_mut();
+        for backend in of_service.filter(|own| *own.entry.service == *requirements.service) {
+            backend.limit.refresh(now, &self.fleet, backend.hash);
+        }
         let is_candidate_for = |backend: &&Backend| {
             is_candidate(backend, now, requirements.service, requirements.tried)
         };
@@ -359,7 +455,10 @@
             }
         }
         let Some((_, latency_ms, penalty_ms, prefill_tokens, backend)) = best else {
-            let retry_after = self.rest_of(now, requirements).unwrap_or(NO_CANDIDATE_RETRY_AFTER);
+            let rest = self.rest_of(now, requirements);
+            let limit = self.limited_retry_after(now, requirements.service);
+            let earliest = rest.into_iter().chain(limit).min();
+            let retry_after = earliest.unwrap_or(NO_CANDIDATE_RETRY_AFTER);
             return Decision::Refuse { retry_after, estimate: None, excluded };
         };
         let estimate = Estimate {
@@ -386,11 +485,35 @@
                 excluded.leaving += 1;
             } else if backend.is_resting(now) {
                 excluded.resting += 1;
+            } else if !backend.limit.allows_request() {
+                excluded.limited += 1;
             }
         }
         excluded
     }
 
+    /// Returns the time until the limits of a service's backend servers allow one more request than
+    /// those for which callers were told to wait before; `None` if there are no limits.
+    fn limited_retry_after(&mut self, now: Duration, service: &str) -> Option<Duration> {
+        let takes_requests =
+            |backend: &&Backend| *backend.entry.service == *service && !backend.is_leaving();
+        let limited = self.backends.values().filter(takes_requests);
+        let per_s: f64 = limited.filter_map(|backend| backend.limit.per_s()).sum();
+        if per_s <= 0.0 {
+            return None;
+        }
+        let share_per_s = per_s / self.fleet.hosts() as f64;
+        let turn = Duration::from_secs_f64((1.0 / share_per_s).min(60.0));
+        let told_until = self.limited_until.get(service).copied().unwrap_or_default();
+        let next = told_until.max(now) + turn;
+        let latest = now + MAX_LIMITED_RETRY_AFTER;
+        self.limited_until.insert(service.into(), next.min(latest));
+        if next <= latest {
+            return Some(next - now);
+        }
+        Some(MAX_LIMITED_RETRY_AFTER.mul_f64(self.rng.random_range(0.5..1.0)))
+    }
+
     /// Returns the time until the first backend server accepts requests again, plus a random part,
     /// if some asked for none.
     fn rest_of(&mut self, now: Duration, requirements: &Requirements<'_>) -> Option<Duration> {
@@ -412,12 +535,32 @@
     is_changed
 }
 
-/// Returns whether a backend server belongs to the service, accepts requests, isn't backing off and
-/// wasn't tried.
+/// Logs a change of the limit of a backend server; `host` is the one that shared it.
+fn log_limit(backend: &Backend, former: Option<f64>, now_ms: u64, host: Option<&str>) {
+    let statement = backend.limit.newest();
+    tracing::info!(
+        event = "backend_limit",
+        backend = %backend.entry.id,
+        per_s = backend.limit.per_s(),
+        former,
+        stated = statement.and_then(|(statement, _)| statement.per_s),
+        source = statement.map(|(_, source)| match source {
+            Source::Own => "response",
+            Source::Shared => "row",
+        }),
+        host,
+        age_ms = statement.map(|(statement, _)| now_ms.saturating_sub(statement.at_ms)),
+        running = backend.running(),
+    );
+}
+
+/// Returns whether a backend server belongs to the service, accepts requests, isn't backing off,
+/// isn't kept from this request by its limit and wasn't tried.
 fn is_candidate(backend: &Backend, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
     *backend.entry.service == *service
         && backend.accepts_requests(now)
         && !backend.is_backing_off(now)
+        && backend.limit.allows_request()
         && !tried.contains(&backend.entry.id)
 }
 
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -161,6 +161,8 @@
 fn apply_backends(node: &Node, entries: Vec<Entry>, keep: bool) {
     let listed = entries.len();
     let changed = node.backends.borrow_mut().replace(node.now(), entries, keep);
+    // Limits of backend servers that were just listed may be known already.
+    node.backends.borrow_mut().apply_limits(node.now(), &node.limits.borrow());
     for id in changed {
         let entry = node.backends.borrow_mut().get_mut(&id).map(|backend| backend.entry.clone());
         // Idle connections may lead to an instance that is gone or leaving.
--- a/crates/gateway/src/quarantine_sync.rs
+++ b/crates/gateway/src/quarantine_sync.rs
@@ -59,7 +59,8 @@
     }
 }
 
-fn random_delay(node: &Node) -> Duration {
+/// Returns a random delay that is longer the more hosts there are.
+pub fn random_delay(node: &Node) -> Duration {
     let hosts = u32::try_from(node.hosts()).unwrap_or(u32::MAX);
     let max_delay = DELAY_PER_HOST.saturating_mul(hosts).min(MAX_DELAY);
     rand::rng().random_range(Duration::ZERO..=max_delay)
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -1,4 +1,4 @@
-//! Follows the directory and the quarantine, and publishes the directory if this host is its
+//! Follows the directory, the quarantine and the limits, and publishes the directory if this host is its
 //! publisher.
 
 use std::{rc::Rc, time::Duration};
@@ -24,8 +24,8 @@
 /// Number of looks within the publisher's read interval at whether something is to be published.
 const LOOKS_PER_READ: u32 = 2;
 
-/// Follows the directory and the quarantine forever; they share a table, so that one read returns
-/// changes of both.
+/// Follows the directory, the quarantine and the limits forever; they share a table, so that one
+/// read returns changes of all.
 pub async fn follow(node: Rc<Node>, source: Rc<impl Source>) {
     let mut position: Option<(u64, Revision)> = None;
     let mut is_reachable = true;
@@ -51,6 +51,7 @@
                 position = Some((source.era(), changes.through));
                 node.directory.borrow_mut().apply(&changes, after.is_none());
                 apply_to_quarantine(&node, source.clock_ms(), &changes, after.is_none());
+                apply_to_limits(&node, source.clock_ms(), &changes, after.is_none());
                 if !changes.rows.is_empty() || after.is_none() {
                     node.directory_changed.notify_waiters();
                 } else if started.elapsed() < MIN_READ_INTERVAL {
@@ -73,6 +74,15 @@
     node.quarantine_changed.notify_waiters();
 }
 
+fn apply_to_limits(node: &Node, clock_ms: Option<u64>, changes: &Changes, whole: bool) {
+    node.limits.borrow_mut().apply(changes, whole);
+    let mut backends = node.backends.borrow_mut();
+    if let Some(clock_ms) = clock_ms {
+        backends.fleet_mut().set_clock(node.now(), clock_ms);
+    }
+    backends.apply_limits(node.now(), &node.limits.borrow());
+}
+
 /// Publishes the directory while this host is its publisher, and tries to become the publisher when
 /// it is this host's turn.
 pub async fn publish(node: Rc<Node>, source: Rc<impl Source>) {
--- /dev/null
+++ b/crates/gateway/tests/limit.rs
@@ -0,0 +1,311 @@
+//! Limits that backend servers name for all hosts together, and the loads for which permits are
+//! made.
+
+#[path = "limit/simulation.rs"]
+mod simulation;
+
+use std::{sync::Arc, time::Duration};
+
+use gateway::{
+    backend::Entry,
+    limit::{Fleet, Limit, Statement},
+    placement::{Backends, Decision, Requirements},
+};
+use rand::{SeedableRng as _, rngs::StdRng};
+use test_case::test_case;
+
+use crate::simulation::{Fault, Load, Simulation, WINDOW_MS};
+
+/// Time after the first statement from which a limit holds, in milliseconds.
+const SETTLE_MS: u64 = 3000;
+
+/// Time for which a load is played after that, in milliseconds.
+const LOAD_MS: u64 = 40_000;
+
+struct Case {
+    hosts: usize,
+    /// Requests per second of each host.
+    demand_per_s: f64,
+    /// Requests per second that each backend server takes.
+    limits: &'static [f64],
+    faults: &'static [(u64, Fault)],
+    /// Least fraction of the limits that is used.
+    used: f64,
+}
+
+#[test_case(Case { hosts: 7, demand_per_s: 14.0, limits: &[1.0], faults: &[], used: 0.9 }; "one in a second")]
+#[test_case(Case { hosts: 7, demand_per_s: 14.0, limits: &[0.25], faults: &[], used: 0.9 }; "one in four seconds")]
+#[test_case(Case { hosts: 7, demand_per_s: 14.0, limits: &[2.0, 2.0, 2.0], faults: &[], used: 0.9 }; "three servers")]
+#[test_case(Case { hosts: 7, demand_per_s: 40.0, limits: &[60.0], faults: &[], used: 0.9 }; "a high limit")]
+#[test_case(Case { hosts: 300, demand_per_s: 10.0, limits: &[1.0], faults: &[], used: 0.9 }; "three hundred hosts")]
+#[test_case(Case { hosts: 300, demand_per_s: 10.0, limits: &[0.5, 8.0, 30.0], faults: &[], used: 0.9 }; "three hundred hosts and three servers")]
+#[test_case(Case { hosts: 7, demand_per_s: 14.0, limits: &[1.0, 5.0], faults: &[
+    (5_000, Fault::Kill { first: 0, count: 2 }),
+    (9_000, Fault::Kill { first: 1, count: 6 }),
+    (14_000, Fault::Kill { first: 0, count: 7 }),
+], used: 0.6 }; "killed hosts")]
+#[test_case(Case { hosts: 7, demand_per_s: 14.0, limits: &[1.0, 5.0], faults: &[
+    (4_000, Fault::Remove { first: 0, count: 2 }),
+    (12_000, Fault::Join { count: 3 }),
+], used: 0.7 }; "hosts that go and come")]
+#[test_case(Case { hosts: 7, demand_per_s: 14.0, limits: &[1.0, 5.0], faults: &[
+    (4_000, Fault::Freeze { first: 0, count: 3, for_ms: 7_000 }),
+    (14_000, Fault::Cut { first: 2, count: 3, for_ms: 20_000 }),
+], used: 0.5 }; "frozen and cut hosts")]
+#[test_case(Case { hosts: 300, demand_per_s: 10.0, limits: &[1.0, 20.0], faults: &[
+    (4_000, Fault::Kill { first: 0, count: 300 }),
+    (9_000, Fault::Cut { first: 100, count: 100, for_ms: 20_000 }),
+    (15_000, Fault::Join { count: 50 }),
+    (20_000, Fault::Freeze { first: 0, count: 60, for_ms: 5_000 }),
+], used: 0.5 }; "three hundred hosts under faults")]
+fn limits_hold_and_are_used(case: Case) {
+    let seeds = if case.hosts > 100 { 0..1 } else { 0..4 };
+    for seed in seeds {
+        let load = Load { demand_per_s: case.demand_per_s, limits: case.limits };
+        let mut simulation = Simulation::new(seed, case.hosts, load);
+        simulation.run(SETTLE_MS + LOAD_MS, case.faults);
+        for (server, per_s) in case.limits.iter().enumerate() {
+            let named_ms = simulation.named_ms(server).expect("it was used");
+            let arrivals = simulation.arrivals(server, named_ms + SETTLE_MS);
+            let allowed = (1.2 * per_s * WINDOW_MS as f64 / 1000.0 + 3.0) as usize;
+            let most = simulation::max_in_window(&arrivals);
+            assert!(most <= allowed, "seed {seed} server {server}: {most} of {allowed}");
+            let expected = per_s * LOAD_MS as f64 / 1000.0 * case.used;
+            let used = arrivals.len() as f64;
+            assert!(used >= expected.floor(), "seed {seed} server {server}: {used} of {expected}");
+        }
+    }
+}
+
+/// With another server that has room, no caller is refused.
+#[test]
+fn other_servers_take_what_a_limited_one_does_not() {
+    let load = Load { demand_per_s: 14.0, limits: &[1.0, f64::INFINITY] };
+    let mut simulation = Simulation::new(1, 7, load);
+    simulation.run(20_000, &[]);
+    assert_eq!(simulation.refused(), 0);
+}
+
+#[test]
+fn changed_limits_hold_and_withdrawn_ones_do_not() {
+    const CHANGE_MS: u64 = 12_000;
+    struct Case {
+        former: f64,
+        next: f64,
+        /// Requests in the 15 s that begin 3 s after the change.
+        requests: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { former: 20.0, next: 1.0, requests: 13..=18 },
+        Case { former: 20.0, next: 2.5, requests: 33..=42 },
+        Case { former: 1.0, next: 10.0, requests: 135..=160 },
+        Case { former: 1.0, next: 0.0, requests: 0..=4 },
+        Case { former: 1.0, next: f64::INFINITY, requests: 1300..=1600 },
+        Case { former: 0.0, next: f64::INFINITY, requests: 400..=1600 },
+    ];
+    for case in cases {
+        for seed in 0..3 {
+            let limits = vec![case.former].leak();
+            let mut simulation = Simulation::new(seed, 7, Load { demand_per_s: 14.0, limits });
+            let change = (CHANGE_MS, Fault::Name { server: 0, per_s: case.next });
+            simulation.run(CHANGE_MS + 18_000, &[change]);
+            let after = CHANGE_MS + SETTLE_MS;
+            let count = simulation.arrivals_in(0, after..after + 15_000).len();
+            let name = format!("{} to {}, seed {seed}", case.former, case.next);
+            assert!(case.requests.contains(&count), "{name}: {count}");
+        }
+    }
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What happens to the knowledge of a limit, in milliseconds of the platform's clock.
+#[derive(Clone, Copy)]
+enum Step {
+    /// A response arrived to a request that was sent at a time.
+    Response { sent: u64, arrived: u64, per_s: Option<f64> },
+    /// Another host has shared a statement.
+    Shared { now: u64, at: u64, per_s: Option<f64> },
+}
+
+#[test]
+fn newest_statement_counts() {
+    use Step::{Response, Shared};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        per_s: Option<f64>,
+    }
+    let cases = [
+        Case {
+            name: "no statement",
+            steps: &[Response { sent: 1000, arrived: 1100, per_s: None }],
+            per_s: None,
+        },
+        Case {
+            name: "a limit",
+            steps: &[Response { sent: 1000, arrived: 1100, per_s: Some(3.0) }],
+            per_s: Some(3.0),
+        },
+        Case {
+            name: "zero is asked now and then",
+            steps: &[Response { sent: 1000, arrived: 1100, per_s: Some(0.0) }],
+            per_s: Some(0.1),
+        },
+        Case {
+            name: "no limit in a response to a later request",
+            steps: &[
+                Response { sent: 1000, arrived: 1100, per_s: Some(3.0) },
+                Response { sent: 1300, arrived: 1400, per_s: None },
+            ],
+            per_s: None,
+        },
+        Case {
+            name: "no limit in a response to an earlier request",
+            steps: &[
+                Response { sent: 1000, arrived: 1100, per_s: Some(3.0) },
+                Response { sent: 1050, arrived: 1400, per_s: None },
+            ],
+            per_s: Some(3.0),
+        },
+        Case {
+            name: "an overtaken value",
+            steps: &[
+                Response { sent: 1000, arrived: 1100, per_s: Some(3.0) },
+                Response { sent: 900, arrived: 1200, per_s: Some(8.0) },
+            ],
+            per_s: Some(3.0),
+        },
+        Case {
+            name: "a newer value of another host",
+            steps: &[
+                Response { sent: 1000, arrived: 1100, per_s: Some(3.0) },
+                Shared { now: 1300, at: 1200, per_s: Some(2.0) },
+            ],
+            per_s: Some(2.0),
+        },
+        Case {
+            name: "an older value of another host",
+            steps: &[
+                Response { sent: 1000, arrived: 1100, per_s: Some(3.0) },
+                Shared { now: 1300, at: 1050, per_s: Some(2.0) },
+            ],
+            per_s: Some(3.0),
+        },
+        Case {
+            name: "an end that another host saw",
+            steps: &[
+                Response { sent: 1000, arrived: 1100, per_s: Some(3.0) },
+                Shared { now: 1600, at: 1500, per_s: None },
+            ],
+            per_s: None,
+        },
+        Case {
+            name: "an end that this host saw of another host's limit",
+            steps: &[
+                Shared { now: 1300, at: 1200, per_s: Some(2.0) },
+                Response { sent: 1500, arrived: 1600, per_s: None },
+            ],
+            per_s: None,
+        },
+    ];
+    for case in cases {
+        let mut limit = Limit::default();
+        for step in case.steps {
+            match *step {
+                Response { sent, arrived, per_s } => {
+                    limit.record_own(sent, arrived, per_s, || 0.5);
+                }
+                Shared { now, at, per_s } => {
+                    limit.record_shared(now, Statement { per_s, at_ms: at }, || 0.5);
+                }
+            }
+        }
+        assert_eq!(limit.per_s(), case.per_s, "{}", case.name);
+    }
+}
+
+/// Returns a fleet whose clock runs like that of the process.
+fn fleet(hosts: &[&str], listed_until: Duration) -> Fleet {
+    let mut fleet = Fleet::new("h0");
+    let names: Vec<Arc<str>> = hosts.iter().map(|host| Arc::from(*host)).collect();
+    fleet.set_clock(Duration::ZERO, 0);
+    fleet.set_hosts(Duration::ZERO, &names);
+    fleet.set_listed_until(Duration::ZERO, listed_until);
+    fleet
+}
+
+/// Returns the number of permits that a host gets under a limit of 10 a second until a time.
+fn permits(fleet: &Fleet, until: u64) -> usize {
+    let mut limit = Limit::default();
+    limit.record_own(0, 1, Some(10.0), || 0.5);
+    let mut count = 0;
+    for now in (0..until).step_by(50) {
+        limit.refresh(at(now), fleet, 7);
+        count += std::iter::from_fn(|| limit.take()).count();
+    }
+    count
+}
+
+#[test]
+fn host_holds_permits_only_while_the_others_count_it() {
+    struct Case {
+        name: &'static str,
+        hosts: &'static [&'static str],
+        listed_until: u64,
+        /// Permits in ten seconds.
+        permits: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { name: "alone", hosts: &["h0"], listed_until: 60_000, permits: 70..=75 },
+        Case { name: "with another", hosts: &["h0", "h1"], listed_until: 60_000, permits: 25..=50 },
+        Case { name: "not listed", hosts: &["h1"], listed_until: 60_000, permits: 0..=0 },
+        Case { name: "listed for a time", hosts: &["h0"], listed_until: 5000, permits: 20..=25 },
+        Case { name: "never listed", hosts: &["h0"], listed_until: 0, permits: 0..=0 },
+    ];
+    for case in cases {
+        let count = permits(&fleet(case.hosts, at(case.listed_until)), 10_000);
+        assert!(case.permits.contains(&count), "{}: {count}", case.name);
+    }
+}
+
+#[test]
+fn refused_callers_are_told_to_return_one_after_the_other() {
+    let mut backends = Backends::new("h0", StdRng::seed_from_u64(1));
+    let entry = Entry {
+        id: "s0".into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 8,
+        draining: false,
+        started_unix_ms: 1,
+        sequence: 1,
+    };
+    backends.replace(Duration::ZERO, vec![entry], false);
+    backends.fleet_mut().set_clock(Duration::ZERO, 0);
+    backends.record_limit(at(10), "s0", at(5), Some(2.0));
+    let requirements = Requirements {
+        service: "s",
+        zone: "a",
+        prompt: None,
+        tried: &[],
+        target_latency: at(1000),
+        time_left: at(5000),
+    };
+    let mut told: Vec<Duration> = (0..20)
+        .map(|_| match backends.place(at(20), &requirements) {
+            Decision::Refuse { retry_after, excluded, .. } => {
+                assert_eq!(excluded.limited, 1);
+                retry_after
+            }
+            Decision::Send { to, .. } => panic!("sent to {}", to.id),
+        })
+        .collect();
+    let in_turn: Vec<Duration> = (1..=10).map(|turn| at(500 * turn)).collect();
+    assert_eq!(told[..10], in_turn);
+    let rest = told.split_off(10);
+    assert!(rest.iter().all(|wait| (at(2500)..=at(5000)).contains(wait)), "{rest:?}");
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -26,7 +26,7 @@
 }
 
 fn new_backends(seed: u64, entries: impl IntoIterator<Item = Entry>) -> Backends {
-    let mut backends = Backends::new(StdRng::seed_from_u64(seed));
+    let mut backends = Backends::new("h0", StdRng::seed_from_u64(seed));
     backends.replace(Duration::ZERO, entries.into_iter().collect(), false);
     backends
 }
