Return the surplus of a lowered budget while requests wait for it

After an amount was lowered below what hosts held, a workspace whose callers kept coming was refused for as long as they came: with a request waiting, nothing was returned, and the host wrote its allocation every 44 ms in vain. Ruled out: the limits of backend servers, which were not in force.

The new test fails without the change.

--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -237,7 +237,8 @@
                 && spare > 2 * target + MAX_UNUSED_REQUESTS * self.mean_request as u64
         };
         let return_tokens = self.recalled || (spare > 0 && (self.closing || has_surplus));
-        let return_tokens = return_tokens && requested == 0;
+        // Requests that wait for a lowered amount can't be served before the surplus is returned.
+        let return_tokens = return_tokens && (requested == 0 || self.is_overdrawn());
         let is_stale = environment.lenders >= READ_FIRST_MIN_LENDERS
             && self.escrow_seen_at.is_none_or(|seen| now.saturating_sub(seen) >= ESCROW_MAX_AGE);
         let is_stale = is_stale && (self.limit.is_some() || self.held == 0);
--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -215,6 +215,25 @@
     assert_ne!(account.reserve(Duration::from_secs(9), 500, true), ReserveResult::Reserved);
 }
 
+#[test]
+fn lowered_amount_is_usable_again_while_requests_keep_waiting() {
+    let mut table = Table::default();
+    let mut account = new_account("h-1", 1_000_000);
+    run(&mut account, &mut table, Duration::ZERO, 1000);
+    assert!(account.balance().0 > 10_000);
+    account.set_prepaid(10_000);
+    let mut result = account.reserve(Duration::from_secs(9), 500, true);
+    for step in 0..20 {
+        let now = Duration::from_secs(9) + step * 50 * MILLISECOND;
+        run(&mut account, &mut table, now, 1000 + u64::from(step) * 50);
+        result = account.reserve(now, 500, true);
+        if result == ReserveResult::Reserved {
+            break;
+        }
+    }
+    assert_eq!(result, ReserveResult::Reserved);
+}
+
 #[test]
 fn closing_returns_all_tokens() {
     let mut table = Table::default();
