Show limits of backend servers to operators, in metrics and by laburnum-nodectl

laburnum-nodectl limits prints the rows that the hosts share; each host has gauges of the limit, of the permits that it got and of those that it used, so that the rate that is sent stands beside the one that is allowed. The line placed has the time that a refused caller is told.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -180,11 +180,11 @@
         };
         let (to, prefill_tokens) = match decision {
             Decision::Send { to, prefill_tokens, estimate, excluded } => {
-                log_placement(job, Some(&to.id), prefill_tokens, Some(estimate), excluded);
+                log_placement(job, Some(&to.id), prefill_tokens, Some(estimate), excluded, None);
                 (to, prefill_tokens)
             }
             Decision::Refuse { retry_after, estimate, excluded } => {
-                log_placement(job, None, 0, estimate, excluded);
+                log_placement(job, None, 0, estimate, excluded, Some(retry_after));
                 return Err(StartError::Rejected(retry_after));
             }
         };
@@ -566,6 +566,7 @@
     prefill_tokens: u64,
     estimate: Option<Estimate>,
     excluded: Excluded,
+    retry_after: Option<Duration>,
 ) {
     tracing::info!(
         event = "placed",
@@ -577,6 +578,7 @@
         leaving = excluded.leaving,
         resting = excluded.resting,
         limited = excluded.limited,
+        retry_after_ms = retry_after.map(|time| time.as_millis() as u64),
         delay_ms = estimate.map(|estimate| estimate.latency_ms as u64),
         doubt_ms = estimate.map(|estimate| estimate.penalty_ms as u64),
         running = estimate.map(|estimate| estimate.load.running),
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -17,13 +17,15 @@
 
 mod fleet;
 mod permits;
+mod report;
 mod row;
 mod sharing;
 mod statement;
 
 pub use self::{
     fleet::Fleet,
-    permits::Permit,
+    permits::{Permit, Usage},
+    report::Report,
     row::{LIMIT_PREFIX, LimitRow},
     sharing::Sharing,
     statement::{Source, Statement},
@@ -70,7 +72,7 @@
                 self.permits.retain(|| share() * former < per_s);
             }
             (Some(_), Some(_)) => {}
-            (None, _) | (_, None) => self.permits = Permits::issued_after(now_ms),
+            (None, _) | (_, None) => self.permits.restart(now_ms),
         }
     }
 
@@ -93,6 +95,12 @@
         }
     }
 
+    /// Returns how many permits this host got and used since the process started to know limits of
+    /// the backend server.
+    pub fn usage(&self) -> Usage {
+        self.permits.usage()
+    }
+
     /// Returns whether a request may be sent, as of the last refresh.
     pub fn allows_request(&self) -> bool {
         self.per_s().is_none() || !self.permits.is_empty()
--- a/crates/gateway/src/limit/permits.rs
+++ b/crates/gateway/src/limit/permits.rs
@@ -28,12 +28,28 @@
     held: VecDeque<Permit>,
     /// Time up to which permits were considered.
     through_ms: u64,
+    usage: Usage,
+}
+
+/// Numbers of permits since the process started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Permits that were issued to this host.
+    pub issued: u64,
+    /// Permits under which requests were sent.
+    pub used: u64,
 }
 
 impl Permits {
-    /// Creates an empty set to which only permits that are issued after a time are added.
-    pub fn issued_after(through_ms: u64) -> Self {
-        Self { held: VecDeque::new(), through_ms }
+    /// Removes all permits; only those that are issued after a time are added from now on.
+    pub fn restart(&mut self, through_ms: u64) {
+        self.held.clear();
+        self.through_ms = through_ms;
+    }
+
+    /// Returns how many were issued and used.
+    pub fn usage(&self) -> Usage {
+        self.usage
     }
 
     /// Returns whether there is none.
@@ -64,18 +80,22 @@
                 let issued_ms = (number as f64 * interval_ms) as u64;
                 let count = batch_size(number, per_s * interval_ms / 1000.0);
                 self.held.extend((0..count).map(|_| Permit { issued_ms }));
+                self.usage.issued += count;
             }
         }
     }
 
     /// Takes the oldest permit out.
     pub fn take(&mut self) -> Option<Permit> {
-        self.held.pop_front()
+        let permit = self.held.pop_front();
+        self.usage.used += u64::from(permit.is_some());
+        permit
     }
 
     /// Puts a permit back.
     pub fn put_back(&mut self, permit: Permit) {
         self.held.push_front(permit);
+        self.usage.used -= 1;
     }
 
     /// Keeps each permit for which `keep` returns true.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::node::Node;
+use crate::{node::Node, placement::Backends};
 
 /// Bucket bounds of the latency histograms in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -31,6 +31,9 @@
     version: Gauge<u64>,
     ready: Gauge<u64>,
     quarantined: Gauge<u64>,
+    limits: Gauge<f64>,
+    permits_issued: Gauge<u64>,
+    permits_used: Gauge<u64>,
 }
 
 impl Metrics {
@@ -72,6 +75,18 @@
                 "laburnum_quarantined_parts",
                 "Parts of prompts that aren't sent to backend servers",
             ),
+            limits: meter
+                .f64_gauge("laburnum_backend_limit_per_second")
+                .with_description("Requests that a backend server takes from all hosts together")
+                .build(),
+            permits_issued: gauge(
+                "laburnum_backend_permits_issued",
+                "Requests that this host was allowed to send to a limited backend server so far",
+            ),
+            permits_used: gauge(
+                "laburnum_backend_permits_used",
+                "Requests that this host sent to a limited backend server so far",
+            ),
             registry,
             provider,
         })
@@ -90,6 +105,17 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    fn record_limits(&self, backends: &Backends) {
+        for backend in backends.limited() {
+            let id = [KeyValue::new("backend", backend.entry.id.to_string())];
+            let usage = backend.limit.usage();
+            // A limit that was withdrawn is one without bounds.
+            self.limits.record(backend.limit.per_s().unwrap_or(f64::INFINITY), &id);
+            self.permits_issued.record(usage.issued, &id);
+            self.permits_used.record(usage.used, &id);
+        }
+    }
+
     /// Returns all metrics of a host as text.
     ///
     /// # Errors
@@ -105,6 +131,7 @@
         self.ready.record(u64::from(node.is_ready()), &[]);
         let quarantined = node.quarantine.borrow().parts(node.now()).len();
         self.quarantined.record(quarantined as u64, &[]);
+        self.record_limits(&node.backends.borrow());
         self.provider.force_flush().wrap_err("step=flush metrics")?;
         TextEncoder::new().encode_to_string(&self.registry.gather()).wrap_err("step=encode metrics")
     }
