--- a/crates/gateway/src/limit/sharing.rs
+++ b/crates/gateway/src/limit/sharing.rs
@@ -102,8 +102,10 @@
             let stale = self.rows.iter().filter(|(key, (_, limit))| {
                 is_stale(limit) && (limit.per_s.is_none() || !used.contains(*key))
             });
-            let removals = stale.take(MAX_WRITES);
-            txn.writes.extend(removals.map(|(key, _)| Write { key: key.clone(), value: None }));
+            for (row, _) in stale.map(|(_, stored)| stored).take(MAX_WRITES) {
+                txn.check(row);
+                txn.writes.push(Write { key: row.key.clone(), value: None });
+            }
         }
         self.is_pending = !txn.writes.is_empty();
         self.is_pending.then_some(txn)
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -6,9 +6,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use coordination::table::Row;
 use gateway::{
     backend::Entry,
-    limit::{Fleet, Limit, Statement},
+    dialect::Changes,
+    limit::{Fleet, LIMIT_PREFIX, Limit, LimitRow, Sharing, Statement},
     placement::{Backends, Decision, Requirements},
 };
 use rand::{SeedableRng as _, rngs::StdRng};
@@ -274,17 +276,7 @@
 #[test]
 fn refused_callers_are_told_to_return_one_after_the_other() {
     let mut backends = Backends::new("h0", StdRng::seed_from_u64(1));
-    let entry = Entry {
-        id: "s0".into(),
-        service: "s".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "a".into(),
-        slots: 8,
-        draining: false,
-        started_unix_ms: 1,
-        sequence: 1,
-    };
-    backends.replace(Duration::ZERO, vec![entry], false);
+    backends.replace(Duration::ZERO, vec![entry(1)], false);
     backends.fleet_mut().set_clock(Duration::ZERO, 0);
     backends.record_limit(at(10), "s0", at(5), Some(2.0));
     let requirements = Requirements {
@@ -309,3 +301,138 @@
     let rest = told.split_off(10);
     assert!(rest.iter().all(|wait| (at(2500)..=at(5000)).contains(wait)), "{rest:?}");
 }
+
+/// Entry of a process of the backend server `s0`.
+fn entry(started_unix_ms: u64) -> Entry {
+    Entry {
+        id: "s0".into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 8,
+        draining: false,
+        started_unix_ms,
+        sequence: 1,
+    }
+}
+
+/// Returns a limit that an own response stated at a time.
+fn own_limit(per_s: Option<f64>, at_ms: u64) -> Limit {
+    let mut limit = Limit::default();
+    limit.record_own(at_ms - 1000, at_ms - 900, Some(1.0), || 0.5);
+    limit.record_own(at_ms, at_ms, per_s, || 0.5);
+    limit
+}
+
+#[test]
+fn host_writes_what_the_others_do_not_know() {
+    struct Case {
+        name: &'static str,
+        /// Rate and time of the stored row, if there is one.
+        stored: Option<(Option<f64>, u64)>,
+        per_s: Option<f64>,
+        is_written: bool,
+    }
+    let cases = [
+        Case { name: "a new limit", stored: None, per_s: Some(2.0), is_written: true },
+        Case { name: "no limit", stored: None, per_s: None, is_written: false },
+        Case {
+            name: "the stored limit",
+            stored: Some((Some(2.0), 5000)),
+            per_s: Some(2.0),
+            is_written: false,
+        },
+        Case {
+            name: "a small change",
+            stored: Some((Some(2.0), 5000)),
+            per_s: Some(2.1),
+            is_written: false,
+        },
+        Case {
+            name: "a change",
+            stored: Some((Some(2.0), 5000)),
+            per_s: Some(3.0),
+            is_written: true,
+        },
+        Case {
+            name: "a change soon after another",
+            stored: Some((Some(2.0), 8500)),
+            per_s: Some(3.0),
+            is_written: false,
+        },
+        Case { name: "an end", stored: Some((Some(2.0), 8500)), per_s: None, is_written: true },
+        Case {
+            name: "a limit after an end",
+            stored: Some((None, 8500)),
+            per_s: Some(2.0),
+            is_written: true,
+        },
+        Case {
+            name: "older than what is stored",
+            stored: Some((Some(2.0), 9500)),
+            per_s: Some(3.0),
+            is_written: false,
+        },
+    ];
+    for case in cases {
+        let mut sharing = Sharing::new("h0".into());
+        let mut limit = own_limit(case.per_s, 9000);
+        let entry = entry(1);
+        let stored = case.stored.map(|(per_s, at_ms)| {
+            let row = LimitRow {
+                backend: entry.id.clone(),
+                started_unix_ms: 1,
+                per_s,
+                at_ms,
+                host: "h1".into(),
+            };
+            limit.record_shared(9000, Statement { per_s, at_ms }, || 0.5);
+            stored_row(&row, 7)
+        });
+        let rows: Vec<Row> = stored.into_iter().collect();
+        sharing.apply(&Changes { rows: rows.clone(), through: 7 }, true);
+        let planned = sharing.plan(9100, [(&entry, &limit)].into_iter());
+        assert_eq!(planned.is_some(), case.is_written, "{}", case.name);
+        let Some(txn) = planned else { continue };
+        let revision = rows.first().map_or(0, |row| row.revision);
+        assert_eq!(txn.checks[0].revision, revision, "{}", case.name);
+        assert!(sharing.plan(9100, [(&entry, &limit)].into_iter()).is_none(), "one at a time");
+    }
+}
+
+fn stored_row(row: &LimitRow, revision: u64) -> Row {
+    let value = serde_json::to_string(row).expect("JSON");
+    let key = format!("{LIMIT_PREFIX}/{:016x}", coordination::locate::hash(row.backend.as_bytes()));
+    Row { key: key.into(), value: Some(value.into()), revision }
+}
+
+#[test]
+fn rows_hold_for_one_process_and_are_removed_once_it_is_gone() {
+    let mut sharing = Sharing::new("h0".into());
+    let row = LimitRow {
+        backend: "s0".into(),
+        started_unix_ms: 1,
+        per_s: Some(2.0),
+        at_ms: 1000,
+        host: "h1".into(),
+    };
+    sharing.apply(&Changes { rows: vec![stored_row(&row, 3)], through: 3 }, true);
+    let statement = sharing.statement(&entry(1)).map(|(statement, _)| statement.per_s);
+    assert_eq!(statement, Some(Some(2.0)));
+    assert!(sharing.statement(&entry(2)).is_none(), "another process");
+    assert!(sharing.plan(50_000, std::iter::empty()).is_none());
+    let removal = sharing.plan(70_000, std::iter::empty()).expect("a removal");
+    assert!(removal.writes.iter().all(|write| write.value.is_none()));
+    assert_eq!(removal.writes.len(), 1);
+}
+
+#[test]
+fn unreadable_rows_of_limits_say_nothing() {
+    let mut sharing = Sharing::new("h0".into());
+    for value in ["", "{", "[]", "{\"backend\":7}", "{\"backend\":\"s0\",\"per_s\":-1.0}"] {
+        let key = format!("{LIMIT_PREFIX}/{:016x}", coordination::locate::hash(b"s0"));
+        let row = Row { key: key.into(), value: Some(value.into()), revision: 1 };
+        sharing.apply(&Changes { rows: vec![row], through: 1 }, false);
+        assert!(sharing.statement(&entry(0)).is_none(), "{value}");
+    }
+}
