Add a load on which harmful parts of prompts are to be told from bystanders

Requests with and without a part on 12 engines, and engines that end under the part with a probability of 1, 0.8 or 0.34, or by themselves in series.

--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -1,5 +1,8 @@
 //! Tests of the decision which parts of prompts are quarantined, without a network.
 
+#[path = "quarantine/load.rs"]
+mod load;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use coordination::table::{Outcome, Row, Txn};
@@ -12,6 +15,8 @@
 };
 use test_case::test_case;
 
+use crate::load::{Load, play};
+
 /// Number of hosts in these tests.
 const HOSTS: usize = 3;
 
@@ -184,6 +189,56 @@
     assert_eq!(fleet.refusing(&["a", "x"]), if case.is_quarantined { HOSTS } else { 0 });
 }
 
+struct LoadCase {
+    load: Load,
+    /// Most requests with the part that are sent once hosts have to refuse it; `None` if no request
+    /// may be refused.
+    sent_after: Option<usize>,
+}
+
+/// Load of a deployment with 12 engines and no trouble.
+const CALM: Load = Load {
+    engines: 12,
+    requests_per_s: 40.0,
+    part_fraction: 0.05,
+    fatal: 0.0,
+    outages: &[],
+    outage_engines: 0,
+};
+
+/// Times of outages in series, 2 s apart.
+const SERIES: [Duration; 19] = {
+    let mut times = [Duration::ZERO; 19];
+    let mut number = 0;
+    while number < 19 {
+        times[number] = Duration::from_secs(2 + 2 * number as u64);
+        number += 1;
+    }
+    times
+};
+
+#[test_case(LoadCase { load: Load { fatal: 1.0, ..CALM }, sent_after: Some(3) }; "a part that always ends engines")]
+#[test_case(LoadCase { load: Load { fatal: 0.8, ..CALM }, sent_after: Some(3) }; "a part that mostly ends engines")]
+#[test_case(LoadCase { load: Load { fatal: 0.34, ..CALM }, sent_after: Some(3) }; "a part that ends an engine one time in three")]
+#[test_case(LoadCase { load: Load { fatal: 0.8, outages: &SERIES, outage_engines: 3, ..CALM }, sent_after: Some(3) }; "a part that ends engines beside outages in series")]
+#[test_case(LoadCase { load: CALM, sent_after: None }; "a sound part")]
+#[test_case(LoadCase { load: Load { outages: &SERIES, outage_engines: 5, ..CALM }, sent_after: None }; "a sound part beside outages in series")]
+#[test_case(LoadCase { load: Load { outages: &SERIES, outage_engines: 2, ..CALM }, sent_after: None }; "a sound part beside ends of two engines in series")]
+#[test_case(LoadCase { load: Load { outages: &SERIES, outage_engines: 1, ..CALM }, sent_after: None }; "a sound part beside ends of one engine in series")]
+#[test_case(LoadCase { load: Load { part_fraction: 0.01, outages: &SERIES, outage_engines: 5, ..CALM }, sent_after: None }; "a rare sound part beside outages in series")]
+fn harmful_parts_are_told_from_those_that_stand_beside_ends(case: LoadCase) {
+    for seed in 0..12 {
+        let outcome = play(seed, case.load, Duration::from_secs(45));
+        let Some(sent_after) = case.sent_after else {
+            assert_eq!(outcome.refused, (0, 0), "seed {seed}: {outcome:?}");
+            continue;
+        };
+        assert_eq!(outcome.refused.1, 0, "seed {seed}: {outcome:?}");
+        assert!(outcome.refused.0 > 0, "seed {seed}: {outcome:?}");
+        assert!(outcome.sent_after <= sent_after, "seed {seed}: {outcome:?}");
+    }
+}
+
 struct OutageCase {
     /// Backend servers that end at the same moment, again and again.
     backends: usize,
