Write changes of many limits more rarely

Every host follows the rows of limits. With 256 limited backend servers whose limits change all the time 295 hosts would have read 38 thousand rows a second (by arithmetic; not seen). Beyond 40 rows a change of a rate is written 50 ms later for each row; beginnings and ends are written at once. The test fails without the change.

--- a/crates/gateway/src/limit/sharing.rs
+++ b/crates/gateway/src/limit/sharing.rs
@@ -19,6 +19,9 @@
 /// Shortest time in milliseconds between two changes of a rate that are written.
 const MIN_CHANGE_INTERVAL_MS: u64 = 2000;
 
+/// Further such time for each row, as every host reads every change.
+const CHANGE_INTERVAL_PER_ROW_MS: u64 = 50;
+
 /// Age in milliseconds from which a row is removed that holds for no process any more.
 const STALE_AGE_MS: u64 = 60_000;
 
@@ -85,6 +88,8 @@
         if self.is_pending {
             return None;
         }
+        let min_interval_ms =
+            MIN_CHANGE_INTERVAL_MS.max(CHANGE_INTERVAL_PER_ROW_MS * self.rows.len() as u64);
         let mut txn = Txn::default();
         let mut used = BTreeSet::new();
         for (entry, limit) in limits {
@@ -92,7 +97,9 @@
             let stored = self.rows.get(&key);
             used.insert(key.clone());
             let Some((statement, Source::Own)) = limit.newest() else { continue };
-            if txn.writes.len() < MAX_WRITES && is_due(now_ms, entry, statement, stored) {
+            if txn.writes.len() < MAX_WRITES
+                && is_due(entry, statement, stored, now_ms.saturating_sub(min_interval_ms))
+            {
                 let missing = Row { key, value: None, revision: 0 };
                 txn.put(stored.map_or(&missing, |(row, _)| row), &self.new_row(entry, statement));
             }
@@ -130,12 +137,13 @@
     }
 }
 
-/// Returns whether an own statement that is newer than all others is to be written.
+/// Returns whether an own statement that is newer than all others is to be written; a mere change
+/// of a rate only if the stored one isn't newer than `changed_before_ms`.
 fn is_due(
-    now_ms: u64,
     entry: &Entry,
     statement: Statement,
     stored: Option<&(Row, LimitRow)>,
+    changed_before_ms: u64,
 ) -> bool {
     let row = stored.map(|(_, row)| row);
     let is_instance =
@@ -144,8 +152,7 @@
     match (row.per_s, statement.per_s) {
         (None, None) => false,
         (Some(former), Some(per_s)) => {
-            (per_s - former).abs() > former * MIN_CHANGE
-                && now_ms.saturating_sub(row.at_ms) >= MIN_CHANGE_INTERVAL_MS
+            (per_s - former).abs() > former * MIN_CHANGE && row.at_ms <= changed_before_ms
         }
         (None, Some(_)) | (Some(_), None) => true,
     }
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -400,6 +400,36 @@
     }
 }
 
+#[test]
+fn many_limits_that_change_are_written_more_rarely() {
+    struct Case {
+        rows: usize,
+        age_ms: u64,
+        is_written: bool,
+    }
+    let cases = [
+        Case { rows: 40, age_ms: 2000, is_written: true },
+        Case { rows: 300, age_ms: 14_000, is_written: false },
+        Case { rows: 300, age_ms: 16_000, is_written: true },
+    ];
+    for case in cases {
+        let now_ms = 100_000;
+        let new_row = |number: usize| LimitRow {
+            backend: format!("s{number}").into(),
+            started_unix_ms: 1,
+            per_s: Some(2.0),
+            at_ms: now_ms - case.age_ms,
+            host: "h1".into(),
+        };
+        let rows = (0..case.rows).map(|number| stored_row(&new_row(number), 1)).collect();
+        let mut sharing = Sharing::new("h0".into());
+        sharing.apply(&Changes { rows, through: 1 }, true);
+        let (entry, limit) = (entry(1), own_limit(Some(4.0), now_ms));
+        let planned = sharing.plan(now_ms, [(&entry, &limit)].into_iter());
+        assert_eq!(planned.is_some(), case.is_written, "{} rows", case.rows);
+    }
+}
+
 fn stored_row(row: &LimitRow, revision: u64) -> Row {
     let value = serde_json::to_string(row).expect("JSON");
     let key = format!("{LIMIT_PREFIX}/{:016x}", coordination::locate::hash(row.backend.as_bytes()));
