Look at the permits of now before an attempt is abandoned, and read limits of rejections

An attempt that stays silent is abandoned only if another backend server can take the request. Whether a limited one can was taken from the last placement, so that an attempt could be given up for a server whose permits had expired; its caller would have got 502. Found by reading; the test fails without the change.

A rejection need not state the id of its request, and its limit was not read then. It counts now, while only a response that certainly belongs to the request can tell by its silence that a limit has ended.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -276,7 +276,7 @@
         }
         let node = &job.node;
         let now = node.now();
-        if !node.backends.borrow().has_other(now, &job.service.name, &job.tried.borrow()) {
+        if !node.backends.borrow_mut().has_other(now, &job.service.name, &job.tried.borrow()) {
             return false;
         }
         let budget_left =
@@ -427,7 +427,11 @@
             self.health = HealthSignal::Failed;
             return Err(AttemptFailure::Unknown);
         }
-        if is_own == Some(true) && head.status != StatusCode::MISDIRECTED_REQUEST {
+        // A rejection may state no id; only a response that certainly is to this request tells by
+        // its silence that a limit has ended.
+        let names_limit = matches!(reply.limit, LimitStatement::PerSecond(_));
+        let is_stated = is_own == Some(true) || (is_own.is_none() && names_limit);
+        if is_stated && head.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_limit(reply.limit);
         }
         if let Some(load) = reply.load
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -414,16 +414,20 @@
     }
 
     /// Returns whether a service has a candidate that wasn't tried.
-    pub fn has_other(&self, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
+    pub fn has_other(&mut self, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
+        self.refresh_permits(now, service);
         self.backends.values().any(|backend| is_candidate(backend, now, service, tried))
     }
 
+    /// Brings this host's permits for the backend servers of a service up to date.
+    fn refresh_permits(&mut self, now: Duration, service: &str) {
+        let of_service = self.backends.values_mut().filter(|own| *own.entry.service == *service);
+        of_service.for_each(|own| own.limit.refresh(now, &self.fleet, own.hash));
+    }
+
     /// Chooses a backend server for a request, or refuses the request.
     pub fn place(&mut self, now: Duration, requirements: &Requirements<'_>) -> Decision {
-        let of_service = self.backends.values_mut();
-        for backend in of_service.filter(|own| *own.entry.service == *requirements.service) {
-            backend.limit.refresh(now, &self.fleet, backend.hash);
-        }
+        self.refresh_permits(now, requirements.service);
         let is_candidate_for = |backend: &&Backend| {
             is_candidate(backend, now, requirements.service, requirements.tried)
         };
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -273,6 +273,20 @@
     }
 }
 
+/// An attempt that is abandoned for a backend server which takes no request would be lost.
+#[test]
+fn limited_backend_server_without_a_permit_is_no_other_one() {
+    let mut backends = Backends::new("h0", StdRng::seed_from_u64(1));
+    backends.replace(Duration::ZERO, vec![entry(1)], false);
+    backends.fleet_mut().set_clock(Duration::ZERO, 0);
+    backends.fleet_mut().set_hosts(Duration::ZERO, &[Arc::from("h0")]);
+    backends.fleet_mut().set_listed_until(Duration::ZERO, at(8000));
+    backends.record_limit(at(10), "s0", at(5), Some(2.0));
+    assert!(!backends.has_other(at(20), "s", &[]), "no permit yet");
+    assert!(backends.has_other(at(5000), "s", &[]));
+    assert!(!backends.has_other(at(9000), "s", &[]), "the permits have expired");
+}
+
 #[test]
 fn refused_callers_are_told_to_return_one_after_the_other() {
     let mut backends = Backends::new("h0", StdRng::seed_from_u64(1));
