Take back the comparison of ends with those by chance

In the log a part that is at most ends is quarantined with 7 ends and 28 whole responses, and released and quarantined every 20 ms, as hosts know different probabilities.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -19,7 +19,6 @@
 //!
 //! This suits a load of many prompts with shared parts of which very few are harmful.
 
-mod chance;
 mod outage;
 mod report;
 mod row;
@@ -38,7 +37,6 @@
 };
 
 use self::{
-    chance::WholeResponses,
     outage::Outages,
     sound::Sound,
     suspect::{Evidence, Share, Suspect},
@@ -108,8 +106,6 @@
 struct OwnEnd {
     key: Arc<str>,
     row: EndRow,
-    /// Requests that may have ended the backend server.
-    broken: u32,
     is_stored: bool,
 }
 
@@ -130,7 +126,6 @@
     host: Arc<str>,
     suspects: BTreeMap<Arc<str>, Suspect>,
     sound: Sound,
-    whole: WholeResponses,
     own_ends: VecDeque<OwnEnd>,
     /// Start time and earliest observation of the end of each backend server, in milliseconds.
     ends: BTreeMap<Arc<str>, (u64, u64)>,
@@ -151,7 +146,6 @@
             host,
             suspects: BTreeMap::new(),
             sound: Sound::default(),
-            whole: WholeResponses::default(),
             own_ends: VecDeque::new(),
             ends: BTreeMap::new(),
             outages: Outages::default(),
@@ -200,19 +194,18 @@
         self.apply_end(now, &row);
         self.find_outages();
         if !row.parts.is_empty() {
-            self.add_own_end(row, requests.iter().filter(may_have_ended).count() as u32);
+            self.add_own_end(row);
         }
     }
 
     /// Adds an end that is to be shared; of one backend server, requests may break off at different
     /// times.
-    fn add_own_end(&mut self, row: EndRow, broken: u32) {
+    fn add_own_end(&mut self, row: EndRow) {
         let key = row::end_key(&row.backend, &self.host);
         if let Some(own) = self.own_ends.iter_mut().find(|own| own.key == key) {
             let added = row.parts.into_iter().filter(|part| !own.row.parts.contains(part));
             let added: Vec<_> = added.collect();
             own.is_stored &= added.is_empty();
-            own.broken = own.broken.saturating_add(broken);
             own.row.parts.extend(added);
             own.row.parts.truncate(MAX_PARTS_PER_END);
             return;
@@ -220,7 +213,7 @@
         if self.own_ends.len() >= MAX_OWN_ENDS {
             self.own_ends.pop_front();
         }
-        self.own_ends.push_back(OwnEnd { key, row, broken, is_stored: false });
+        self.own_ends.push_back(OwnEnd { key, row, is_stored: false });
     }
 
     fn find_outages(&mut self) {
@@ -230,6 +223,10 @@
     /// Returns the parts of the requests that may have ended a backend server: known suspects
     /// first, then those with the fewest whole responses.
     fn suspect_parts(&self, now: Duration, requests: &[BrokenRequest]) -> Vec<(Arc<str>, usize)> {
+        let may_have_ended = |request: &&BrokenRequest| {
+            request.in_progress_for >= MIN_WORK_TIME
+                && request.responding_for.is_none_or(|time| time < RESPONSE_START_TIME)
+        };
         let mut parts: Vec<(Arc<str>, usize)> = requests
             .iter()
             .filter(may_have_ended)
@@ -254,18 +251,6 @@
             }
         }
         self.sound.record(now, prompt);
-        self.whole.record(now);
-    }
-
-    /// Returns the probability that a request of this host without a part breaks off at the end of
-    /// its backend server, if it is known.
-    fn chance(&self, now_ms: u64, suspect: &Suspect) -> Option<f64> {
-        let (read_at, platform_ms) = self.clock?;
-        let now = read_at + Duration::from_millis(now_ms.saturating_sub(platform_ms));
-        let others = self.own_ends.iter().filter(|own| !suspect.has_end(&own.row.backend));
-        let others = others
-            .map(|own| (Duration::from_millis(now_ms.saturating_sub(own.row.at_ms)), own.broken));
-        self.whole.chance(now, self.sound.responses(now, suspect.name()), others)
     }
 
     /// Returns a quarantined part of a prompt, other than the one that is being tried.
@@ -322,8 +307,7 @@
         let later = self.suspects.values();
         let later = later.filter(|own| own.may_be_harmful() && own.depth() > suspect.depth());
         let harmful = later.filter(|own| own.is_harmful(now_ms, &own.evidence(&self.outages, &[])));
-        let evidence = suspect.evidence(&self.outages, &harmful.collect::<Vec<_>>());
-        Evidence { chance: self.chance(now_ms, suspect), ..evidence }
+        suspect.evidence(&self.outages, &harmful.collect::<Vec<_>>())
     }
 
     /// Returns all quarantined parts.
@@ -542,9 +526,3 @@
         }
     }
 }
-
-/// Returns whether a request may have ended its backend server.
-fn may_have_ended(request: &&BrokenRequest) -> bool {
-    request.in_progress_for >= MIN_WORK_TIME
-        && request.responding_for.is_none_or(|time| time < RESPONSE_START_TIME)
-}
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -23,26 +23,7 @@
 /// Minimum time over which these ends are spread.
 const MIN_ROW_TIME: Duration = Duration::from_secs(5);
 
-/// Number of ends from which they are compared with those by chance.
-const MIN_COMPARED_ENDED: usize = 5;
-
-/// Time since the last but one of these ends by which the hosts have shared their whole responses.
-const SOUND_SHARE_TIME: Duration = Duration::from_millis(1500);
-
-/// Smallest probability that a harmful part ends a backend server.
-const MIN_HARM: f64 = 1.0 / 3.0;
-
-/// Largest probability that a harmful part is taken to end a backend server.
-const MAX_HARM: f64 = 0.99;
-
-/// Logarithm of how many times more likely the ends have to be under a harmful part than by chance.
-/// Many parts are suspects at the same time.
-const MIN_LOG_RATIO: f64 = 8.0;
-
-/// Number of whole responses for each end that are shared while the ends may be compared.
-const SHARED_SOUND_PER_END: usize = 10;
-
-/// Number of ends that a whole response outweighs if the ends by chance aren't known.
+/// Number of ends that a whole response outweighs.
 const SOUND_WEIGHT: usize = 4;
 
 /// Time for which the end of a backend server counts.
@@ -86,21 +67,11 @@
     Duration::from_millis(now_ms.saturating_sub(at_ms))
 }
 
-/// Returns the logarithm of how many times more likely `ended` ends and `sound` whole responses are
-/// under a harmful part than under one whose requests stand at ends with the probability `chance`.
-fn log_ratio(ended: usize, sound: u32, chance: f64) -> f64 {
-    let (ended, sound) = (ended as f64, f64::from(sound));
-    let harm = (ended / (ended + sound)).clamp(MIN_HARM, MAX_HARM);
-    ended * (harm / chance).ln() + sound * ((1.0 - harm) / (1.0 - chance)).ln()
-}
-
 /// Separate ends of backend servers that speak against a part.
 #[derive(Debug)]
 pub struct Evidence {
     /// Their times in ascending order, in milliseconds of the platform's clock.
-    pub ends: Vec<u64>,
-    /// Probability that a request without the part breaks off at an end, if it is known.
-    pub chance: Option<f64>,
+    ends: Vec<u64>,
 }
 
 /// A row that is due to be written.
@@ -216,24 +187,7 @@
     pub fn evidence(&self, outages: &Outages, others: &[&Self]) -> Evidence {
         let is_explained = |id: &Arc<str>| others.iter().any(|other| other.ends.contains_key(id));
         let ends = self.ends.iter().filter(|(id, _)| !is_explained(id));
-        let ends = outages.separate(ends.map(|(id, at_ms)| (id, *at_ms)));
-        Evidence { ends, chance: None }
-    }
-
-    /// Returns whether a backend server ended under it.
-    pub fn has_end(&self, backend: &str) -> bool {
-        self.ends.contains_key(backend)
-    }
-
-    /// Returns whether the ends and whole responses are far more likely if the part is harmful than
-    /// by chance. The first end only made the part a suspect.
-    fn is_harmful_by_chance(&self, now_ms: u64, evidence: &Evidence) -> bool {
-        let ends = &evidence.ends;
-        let Some(chance) = evidence.chance.filter(|_| ends.len() >= MIN_COMPARED_ENDED) else {
-            return false;
-        };
-        elapsed(now_ms, ends[MIN_COMPARED_ENDED - 2]) >= SOUND_SHARE_TIME
-            && log_ratio(ends.len() - 1, self.sound(now_ms), chance) >= MIN_LOG_RATIO
+        Evidence { ends: outages.separate(ends.map(|(id, at_ms)| (id, *at_ms))) }
     }
 
     /// Returns the number of ends that count.
@@ -275,9 +229,7 @@
     pub fn is_harmful(&self, now_ms: u64, evidence: &Evidence) -> bool {
         let ended = self.ended(evidence);
         let sound = self.sound(now_ms) as usize;
-        (ended >= MIN_ENDED && sound * SOUND_WEIGHT < ended)
-            || self.is_harmful_lately(evidence)
-            || self.is_harmful_by_chance(now_ms, evidence)
+        (ended >= MIN_ENDED && sound * SOUND_WEIGHT < ended) || self.is_harmful_lately(evidence)
     }
 
     /// Returns the state of the part if it is quarantined.
@@ -358,9 +310,7 @@
     pub fn due_row(&self, now_ms: u64, evidence: &Evidence) -> Option<Share> {
         let mut row = self.shared.clone();
         let shared_sound = self.shared.sound.max(self.shared.sound_before) as usize;
-        let ended = self.ended(evidence);
-        let is_sound_needed = shared_sound * SOUND_WEIGHT < ended + SOUND_MARGIN
-            || (self.may_be_harmful() && shared_sound < ended * SHARED_SOUND_PER_END);
+        let is_sound_needed = shared_sound * SOUND_WEIGHT < self.ended(evidence) + SOUND_MARGIN;
         let is_sound_outdated = self.last_end_ms() > row.sound_ms
             && elapsed(self.own_sound_ms, row.sound_ms) >= SOUND_SHARE_INTERVAL;
         let mut sound = 0;
