Read what hosts share before the first request of a process

A process that has just started sent requests as soon as it knew the configuration and the backend servers; the limits and quarantined parts that other hosts had found arrived some milliseconds later.

The first requests now wait for the rows, at most 0.5 s, so that a store that fails then doesn't keep callers away.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,7 +10,10 @@
 };
 
 use rand::{SeedableRng as _, rngs::StdRng};
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout},
+};
 
 use crate::{
     account::Loss,
@@ -41,6 +44,9 @@
 /// The same time in percent of the time within which a change has to be in force.
 const CATALOG_MAX_AGE_PERCENT: u32 = 60;
 
+/// Longest time for which the first requests wait for the rows that hosts share.
+const SHARED_ROWS_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Settings of a host.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -118,6 +124,9 @@
     pub directory: RefCell<Directory>,
     /// Notified when the directory has changed.
     pub directory_changed: Notify,
+    /// Whether the rows that hosts share in the table of the directory have been read, or couldn't
+    /// be read in time.
+    has_shared_rows: Cell<bool>,
     /// What this host has read of the platform's lists itself.
     pub own_reads: RefCell<OwnReads>,
     /// What is known of the current era of the platform's table.
@@ -178,6 +187,7 @@
             crashes: Crashes::default(),
             directory: RefCell::new(directory),
             directory_changed: Notify::new(),
+            has_shared_rows: Cell::new(false),
             own_reads: RefCell::default(),
             era_start: Cell::default(),
             metrics,
@@ -262,6 +272,23 @@
             && self.overload.borrow().is_ready(self.now())
     }
 
+    /// Records that the rows that hosts share have been read.
+    pub fn set_shared_rows_read(&self) {
+        self.has_shared_rows.set(true);
+    }
+
+    /// Waits until what other hosts share has been read once, so that a process that has just
+    /// started knows quarantined parts and limits before it sends a request.
+    pub async fn wait_for_shared_rows(&self) {
+        if self.has_shared_rows.get() {
+            return;
+        }
+        if timeout(SHARED_ROWS_TIMEOUT, self.directory_changed.notified()).await.is_err() {
+            tracing::warn!(event = "shared_rows_unread");
+        }
+        self.has_shared_rows.set(true);
+    }
+
     /// Returns the number of hosts that share budgets and limits.
     pub fn hosts(&self) -> u64 {
         self.hosts.get().unwrap_or(DEFAULT_HOSTS)
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -294,6 +294,7 @@
 ) -> Result<Job, Refusal> {
     let arrived = Instant::now();
     let catalog = node.catalog().ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?;
+    node.wait_for_shared_rows().await;
     let (route, workspace) = find_route(node, &catalog, &head, call)?;
     check_draining(node, &route)?;
     let service = route.service(hash(call.id.as_bytes()));
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -52,6 +52,7 @@
                 node.directory.borrow_mut().apply(&changes, after.is_none());
                 apply_to_quarantine(&node, source.clock_ms(), &changes, after.is_none());
                 apply_to_limits(&node, source.clock_ms(), &changes, after.is_none());
+                node.set_shared_rows_read();
                 if !changes.rows.is_empty() || after.is_none() {
                     node.directory_changed.notify_waiters();
                 } else if started.elapsed() < MIN_READ_INTERVAL {
