Bound the permits of very high limits, and move limited backend servers to a file

A backend server that named 1e9 requests a second would have made each host keep hundreds of millions of permits, up to its memory limit; one that named 1.8e308 would have got none at all. A limit is used up to 10,000 a second. A permit that comes back after its backend server was replaced no longer ends the process (debug builds) or breaks the count of used permits. Both found by reading; the tests fail without the change.

placement and attempt have the parts that deal with limits in files of their own, Source of a statement is Origin, as the platform is a Source.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt to send a request to a backend server.
 
+mod permit;
+
 use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -12,14 +14,14 @@
 };
 use tokio::time::{Instant, timeout};
 
+use self::permit::PermitGuard;
 use crate::{
     backend::{Entry, HealthSignal},
     catalog::RetryPolicy,
     crash::BrokenRequest,
     dialect::{Dispatch, LimitStatement, Reply},
-    limit::Permit,
     node::Node,
-    placement::{Decision, Estimate, Excluded, Limited, Requirements},
+    placement::{Decision, Estimate, Excluded, Requirements},
     pool::{ConnectError, Connection, SendError},
     proxy::Job,
     retry_state::AttemptFailure,
@@ -92,47 +94,6 @@
     Unreachable,
 }
 
-/// Permit of an attempt, if its backend server is limited; it is put back when dropped unless a
-/// request was sent under it.
-#[derive(Debug)]
-struct PermitGuard {
-    node: Rc<Node>,
-    to: Arc<str>,
-    permit: Option<Permit>,
-    is_sent: bool,
-}
-
-impl PermitGuard {
-    /// Takes a permit out if the backend server is limited and there is none yet.
-    fn take(&mut self) -> Result<(), Limited> {
-        if self.permit.is_none() {
-            self.permit = self.node.backends.borrow_mut().take_permit(self.node.now(), &self.to)?;
-        }
-        Ok(())
-    }
-
-    /// Sends a request under the permit. It is used up unless certainly nothing was sent, also if
-    /// this is cancelled.
-    async fn send(
-        &mut self,
-        connection: &mut Connection,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        self.is_sent = true;
-        let sent = connection.send(request).await;
-        self.is_sent = !matches!(sent, Err(SendError::NotSent));
-        sent
-    }
-}
-
-impl Drop for PermitGuard {
-    fn drop(&mut self) {
-        if let Some(permit) = self.permit.take().filter(|_| !self.is_sent) {
-            self.node.backends.borrow_mut().put_back_permit(&self.to, permit);
-        }
-    }
-}
-
 /// An attempt in progress; it is cancelled when dropped.
 #[derive(Debug)]
 pub struct Attempt {
@@ -201,8 +162,7 @@
             return Err(StartError::Rejected(BUDGET_SPENT_RETRY_AFTER));
         }
         job.tried.borrow_mut().push(to.id.clone());
-        let mut permit =
-            PermitGuard { node: node.clone(), to: to.id.clone(), permit: None, is_sent: false };
+        let mut permit = PermitGuard::new(node.clone(), to.id.clone());
         if permit.take().is_err() {
             return Err(StartError::Unreachable);
         }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -28,7 +28,7 @@
     report::Report,
     row::{LIMIT_PREFIX, LimitRow},
     sharing::Sharing,
-    statement::{Source, Statement},
+    statement::{Origin, Statement},
 };
 use self::{permits::Permits, statement::Statements};
 
@@ -36,6 +36,9 @@
 /// holds.
 const MIN_RATE_PER_S: f64 = 0.1;
 
+/// Highest rate in requests per second that is used of a limit; it bounds the permits that are kept.
+const MAX_RATE_PER_S: f64 = 10_000.0;
+
 /// Limit of one process of a backend server, and the permits that this host holds under it.
 #[derive(Debug, Default)]
 pub struct Limit {
@@ -45,31 +48,41 @@
 
 impl Limit {
     /// Records what a response to an own request states. Times are those of the platform's clock
-    /// in milliseconds; `share` is a random number from 0 to 1 for each permit that may be kept.
+    /// in milliseconds; `random` returns numbers from 0 to 1.
     pub fn record_own(
         &mut self,
         sent_ms: u64,
         now_ms: u64,
         per_s: Option<f64>,
-        share: impl FnMut() -> f64,
+        random: impl FnMut() -> f64,
     ) {
         let former = self.per_s();
         self.statements.record_own(sent_ms, now_ms, per_s);
-        self.apply_change(now_ms, former, share);
+        self.update_permits(now_ms, former, random);
     }
 
     /// Records what another host has shared.
-    pub fn record_shared(&mut self, now_ms: u64, statement: Statement, share: impl FnMut() -> f64) {
+    pub fn record_shared(
+        &mut self,
+        now_ms: u64,
+        statement: Statement,
+        random: impl FnMut() -> f64,
+    ) {
         let former = self.per_s();
         self.statements.record_shared(statement);
-        self.apply_change(now_ms, former, share);
+        self.update_permits(now_ms, former, random);
     }
 
-    fn apply_change(&mut self, now_ms: u64, former: Option<f64>, mut share: impl FnMut() -> f64) {
+    fn update_permits(
+        &mut self,
+        now_ms: u64,
+        former: Option<f64>,
+        mut random: impl FnMut() -> f64,
+    ) {
         match (former, self.per_s()) {
             (Some(former), Some(per_s)) if per_s < former => {
                 // A lower rate would have issued fewer permits.
-                self.permits.retain(|| share() * former < per_s);
+                self.permits.retain(|| random() * former < per_s);
             }
             (Some(_), Some(_)) => {}
             (None, _) | (_, None) => self.permits.restart(now_ms),
@@ -77,14 +90,14 @@
     }
 
     /// Returns the newest statement.
-    pub fn newest(&self) -> Option<(Statement, Source)> {
+    pub fn newest(&self) -> Option<(Statement, Origin)> {
         self.statements.newest()
     }
 
     /// Returns the requests per second that all hosts together may send, if there is a limit.
     pub fn per_s(&self) -> Option<f64> {
         let (statement, _) = self.newest()?;
-        statement.per_s.map(|per_s| per_s.max(MIN_RATE_PER_S))
+        statement.per_s.map(|per_s| per_s.clamp(MIN_RATE_PER_S, MAX_RATE_PER_S))
     }
 
     /// Adds the permits that were issued meanwhile and removes those that expired; `backend` is the
--- a/crates/gateway/src/limit/permits.rs
+++ b/crates/gateway/src/limit/permits.rs
@@ -95,7 +95,7 @@
     /// Puts a permit back.
     pub fn put_back(&mut self, permit: Permit) {
         self.held.push_front(permit);
-        self.usage.used -= 1;
+        self.usage.used = self.usage.used.saturating_sub(1);
     }
 
     /// Keeps each permit for which `keep` returns true.
--- a/crates/gateway/src/limit/sharing.rs
+++ b/crates/gateway/src/limit/sharing.rs
@@ -8,7 +8,7 @@
 use coordination::table::{Outcome, Row, Txn, Write};
 
 use super::{
-    Limit, Source, Statement,
+    Limit, Origin, Statement,
     row::{LimitRow, is_limit_key, limit_key},
 };
 use crate::{backend::Entry, dialect::Changes};
@@ -96,7 +96,7 @@
             let key = limit_key(&entry.id);
             let stored = self.rows.get(&key);
             used.insert(key.clone());
-            let Some((statement, Source::Own)) = limit.newest() else { continue };
+            let Some((statement, Origin::Own)) = limit.newest() else { continue };
             if txn.writes.len() < MAX_WRITES
                 && is_due(entry, statement, stored, now_ms.saturating_sub(min_interval_ms))
             {
--- a/crates/gateway/src/limit/statement.rs
+++ b/crates/gateway/src/limit/statement.rs
@@ -16,7 +16,7 @@
 
 /// Where a statement comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Source {
+pub enum Origin {
     /// A response to a request of this host.
     Own,
     /// Another host.
@@ -62,11 +62,11 @@
     }
 
     /// Returns the newest statement of all.
-    pub fn newest(&self) -> Option<(Statement, Source)> {
+    pub fn newest(&self) -> Option<(Statement, Origin)> {
         match (self.own, self.shared) {
-            (Some(own), Some(shared)) if own.at_ms < shared.at_ms => Some((shared, Source::Shared)),
-            (Some(own), _) => Some((own, Source::Own)),
-            (None, shared) => shared.map(|shared| (shared, Source::Shared)),
+            (Some(own), Some(shared)) if own.at_ms < shared.at_ms => Some((shared, Origin::Shared)),
+            (Some(own), _) => Some((own, Origin::Own)),
+            (None, shared) => shared.map(|shared| (shared, Origin::Shared)),
         }
     }
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -9,6 +9,8 @@
 //! with long shared prompts. For plain services the least loaded backend server is chosen,
 //! preferably in this host's zone.
 
+mod limited;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -18,9 +20,10 @@
 use coordination::locate::mix64;
 use rand::{RngExt, rngs::StdRng};
 
+pub use self::limited::Limited;
 use crate::{
     backend::{Backend, Entry, HealthSignal, Load},
-    limit::{Fleet, Permit, Sharing, Source},
+    limit::Fleet,
     request::Prompt,
 };
 
@@ -80,10 +83,6 @@
 /// asked for no requests, so that they don't return at the same moment.
 const REST_SPREAD: Duration = Duration::from_millis(500);
 
-/// Longest time after which a caller may retry if all backend servers are limited. Callers beyond
-/// what is served within it are spread over its second half.
-const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Time for which the statements of a backend server are kept that isn't listed any more, as it may
 /// be listed again after an outage or from an older copy of the list.
 const UNLISTED_TTL: Duration = Duration::from_secs(600);
@@ -144,10 +143,6 @@
     pub limited: usize,
 }
 
-/// A limited backend server gets no request now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Limited;
-
 /// Estimate for a backend server, and the facts behind it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
@@ -206,76 +201,6 @@
         }
     }
 
-    /// Returns the hosts among which limits are divided.
-    pub fn fleet_mut(&mut self) -> &mut Fleet {
-        &mut self.fleet
-    }
-
-    /// Records the limit that a response to a request of this host states, or that it states none.
-    /// Returns whether the limit changed.
-    pub fn record_limit(
-        &mut self,
-        now: Duration,
-        id: &str,
-        sent_at: Duration,
-        per_s: Option<f64>,
-    ) -> bool {
-        let Some(backend) = self.backends.get_mut(id) else { return false };
-        let (Some(sent_ms), Some(now_ms)) =
-            (self.fleet.platform_ms(sent_at), self.fleet.platform_ms(now))
-        else {
-            return false;
-        };
-        let former = backend.limit.per_s();
-        backend.limit.record_own(sent_ms, now_ms, per_s, || self.rng.random_range(0.0..1.0));
-        let is_changed = backend.limit.per_s() != former;
-        if is_changed {
-            log_limit(backend, former, now_ms, None);
-        }
-        is_changed
-    }
-
-    /// Takes over the limits that other hosts have shared.
-    pub fn apply_limits(&mut self, now: Duration, sharing: &Sharing) {
-        let Some(now_ms) = self.fleet.platform_ms(now).filter(|_| !sharing.is_empty()) else {
-            return;
-        };
-        for backend in self.backends.values_mut() {
-            let Some((statement, host)) = sharing.statement(&backend.entry) else { continue };
-            let former = backend.limit.per_s();
-            backend.limit.record_shared(now_ms, statement, || self.rng.random_range(0.0..1.0));
-            if backend.limit.per_s() != former {
-                log_limit(backend, former, now_ms, Some(&host));
-            }
-        }
-    }
-
-    /// Returns the backend servers about whose limits something is known.
-    pub fn limited(&self) -> impl Iterator<Item = &Backend> {
-        self.backends.values().filter(|backend| backend.limit.newest().is_some())
-    }
-
-    /// Takes the permit for one request out; `None` if the backend server isn't limited.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if it is limited and this host holds no permit.
-    pub fn take_permit(&mut self, now: Duration, id: &str) -> Result<Option<Permit>, Limited> {
-        let Some(backend) = self.backends.get_mut(id) else { return Ok(None) };
-        backend.limit.refresh(now, &self.fleet, backend.hash);
-        match backend.limit.per_s() {
-            Some(_) => backend.limit.take().map(Some).ok_or(Limited),
-            None => Ok(None),
-        }
-    }
-
-    /// Puts a permit back under which nothing was sent.
-    pub fn put_back_permit(&mut self, id: &str, permit: Permit) {
-        if let Some(backend) = self.backends.get_mut(id) {
-            backend.limit.put_back(permit);
-        }
-    }
-
     /// Returns whether a new request may be sent to a backend server now.
     pub fn accepts_requests(&self, now: Duration, id: &str) -> bool {
         self.backends.get(id).is_some_and(|backend| backend.accepts_requests(now))
@@ -419,12 +344,6 @@
         self.backends.values().any(|backend| is_candidate(backend, now, service, tried))
     }
 
-    /// Brings this host's permits for the backend servers of a service up to date.
-    fn refresh_permits(&mut self, now: Duration, service: &str) {
-        let of_service = self.backends.values_mut().filter(|own| *own.entry.service == *service);
-        of_service.for_each(|own| own.limit.refresh(now, &self.fleet, own.hash));
-    }
-
     /// Chooses a backend server for a request, or refuses the request.
     pub fn place(&mut self, now: Duration, requirements: &Requirements<'_>) -> Decision {
         self.refresh_permits(now, requirements.service);
@@ -496,28 +415,6 @@
         excluded
     }
 
-    /// Returns the time until the limits of a service's backend servers allow one more request than
-    /// those for which callers were told to wait before; `None` if there are no limits.
-    fn limited_retry_after(&mut self, now: Duration, service: &str) -> Option<Duration> {
-        let takes_requests =
-            |backend: &&Backend| *backend.entry.service == *service && !backend.is_leaving();
-        let limited = self.backends.values().filter(takes_requests);
-        let per_s: f64 = limited.filter_map(|backend| backend.limit.per_s()).sum();
-        if per_s <= 0.0 {
-            return None;
-        }
-        let share_per_s = per_s / self.fleet.hosts() as f64;
-        let turn = Duration::from_secs_f64((1.0 / share_per_s).min(60.0));
-        let told_until = self.limited_until.get(service).copied().unwrap_or_default();
-        let next = told_until.max(now) + turn;
-        let latest = now + MAX_LIMITED_RETRY_AFTER;
-        self.limited_until.insert(service.into(), next.min(latest));
-        if next <= latest {
-            return Some(next - now);
-        }
-        Some(MAX_LIMITED_RETRY_AFTER.mul_f64(self.rng.random_range(0.5..1.0)))
-    }
-
     /// Returns the time until the first backend server accepts requests again, plus a random part,
     /// if some asked for none.
     fn rest_of(&mut self, now: Duration, requirements: &Requirements<'_>) -> Option<Duration> {
@@ -539,25 +436,6 @@
     is_changed
 }
 
-/// Logs a change of the limit of a backend server; `host` is the one that shared it.
-fn log_limit(backend: &Backend, former: Option<f64>, now_ms: u64, host: Option<&str>) {
-    let statement = backend.limit.newest();
-    tracing::info!(
-        event = "backend_limit",
-        backend = %backend.entry.id,
-        per_s = backend.limit.per_s(),
-        former,
-        stated = statement.and_then(|(statement, _)| statement.per_s),
-        source = statement.map(|(_, source)| match source {
-            Source::Own => "response",
-            Source::Shared => "row",
-        }),
-        host,
-        age_ms = statement.map(|(statement, _)| now_ms.saturating_sub(statement.at_ms)),
-        running = backend.running(),
-    );
-}
-
 /// Returns whether a backend server belongs to the service, accepts requests, isn't backing off,
 /// isn't kept from this request by its limit and wasn't tried.
 fn is_candidate(backend: &Backend, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -273,6 +273,43 @@
     }
 }
 
+#[test]
+fn extreme_limits_are_kept_within_bounds() {
+    struct Case {
+        per_s: f64,
+        /// Permits that the only host holds after 5 s.
+        permits: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { per_s: 0.0, permits: 0..=1 },
+        Case { per_s: 1e-300, permits: 0..=1 },
+        Case { per_s: 1000.0, permits: 500..=700 },
+        Case { per_s: 1e9, permits: 5000..=7000 },
+        Case { per_s: f64::MAX, permits: 5000..=7000 },
+    ];
+    for case in cases {
+        let mut limit = Limit::default();
+        limit.record_own(0, 1, Some(case.per_s), || 0.5);
+        limit.refresh(at(5000), &fleet(&["h0"], at(60_000)), 7);
+        let count = std::iter::from_fn(|| limit.take()).count();
+        assert!(case.permits.contains(&count), "{}: {count}", case.per_s);
+    }
+}
+
+#[test]
+fn permit_of_a_former_process_is_put_back_without_harm() {
+    let mut backends = Backends::new("h0", StdRng::seed_from_u64(1));
+    backends.replace(Duration::ZERO, vec![entry(1)], false);
+    backends.fleet_mut().set_clock(Duration::ZERO, 0);
+    backends.fleet_mut().set_hosts(Duration::ZERO, &[Arc::from("h0")]);
+    backends.fleet_mut().set_listed_until(Duration::ZERO, at(8000));
+    backends.record_limit(at(10), "s0", at(5), Some(2.0));
+    let permit = backends.take_permit(at(5000), "s0").expect("a permit").expect("limited");
+    backends.replace(at(5000), vec![entry(2)], false);
+    backends.put_back_permit("s0", permit);
+    assert_eq!(backends.take_permit(at(5000), "s0"), Ok(None), "nothing was named");
+}
+
 /// An attempt that is abandoned for a backend server which takes no request would be lost.
 #[test]
 fn limited_backend_server_without_a_permit_is_no_other_one() {
