Log which requests resume a stream, and the limit behind what a takeover gives up

The request line has the input and the event after which a caller resumes; the line of a takeover has burst and rate, so that the parts of the time alive and dead can be told apart.

--- a/crates/gateway/src/account/outcome.rs
+++ b/crates/gateway/src/account/outcome.rs
@@ -215,6 +215,8 @@
             former = %previous.holder,
             tokens = previous.tokens,
             held,
+            burst = previous.burst,
+            rate = previous.rate,
             era = previous.era,
             is_current,
             age_ms = process_start_ms.map(|start| start.saturating_sub(previous.written_ms)),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -174,6 +174,8 @@
             backend = tried.last().map(|id| &**id),
             sends = tried.len(),
             events,
+            input = self.call.prompt.as_ref().map(|prompt| prompt.input),
+            resume_after = self.call.resume_after,
             tokens = self.reservation.borrow().as_ref().map(Reservation::used),
             ms = elapsed.as_millis() as u64,
             left_ms = self.time_left().as_millis() as u64,
