Charge a stream for events only, or if its caller ended it

Input was charged with the send, on the mere possibility of a run.

How use is counted is settled: what callers got. A request of which its caller got no event is charged nothing, unless it was the caller that ended it: by leaving, or by a deadline of its own that is shorter than the route's. Responses that are no streams don't tell their tokens and are charged the most that they may have.

--- a/crates/gateway/src/budgets/reservation.rs
+++ b/crates/gateway/src/budgets/reservation.rs
@@ -82,6 +82,11 @@
         self.used = used;
     }
 
+    /// Returns how far the request has come.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
     /// Notes how far the request has come.
     pub fn set_progress(&mut self, progress: Progress) {
         let former = std::mem::replace(&mut self.progress, progress);
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -128,20 +128,43 @@
         }
     }
 
-    /// Sets the tokens that the request has used in total: its prompt and `output` tokens of the
-    /// response.
-    pub fn set_output_tokens(&self, output: u64) {
+    /// Records that the request is sent; it is charged nothing before an event of its response
+    /// reaches the caller, or the caller leaves.
+    pub fn record_sent(&self) {
+        if let Some(reservation) = &mut *self.reservation.borrow_mut()
+            && reservation.progress() == Progress::Unsent
+        {
+            reservation.set_progress(Progress::Sent);
+        }
+    }
+
+    /// Records that `output` tokens of the response are passed on in total, for which the request is
+    /// charged beside its prompt.
+    pub fn record_output(&self, output: u64) {
         let Some(prompt) = &self.call.prompt else { return };
         if let Some(reservation) = &mut *self.reservation.borrow_mut() {
             reservation.set_used(prompt.input + output.min(prompt.output));
-            reservation.set_progress(if output > 0 {
-                Progress::Responding
-            } else {
-                Progress::Sent
-            });
+            reservation.set_progress(Progress::Responding);
         }
     }
 
+    /// Charges the prompt of a request that its caller ended while a backend server may have been
+    /// at work on it.
+    pub fn charge_abandoned(&self) {
+        let Some(prompt) = &self.call.prompt else { return };
+        if let Some(reservation) = &mut *self.reservation.borrow_mut()
+            && reservation.progress() == Progress::Sent
+        {
+            reservation.set_used(prompt.input);
+        }
+    }
+
+    /// Returns whether the deadline is the caller's, which waits for less time than the operator
+    /// lets it.
+    pub fn is_deadline_of_caller(&self) -> bool {
+        self.call.max_wait.is_some_and(|max_wait| max_wait < self.route.timeout)
+    }
+
     /// Sets the used tokens to zero, since the request did not run.
     fn clear_used(&self) {
         if let Some(reservation) = &mut *self.reservation.borrow_mut() {
@@ -186,6 +209,9 @@
 
 impl Drop for Job {
     fn drop(&mut self) {
+        if !self.logged.get() {
+            self.charge_abandoned();
+        }
         self.log("caller_left", 0, 0);
     }
 }
@@ -432,7 +458,12 @@
         Ok(response) => response,
         Err(_) => match job.retry_state.borrow().status() {
             ExecutionStatus::NotRun => Err(Refusal::TimeoutNotRun),
-            ExecutionStatus::Unknown => Err(Refusal::TimeoutUnknown),
+            ExecutionStatus::Unknown => {
+                if job.is_deadline_of_caller() {
+                    job.charge_abandoned();
+                }
+                Err(Refusal::TimeoutUnknown)
+            }
         },
     };
     drop(pending);
@@ -469,7 +500,7 @@
     loop {
         let failure = match Attempt::start(job, job.call.resume_after).await {
             Ok(mut attempt) => {
-                job.set_output_tokens(0);
+                job.record_sent();
                 match attempt.send_request(job, job.call.resume_after).await {
                     Ok(head) => match collect_response(job, attempt, head).await {
                         Ok(answer) => return Ok(answer),
@@ -560,6 +591,8 @@
     let failed = head.status.is_server_error();
     attempt.finish(failed);
     if head.status.is_success() {
+        // Only streams tell how many tokens they have brought.
+        job.record_output(u64::MAX);
         job.record_whole_response();
     }
     Ok(UpstreamResponse::Buffered { head, body: buffered.freeze() })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -115,7 +115,7 @@
         let timeout = if self.can_resume() { timeout } else { Duration::MAX };
         // Bytes that never complete an event don't keep a stream alive.
         if self.job.time_left().is_zero() {
-            return ReadResult::Interrupted("late");
+            return self.interrupt_late();
         }
         let fault = match () {
             _ if self.splitter.is_out_of_order() => Some("out_of_order"),
@@ -151,7 +151,7 @@
                 attempt.record_broken(&self.job);
                 ReadResult::Interrupted("broken_off")
             }
-            None if self.job.time_left().is_zero() => ReadResult::Interrupted("late"),
+            None if self.job.time_left().is_zero() => self.interrupt_late(),
             None => {
                 attempt.record_failure();
                 ReadResult::Interrupted("silent")
@@ -159,9 +159,18 @@
         }
     }
 
+    /// Ends the response at the deadline.
+    fn interrupt_late(&self) -> ReadResult {
+        if self.job.is_deadline_of_caller() {
+            self.job.charge_abandoned();
+        }
+        ReadResult::Interrupted("late")
+    }
+
     /// Processes bytes of the response and returns those that can be passed on.
     fn process(&mut self, bytes: Bytes) -> ReadResult {
         if !self.job.route.streamed {
+            self.job.record_output(u64::MAX);
             return ReadResult::Bytes(bytes);
         }
         let events = self.splitter.push(bytes);
@@ -174,7 +183,9 @@
         self.events += events.count;
         let engine = self.job.service.engine;
         let tokens = engine.map_or(DEFAULT_EVENT_TOKENS, |engine| engine.event_tokens);
-        self.job.set_output_tokens(self.events * tokens);
+        if !events.bytes.is_empty() {
+            self.job.record_output(self.events * tokens);
+        }
         ReadResult::Bytes(events.bytes)
     }
 
@@ -242,6 +253,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.ended {
+            self.job.charge_abandoned();
             self.job.log("caller_left", 200, self.events);
         }
     }
