Bear odd entries in the list of backend servers

Another writer may leave entries that are deeply nested, too large or out of range among those of the backend servers.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -327,7 +327,7 @@
     fn unlist(&mut self, now: Duration, id: &Arc<str>) {
         let Some(mut backend) = self.backends.remove(id) else { return };
         // An older copy of the list may contain the entry that was just removed.
-        backend.entry.sequence += 1;
+        backend.entry.sequence = backend.entry.sequence.saturating_add(1);
         self.unlisted.retain(|_, (since, _)| now.saturating_sub(*since) < UNLISTED_TTL);
         if self.unlisted.len() >= MAX_UNLISTED {
             let is_idle = |(_, backend): &mut (Duration, Backend)| backend.has_statement(now);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -428,6 +428,15 @@
     }
 }
 
+#[test]
+fn entry_with_the_greatest_sequence_may_be_removed() {
+    let odd = Entry { sequence: u64::MAX, ..entry("p9", "a", u32::MAX) };
+    let mut backends = new_backends(3, vec![odd, entry("p0", "a", 6)]);
+    backends.replace(SECOND, vec![entry("p0", "a", 6)], false);
+    assert!(!backends.accepts_requests(SECOND, "p9"));
+    assert!(backends.accepts_requests(SECOND, "p0"));
+}
+
 #[test]
 fn backend_server_that_asks_for_no_requests_gets_none_and_then_one_at_first() {
     let mut backends = new_backends(3, vec![entry("p0", "a", 6)]);
