Take a rejection without an id only from the first response of a connection

Callers could be told 'not run' for a request that ran, and a request that may run once could run at a second backend server: a rejection that states no id counted as one of the request in progress, also where a backend server wrote an earlier one once more on a kept connection. Any other failure without an id was passed on in the same way.

Now a response without an id counts only on a connection that has carried no other request; on a reused one it proves nothing, and the request may have run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -375,7 +375,14 @@
             || head.headers.contains_key(TRANSFER_ENCODING);
         self.record_statements(&reply);
         let is_own = reply.id.as_ref().map(|id| **id == *job.call.id);
-        if is_own == Some(false) || (is_success && !(is_own == Some(true) && reply.authentic)) {
+        // On a connection that has carried another request, a response may be a late copy of one
+        // to that request unless its id tells otherwise.
+        let is_reused = self.connection.as_ref().is_some_and(Connection::is_reused);
+        let is_trusted = match is_own {
+            Some(is_own) => is_own,
+            None => !is_success && !is_reused,
+        };
+        if !is_trusted || (is_success && !reply.authentic) {
             tracing::warn!(
                 event = "answer_foreign",
                 id = %job.call.id,
