Resume a stream only with its next event, from a response of events

Callers could find the text of an error, or the whole head of a failure, in the middle of a stream, and a stream with a gap could end as complete: whatever a backend server that was to resume it sent with status 200 was passed on, if only a blank line followed.

A response that resumes a stream has to state the media type of events, or the one of the first response; its first event has to have an id, behind the last one that was passed on, and right behind it where the ids of the stream have always had the same distance. Anything else counts as a failed attempt, and the stream ends incomplete if no other attempt serves. Answers with failures, rejections, another content type with a length and no head at all were handled before.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -21,13 +21,26 @@
     last_id: Option<u64>,
     /// Id of the last event that was passed on.
     passed_id: Option<u64>,
+    /// Difference of the ids of consecutive events, as long as it has always been the same.
+    step: Step,
+    /// The next event is the first one of a backend server that resumes the stream.
+    is_resuming: bool,
     is_out_of_order: bool,
 }
 
+/// Difference of the ids of consecutive events.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Step {
+    #[default]
+    Unknown,
+    Always(u64),
+    Varying,
+}
+
 impl Splitter {
     /// Creates a splitter for a stream that continues after the event with this id.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last_id, passed_id: None, is_out_of_order: false }
+        Self { last_id, ..Self::default() }
     }
 
     /// Returns the id of the last whole event.
@@ -46,15 +59,44 @@
     }
 
     /// Returns whether an event arrived whose id doesn't follow those before, as from a backend
-    /// server that begins anew instead of resuming. It and what follows it are left out.
+    /// server that begins anew instead of resuming, or that resumes with something else than an
+    /// event of the stream. It and what follows it are left out.
     pub fn is_out_of_order(&self) -> bool {
         self.is_out_of_order
     }
 
-    /// Discards the bytes of an event that broke off or doesn't follow those before.
+    /// Discards the bytes of an event that broke off or doesn't follow those before; another backend
+    /// server is to resume the stream.
     pub fn discard(&mut self) {
         self.partial.clear();
         self.is_out_of_order = false;
+        self.is_resuming = true;
+    }
+
+    /// Returns whether an event with this id may be the next one.
+    fn is_next(&self, id: Option<u64>) -> bool {
+        let Some(last_id) = self.passed_id else { return true };
+        let Some(id) = id else { return !self.is_resuming };
+        match self.step {
+            Step::Always(step) if self.is_resuming => id == last_id.saturating_add(step),
+            Step::Always(_) | Step::Unknown | Step::Varying => id > last_id,
+        }
+    }
+
+    /// Records an event that is passed on.
+    fn pass_on(&mut self, id: Option<u64>) {
+        self.is_resuming = false;
+        let Some(id) = id else { return };
+        if let Some(last_id) = self.passed_id {
+            let step = id - last_id;
+            self.step = match self.step {
+                Step::Unknown => Step::Always(step),
+                Step::Always(known) if known == step => Step::Always(step),
+                Step::Always(_) | Step::Varying => Step::Varying,
+            };
+        }
+        self.passed_id = Some(id);
+        self.last_id = Some(id);
     }
 
     /// Adds the next bytes and returns the events that are whole now.
@@ -79,13 +121,12 @@
                 continue;
             }
             if line_start - end > length + 1 {
-                if id.is_some() && id <= self.passed_id {
+                if !self.is_next(id) {
                     self.is_out_of_order = true;
                     return WholeEvents { bytes: bytes.slice(..end), count };
                 }
                 count += 1;
-                self.passed_id = id.or(self.passed_id);
-                self.last_id = id.take().or(self.last_id);
+                self.pass_on(id.take());
             }
             end = line_start;
         }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -481,7 +481,7 @@
                 head.headers.remove(CONTENT_LENGTH);
             }
             job.node.dialect.remove_private_headers(&mut head.headers);
-            let relay = Relay::new(job, *attempt, active);
+            let relay = Relay::new(job, *attempt, &head.headers, active);
             let body = Body::Streaming(Box::pin(relay.into_stream(start)));
             let mut response = Response::from_parts(head, body);
             remove_hop_by_hop_headers(&mut response);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::{HeaderMap, body::Incoming, header::CONTENT_TYPE};
 use tokio::time::Instant;
 
 use crate::{
@@ -32,6 +32,9 @@
 /// Tokens in an event if the service doesn't say.
 const DEFAULT_EVENT_TOKENS: u64 = 1;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Result of reading from a response.
 enum ReadResult {
     Bytes(Bytes),
@@ -45,6 +48,8 @@
 pub struct Relay {
     job: Job,
     attempt: Option<Attempt>,
+    /// Media type that the response states; one that resumes it states the same or that of events.
+    media_type: Option<String>,
     splitter: Splitter,
     events: u64,
     /// When the last event arrived, or when its backend server began to respond.
@@ -54,12 +59,13 @@
 }
 
 impl Relay {
-    /// Creates the relay of a response whose head has arrived.
-    pub fn new(job: Job, attempt: Attempt, active: ActiveRequest) -> Self {
+    /// Creates the relay of a response whose head has arrived with these headers.
+    pub fn new(job: Job, attempt: Attempt, headers: &HeaderMap, active: ActiveRequest) -> Self {
         let splitter = Splitter::after(job.call.resume_after);
         Self {
             job,
             attempt: Some(attempt),
+            media_type: media_type(headers),
             splitter,
             events: 0,
             progress_at: Instant::now(),
@@ -241,7 +247,16 @@
         };
         let (head, body): (_, Incoming) =
             attempt.send_request(&self.job, after).await.map_err(Some)?.into_parts();
-        if !head.status.is_success() {
+        let media = media_type(&head.headers);
+        let is_stream = media.as_deref() == Some(EVENT_STREAM) || media == self.media_type;
+        if !head.status.is_success() || !is_stream {
+            tracing::warn!(
+                event = "stream_not_resumed",
+                id = %self.job.call.id,
+                backend = %attempt.backend(),
+                status = head.status.as_u16(),
+                media_type = media,
+            );
             attempt.record_failure();
             return Err(Some(AttemptFailure::Failed));
         }
@@ -250,6 +265,13 @@
     }
 }
 
+/// Returns the media type of a body, without parameters and in lowercase.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next().unwrap_or_default();
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.ended {
