Charge the prompt of a resumed stream once

A header alone proves nothing. The lender of the workspace in the zone remembers each charge of a stream that didn't end: a digest of target, prompt and body, and the last event passed on. A request that resumes at that event or an earlier one uses the charge up and pays for its output only; if a server or a connection ends it, the charge is noted again, if its caller ends it, it is gone. Where nobody knows, as after the lender's death or in another zone, the prompt is charged in full.

--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -48,7 +48,7 @@
 const PEERS_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Loan of no tokens, as for a workspace that isn't known.
-const NO_LOAN: Lent = Lent { tokens: 0, left: 0, returning: 0, exhausted: false };
+const NO_LOAN: Lent = Lent { tokens: 0, left: 0, returning: 0, exhausted: false, charged: false };
 
 /// Share of the platform's writes that all hosts together make for budgets, in percent.
 const WRITE_SHARE_PERCENT: u64 = 80;
@@ -256,6 +256,8 @@
             tokens = lent.tokens,
             left = lent.left,
             exhausted = lent.exhausted,
+            charge_noted = ask.charged.is_some(),
+            charge_used = lent.charged,
             held = account.map(|account| account.balance().0),
             unspent = account.map(Account::ungranted),
             seen_ms = account.and_then(|own| own.escrow_age(now)).map(|age| age.as_millis() as u64),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`lender`] (which hosts prefetch them), [`directory`] (which host reads the platform's lists for
 //! the others), [`retry_budget`] (limit on retries), [`overload`] (whether this host can take a
 //! request at all), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
-//! requests a backend server takes from all hosts together),
+//! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
+//! prompt was charged before),
 //! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
 //! (whether a request may be sent again and what its caller is told).
 
@@ -16,6 +17,7 @@
 pub mod budgets;
 pub mod catalog;
 pub mod crash;
+pub mod credit;
 pub mod dialect;
 pub mod directory;
 pub mod edge;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
     budgets::Budgets,
     catalog::Catalog,
     crash::Crashes,
+    credit::Credits,
     dialect::{Dialect, Source},
     directory::{Directory, Mode, Moment, OwnView, Timing},
     era::EraStart,
@@ -118,6 +119,8 @@
     pub limit_changed: Notify,
     /// Prepaid budgets.
     pub budgets: Budgets,
+    /// Prompts that were charged for streams that didn't end.
+    pub credits: RefCell<Credits>,
     /// Other hosts.
     pub peers: Peers,
     /// Copy of the platform's lists that one host keeps for all.
@@ -185,6 +188,7 @@
             dialect,
             pool: Pool::default(),
             crashes: Crashes::default(),
+            credits: RefCell::default(),
             directory: RefCell::new(directory),
             directory_changed: Notify::new(),
             has_shared_rows: Cell::new(false),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -34,7 +34,7 @@
     task::spawn_local,
     time::{Instant, timeout},
 };
-use wire::lend::{Ask, Lent};
+use wire::lend::{Ask, Lent, ResumePoint};
 
 use crate::{
     budgets::Budgets,
@@ -258,7 +258,7 @@
     ) -> Option<LenderResponse> {
         let _permit = Permit::acquire(&node.peers.active_lender_requests, MAX_LENDER_REQUESTS)?;
         for peer in node.peers.lenders_of(workspace).into_iter().take(MAX_LENDERS_ASKED) {
-            let request = Ask { workspace: workspace.clone(), tokens, whole: true, returned: 0 };
+            let request = Ask { tokens, whole: true, ..Ask::for_workspace(workspace.clone()) };
             if let Some(lent) = ask(node, &peer, request, LENDER_TIMEOUT).await {
                 let from = peer.borrow().info.address;
                 return Some(LenderResponse { from, lent });
@@ -284,8 +284,7 @@
             if missing == 0 {
                 return others;
             }
-            let workspace = workspace.clone();
-            let request = Ask { workspace, tokens: missing, whole: false, returned: 0 };
+            let request = Ask { tokens: missing, ..Ask::for_workspace(workspace.clone()) };
             let lent = ask(node, &peer, request, BORROW_TIMEOUT).await;
             others.all_answered &= lent.is_some();
             others.returning += lent.map_or(0, |lent| lent.returning);
@@ -293,6 +292,28 @@
         others
     }
 
+    /// Notes at the lender in this host's zone that the prompt of a stream that didn't end was charged.
+    pub async fn note_charge(node: Rc<Node>, workspace: Arc<str>, point: ResumePoint) {
+        if node.peers.is_lender(&workspace) {
+            node.credits.borrow_mut().note(node.now(), &workspace, point);
+        } else if let Some(peer) = node.peers.lender_in_zone(&workspace) {
+            let request = Ask { charged: Some(point), ..Ask::for_workspace(workspace) };
+            // The message is sent even if nobody waits for the answer any more.
+            ask(&node, &peer, request, LENDER_TIMEOUT).await;
+        }
+    }
+
+    /// Uses up a charge for the prompt of a stream that is resumed, if the lender in this host's zone
+    /// knows of one; returns whether it does.
+    pub async fn use_charge(node: &Rc<Node>, workspace: &Arc<str>, point: ResumePoint) -> bool {
+        if node.peers.is_lender(workspace) {
+            return node.credits.borrow_mut().claim(node.now(), workspace, point);
+        }
+        let Some(peer) = node.peers.lender_in_zone(workspace) else { return false };
+        let request = Ask { resumed: Some(point), ..Ask::for_workspace(workspace.clone()) };
+        ask(node, &peer, request, BORROW_TIMEOUT).await.is_some_and(|answer| answer.charged)
+    }
+
     /// Returns whether a lender of a workspace in this host's zone can be asked.
     pub fn has_lender_in_zone(&self, workspace: &str) -> bool {
         self.lender_in_zone(workspace).is_some()
@@ -310,7 +331,7 @@
     ///
     /// They return to this host's account only if it is certain that they weren't sent.
     pub async fn give_back(node: Rc<Node>, workspace: Arc<str>, tokens: u64) {
-        let ask = Ask { workspace, tokens: 0, whole: false, returned: tokens };
+        let ask = Ask { returned: tokens, ..Ask::for_workspace(workspace) };
         let Some(peer) = node.peers.lender_in_zone(&ask.workspace) else {
             node.budgets.add_borrowed(&ask.workspace, tokens);
             return;
@@ -521,7 +542,12 @@
         tracing::warn!(event = "host_refused", reason = "malformed");
         return plain_response(StatusCode::BAD_REQUEST, Bytes::new());
     };
-    let lent = Budgets::lend(node, &ask).await;
+    if let Some(point) = ask.charged {
+        node.credits.borrow_mut().note(node.now(), &ask.workspace, point);
+    }
+    let is_charged = |point| node.credits.borrow_mut().claim(node.now(), &ask.workspace, point);
+    let charged = ask.resumed.is_some_and(is_charged);
+    let lent = Lent { charged, ..Budgets::lend(node, &ask).await };
     node.budgets.log_lent(node.now(), &ask, &lent);
     match lent.encode() {
         Ok(bytes) => plain_response(StatusCode::OK, Bytes::from(bytes)),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -19,17 +19,23 @@
     },
     http::request,
 };
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, timeout, timeout_at},
+};
+use wire::lend::{PromptDigest, ResumePoint};
 
 use crate::{
     account::{Progress, ReserveResult},
     attempt::{Attempt, StartError, UpstreamResponse},
     body::Body,
     budgets::{Budgets, Reservation},
-    catalog::{Catalog, Route, Service, Workspace},
+    catalog::{Catalog, RetryPolicy, Route, Service, Workspace},
+    credit::prompt_digest,
     node::{Node, Phase},
+    peer::Peers,
     relay::Relay,
-    request::{Call, Refusal},
+    request::{Call, LATE, Prompt, Refusal},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
 };
 
@@ -52,6 +58,9 @@
 /// Time for which new streams are still started after the host was asked to stop.
 const NEW_STREAM_GRACE: Duration = Duration::from_secs(3);
 
+/// Longest time for which the end of a stream that broke off waits until its charge is noted.
+const NOTE_CHARGE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Longest wait for the reservation of tokens, in percent of the route's target latency.
 const RESERVE_TIMEOUT_PERCENT: u32 = 75;
 
@@ -65,6 +74,21 @@
 /// Outcome of a request whose whole response was passed on.
 pub const ANSWERED: &str = "answered";
 
+/// Outcome of a request whose caller left.
+pub const CALLER_LEFT: &str = "caller_left";
+
+/// Charge for the prompt of a request, which stands for one that resumes it, too.
+#[derive(Debug)]
+pub struct PromptCharge {
+    digest: PromptDigest,
+    /// Whether an earlier request was charged for the prompt, which this one resumes.
+    is_paid: bool,
+    /// Id of the last event that callers have got.
+    last_event: Cell<Option<u64>>,
+    /// Whether the end of the request has been dealt with.
+    is_settled: Cell<bool>,
+}
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub struct Job {
@@ -94,6 +118,8 @@
     pub tried: RefCell<Vec<Arc<str>>>,
     /// Tokens reserved for it, if it uses a prepaid budget.
     pub reservation: RefCell<Option<Reservation>>,
+    /// Charge for its prompt, if it uses a prepaid budget and may be resumed.
+    pub prompt_charge: Option<PromptCharge>,
     /// Quarantined part of its prompt that it is to try.
     pub trial: Option<Arc<str>>,
     /// Whether its end has been logged.
@@ -143,11 +169,52 @@
     pub fn record_output(&self, output: u64) {
         let Some(prompt) = &self.call.prompt else { return };
         if let Some(reservation) = &mut *self.reservation.borrow_mut() {
-            reservation.set_used(prompt.input + output.min(prompt.output));
+            reservation.set_used(self.chargeable_input(prompt) + output.min(prompt.output));
             reservation.set_progress(Progress::Responding);
         }
     }
 
+    /// Records the id of the last event that was passed on.
+    pub fn record_last_event(&self, id: Option<u64>) {
+        if let Some(charge) = &self.prompt_charge {
+            charge.last_event.set(id);
+        }
+    }
+
+    /// Returns the tokens of the prompt for which nobody has been charged.
+    fn chargeable_input(&self, prompt: &Prompt) -> u64 {
+        let is_paid = self.prompt_charge.as_ref().is_some_and(|charge| charge.is_paid);
+        if is_paid { 0 } else { prompt.input }
+    }
+
+    /// Returns the charge for the prompt of a stream that didn't end, once, so that its caller can
+    /// resume it for nothing but its output. A caller that ends a resumed stream uses the charge up.
+    fn take_charge(&self, outcome: &str) -> Option<(Arc<str>, ResumePoint)> {
+        let (charge, workspace) = (self.prompt_charge.as_ref()?, self.workspace.as_ref()?);
+        let event = charge.last_event.get()?;
+        let is_ended_by_caller =
+            outcome == CALLER_LEFT || (outcome == LATE && self.is_deadline_of_caller());
+        let is_charged = if charge.is_paid {
+            !is_ended_by_caller
+        } else {
+            let reservation = self.reservation.borrow();
+            reservation.as_ref().is_some_and(|own| own.progress() == Progress::Responding)
+        };
+        let is_open = is_charged && outcome != ANSWERED && !charge.is_settled.replace(true);
+        let point = ResumePoint { prompt: charge.digest, event };
+        is_open.then(|| (workspace.name.clone(), point))
+    }
+
+    /// Notes the charge for the prompt of a stream that didn't end, before its caller hears of the
+    /// end and may resume it.
+    pub async fn note_charge(&self, outcome: &str) {
+        let Some((workspace, point)) = self.take_charge(outcome) else { return };
+        let noted = Peers::note_charge(self.node.clone(), workspace, point);
+        if timeout(NOTE_CHARGE_TIMEOUT, noted).await.is_err() {
+            tracing::info!(event = "charge_not_noted", id = %self.call.id);
+        }
+    }
+
     /// Charges the prompt of a request that its caller ended while a backend server may have been
     /// at work on it.
     pub fn charge_abandoned(&self) {
@@ -155,7 +222,7 @@
         if let Some(reservation) = &mut *self.reservation.borrow_mut()
             && reservation.progress() == Progress::Sent
         {
-            reservation.set_used(prompt.input);
+            reservation.set_used(self.chargeable_input(prompt));
         }
     }
 
@@ -178,6 +245,9 @@
         if self.logged.replace(true) {
             return;
         }
+        if let Some((workspace, point)) = self.take_charge(outcome) {
+            spawn_local(Peers::note_charge(self.node.clone(), workspace, point));
+        }
         if outcome == ANSWERED
             && let Some(reservation) = &mut *self.reservation.borrow_mut()
         {
@@ -199,6 +269,7 @@
             events,
             input = self.call.prompt.as_ref().map(|prompt| prompt.input),
             resume_after = self.call.resume_after,
+            paid = self.prompt_charge.as_ref().map(|charge| charge.is_paid),
             tokens = self.reservation.borrow().as_ref().map(Reservation::used),
             ms = elapsed.as_millis() as u64,
             left_ms = self.time_left().as_millis() as u64,
@@ -212,7 +283,7 @@
         if !self.logged.get() {
             self.charge_abandoned();
         }
-        self.log("caller_left", 0, 0);
+        self.log(CALLER_LEFT, 0, 0);
     }
 }
 
@@ -343,7 +414,18 @@
     let max_wait = call.max_wait.map_or(route.timeout, |max_wait| max_wait.min(route.timeout));
     let deadline = arrived + max_wait;
     node.with_retry_budget(&service.name, |budget| budget.record_request(node.now()));
-    let reservation = reserve(node, call, &route, workspace.as_deref(), deadline).await?;
+    let prompt_charge = prompt_charge(node, call, &head, &body, &route, workspace.as_deref()).await;
+    let is_paid = prompt_charge.as_ref().is_some_and(|charge| charge.is_paid);
+    let reserved = reserve(node, call, &route, workspace.as_deref(), is_paid, deadline).await;
+    let reservation = reserved.inspect_err(|_| {
+        // The next attempt of the caller may use it.
+        if let (Some(charge), Some(workspace)) = (&prompt_charge, &workspace)
+            && let (true, Some(event)) = (charge.is_paid, call.resume_after)
+        {
+            let point = ResumePoint { prompt: charge.digest, event };
+            spawn_local(Peers::note_charge(node.clone(), workspace.name.clone(), point));
+        }
+    })?;
     let retry_state =
         RetryState::new(route.retry_policy.allows_retry(), route.max_attempts, MAX_FAILED_CONNECTS);
     let job = Job {
@@ -360,6 +442,7 @@
         retry_state: RefCell::new(retry_state),
         tried: RefCell::default(),
         reservation: RefCell::new(reservation),
+        prompt_charge,
         trial,
         logged: Cell::new(false),
     };
@@ -419,11 +502,38 @@
     }
 }
 
+/// Finds out whether a request resumes a stream whose prompt was charged.
+async fn prompt_charge(
+    node: &Rc<Node>,
+    call: &Call,
+    head: &request::Parts,
+    body: &Bytes,
+    route: &Route,
+    workspace: Option<&Workspace>,
+) -> Option<PromptCharge> {
+    let (Some(prompt), Some(workspace)) = (&call.prompt, workspace) else { return None };
+    if workspace.prepaid.is_none() || route.retry_policy != RetryPolicy::Resumable {
+        return None;
+    }
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let digest = prompt_digest(head.method.as_str(), target, prompt, body);
+    let is_paid = match call.resume_after {
+        Some(event) => {
+            let point = ResumePoint { prompt: digest, event };
+            Peers::use_charge(node, &workspace.name, point).await
+        }
+        None => false,
+    };
+    let last_event = Cell::new(call.resume_after);
+    Some(PromptCharge { digest, is_paid, last_event, is_settled: Cell::new(false) })
+}
+
 async fn reserve(
     node: &Rc<Node>,
     call: &Call,
     route: &Route,
     workspace: Option<&Workspace>,
+    is_prompt_paid: bool,
     deadline: Instant,
 ) -> Result<Option<Reservation>, Refusal> {
     let (Some(prompt), Some(workspace)) = (&call.prompt, workspace) else { return Ok(None) };
@@ -432,7 +542,7 @@
     }
     let reserve_deadline =
         deadline.min(Instant::now() + route.target_latency * RESERVE_TIMEOUT_PERCENT / 100);
-    let tokens = prompt.max_charge();
+    let tokens = if is_prompt_paid { prompt.output } else { prompt.max_charge() };
     let error = match Budgets::reserve(node, &workspace.name, tokens, reserve_deadline).await {
         Ok(reservation) => return Ok(Some(reservation)),
         Err(error) => error,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,8 @@
     body::Truncated,
     catalog::RetryPolicy,
     events::Splitter,
-    proxy::{ANSWERED, ActiveRequest, Job},
+    proxy::{ANSWERED, ActiveRequest, CALLER_LEFT, Job},
+    request::LATE,
     retry_state::AttemptFailure,
 };
 
@@ -99,6 +100,7 @@
                 ReadResult::Interrupted(cause) => cause,
             };
             if !self.resume(cause).await {
+                self.job.note_charge(cause).await;
                 self.finish(cause);
                 return Some(Err(Truncated));
             }
@@ -170,7 +172,7 @@
         if self.job.is_deadline_of_caller() {
             self.job.charge_abandoned();
         }
-        ReadResult::Interrupted("late")
+        ReadResult::Interrupted(LATE)
     }
 
     /// Processes bytes of the response and returns those that can be passed on.
@@ -191,6 +193,7 @@
         let tokens = engine.map_or(DEFAULT_EVENT_TOKENS, |engine| engine.event_tokens);
         if !events.bytes.is_empty() {
             self.job.record_output(self.events * tokens);
+            self.job.record_last_event(self.splitter.last_id());
         }
         ReadResult::Bytes(events.bytes)
     }
@@ -276,7 +279,7 @@
     fn drop(&mut self) {
         if !self.ended {
             self.job.charge_abandoned();
-            self.job.log("caller_left", 200, self.events);
+            self.job.log(CALLER_LEFT, 200, self.events);
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,9 @@
 
 use crate::retry_state::ExecutionStatus;
 
+/// Reason of a request that wasn't answered by its deadline, and may have run.
+pub const LATE: &str = "late";
+
 /// Longest name of a part of a prompt that is kept, in bytes.
 const MAX_PART_NAME_BYTES: usize = 64;
 
@@ -29,6 +32,8 @@
     pub output: u64,
     /// Shared parts in order, without the end of the prompt, which belongs to this request alone.
     pub shared: Vec<Part>,
+    /// The end of the prompt, if it is named.
+    pub end: Option<Part>,
 }
 
 impl Prompt {
@@ -48,7 +53,13 @@
             };
             Part { name, prefix_hash, tokens }
         });
-        Self { input, output, shared: shared.collect() }
+        Self { input, output, shared: shared.collect(), end: None }
+    }
+
+    /// Makes the last part the end of the prompt, which isn't shared.
+    pub fn with_unshared_end(mut self) -> Self {
+        self.end = self.shared.pop();
+        self
     }
 
     /// Returns the number of tokens in the shared parts.
@@ -127,7 +138,7 @@
             Self::Overloaded(_) => "overloaded",
             Self::Quarantined { .. } => "quarantined",
             Self::Unknown => "unknown",
-            Self::TimeoutUnknown => "late",
+            Self::TimeoutUnknown => LATE,
         }
     }
 }
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -272,6 +272,12 @@
   list<TimelineEvent> timeline(1: string token, 2: TimelineQuery query) throws (1: Denied denied)
 }
 
+// Names the prompt of a stream by a digest of 32 bytes, and one of its events by its id.
+struct ResumePoint {
+  1: required binary prompt
+  2: required i64 event
+}
+
 // A host asks another for prepaid tokens of a workspace, or gives some back.
 struct LendAsk {
   1: required string workspace
@@ -280,6 +286,10 @@
   3: optional bool whole
   // Tokens that belong to the receiver from now on.
   4: optional i64 returned
+  // A stream that didn't end, whose prompt was charged, and the last event that was passed on.
+  5: optional ResumePoint charged
+  // A stream that is resumed; the answer tells whether its prompt was charged before.
+  6: optional ResumePoint resumed
 }
 
 // Tokens that the other host gave, what it could still give, what it gives back to the budget, and
@@ -289,4 +299,6 @@
   2: required i64 left
   3: required i64 returning
   4: optional bool exhausted
+  // The prompt of the resumed stream was charged; the receiver uses up this charge.
+  5: optional bool charged
 }
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -3477,6 +3477,74 @@
   }
 }
 
+//
+// ResumePoint
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ResumePoint {
+  pub prompt: Vec<u8>,
+  pub event: i64,
+}
+
+impl ResumePoint {
+  pub fn new(prompt: Vec<u8>, event: i64) -> ResumePoint {
+    ResumePoint {
+      prompt,
+      event,
+    }
+  }
+}
+
+impl TSerializable for ResumePoint {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<ResumePoint> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<u8>> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_bytes()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("ResumePoint.prompt", &f_1)?;
+    verify_required_field_exists("ResumePoint.event", &f_2)?;
+    let ret = ResumePoint {
+      prompt: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      event: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("ResumePoint");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("prompt", TType::String, 1))?;
+    o_prot.write_bytes(&self.prompt)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("event", TType::I64, 2))?;
+    o_prot.write_i64(self.event)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // LendAsk
 //
@@ -3487,15 +3555,19 @@
   pub tokens: i64,
   pub whole: Option<bool>,
   pub returned: Option<i64>,
+  pub charged: Option<ResumePoint>,
+  pub resumed: Option<ResumePoint>,
 }
 
 impl LendAsk {
-  pub fn new<F3, F4>(workspace: String, tokens: i64, whole: F3, returned: F4) -> LendAsk where F3: Into<Option<bool>>, F4: Into<Option<i64>> {
+  pub fn new<F3, F4, F5, F6>(workspace: String, tokens: i64, whole: F3, returned: F4, charged: F5, resumed: F6) -> LendAsk where F3: Into<Option<bool>>, F4: Into<Option<i64>>, F5: Into<Option<ResumePoint>>, F6: Into<Option<ResumePoint>> {
     LendAsk {
       workspace,
       tokens,
       whole: whole.into(),
       returned: returned.into(),
+      charged: charged.into(),
+      resumed: resumed.into(),
     }
   }
 }
@@ -3507,6 +3579,8 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<i64> = None;
+    let mut f_5: Option<ResumePoint> = None;
+    let mut f_6: Option<ResumePoint> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3530,6 +3604,14 @@
           let val = i_prot.read_i64()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = ResumePoint::read_from_in_protocol(i_prot)?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = ResumePoint::read_from_in_protocol(i_prot)?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3544,6 +3626,8 @@
       tokens: f_2.expect("auto-generated code should have checked for presence of required fields"),
       whole: f_3,
       returned: f_4,
+      charged: f_5,
+      resumed: f_6,
     };
     Ok(ret)
   }
@@ -3566,6 +3650,16 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.charged {
+      o_prot.write_field_begin(&TFieldIdentifier::new("charged", TType::Struct, 5))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.resumed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("resumed", TType::Struct, 6))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3581,15 +3675,17 @@
   pub left: i64,
   pub returning: i64,
   pub exhausted: Option<bool>,
+  pub charged: Option<bool>,
 }
 
 impl Lent {
-  pub fn new<F4>(tokens: i64, left: i64, returning: i64, exhausted: F4) -> Lent where F4: Into<Option<bool>> {
+  pub fn new<F4, F5>(tokens: i64, left: i64, returning: i64, exhausted: F4, charged: F5) -> Lent where F4: Into<Option<bool>>, F5: Into<Option<bool>> {
     Lent {
       tokens,
       left,
       returning,
       exhausted: exhausted.into(),
+      charged: charged.into(),
     }
   }
 }
@@ -3601,6 +3697,7 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<bool> = None;
+    let mut f_5: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3624,6 +3721,10 @@
           let val = i_prot.read_bool()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_bool()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3639,6 +3740,7 @@
       left: f_2.expect("auto-generated code should have checked for presence of required fields"),
       returning: f_3.expect("auto-generated code should have checked for presence of required fields"),
       exhausted: f_4,
+      charged: f_5,
     };
     Ok(ret)
   }
@@ -3659,6 +3761,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.charged {
+      o_prot.write_field_begin(&TFieldIdentifier::new("charged", TType::Bool, 5))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/wire/src/lend.rs
+++ b/crates/wire/src/lend.rs
@@ -9,7 +9,35 @@
 /// Most tokens that one message may name; sums of them can't overflow.
 const MOST_TOKENS: u64 = 1 << 50;
 
-/// A wish for tokens.
+/// Digest of a prompt.
+pub type PromptDigest = [u8; 32];
+
+/// A prompt, and an event of the response to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResumePoint {
+    /// Digest of the prompt.
+    pub prompt: PromptDigest,
+    /// Id of the event.
+    pub event: u64,
+}
+
+impl From<ResumePoint> for laburnum::ResumePoint {
+    fn from(point: ResumePoint) -> Self {
+        Self::new(point.prompt.to_vec(), point.event as i64)
+    }
+}
+
+impl TryFrom<laburnum::ResumePoint> for ResumePoint {
+    type Error = thrift::Error;
+
+    fn try_from(point: laburnum::ResumePoint) -> thrift::Result<Self> {
+        let prompt = point.prompt.try_into().map_err(|_| invalid("digest of a prompt"))?;
+        let event = u64::try_from(point.event).map_err(|_| invalid("id of an event"))?;
+        Ok(Self { prompt, event })
+    }
+}
+
+/// A wish for tokens, and what is said and asked about prompts that were charged.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
     /// Workspace whose tokens are wanted.
@@ -20,6 +48,10 @@
     pub whole: bool,
     /// Tokens that the asking host gives back; they belong to the other host from now on.
     pub returned: u64,
+    /// A stream that didn't end, whose prompt was charged, up to the last event passed on.
+    pub charged: Option<ResumePoint>,
+    /// A stream that is resumed; a charge for its prompt is to be used up.
+    pub resumed: Option<ResumePoint>,
 }
 
 /// Answer to an [`Ask`].
@@ -33,9 +65,16 @@
     pub returning: u64,
     /// The budget has just been seen not to cover the wish.
     pub exhausted: bool,
+    /// The prompt of the resumed stream was charged.
+    pub charged: bool,
 }
 
 impl Ask {
+    /// Creates a wish for nothing.
+    pub fn for_workspace(workspace: Arc<str>) -> Self {
+        Self { workspace, tokens: 0, whole: false, returned: 0, charged: None, resumed: None }
+    }
+
     /// Writes the wish.
     ///
     /// # Errors
@@ -44,7 +83,10 @@
     pub fn encode(&self) -> thrift::Result<Vec<u8>> {
         let workspace = self.workspace.to_string();
         let returned = (self.returned > 0).then_some(self.returned as i64);
-        encode(&laburnum::LendAsk::new(workspace, self.tokens as i64, self.whole, returned))
+        let point = |point: Option<ResumePoint>| point.map(laburnum::ResumePoint::from);
+        let (charged, resumed) = (point(self.charged), point(self.resumed));
+        let tokens = self.tokens as i64;
+        encode(&laburnum::LendAsk::new(workspace, tokens, self.whole, returned, charged, resumed))
     }
 
     /// Reads a wish.
@@ -56,7 +98,14 @@
         let ask: laburnum::LendAsk = decode(bytes)?;
         let whole = ask.whole.unwrap_or_default();
         let returned = count(ask.returned.unwrap_or_default())?;
-        Ok(Self { workspace: ask.workspace.into(), tokens: count(ask.tokens)?, whole, returned })
+        Ok(Self {
+            workspace: ask.workspace.into(),
+            tokens: count(ask.tokens)?,
+            whole,
+            returned,
+            charged: ask.charged.map(ResumePoint::try_from).transpose()?,
+            resumed: ask.resumed.map(ResumePoint::try_from).transpose()?,
+        })
     }
 }
 
@@ -68,7 +117,8 @@
     /// Fails where it has no form on the wire.
     pub fn encode(&self) -> thrift::Result<Vec<u8>> {
         let (tokens, left) = (self.tokens as i64, self.left as i64);
-        encode(&laburnum::Lent::new(tokens, left, self.returning as i64, self.exhausted))
+        let (returning, charged) = (self.returning as i64, self.charged.then_some(true));
+        encode(&laburnum::Lent::new(tokens, left, returning, self.exhausted, charged))
     }
 
     /// Reads an answer.
@@ -83,6 +133,7 @@
             left: count(lent.left)?,
             returning: count(lent.returning)?,
             exhausted: lent.exhausted.unwrap_or_default(),
+            charged: lent.charged.unwrap_or_default(),
         })
     }
 }
@@ -91,13 +142,15 @@
 fn count(tokens: i64) -> thrift::Result<u64> {
     match u64::try_from(tokens) {
         Ok(tokens) if tokens <= MOST_TOKENS => Ok(tokens),
-        _ => Err(thrift::Error::Protocol(thrift::ProtocolError::new(
-            thrift::ProtocolErrorKind::InvalidData,
-            format!("{tokens} tokens"),
-        ))),
+        _ => Err(invalid(&format!("{tokens} tokens"))),
     }
 }
 
+fn invalid(what: &str) -> thrift::Error {
+    let kind = thrift::ProtocolErrorKind::InvalidData;
+    thrift::Error::Protocol(thrift::ProtocolError::new(kind, what))
+}
+
 fn encode(value: &impl TSerializable) -> thrift::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     value.write_to_out_protocol(&mut TBinaryOutputProtocol::new(&mut bytes, true))?;
--- a/crates/wire/tests/lend.rs
+++ b/crates/wire/tests/lend.rs
@@ -1,10 +1,10 @@
 //! Messages by which hosts lend each other tokens.
 
 use test_case::test_case;
-use wire::lend::{Ask, Lent};
+use wire::lend::{Ask, Lent, ResumePoint};
 
 fn ask(tokens: u64) -> Ask {
-    Ask { workspace: "w".into(), tokens, whole: true, returned: 0 }
+    Ask { tokens, whole: true, ..Ask::for_workspace("w".into()) }
 }
 
 #[test]
@@ -13,7 +13,12 @@
     assert_eq!(Ask::decode(&wish.encode().expect("written")).expect("read"), wish);
     let gift = Ask { returned: 300, ..ask(0) };
     assert_eq!(Ask::decode(&gift.encode().expect("written")).expect("read"), gift);
-    let lent = Lent { tokens: 7_000, left: 3, returning: 20, exhausted: true };
+    let point = ResumePoint { prompt: [7; 32], event: 12 };
+    let charge = Ask { charged: Some(point), ..ask(0) };
+    assert_eq!(Ask::decode(&charge.encode().expect("written")).expect("read"), charge);
+    let resumed = Ask { resumed: Some(point), ..ask(0) };
+    assert_eq!(Ask::decode(&resumed.encode().expect("written")).expect("read"), resumed);
+    let lent = Lent { tokens: 7_000, left: 3, returning: 20, exhausted: true, charged: true };
     assert_eq!(Lent::decode(&lent.encode().expect("written")).expect("read"), lent);
 }
 
