Read the limit that a rejection without an id names also on kept connections

Since rejections without an id prove nothing on a reused connection, their limit was ignored there, too, so that one request for each kept connection went to a backend server that had named it. A limit that is named counts from any response without another request's id; only silence needs a response that is certainly to this request. An unsealed success still says nothing.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -375,6 +375,14 @@
             || head.headers.contains_key(TRANSFER_ENCODING);
         self.record_statements(&reply);
         let is_own = reply.id.as_ref().map(|id| **id == *job.call.id);
+        // A rejection may state no id; only a response that certainly is to this request tells by
+        // its silence that a limit has ended.
+        let names_limit = matches!(reply.limit, LimitStatement::PerSecond(_));
+        let is_authentic = !is_success || reply.authentic;
+        let is_stated = (is_own == Some(true) && is_authentic) || (is_own.is_none() && names_limit);
+        if is_stated && head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_limit(reply.limit);
+        }
         // On a connection that has carried another request, a response may be a late copy of one
         // to that request unless its id tells otherwise.
         let is_reused = self.connection.as_ref().is_some_and(Connection::is_reused);
@@ -382,7 +390,7 @@
             Some(is_own) => is_own,
             None => !is_success && !is_reused,
         };
-        if !is_trusted || (is_success && !reply.authentic) {
+        if !is_trusted || !is_authentic {
             tracing::warn!(
                 event = "answer_foreign",
                 id = %job.call.id,
@@ -394,13 +402,6 @@
             self.health = HealthSignal::Failed;
             return Err(AttemptFailure::Unknown);
         }
-        // A rejection may state no id; only a response that certainly is to this request tells by
-        // its silence that a limit has ended.
-        let names_limit = matches!(reply.limit, LimitStatement::PerSecond(_));
-        let is_stated = is_own == Some(true) || (is_own.is_none() && names_limit);
-        if is_stated && head.status != StatusCode::MISDIRECTED_REQUEST {
-            self.record_limit(reply.limit);
-        }
         if let Some(load) = reply.load
             && let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id)
         {
