Pause the limit on use until witnesses have noted that a process goes on

A takeover charged for use until its own start, since a process that lives goes on without a renewal while the platform is away.

Now the limit pauses 0.2 s after a renewal was due, unless up to five other hosts, named in the row, have all noted that the process goes on. The next process asks them; one that has been there since before the row was written, and has no note, proves that nothing accrued after the pause, and the tokens are recovered. Where no witness is left, what is given up is as before. Accounts are looked at every 100 ms instead of 250, so that rows are renewed in time and witnesses rarely asked.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -12,6 +12,10 @@
 //! unused at its own start, by the platform's clock; only the rest is lost. A request that exceeds
 //! the burst waits for one transaction that raises it.
 //!
+//! The limit also pauses if the row isn't renewed in time, until other hosts, the witnesses, have
+//! noted that the process goes on. So the next process claims what the one before could have used
+//! only with such a note, and gets it as soon as a witness tells that there is none.
+//!
 //! Every transaction has the host's row as a condition and increments the number in it. A
 //! transaction whose answer was lost is sent again unchanged: it then commits, or the row that
 //! comes back tells whether it had been committed before. Until that is known, the process keeps to
@@ -25,6 +29,7 @@
 mod allocation;
 mod budget;
 mod environment;
+mod extension;
 mod outcome;
 mod plan;
 mod rate;
@@ -42,6 +47,7 @@
     allocation::{Allocation, Relaxed},
     budget::{Budget, COPY_MAX_AGE, Ceiling, Marker},
     environment::{Environment, Loss},
+    extension::{Claim, ExtensionRequest},
     turnover::{ByProgress, Progress, Turnover},
 };
 
@@ -168,6 +174,12 @@
     transaction_time: Duration,
     /// When tokens were last used.
     used_at: Duration,
+    /// Hosts that note it if this process can't renew its row.
+    witnesses: Arc<[Arc<str>]>,
+    /// When they were last asked.
+    extension_asked_at: Option<Duration>,
+    /// What this process claims of the one before.
+    claim: Option<Claim>,
     /// Moving average of request sizes in tokens.
     mean_request: f64,
     /// Another host lacks tokens.
@@ -219,6 +231,9 @@
             slow_rate: Rate::over(SLOW_RATE_WINDOW),
             transaction_time: Duration::ZERO,
             used_at: Duration::ZERO,
+            witnesses: Arc::default(),
+            extension_asked_at: None,
+            claim: None,
             mean_request: 0.0,
             holder,
             recalled: false,
--- a/crates/gateway/src/account/outcome.rs
+++ b/crates/gateway/src/account/outcome.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Account, Allocation, Budget, Marker, Pending, budget::COPY_MAX_AGE, plan::RATE_MARGIN,
+    Account, Allocation, Budget, Claim, Marker, Pending, budget::COPY_MAX_AGE, plan::RATE_MARGIN,
 };
 
 /// Delay after a transaction or a read that failed.
@@ -197,6 +197,17 @@
             Some(start) if is_current => previous.min_unspent(start),
             _ => 0,
         };
+        let unextended = match process_start_ms {
+            Some(start) if is_current => previous.min_unspent_unextended(start),
+            _ => 0,
+        };
+        self.claim = (unextended > held).then(|| Claim {
+            version: previous.version(&self.workspace),
+            written_ms: previous.written_ms,
+            witnesses: previous.witnesses.clone(),
+            tokens: unextended - held,
+            era: previous.era,
+        });
         // An earlier read may have taken over the same row; borrowed tokens stay.
         let others = self.held.saturating_sub(self.turnover.taken_over);
         self.turnover.taken_over = self.turnover.taken_over + others + held - self.held;
@@ -215,6 +226,7 @@
             former = %previous.holder,
             tokens = previous.tokens,
             held,
+            claimed = unextended - held,
             burst = previous.burst,
             rate = previous.rate,
             era = previous.era,
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -52,6 +52,9 @@
 /// process that died usually takes to start again.
 const RESTART_TIMEOUT: Duration = Duration::from_millis(1300);
 
+/// Time after an allocation was due to be renewed, by which the renewal is usually done.
+const RENEWAL_TIME: Duration = Duration::from_millis(200);
+
 /// Further time for which the rest of an allocation is kept for a process that starts late, as
 /// after a power failure; the rate is only relaxed meanwhile.
 const LATE_RESTART_GRACE: Duration = Duration::from_millis(5100);
@@ -60,7 +63,7 @@
 const IDLE_RATE_DIVISOR: u64 = 2;
 
 /// Minimum time between two checks of an account that has nothing to do.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Part of the prepaid amount, in percent: hosts return what they don't need while less than this
 /// is ungranted.
@@ -365,6 +368,9 @@
         };
         let relax_after = renewal_interval + RESTART_TIMEOUT;
         let unlimited_after = relax_after + LATE_RESTART_GRACE;
+        let has_witnesses = !self.witnesses.is_empty();
+        let pause_after =
+            if has_witnesses { renewal_interval + RENEWAL_TIME } else { Duration::MAX };
         let relaxed_rate = self.relaxed_rate(now, &environment);
         let burst = self.burst(max_rate);
         let allocation = Allocation {
@@ -380,6 +386,8 @@
                 rate: relaxed_rate,
                 until_ms: unlimited_after.as_millis() as u64,
             }),
+            pause_ms: if has_witnesses { pause_after.as_millis() as u64 } else { 0 },
+            witnesses: self.witnesses.to_vec(),
             era: environment.era,
         };
         let mut txn = Txn::default();
@@ -409,6 +417,8 @@
             relaxed_rate,
             relax_after,
             unlimited_after,
+            pause_after,
+            is_extended: false,
             written_at: now,
             idle: !in_use,
         };
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -14,12 +14,13 @@
 };
 
 use coordination::table::{Op, Outcome};
+use futures_util::future::join_all;
 use tokio::{
     sync::Notify,
     task::spawn_local,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use wire::lend::{Ask, Lent};
+use wire::lend::{AllocationNote, Ask, Lent};
 
 pub use self::reservation::{Reservation, ReserveError};
 use self::{reservation::QueuedRequest, statement::Statements, write_limiter::WriteLimiter};
@@ -29,10 +30,11 @@
     dialect::Source,
     node::Node,
     peer::Peers,
+    witness::AllocationVersion,
 };
 
 /// Interval at which all accounts are checked while no request waits.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Most times that other hosts are asked for tokens for one request.
 const MAX_BORROW_ROUNDS: u32 = 3;
@@ -48,7 +50,8 @@
 const PEERS_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Loan of no tokens, as for a workspace that isn't known.
-const NO_LOAN: Lent = Lent { tokens: 0, left: 0, returning: 0, exhausted: false, charged: false };
+const NO_LOAN: Lent =
+    Lent { tokens: 0, left: 0, returning: 0, exhausted: false, charged: false, noted: None };
 
 /// Share of the platform's writes that all hosts together make for budgets, in percent.
 const WRITE_SHARE_PERCENT: u64 = 80;
@@ -209,6 +212,8 @@
                     timeout_at(deadline, ended).await.map_err(|_| ReserveResult::Unavailable)?;
                 }
                 ReserveResult::WaitFor(time) if Instant::now() + time <= deadline => {
+                    // The limit may have to be extended.
+                    node.budgets.work_due.notify_one();
                     let _ = timeout(time, ended).await;
                 }
                 ReserveResult::WaitFor(_) => return Err(ReserveResult::Unavailable),
@@ -345,6 +350,8 @@
         loop {
             Self::start_due_steps(&node, &source);
             Self::give_leftovers_back(&node);
+            Self::extend(&node);
+            Self::claim(&node);
             node.budgets.statements.borrow_mut().log(node.now(), &node.budgets.accounts.borrow());
             // Without a notification the accounts are checked once per poll interval.
             let _ = timeout(POLL_INTERVAL, node.budgets.work_due.notified()).await;
@@ -373,6 +380,8 @@
         };
         let mut writes = node.budgets.writes.borrow_mut();
         writes.refill(now, writes_per_s as f64 / node.hosts() as f64);
+        let witnesses = node.peers.witnesses();
+        accounts.values_mut().for_each(|account| account.set_witnesses(&witnesses));
         // Accounts with waiting requests come first.
         let mut order: Vec<_> = accounts.iter_mut().collect();
         order.sort_by_key(|(_, account)| account.urgency());
@@ -398,6 +407,74 @@
         }
     }
 
+    /// Lets witnesses note that this process goes on using allocations which it can't renew.
+    fn extend(node: &Rc<Node>) {
+        let now = node.now();
+        for account in node.budgets.accounts.borrow_mut().values_mut() {
+            let Some(request) = account.extension_due(now) else { continue };
+            let node = node.clone();
+            spawn_local(async move {
+                let AllocationVersion { holder, workspace, number } = request.version;
+                let note = AllocationNote { holder, number, written_ms: None };
+                let asked = request
+                    .witnesses
+                    .iter()
+                    .map(|witness| Peers::ask_witness(&node, witness, &workspace, note.clone()));
+                let answers = join_all(asked).await;
+                let is_noted = answers.iter().all(|answer| *answer == Some(true));
+                tracing::info!(
+                    event = "stake_extended",
+                    %workspace,
+                    number,
+                    witnesses = request.witnesses.len(),
+                    is_noted,
+                );
+                if is_noted
+                    && let Some(account) = node.budgets.accounts.borrow_mut().get_mut(&workspace)
+                {
+                    account.extend(number);
+                }
+                node.budgets.transaction_ended.notify_waiters();
+            });
+        }
+    }
+
+    /// Asks witnesses whether the process before went on using allocations without a renewal.
+    fn claim(node: &Rc<Node>) {
+        for account in node.budgets.accounts.borrow_mut().values_mut() {
+            let Some(claim) = account.take_claim() else { continue };
+            let node = node.clone();
+            spawn_local(async move {
+                let note = AllocationNote {
+                    holder: claim.version.holder.clone(),
+                    number: claim.version.number,
+                    written_ms: Some(claim.written_ms),
+                };
+                let workspace = &claim.version.workspace;
+                let asked = claim
+                    .witnesses
+                    .iter()
+                    .map(|witness| Peers::ask_witness(&node, witness, workspace, note.clone()));
+                let answers = join_all(asked).await;
+                // Without the note of one of them, the process before couldn't go on.
+                let is_proved = answers.contains(&Some(false));
+                tracing::info!(
+                    event = "stake_claimed",
+                    %workspace,
+                    tokens = claim.tokens,
+                    witnesses = claim.witnesses.len(),
+                    is_proved,
+                );
+                if is_proved
+                    && let Some(account) = node.budgets.accounts.borrow_mut().get_mut(workspace)
+                {
+                    account.recover(&claim);
+                }
+                node.budgets.transaction_ended.notify_waiters();
+            });
+        }
+    }
+
     /// Gives tokens that requests left over to the lenders in this zone.
     fn give_leftovers_back(node: &Rc<Node>) {
         let now = node.now();
@@ -424,6 +501,9 @@
         let now = node.now();
         // The clock after the answer isn't before the call, so that this isn't before the start.
         let process_start_ms = source.clock_ms().map(|clock| clock.saturating_sub(called_at_ms));
+        if matches!(outcome, Outcome::Rows(_) | Outcome::Committed(_) | Outcome::Conflict(_)) {
+            node.record_start(process_start_ms);
+        }
         // An answer of another era leaves the outcome open as well.
         let is_lost = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
         if is_lost && source.era() == era {
--- a/crates/gateway/src/lender.rs
+++ b/crates/gateway/src/lender.rs
@@ -55,6 +55,21 @@
         first == Some(site)
     }
 
+    /// Returns the names of hosts that are spread over the zones, those of other zones first.
+    pub fn witnesses(&self, own: &Site, max: usize) -> Vec<Arc<str>> {
+        let ranked = |zone: &[(u64, Site)]| -> Vec<Arc<str>> {
+            let hosts = by_descending_weight(zone, &own.host);
+            hosts.filter(|site| site.host != own.host).map(|site| site.host.clone()).collect()
+        };
+        let mut zones: Vec<_> =
+            self.zones.iter().map(|(name, zone)| (*name == own.zone, ranked(zone))).collect();
+        zones.sort_by_key(|(is_own, _)| *is_own);
+        let longest = zones.iter().map(|(_, hosts)| hosts.len()).max().unwrap_or_default();
+        let hosts = (0..longest)
+            .flat_map(|place| zones.iter().filter_map(move |(_, hosts)| hosts.get(place)));
+        hosts.take(max).cloned().collect()
+    }
+
     /// Returns the hosts to ask for tokens of a workspace: the lender in `host_zone` and its
     /// standby, then the lenders in other zones.
     pub fn rank(&self, workspace: &str, host_zone: &str) -> Vec<Site> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! the others), [`retry_budget`] (limit on retries), [`overload`] (whether this host can take a
 //! request at all), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
-//! prompt was charged before),
+//! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
 //! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
 //! (whether a request may be sent again and what its caller is told).
 
@@ -46,5 +46,6 @@
 pub mod retry_state;
 pub mod service;
 mod subscription;
+pub mod witness;
 
 pub use crate::lifecycle::run;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,7 @@
     pool::Pool,
     quarantine::Quarantine,
     retry_budget::{RetryBudget, RetryLimit},
+    witness::Notes,
 };
 
 /// Number of hosts assumed until the list of hosts has been read.
@@ -121,6 +122,10 @@
     pub budgets: Budgets,
     /// Prompts that were charged for streams that didn't end.
     pub credits: RefCell<Credits>,
+    /// Other hosts' allocations that go on without a renewal.
+    pub notes: RefCell<Notes>,
+    /// A time at or after the start of this process, in milliseconds of the platform's clock.
+    pub started_ms: Cell<Option<u64>>,
     /// Other hosts.
     pub peers: Peers,
     /// Copy of the platform's lists that one host keeps for all.
@@ -189,6 +194,8 @@
             pool: Pool::default(),
             crashes: Crashes::default(),
             credits: RefCell::default(),
+            notes: RefCell::default(),
+            started_ms: Cell::new(None),
             directory: RefCell::new(directory),
             directory_changed: Notify::new(),
             has_shared_rows: Cell::new(false),
@@ -293,6 +300,18 @@
         self.has_shared_rows.set(true);
     }
 
+    /// Records an upper bound of the start of this process, in milliseconds of the platform's clock.
+    pub fn record_start(&self, bound_ms: Option<u64>) {
+        let bounds = self.started_ms.get().into_iter().chain(bound_ms);
+        self.started_ms.set(bounds.min());
+    }
+
+    /// Returns the platform's clock in milliseconds, if it has been read; the actual time may be
+    /// later.
+    pub fn platform_ms(&self) -> Option<u64> {
+        Some(self.started_ms.get()? + self.now().as_millis() as u64)
+    }
+
     /// Returns the number of hosts that share budgets and limits.
     pub fn hosts(&self) -> u64 {
         self.hosts.get().unwrap_or(DEFAULT_HOSTS)
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -34,13 +34,14 @@
     task::spawn_local,
     time::{Instant, timeout},
 };
-use wire::lend::{Ask, Lent, ResumePoint};
+use wire::lend::{AllocationNote, Ask, Lent, ResumePoint};
 
 use crate::{
     budgets::Budgets,
     edge::{accept, plain_response},
     lender::{Lenders, Site},
     node::Node,
+    witness::AllocationVersion,
 };
 
 /// Longest time to wait for the answer of one host.
@@ -59,6 +60,12 @@
 /// Maximum number of lenders that are asked before this host makes a transaction itself.
 const MAX_LENDERS_ASKED: usize = 3;
 
+/// Maximum number of witnesses of a host's allocations.
+const MAX_WITNESSES: usize = 5;
+
+/// Number of hosts from which they are chosen.
+const MAX_WITNESS_CANDIDATES: usize = 10;
+
 /// Maximum number of requests for which lenders are asked for all tokens at the same time.
 const MAX_LENDER_REQUESTS: usize = 64;
 
@@ -134,6 +141,10 @@
     lenders: RefCell<Lenders>,
     /// Lenders of each workspace as far as they were looked up in the current list.
     lookups: RefCell<HashMap<Arc<str>, Rc<Lookup>>>,
+    /// Hosts that may note it if this one can't renew its allocations, by rank.
+    witness_candidates: RefCell<Vec<Rc<RefCell<Peer>>>>,
+    /// Names of those that were chosen last.
+    witnesses: RefCell<Arc<[Arc<str>]>>,
     /// Secret shared by all hosts, which authenticates their messages.
     key: RefCell<Option<Arc<str>>>,
     /// Whether the other hosts have been read.
@@ -153,6 +164,8 @@
             others: RefCell::default(),
             lenders: RefCell::default(),
             lookups: RefCell::default(),
+            witness_candidates: RefCell::default(),
+            witnesses: RefCell::default(),
             key: RefCell::default(),
             is_known: Cell::new(false),
             became_known: Notify::new(),
@@ -206,6 +219,9 @@
             others.push(Rc::new(RefCell::new(peer)));
         }
         self.lookups.borrow_mut().clear();
+        let ranked = self.lenders.borrow().witnesses(&self.own.site, MAX_WITNESS_CANDIDATES);
+        let find = |host| others.iter().find(|peer| peer.borrow().info.site.host == host).cloned();
+        *self.witness_candidates.borrow_mut() = ranked.into_iter().filter_map(find).collect();
     }
 
     fn is_unchanged(&self, infos: &[PeerInfo]) -> bool {
@@ -314,6 +330,35 @@
         ask(node, &peer, request, BORROW_TIMEOUT).await.is_some_and(|answer| answer.charged)
     }
 
+    /// Returns the names of the witnesses of this host's allocations: the first hosts of a ranking
+    /// that can be asked.
+    pub fn witnesses(&self) -> Arc<[Arc<str>]> {
+        let candidates = self.witness_candidates.borrow();
+        let reachable = candidates.iter().filter(|peer| peer.borrow().can_ask());
+        let names: Vec<_> = reachable
+            .take(MAX_WITNESSES)
+            .map(|peer| peer.borrow().info.site.host.clone())
+            .collect();
+        let mut witnesses = self.witnesses.borrow_mut();
+        if **witnesses != names[..] {
+            *witnesses = names.into();
+        }
+        witnesses.clone()
+    }
+
+    /// Asks a host about a row of an allocation, or to note it; `None` if it can't tell.
+    pub async fn ask_witness(
+        node: &Rc<Node>,
+        witness: &str,
+        workspace: &Arc<str>,
+        note: AllocationNote,
+    ) -> Option<bool> {
+        let find = |peer: &&Rc<RefCell<Peer>>| *peer.borrow().info.site.host == *witness;
+        let peer = node.peers.others.borrow().iter().find(find).cloned()?;
+        let request = Ask { note: Some(note), ..Ask::for_workspace(workspace.clone()) };
+        ask(node, &peer, request, BORROW_TIMEOUT).await?.noted
+    }
+
     /// Returns whether a lender of a workspace in this host's zone can be asked.
     pub fn has_lender_in_zone(&self, workspace: &str) -> bool {
         self.lender_in_zone(workspace).is_some()
@@ -547,7 +592,19 @@
     }
     let is_charged = |point| node.credits.borrow_mut().claim(node.now(), &ask.workspace, point);
     let charged = ask.resumed.is_some_and(is_charged);
-    let lent = Lent { charged, ..Budgets::lend(node, &ask).await };
+    let noted = ask.note.as_ref().and_then(|note| {
+        let workspace = ask.workspace.clone();
+        let version =
+            AllocationVersion { holder: note.holder.clone(), workspace, number: note.number };
+        let mut notes = node.notes.borrow_mut();
+        match note.written_ms {
+            None => Some(notes.note(node.now(), &version)),
+            Some(written_ms) => {
+                notes.find(&version, node.started_ms.get(), node.platform_ms(), written_ms)
+            }
+        }
+    });
+    let lent = Lent { charged, noted, ..Budgets::lend(node, &ask).await };
     node.budgets.log_lent(node.now(), &ask, &lent);
     match lent.encode() {
         Ok(bytes) => plain_response(StatusCode::OK, Bytes::from(bytes)),
--- a/crates/gateway/tests/account/killed.rs
+++ b/crates/gateway/tests/account/killed.rs
@@ -1,12 +1,12 @@
 //! What a budget loses when all processes that hold its tokens end at once, again and again.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use gateway::account::{Account, Environment, Loss, Progress, ReserveResult, Step};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 use test_case::test_case;
 
-use crate::simulation::{Table, WORKSPACE};
+use crate::simulation::{Table, WITNESS, WORKSPACE};
 
 const LENDERS: usize = 3;
 const PREPAID: u64 = 1_800_000;
@@ -26,6 +26,8 @@
     kills: u64,
     /// Tokens that may be lost at each, in thousandths of the budget.
     max_lost_per_mille: u64,
+    /// Whether a host that doesn't end is a witness of all allocations.
+    has_witness: bool,
 }
 
 struct Lender {
@@ -36,10 +38,13 @@
 }
 
 impl Lender {
-    fn start(host: usize, now_ms: u64) -> Self {
+    fn start(host: usize, now_ms: u64, has_witness: bool) -> Self {
         let holder = format!("h{host}-{now_ms}");
         let mut account = Account::new(WORKSPACE.into(), &format!("h{host}"), holder.into());
         account.set_prepaid(PREPAID);
+        if has_witness {
+            account.set_witnesses(&Arc::from([Arc::from(WITNESS)]));
+        }
         Self { account, started_ms: now_ms, in_progress: Vec::new() }
     }
 
@@ -94,7 +99,8 @@
 fn play(case: &Case, seed: u64) -> Vec<u64> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut table = Table::default();
-    let mut lenders: Vec<Lender> = (0..LENDERS).map(|host| Lender::start(host, 0)).collect();
+    let mut lenders: Vec<Lender> =
+        (0..LENDERS).map(|host| Lender::start(host, 0, case.has_witness)).collect();
     let mut lost = Vec::new();
     let mut now_ms = 0;
     while (lost.len() as u64) < case.kills {
@@ -102,9 +108,14 @@
         if now_ms.is_multiple_of(case.period_ms) {
             let held: u64 = lenders.iter().map(|lender| lender.account.balance().0).sum();
             now_ms += case.down_ms;
-            lenders = (0..LENDERS).map(|host| Lender::start(host, now_ms)).collect();
+            let start = |host| Lender::start(host, now_ms, case.has_witness);
+            lenders = (0..LENDERS).map(start).collect();
             for lender in &mut lenders {
                 lender.transact(&mut table, now_ms);
+                // The table could be reached all the time, so that nothing was noted.
+                if let Some(claim) = lender.account.take_claim() {
+                    lender.account.recover(&claim);
+                }
             }
             let taken: u64 = lenders.iter().map(|own| own.account.turnover().1.taken_over).sum();
             lost.push(held.saturating_sub(taken));
@@ -122,9 +133,10 @@
     lost
 }
 
-#[test_case(Case { period_ms: 40_000, down_ms: 300, kills: 1, max_lost_per_mille: 20 }; "one kill")]
-#[test_case(Case { period_ms: 5_000, down_ms: 300, kills: 7, max_lost_per_mille: 20 }; "kills in series")]
-#[test_case(Case { period_ms: 5_000, down_ms: 1_000, kills: 7, max_lost_per_mille: 20 }; "losses of power in series")]
+#[test_case(Case { period_ms: 40_000, down_ms: 300, kills: 1, max_lost_per_mille: 20, has_witness: false }; "one kill")]
+#[test_case(Case { period_ms: 5_000, down_ms: 300, kills: 7, max_lost_per_mille: 20, has_witness: false }; "kills in series")]
+#[test_case(Case { period_ms: 5_000, down_ms: 1_000, kills: 7, max_lost_per_mille: 20, has_witness: false }; "losses of power in series")]
+#[test_case(Case { period_ms: 5_000, down_ms: 1_000, kills: 7, max_lost_per_mille: 20, has_witness: true }; "losses of power in series beside a witness")]
 fn processes_that_end_together_lose_little_of_the_budget(case: Case) {
     const SEEDS: u64 = 20;
     let lost: u64 = (0..SEEDS).flat_map(|seed| play(&case, seed)).sum();
--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -1,6 +1,7 @@
 //! Prepaid accounts of several hosts that share one table, with kills, lost answers and outages.
 
 mod killed;
+mod recovered;
 mod restored;
 mod simulation;
 
@@ -16,7 +17,7 @@
 
 #[test]
 fn use_never_exceeds_the_prepaid_amount_over_random_histories() {
-    let mut served = 0;
+    let (mut served, mut recovered) = (0, 0);
     for seed in 0..300 {
         let mut simulation = Simulation::new(seed, 4, 60_000);
         for _ in 0..1500 {
@@ -24,7 +25,9 @@
             assert!(simulation.used <= simulation.prepaid, "seed {seed}: {} used", simulation.used);
         }
         served += simulation.used;
+        recovered += simulation.recovered;
     }
+    assert!(recovered > 0, "no process recovered anything of the one before");
     // If hardly anything were used, the check above would prove nothing.
     assert!(served > 300 * 30_000, "{served} used in all");
 }
@@ -85,6 +88,25 @@
     assert_eq!(allocation.min_unspent(7000 + case.elapsed_ms), case.unspent);
 }
 
+#[test_case(Case { elapsed_ms: 700, unspent: 865 }; "the rate accrues at first")]
+#[test_case(Case { elapsed_ms: 1500, unspent: 860 }; "then nothing more")]
+#[test_case(Case { elapsed_ms: 1999, unspent: 860 }; "until the rate is relaxed")]
+#[test_case(Case { elapsed_ms: 2000, unspent: 800 }; "when notes prove nothing any more")]
+#[test_case(Case { elapsed_ms: 4000, unspent: 0 }; "and in the end nothing is certain")]
+fn allocation_that_nobody_noted_accrued_until_its_pause(case: Case) {
+    let allocation = Allocation {
+        tokens: 1000,
+        burst: 100,
+        rate: 50,
+        written_ms: 7000,
+        pause_ms: 800,
+        unlock_ms: 2000,
+        relaxed: Some(Relaxed { rate: 300, until_ms: 4000 }),
+        ..Allocation::default()
+    };
+    assert_eq!(allocation.min_unspent_unextended(7000 + case.elapsed_ms), case.unspent);
+}
+
 fn assert_min_unspent(case: &Case, unlock_ms: u64, open_ms: u64) {
     let allocation = Allocation {
         tokens: 1000,
--- a/crates/gateway/tests/account/simulation.rs
+++ b/crates/gateway/tests/account/simulation.rs
@@ -10,6 +10,7 @@
 use gateway::{
     account::{Account, Environment, Loss, Progress, ReserveResult, Step},
     era::EraStart,
+    witness::Notes,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
@@ -17,6 +18,9 @@
 pub const COPY_MAX_AGE_MS: u64 = 10_000;
 
 pub const WORKSPACE: &str = "w";
+
+/// Host that notes which allocations go on without a renewal.
+pub const WITNESS: &str = "witness";
 pub const MILLISECOND: Duration = Duration::from_millis(1);
 
 type Rows = BTreeMap<Arc<str>, (Arc<str>, u64)>;
@@ -105,6 +109,11 @@
     more_hosts: u64,
     /// Whether processes take note of the table's era.
     pub notes_eras: bool,
+    /// What the witness of all hosts has noted since it started, and when that was.
+    notes: Notes,
+    witness_started_ms: u64,
+    /// Tokens that processes recovered of the ones before.
+    pub recovered: u64,
 }
 
 impl Simulation {
@@ -120,6 +129,9 @@
             delayed: Vec::new(),
             more_hosts: if seed.is_multiple_of(3) { 20 } else { 0 },
             notes_eras: true,
+            notes: Notes::default(),
+            witness_started_ms: 0,
+            recovered: 0,
         };
         for host in 0..hosts {
             let process = Process { first_start: true, ..simulation.start(host) };
@@ -134,6 +146,7 @@
         let holder = Arc::from(format!("h{host}-{}", self.starts));
         let mut account = Account::new(WORKSPACE.into(), &format!("h{host}"), holder);
         account.set_prepaid(self.prepaid);
+        account.set_witnesses(&Arc::from([Arc::from(WITNESS)]));
         Process {
             account,
             started_ms: self.now_ms,
@@ -247,6 +260,31 @@
         }
     }
 
+    /// Lets a host ask the witness for a note on its allocation, or about the one that it took over.
+    fn ask_witness(&mut self, host: usize) {
+        let (now, platform_ms) = (self.now(host), self.now_ms);
+        let account = &mut self.processes[host].account;
+        if let Some(request) = account.extension_due(now) {
+            assert_eq!(request.witnesses, [Arc::from(WITNESS)]);
+            // The message or its answer may be lost.
+            let fate = self.rng.random_range(0..5);
+            let is_noted =
+                fate > 0 && self.notes.note(MILLISECOND * platform_ms as u32, &request.version);
+            if is_noted && fate > 1 {
+                account.extend(request.version.number);
+            }
+        }
+        if let Some(claim) = account.take_claim() {
+            let started_ms = Some(self.witness_started_ms);
+            let noted =
+                self.notes.find(&claim.version, started_ms, Some(platform_ms), claim.written_ms);
+            if noted == Some(false) {
+                account.recover(&claim);
+                self.recovered += claim.tokens;
+            }
+        }
+    }
+
     pub fn request(&mut self, host: usize) {
         let now = self.now(host);
         let tokens = self.rng.random_range(1..3000);
@@ -289,6 +327,10 @@
         let host = self.rng.random_range(0..self.processes.len());
         let other = self.rng.random_range(0..self.processes.len());
         match self.rng.random_range(0..100) {
+            0 if self.rng.random_bool(0.1) => {
+                self.notes = Notes::default();
+                self.witness_started_ms = self.now_ms;
+            }
             0 => self.processes[host] = self.start(host),
             1 if !self.delayed.is_empty() => {
                 let index = self.rng.random_range(0..self.delayed.len());
@@ -302,6 +344,7 @@
             _ => {
                 let reachable = self.now_ms / 9_000 % 3 != 2;
                 self.transact(host, reachable);
+                self.ask_witness(host);
             }
         }
         self.now_ms += self.rng.random_range(0..60);
--- a/crates/wire/laburnum.thrift
+++ b/crates/wire/laburnum.thrift
@@ -278,6 +278,15 @@
   2: required i64 event
 }
 
+// Names a row of an allocation by its process and the number of the transaction that wrote it.
+struct AllocationNote {
+  1: required string holder
+  2: required i64 number
+  // When the row was written, in milliseconds of the platform's clock. With it, it is asked whether
+  // the process went on using the row without a renewal; without it, that is to be noted.
+  3: optional i64 written_ms
+}
+
 // A host asks another for prepaid tokens of a workspace, or gives some back.
 struct LendAsk {
   1: required string workspace
@@ -290,6 +299,8 @@
   5: optional ResumePoint charged
   // A stream that is resumed; the answer tells whether its prompt was charged before.
   6: optional ResumePoint resumed
+  // A row of an allocation of the workspace.
+  7: optional AllocationNote note
 }
 
 // Tokens that the other host gave, what it could still give, what it gives back to the budget, and
@@ -301,4 +312,6 @@
   4: optional bool exhausted
   // The prompt of the resumed stream was charged; the receiver uses up this charge.
   5: optional bool charged
+  // Whether the row is noted; absent if the other host can't tell.
+  6: optional bool noted
 }
--- a/crates/wire/src/laburnum.rs
+++ b/crates/wire/src/laburnum.rs
@@ -3545,6 +3545,87 @@
   }
 }
 
+//
+// AllocationNote
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AllocationNote {
+  pub holder: String,
+  pub number: i64,
+  pub written_ms: Option<i64>,
+}
+
+impl AllocationNote {
+  pub fn new<F3>(holder: String, number: i64, written_ms: F3) -> AllocationNote where F3: Into<Option<i64>> {
+    AllocationNote {
+      holder,
+      number,
+      written_ms: written_ms.into(),
+    }
+  }
+}
+
+impl TSerializable for AllocationNote {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<AllocationNote> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("AllocationNote.holder", &f_1)?;
+    verify_required_field_exists("AllocationNote.number", &f_2)?;
+    let ret = AllocationNote {
+      holder: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      number: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      written_ms: f_3,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("AllocationNote");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("holder", TType::String, 1))?;
+    o_prot.write_string(&self.holder)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 2))?;
+    o_prot.write_i64(self.number)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.written_ms {
+      o_prot.write_field_begin(&TFieldIdentifier::new("written_ms", TType::I64, 3))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // LendAsk
 //
@@ -3557,10 +3638,11 @@
   pub returned: Option<i64>,
   pub charged: Option<ResumePoint>,
   pub resumed: Option<ResumePoint>,
+  pub note: Option<AllocationNote>,
 }
 
 impl LendAsk {
-  pub fn new<F3, F4, F5, F6>(workspace: String, tokens: i64, whole: F3, returned: F4, charged: F5, resumed: F6) -> LendAsk where F3: Into<Option<bool>>, F4: Into<Option<i64>>, F5: Into<Option<ResumePoint>>, F6: Into<Option<ResumePoint>> {
+  pub fn new<F3, F4, F5, F6, F7>(workspace: String, tokens: i64, whole: F3, returned: F4, charged: F5, resumed: F6, note: F7) -> LendAsk where F3: Into<Option<bool>>, F4: Into<Option<i64>>, F5: Into<Option<ResumePoint>>, F6: Into<Option<ResumePoint>>, F7: Into<Option<AllocationNote>> {
     LendAsk {
       workspace,
       tokens,
@@ -3568,6 +3650,7 @@
       returned: returned.into(),
       charged: charged.into(),
       resumed: resumed.into(),
+      note: note.into(),
     }
   }
 }
@@ -3581,6 +3664,7 @@
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<ResumePoint> = None;
     let mut f_6: Option<ResumePoint> = None;
+    let mut f_7: Option<AllocationNote> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3612,6 +3696,10 @@
           let val = ResumePoint::read_from_in_protocol(i_prot)?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = AllocationNote::read_from_in_protocol(i_prot)?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3628,6 +3716,7 @@
       returned: f_4,
       charged: f_5,
       resumed: f_6,
+      note: f_7,
     };
     Ok(ret)
   }
@@ -3660,6 +3749,11 @@
       fld_var.write_to_out_protocol(o_prot)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.note {
+      o_prot.write_field_begin(&TFieldIdentifier::new("note", TType::Struct, 7))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3676,16 +3770,18 @@
   pub returning: i64,
   pub exhausted: Option<bool>,
   pub charged: Option<bool>,
+  pub noted: Option<bool>,
 }
 
 impl Lent {
-  pub fn new<F4, F5>(tokens: i64, left: i64, returning: i64, exhausted: F4, charged: F5) -> Lent where F4: Into<Option<bool>>, F5: Into<Option<bool>> {
+  pub fn new<F4, F5, F6>(tokens: i64, left: i64, returning: i64, exhausted: F4, charged: F5, noted: F6) -> Lent where F4: Into<Option<bool>>, F5: Into<Option<bool>>, F6: Into<Option<bool>> {
     Lent {
       tokens,
       left,
       returning,
       exhausted: exhausted.into(),
       charged: charged.into(),
+      noted: noted.into(),
     }
   }
 }
@@ -3698,6 +3794,7 @@
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<bool> = None;
     let mut f_5: Option<bool> = None;
+    let mut f_6: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3725,6 +3822,10 @@
           let val = i_prot.read_bool()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_bool()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3741,6 +3842,7 @@
       returning: f_3.expect("auto-generated code should have checked for presence of required fields"),
       exhausted: f_4,
       charged: f_5,
+      noted: f_6,
     };
     Ok(ret)
   }
@@ -3766,6 +3868,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.noted {
+      o_prot.write_field_begin(&TFieldIdentifier::new("noted", TType::Bool, 6))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/wire/src/lend.rs
+++ b/crates/wire/src/lend.rs
@@ -37,6 +37,38 @@
     }
 }
 
+/// A row of an allocation, as the process that wrote it names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AllocationNote {
+    /// Name of the process.
+    pub holder: Arc<str>,
+    /// Number of the transaction that wrote the row.
+    pub number: u64,
+    /// When the row was written, in milliseconds of the platform's clock. With it, it is asked
+    /// whether the process went on using the row without a renewal; without it, that is to be noted.
+    pub written_ms: Option<u64>,
+}
+
+impl From<AllocationNote> for laburnum::AllocationNote {
+    fn from(note: AllocationNote) -> Self {
+        let written_ms = note.written_ms.map(|written_ms| written_ms as i64);
+        Self::new(note.holder.to_string(), note.number as i64, written_ms)
+    }
+}
+
+impl TryFrom<laburnum::AllocationNote> for AllocationNote {
+    type Error = thrift::Error;
+
+    fn try_from(note: laburnum::AllocationNote) -> thrift::Result<Self> {
+        let number = |value: i64| u64::try_from(value).map_err(|_| invalid("number of a row"));
+        Ok(Self {
+            holder: note.holder.into(),
+            number: number(note.number)?,
+            written_ms: note.written_ms.map(number).transpose()?,
+        })
+    }
+}
+
 /// A wish for tokens, and what is said and asked about prompts that were charged.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
@@ -52,6 +84,8 @@
     pub charged: Option<ResumePoint>,
     /// A stream that is resumed; a charge for its prompt is to be used up.
     pub resumed: Option<ResumePoint>,
+    /// A row of an allocation that is to be noted, or was perhaps.
+    pub note: Option<AllocationNote>,
 }
 
 /// Answer to an [`Ask`].
@@ -67,12 +101,22 @@
     pub exhausted: bool,
     /// The prompt of the resumed stream was charged.
     pub charged: bool,
+    /// Whether the row of the allocation is noted; `None` if the other host can't tell.
+    pub noted: Option<bool>,
 }
 
 impl Ask {
     /// Creates a wish for nothing.
     pub fn for_workspace(workspace: Arc<str>) -> Self {
-        Self { workspace, tokens: 0, whole: false, returned: 0, charged: None, resumed: None }
+        Self {
+            workspace,
+            tokens: 0,
+            whole: false,
+            returned: 0,
+            charged: None,
+            resumed: None,
+            note: None,
+        }
     }
 
     /// Writes the wish.
@@ -86,7 +130,9 @@
         let point = |point: Option<ResumePoint>| point.map(laburnum::ResumePoint::from);
         let (charged, resumed) = (point(self.charged), point(self.resumed));
         let tokens = self.tokens as i64;
-        encode(&laburnum::LendAsk::new(workspace, tokens, self.whole, returned, charged, resumed))
+        let note = self.note.clone().map(laburnum::AllocationNote::from);
+        let whole = self.whole;
+        encode(&laburnum::LendAsk::new(workspace, tokens, whole, returned, charged, resumed, note))
     }
 
     /// Reads a wish.
@@ -105,6 +151,7 @@
             returned,
             charged: ask.charged.map(ResumePoint::try_from).transpose()?,
             resumed: ask.resumed.map(ResumePoint::try_from).transpose()?,
+            note: ask.note.map(AllocationNote::try_from).transpose()?,
         })
     }
 }
@@ -118,7 +165,8 @@
     pub fn encode(&self) -> thrift::Result<Vec<u8>> {
         let (tokens, left) = (self.tokens as i64, self.left as i64);
         let (returning, charged) = (self.returning as i64, self.charged.then_some(true));
-        encode(&laburnum::Lent::new(tokens, left, returning, self.exhausted, charged))
+        let (exhausted, noted) = (self.exhausted, self.noted);
+        encode(&laburnum::Lent::new(tokens, left, returning, exhausted, charged, noted))
     }
 
     /// Reads an answer.
@@ -134,6 +182,7 @@
             returning: count(lent.returning)?,
             exhausted: lent.exhausted.unwrap_or_default(),
             charged: lent.charged.unwrap_or_default(),
+            noted: lent.noted,
         })
     }
 }
--- a/crates/wire/tests/lend.rs
+++ b/crates/wire/tests/lend.rs
@@ -1,7 +1,7 @@
 //! Messages by which hosts lend each other tokens.
 
 use test_case::test_case;
-use wire::lend::{Ask, Lent, ResumePoint};
+use wire::lend::{AllocationNote, Ask, Lent, ResumePoint};
 
 fn ask(tokens: u64) -> Ask {
     Ask { tokens, whole: true, ..Ask::for_workspace("w".into()) }
@@ -18,7 +18,12 @@
     assert_eq!(Ask::decode(&charge.encode().expect("written")).expect("read"), charge);
     let resumed = Ask { resumed: Some(point), ..ask(0) };
     assert_eq!(Ask::decode(&resumed.encode().expect("written")).expect("read"), resumed);
-    let lent = Lent { tokens: 7_000, left: 3, returning: 20, exhausted: true, charged: true };
+    let row = AllocationNote { holder: "h".into(), number: 3, written_ms: Some(9) };
+    let note = Ask { note: Some(row), ..ask(0) };
+    assert_eq!(Ask::decode(&note.encode().expect("written")).expect("read"), note);
+    let noted = Some(false);
+    let lent =
+        Lent { tokens: 7_000, left: 3, returning: 20, exhausted: true, charged: true, noted };
     assert_eq!(Lent::decode(&lent.encode().expect("written")).expect("read"), lent);
 }
 
