Hold backend servers to the last event of a caller that resumes its stream

A caller that came back with its last event got the first events once more from a backend server that ignores it and begins anew, as a complete stream; only streams that this host resumed were checked. The test got events 1 to 8 where 4 to 8 were due. The splitter of a resumable stream starts behind the caller's last event now, so that such a response is a failed attempt.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -43,6 +43,12 @@
         Self { last_id, ..Self::default() }
     }
 
+    /// Creates a splitter for a stream that a backend server has to resume after the event with this
+    /// id.
+    pub fn resuming(last_id: Option<u64>) -> Self {
+        Self { last_id, passed_id: last_id, is_resuming: last_id.is_some(), ..Self::default() }
+    }
+
     /// Returns the id of the last whole event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -62,7 +62,10 @@
 impl Relay {
     /// Creates the relay of a response whose head has arrived with these headers.
     pub fn new(job: Job, attempt: Attempt, headers: &HeaderMap, active: ActiveRequest) -> Self {
-        let splitter = Splitter::after(job.call.resume_after);
+        let splitter = match job.route.retry_policy {
+            RetryPolicy::Resumable => Splitter::resuming(job.call.resume_after),
+            RetryPolicy::Idempotent | RetryPolicy::Never => Splitter::after(job.call.resume_after),
+        };
         Self {
             job,
             attempt: Some(attempt),
