--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -446,6 +446,9 @@
         Ok(Ok(Ok(loan))) => {
             let lent = loan.lent;
             peer.failures = 0;
+            if request.tokens == 0 {
+                return Some(lent);
+            }
             tracing::info!(event = "tokens_borrowed", workspace = %request.workspace,
                 missing = request.tokens, tokens = lent.tokens, from = %peer.info.address,
                 left = lent.left, returning = lent.returning, exhausted = lent.exhausted);
@@ -605,7 +608,9 @@
         }
     });
     let lent = Lent { charged, noted, ..Budgets::lend(node, &ask).await };
-    node.budgets.log_lent(node.now(), &ask, &lent);
+    if ask.note.is_none() {
+        node.budgets.log_lent(node.now(), &ask, &lent);
+    }
     match lent.encode() {
         Ok(bytes) => plain_response(StatusCode::OK, Bytes::from(bytes)),
         Err(error) => {
