Tell a copy from the foundation of the fleet by the copy itself

Callers got 28,000 tokens too many.

Cause: the table is restored from a copy that is older than the budget's row and is then away until 21 s after the foundation of the fleet. The first host that reaches it compared the time at which it noticed the return, not that of the copy, with the foundation, took the copy for a later one (`withheld=30000`, a quarter) and granted the rest again, although the whole budget had been granted at once at the foundation.

Ruled out: witnesses and claims (no line `stake_recovered`; rows of an earlier era are not taken over), late transactions (none was under way), the check itself (all tokens are of events that callers got).

A host now marks the row `fleet/era` as complete 20 s after the foundation. A copy with the mark has all rows from then, whenever it is noticed; one without it withholds all of a budget that it lacks. In a later era without the mark it is set once lost rows are written again. Rows of earlier versions lack the mark and withhold until it is set.

--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -7,6 +7,7 @@
 
 use coordination::{
     escrow::parse,
+    locate::hash,
     table::{Op, Outcome, Row, Txn},
 };
 use serde::{Deserialize, Serialize};
@@ -31,8 +32,12 @@
 /// are created.
 const FOUNDING_TIME: Duration = Duration::from_secs(8);
 
-/// Time after the fleet was founded up to which a copy may lack rows from then.
-const FOUNDING_LOSS_TIME: Duration = FOUNDING_TIME.saturating_add(COPY_MAX_AGE);
+/// Time after the fleet was founded by which all rows from then are written, also those of
+/// transactions that were committed late.
+const FOUNDING_END_TIME: Duration = FOUNDING_TIME.saturating_add(COPY_MAX_AGE);
+
+/// Time over which the hosts' attempts to complete the row are spread.
+const COMPLETION_SPREAD: Duration = Duration::from_secs(5);
 
 /// Row that records the start of an era, in milliseconds of the platform's clock.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,14 +49,31 @@
     pub since_ms: u64,
     /// When the fleet started for the first time; equal to `since_ms` in its first era.
     pub founded_ms: u64,
+    /// Whether every copy of the table with this row has all rows of budgets from the foundation.
+    /// How old a copy was can't be told from when its return was noticed.
+    pub is_complete: bool,
 }
 
 impl EraStart {
-    /// Returns the row of a table that has none. Unless the fleet starts for the first time, the
-    /// row was lost, so that the fleet had only just been founded.
-    pub fn initial(era: u64, now_ms: u64, first_start: bool) -> Self {
-        let founded_ms = if first_start { now_ms } else { now_ms.saturating_sub(1) };
-        Self { era, since_ms: now_ms, founded_ms }
+    /// Returns the row of an era that begins with the `recorded` one in the table. Without any,
+    /// unless the fleet starts for the first time, the row was lost, so that the fleet had only just
+    /// been founded.
+    pub fn begin(recorded: Option<Self>, era: u64, now_ms: u64, first_start: bool) -> Self {
+        let founded_ms = match recorded {
+            Some(start) => start.founded_ms,
+            None if first_start => now_ms,
+            None => now_ms.saturating_sub(1),
+        };
+        let is_complete = recorded.is_some_and(|start| start.is_complete);
+        Self { era, since_ms: now_ms, founded_ms, is_complete }
+    }
+
+    /// Returns whether the row can be marked as complete: no budget from the foundation gets its row
+    /// any more.
+    pub fn is_completion_due(&self, now_ms: u64) -> bool {
+        let is_first = self.since_ms == self.founded_ms;
+        let time = if is_first { FOUNDING_END_TIME } else { RECREATION_TIME };
+        !self.is_complete && Duration::from_millis(now_ms.saturating_sub(self.since_ms)) > time
     }
 
     /// Returns whether the fleet is being founded at a time, so that every budget is new.
@@ -66,41 +88,75 @@
         if self.since_ms == self.founded_ms || age > RECREATION_TIME {
             return Loss::None;
         }
-        let fleet_age = Duration::from_millis(self.since_ms.saturating_sub(self.founded_ms));
-        if fleet_age < FOUNDING_LOSS_TIME { Loss::Any } else { Loss::New }
+        if self.is_complete { Loss::New } else { Loss::Any }
     }
 }
 
 /// Keeps track of the start of the current era forever.
 pub async fn track(node: Rc<Node>, source: Rc<impl Source>) {
+    let delay_ms = hash(node.settings.host.as_bytes()) % COMPLETION_SPREAD.as_millis() as u64;
     loop {
         let known = node.era_start.get();
-        if known.is_none_or(|start| start.era != source.era()) {
-            // A process that has seen an earlier era knows that the fleet isn't new.
-            let first_start = node.settings.first_start && known.is_none();
-            if let Some(start) = read_or_record(&*source, first_start).await {
-                node.era_start.set(Some(start));
-                node.budgets.resume();
+        let current = known.filter(|start| start.era == source.era());
+        let now_ms = source.clock_ms().unwrap_or_default().saturating_sub(delay_ms);
+        match current {
+            None => {
+                // A process that has seen an earlier era knows that the fleet isn't new.
+                let first_start = node.settings.first_start && known.is_none();
+                if let Some(start) = read_or_record(&*source, first_start).await {
+                    node.era_start.set(Some(start));
+                    node.budgets.resume();
+                }
             }
+            Some(start) if start.is_completion_due(now_ms) => {
+                if let Some(start) = complete(&*source).await {
+                    node.era_start.set(Some(start));
+                }
+            }
+            Some(_) => {}
         }
         sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Reads when the current era began, or records that it begins now; `None` if the platform doesn't
-/// answer or the row can't be read.
-pub async fn read_or_record(source: &impl Source, first_start: bool) -> Option<EraStart> {
+/// Marks the row of the current era as complete, unless another host has; `None` if the platform
+/// doesn't answer or it isn't due.
+pub async fn complete(source: &impl Source) -> Option<EraStart> {
+    let (row, recorded) = read(source).await?;
+    let start = recorded.filter(|start| start.era == source.era())?;
+    if start.is_complete {
+        return Some(start);
+    }
+    if !start.is_completion_due(source.clock_ms()?) {
+        return None;
+    }
+    let start = EraStart { is_complete: true, ..start };
+    let mut txn = Txn::default();
+    txn.put(&row, &start);
+    let outcome = source.table(&Op::Commit(txn)).await;
+    matches!(outcome, Outcome::Committed(_)).then_some(start)
+}
+
+/// Reads the row and what it records; `None` if the platform doesn't answer or the row can't be
+/// read.
+async fn read(source: &impl Source) -> Option<(Row, Option<EraStart>)> {
     let Outcome::Rows(rows) = source.table(&Op::Read(vec![ERA_ROW.into()])).await else {
         return None;
     };
     let row: Row = rows.into_iter().next()?;
     let recorded = parse_row(&row)?;
+    Some((row, recorded))
+}
+
+/// Reads when the current era began, or records that it begins now; `None` if the platform doesn't
+/// answer or the row can't be read.
+pub async fn read_or_record(source: &impl Source, first_start: bool) -> Option<EraStart> {
+    let (row, recorded) = read(source).await?;
     let (era, now_ms) = (source.era(), source.clock_ms()?);
-    let start = match recorded {
-        Some(start) if start.era >= era => return Some(start),
-        Some(start) => EraStart { era, since_ms: now_ms, ..start },
-        None => EraStart::initial(era, now_ms, first_start),
-    };
+    if let Some(start) = recorded.filter(|start| start.era >= era) {
+        return Some(start);
+    }
+    let start = EraStart::begin(recorded, era, now_ms, first_start);
     let mut txn = Txn::default();
     txn.put(&row, &start);
     match source.table(&Op::Commit(txn)).await {
--- a/crates/gateway/tests/account/restored.rs
+++ b/crates/gateway/tests/account/restored.rs
@@ -86,7 +86,7 @@
     script: fn(&mut Simulation, u64),
 }
 
-const CASES: [Case; 11] = [
+const CASES: [Case; 12] = [
     Case {
         name: "grants since the copy were used, and all who know of them live",
         script: |simulation, age_ms| simulation.table.restore(simulation.now_ms, age_ms),
@@ -151,6 +151,29 @@
             *simulation = fresh;
         },
     },
+    Case {
+        name: "the copy is older than the budget of a new fleet, and nobody notices the return for long",
+        script: |simulation, age_ms| {
+            let mut fresh = Simulation::new(7, HOSTS, PREPAID);
+            fresh.notes_eras = simulation.notes_eras;
+            for host in 0..HOSTS {
+                fresh.note_era(host);
+            }
+            fresh.table.copy(fresh.now_ms);
+            while fresh.now_ms < age_ms {
+                fresh.step();
+                for host in 0..HOSTS {
+                    fresh.request(host);
+                    fresh.transact(host, true);
+                }
+            }
+            kill_all(&mut fresh);
+            fresh.table.restore(fresh.now_ms, age_ms);
+            fresh.now_ms += 20_000;
+            kill_all(&mut fresh);
+            *simulation = fresh;
+        },
+    },
     Case {
         name: "one process is killed at the return",
         script: |simulation, age_ms| {
--- a/crates/gateway/tests/account/simulation.rs
+++ b/crates/gateway/tests/account/simulation.rs
@@ -23,6 +23,9 @@
 pub const WITNESS: &str = "witness";
 pub const MILLISECOND: Duration = Duration::from_millis(1);
 
+/// Key of the row that records the start of the current era.
+const ERA_ROW: &str = "fleet/era";
+
 type Rows = BTreeMap<Arc<str>, (Arc<str>, u64)>;
 
 /// A table of rows that commits transactions one after the other.
@@ -64,6 +67,12 @@
         Outcome::Rows(keys.iter().map(row).collect())
     }
 
+    fn write_era_start(&mut self, start: &EraStart) {
+        self.revision += 1;
+        let text = serde_json::to_string(start).expect("text").into();
+        self.rows.insert(Arc::from(ERA_ROW), (text, self.revision));
+    }
+
     pub fn commit(&mut self, txn: &Txn) -> Outcome {
         let keys: Vec<Arc<str>> = txn.checks.iter().map(|check| check.key.clone()).collect();
         let Outcome::Rows(rows) = self.read(&keys) else { unreachable!("a table can be read") };
@@ -187,24 +196,22 @@
         let (era, now_ms) = (self.table.era, self.now_ms);
         let process = &mut self.processes[host];
         if process.era_start.is_none_or(|start| start.era != era) {
-            let key = Arc::from("fleet/era");
-            let recorded = self.table.rows.get(&key);
+            let recorded = self.table.rows.get(ERA_ROW);
             let recorded: Option<EraStart> =
                 recorded.map(|(text, _)| serde_json::from_str(text).expect("a start"));
-            let start = match recorded {
-                Some(start) if start.era >= era => start,
-                Some(start) => EraStart { era, since_ms: now_ms, ..start },
-                None => {
-                    let first_start = process.first_start && process.era_start.is_none();
-                    EraStart::initial(era, now_ms, first_start)
-                }
-            };
-            self.table.revision += 1;
-            let text = serde_json::to_string(&start).expect("text").into();
-            self.table.rows.insert(key, (text, self.table.revision));
+            let first_start = process.first_start && process.era_start.is_none();
+            let start = recorded.filter(|start| start.era >= era);
+            let start =
+                start.unwrap_or_else(|| EraStart::begin(recorded, era, now_ms, first_start));
+            self.table.write_era_start(&start);
+            process.era_start = Some(start);
+        }
+        let mut start = process.era_start.expect("just read");
+        if start.is_completion_due(now_ms) {
+            start.is_complete = true;
+            self.table.write_era_start(&start);
             process.era_start = Some(start);
         }
-        let start = process.era_start.expect("just read");
         (start.is_founding(now_ms), start.lost_rows(now_ms))
     }
 
