Compare ends under a part of prompts with how often such requests are sent

Both have one cause: ends were weighed against whole responses by a fixed ratio, whatever the rate at which backend servers end without the part.

Requests now count for the time for which they are at risk: from the send until 0.3 s after the first event. Hosts state in the rows of ends how long theirs were and how many stood there, so that all know the fraction of requests with a part.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::{
     backend::{Entry, HealthSignal},
     catalog::RetryPolicy,
-    crash::BrokenRequest,
+    crash::{BrokenRequest, RISK_TIME},
     dialect::{Dispatch, LimitStatement, Reply},
     node::Node,
     placement::{Decision, Estimate, Excluded, Requirements},
@@ -102,6 +102,8 @@
     max_connections: usize,
     /// Prompt tokens that count as waiting for prefill until the first event.
     prefill_tokens: u64,
+    /// Names of the shared parts of the prompt.
+    parts: Vec<Arc<str>>,
     permit: PermitGuard,
     connection: Option<Connection>,
     body: Option<Incoming>,
@@ -110,6 +112,8 @@
     /// Number of events that arrived, and when the first one did.
     events: u64,
     first_event_at: Option<Instant>,
+    /// Whether the time for which the request was at risk has been recorded.
+    is_exposure_recorded: bool,
     /// Whether the response states its length or marks its end.
     is_framed: bool,
     health: HealthSignal,
@@ -195,17 +199,20 @@
         if let Some(backend) = node.backends.borrow_mut().get_mut(&to.id) {
             backend.start_request(node.now(), job.call.prompt.as_ref(), prefill_tokens);
         }
+        let parts = job.call.prompt.iter().flat_map(|prompt| &prompt.shared);
         Ok(Self {
             node,
             to,
             max_connections,
             prefill_tokens,
+            parts: parts.map(|part| part.name.clone()).collect(),
             permit,
             connection: Some(connection),
             body: None,
             sent_at: Instant::now(),
             events: 0,
             first_event_at: None,
+            is_exposure_recorded: false,
             is_framed: true,
             health: HealthSignal::Neutral,
         })
@@ -479,8 +486,21 @@
     /// Records events of a stream; the first one ends the prefill.
     pub fn record_events(&mut self, count: u64) {
         self.events += count;
-        self.first_event_at.get_or_insert_with(Instant::now);
+        let first_event_at = *self.first_event_at.get_or_insert_with(Instant::now);
         self.finish_prefill();
+        if first_event_at.elapsed() >= RISK_TIME {
+            self.record_exposure();
+        }
+    }
+
+    /// Records for how long the backend server may have ended by this request, once.
+    fn record_exposure(&mut self) {
+        if std::mem::replace(&mut self.is_exposure_recorded, true) {
+            return;
+        }
+        let end = self.first_event_at.map_or(Duration::MAX, |at| at - self.sent_at + RISK_TIME);
+        let time = self.sent_at.elapsed().min(end);
+        self.node.quarantine.borrow_mut().record_exposure(self.node.now(), &self.parts, time);
     }
 
     /// Returns whether the end of the connection may be the end of a stream: without a frame, one
@@ -504,10 +524,9 @@
     /// Records that the response broke off, or its connection did before it began.
     pub fn record_broken(&mut self, job: &Job) {
         self.record_failure();
-        let parts = job.call.prompt.iter().flat_map(|prompt| &prompt.shared);
         let request = BrokenRequest {
             id: job.call.id.clone(),
-            parts: parts.map(|part| part.name.clone()).collect(),
+            parts: self.parts.clone(),
             in_progress_for: self.sent_at.elapsed(),
             events: self.events,
             responding_for: self.first_event_at.map(|at| at.elapsed()),
@@ -527,6 +546,7 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.finish_prefill();
+        self.record_exposure();
         self.node.backends.borrow_mut().finish_request(self.node.now(), &self.to.id, self.health);
     }
 }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -20,6 +20,14 @@
 /// Longest wait for a backend server to accept or refuse a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time since the first event of a response up to which its request may have ended its backend
+/// server.
+pub const RISK_TIME: Duration = Duration::from_millis(300);
+
+/// Minimum time from when a request was sent to the end of a backend server that it ended; a sooner
+/// one is that of a connection which was dead before.
+const MIN_WORK_TIME: Duration = Duration::from_millis(20);
+
 /// Maximum number of responses that are kept for one backend server.
 const MAX_GATHERED: usize = 256;
 
@@ -38,6 +46,14 @@
     pub responding_for: Option<Duration>,
 }
 
+impl BrokenRequest {
+    /// Returns whether the request may have ended its backend server.
+    pub fn may_have_ended(&self) -> bool {
+        self.in_progress_for >= MIN_WORK_TIME
+            && self.responding_for.is_none_or(|time| time < RISK_TIME)
+    }
+}
+
 /// State in which a backend server is found after a response broke off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,12 +5,13 @@
 //! it are placed anywhere, so that a few callers can end a whole service. What such requests share
 //! is a part of their prompts. Each end of a backend server makes the parts suspect of the requests
 //! to which it had only just begun to respond, or hadn't yet. A part is quarantined once several
-//! backend servers have ended under it and next to no response to a prompt with it was whole. Whole
-//! responses clear the parts that the suspect requests share with others, and of two parts that may
-//! have ended the same backend servers the later one is taken, as fewer requests share it. Backend
-//! servers that end
-//! at the same moment, as with a rack that loses power or a link that is cut, count as one, and one
-//! that any host hears again hasn't ended.
+//! backend servers have ended under it and next to no response to a prompt with it was whole, or if
+//! they end under it far more often than requests with it are sent; it isn't if they do about as
+//! often, since requests with it are then there by chance. Whole responses clear the parts that the
+//! suspect requests share with others, and of two parts that may have ended the same backend servers
+//! the later one is taken, as fewer requests share it. Backend servers that end at the same moment,
+//! as with a rack that loses power or a link that is cut, count as one, and one that any host hears
+//! again hasn't ended.
 //!
 //! All hosts share their evidence in rows of the platform's table, and each decides on all of it.
 //! No request with a quarantined part is sent, neither a new one nor a retry, except for a few
@@ -19,6 +20,7 @@
 //!
 //! This suits a load of many prompts with shared parts of which very few are harmful.
 
+mod exposure;
 mod outage;
 mod report;
 mod row;
@@ -37,6 +39,7 @@
 };
 
 use self::{
+    exposure::Exposures,
     outage::Outages,
     sound::Sound,
     suspect::{Evidence, Share, Suspect},
@@ -47,10 +50,6 @@
 };
 use crate::{backend::Entry, crash::BrokenRequest, dialect::Changes, request::Prompt};
 
-/// Time since the first event of a response up to which its request may have ended its backend
-/// server.
-const RESPONSE_START_TIME: Duration = Duration::from_millis(300);
-
 /// Maximum number of suspect parts.
 const MAX_SUSPECTS: usize = 512;
 
@@ -63,10 +62,6 @@
 /// Maximum number of ends that a host keeps of its own.
 const MAX_OWN_ENDS: usize = 128;
 
-/// Minimum time from when a request was sent to the end of a backend server that it ended; a sooner
-/// one is that of a connection which was dead before.
-const MIN_WORK_TIME: Duration = Duration::from_millis(20);
-
 /// Time by which bytes of a backend server have to follow its supposed end to disprove it.
 const MIN_ALIVE_TIME: Duration = Duration::from_millis(100);
 
@@ -126,6 +121,7 @@
     host: Arc<str>,
     suspects: BTreeMap<Arc<str>, Suspect>,
     sound: Sound,
+    exposures: Exposures,
     own_ends: VecDeque<OwnEnd>,
     /// Start time and earliest observation of the end of each backend server, in milliseconds.
     ends: BTreeMap<Arc<str>, (u64, u64)>,
@@ -146,6 +142,7 @@
             host,
             suspects: BTreeMap::new(),
             sound: Sound::default(),
+            exposures: Exposures::default(),
             own_ends: VecDeque::new(),
             ends: BTreeMap::new(),
             outages: Outages::default(),
@@ -177,12 +174,17 @@
         requests: &[BrokenRequest],
     ) {
         let at_ms = self.platform_ms(now).saturating_sub((now - at).as_millis() as u64);
+        let at_risk: Vec<&BrokenRequest> =
+            requests.iter().filter(|request| request.may_have_ended()).collect();
+        let parts = self.suspect_parts(now, &at_risk);
         let row = EndRow {
             backend: backend.id.clone(),
             started_unix_ms: backend.started_unix_ms,
             host: self.host.clone(),
             at_ms,
-            parts: self.suspect_parts(now, requests),
+            parts,
+            requests: at_risk.iter().filter(|request| !request.parts.is_empty()).count() as u64,
+            total_risk_ms: self.exposures.total().as_millis() as u64,
         };
         tracing::info!(
             event = "backend_ended",
@@ -208,6 +210,7 @@
             own.is_stored &= added.is_empty();
             own.row.parts.extend(added);
             own.row.parts.truncate(MAX_PARTS_PER_END);
+            own.row.requests += row.requests;
             return;
         }
         if self.own_ends.len() >= MAX_OWN_ENDS {
@@ -222,16 +225,9 @@
 
     /// Returns the parts of the requests that may have ended a backend server: known suspects
     /// first, then those with the fewest whole responses.
-    fn suspect_parts(&self, now: Duration, requests: &[BrokenRequest]) -> Vec<(Arc<str>, usize)> {
-        let may_have_ended = |request: &&BrokenRequest| {
-            request.in_progress_for >= MIN_WORK_TIME
-                && request.responding_for.is_none_or(|time| time < RESPONSE_START_TIME)
-        };
-        let mut parts: Vec<(Arc<str>, usize)> = requests
-            .iter()
-            .filter(may_have_ended)
-            .flat_map(|request| request.parts.iter().cloned().zip(0..))
-            .collect();
+    fn suspect_parts(&self, now: Duration, requests: &[&BrokenRequest]) -> Vec<(Arc<str>, usize)> {
+        let mut parts: Vec<(Arc<str>, usize)> =
+            requests.iter().flat_map(|request| request.parts.iter().cloned().zip(0..)).collect();
         parts.sort();
         parts.dedup_by(|next, former| next.0 == former.0);
         parts.sort_by_key(|(part, _)| {
@@ -242,6 +238,21 @@
         parts
     }
 
+    /// Records that a request with these parts was at risk for a time, which ends now: until its
+    /// response had gone on for [`RISK_TIME`](crate::crash::RISK_TIME), or it ended.
+    pub fn record_exposure(&mut self, now: Duration, parts: &[Arc<str>], time: Duration) {
+        if parts.is_empty() {
+            return;
+        }
+        let now_ms = self.platform_ms(now);
+        self.exposures.record(now_ms, time);
+        for part in parts {
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.record_risk(now_ms, time);
+            }
+        }
+    }
+
     /// Records a whole response to a prompt.
     pub fn record_whole(&mut self, now: Duration, prompt: &Prompt) {
         let now_ms = self.platform_ms(now);
@@ -301,13 +312,16 @@
 
     /// Returns the evidence against a part: separate ends that no harmful part after it explains.
     fn evidence(&self, now_ms: u64, suspect: &Suspect) -> Evidence {
+        let evidence_of = |own: &Suspect, others: &[&Suspect]| {
+            own.evidence(&self.outages, &self.exposures, others)
+        };
         if !suspect.may_be_harmful() {
-            return suspect.evidence(&self.outages, &[]);
+            return evidence_of(suspect, &[]);
         }
         let later = self.suspects.values();
         let later = later.filter(|own| own.may_be_harmful() && own.depth() > suspect.depth());
-        let harmful = later.filter(|own| own.is_harmful(now_ms, &own.evidence(&self.outages, &[])));
-        suspect.evidence(&self.outages, &harmful.collect::<Vec<_>>())
+        let harmful = later.filter(|own| own.is_harmful(now_ms, &evidence_of(own, &[])));
+        evidence_of(suspect, &harmful.collect::<Vec<_>>())
     }
 
     /// Returns all quarantined parts.
@@ -379,6 +393,10 @@
             let known = self.ends.entry(end.backend.clone()).or_insert(known);
             known.1 = known.1.min(end.at_ms);
         }
+        self.exposures.record_end(end);
+        if end.host != self.host {
+            self.exposures.record_total(end);
+        }
         for (part, depth) in end.parts.iter().take(MAX_PARTS_PER_END) {
             if let Some(suspect) = self.suspect_mut(now, part) {
                 suspect.record_end(&end.backend, end.at_ms, *depth);
@@ -404,6 +422,7 @@
     pub fn discard_end(&mut self, backend: &Arc<str>) {
         tracing::info!(event = "backend_end_disproved", %backend);
         self.ends.remove(backend);
+        self.exposures.discard_end(backend);
         self.find_outages();
         self.own_ends.retain(|own| own.row.backend != *backend);
         self.suspects.values_mut().for_each(|suspect| suspect.discard_end(backend));
--- a/crates/gateway/src/quarantine/row.rs
+++ b/crates/gateway/src/quarantine/row.rs
@@ -22,6 +22,11 @@
     pub at_ms: u64,
     /// Names of the parts of prompts that may have ended it, and how many parts came before each.
     pub parts: Vec<(Arc<str>, usize)>,
+    /// Number of the host's requests with prompts that may have ended it; absent in rows of earlier
+    /// versions, like the next fields.
+    pub requests: u64,
+    /// Time in milliseconds for which the host's requests were at risk since its process started.
+    pub total_risk_ms: u64,
 }
 
 /// What all hosts together know of a suspect part.
@@ -36,10 +41,17 @@
     pub sound_ms: u64,
     /// Number of whole responses shortly before the first end, as one host counted them.
     pub sound_before: u32,
+    /// Time in milliseconds for which requests with it were at risk since the first end.
+    pub risk_ms: u64,
+    /// The platform's clock in milliseconds when the last of them was.
+    pub risk_at_ms: u64,
     /// Number of ends that counted when the part was quarantined, or later.
     pub ended: usize,
     /// The platform's clock in milliseconds when it was quarantined; 0 if it isn't.
     pub quarantined_ms: u64,
+    /// Whether it is quarantined since backend servers end under it far more often than under other
+    /// requests.
+    pub is_compared: bool,
     /// When a request with it was refused, updated from time to time.
     pub refused_ms: u64,
     /// Number of trials since it was quarantined.
@@ -69,8 +81,11 @@
             sound: self.sound.max(other.sound),
             sound_ms: self.sound_ms.max(other.sound_ms),
             sound_before: self.sound_before.max(other.sound_before),
+            risk_ms: self.risk_ms.max(other.risk_ms),
+            risk_at_ms: self.risk_at_ms.max(other.risk_at_ms),
             ended: self.ended.max(other.ended),
             quarantined_ms: self.quarantined_ms.max(other.quarantined_ms),
+            is_compared: self.is_compared || other.is_compared,
             refused_ms: self.refused_ms.max(other.refused_ms),
             trials: self.trials.max(other.trials),
             trial_ms: self.trial_ms.max(other.trial_ms),
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -1,11 +1,12 @@
 //! Evidence for and against one part of prompts.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, sync::Arc, time::Duration};
 
 use coordination::table::Row;
 
 use super::{
     Quarantined,
+    exposure::{Chance, Exposures, Observation},
     outage::Outages,
     row::{PartRow, part_key},
 };
@@ -26,8 +27,17 @@
 /// Number of ends that a whole response outweighs.
 const SOUND_WEIGHT: usize = 4;
 
+/// Number of ends from which hosts share for how long requests with a part were at risk.
+const MIN_SHARED_ENDED: usize = 2;
+
+/// Smallest time at risk that a host shares.
+const MIN_SHARED_RISK: Duration = Duration::from_millis(200);
+
+/// The same in percent of the time that is known.
+const MIN_SHARED_RISK_PERCENT: u32 = 10;
+
 /// Time for which the end of a backend server counts.
-const END_TTL: Duration = Duration::from_secs(300);
+pub const END_TTL: Duration = Duration::from_secs(300);
 
 /// Time without any request with a quarantined part after which it is released.
 const QUIET_TIME: Duration = Duration::from_secs(300);
@@ -72,6 +82,20 @@
 pub struct Evidence {
     /// Their times in ascending order, in milliseconds of the platform's clock.
     ends: Vec<u64>,
+    /// Whether requests with the part were there by chance.
+    chance: Chance,
+}
+
+/// A comparison of ends with those by chance, and what it was made of.
+#[derive(Debug, Clone, Copy)]
+struct Comparison {
+    /// Version of the exposures.
+    version: u64,
+    /// Number of ends.
+    ends: usize,
+    /// Number of parts that explain some of them.
+    others: usize,
+    chance: Chance,
 }
 
 /// A row that is due to be written.
@@ -83,6 +107,8 @@
     pub row: PartRow,
     /// Whole responses of this host that it shares.
     pub sound: u32,
+    /// Time at risk at this host that it shares.
+    pub risk: Duration,
     /// Disproved ends that it no longer counts.
     pub disproved: usize,
     /// Whether it claims a trial for this host.
@@ -98,6 +124,13 @@
     depth: usize,
     /// When each backend server ended, in milliseconds of the platform's clock.
     ends: BTreeMap<Arc<str>, u64>,
+    /// Time for which requests with it were at risk at this host since the first end, which this host
+    /// has still to share.
+    own_risk: Duration,
+    /// When such a request was last at risk at this host.
+    own_risk_ms: u64,
+    /// Last comparison of the ends with those by chance.
+    compared: Cell<Option<Comparison>>,
     /// What the hosts share, as this host last read or wrote it.
     shared: PartRow,
     /// Revision of the row; 0 if there is none.
@@ -126,6 +159,9 @@
             name,
             depth: usize::MAX,
             ends: BTreeMap::new(),
+            own_risk: Duration::ZERO,
+            own_risk_ms: 0,
+            compared: Cell::default(),
             revision: 0,
             is_outdated: false,
             own_sound: 0,
@@ -167,6 +203,49 @@
         *end = (*end).min(at_ms);
     }
 
+    /// Records that a request with it was at risk at this host for a time, which ends now.
+    pub fn record_risk(&mut self, now_ms: u64, time: Duration) {
+        self.own_risk_ms = now_ms;
+        self.own_risk += time;
+    }
+
+    /// Returns for how long requests with it were at risk at all hosts, as far as this one knows.
+    fn risk(&self) -> Duration {
+        Duration::from_millis(self.shared.risk_ms) + self.own_risk
+    }
+
+    /// Returns whether this host's time at risk makes a difference to the others.
+    fn is_risk_due(&self) -> bool {
+        let share = self.risk() * MIN_SHARED_RISK_PERCENT / 100;
+        self.ends.len() >= MIN_SHARED_ENDED && self.own_risk > share.max(MIN_SHARED_RISK)
+    }
+
+    /// Returns whether requests with it were by chance at the backend servers that ended, apart from
+    /// those whose ends other parts explain.
+    fn compare(
+        &self,
+        exposures: &Exposures,
+        others: usize,
+        is_explained: &dyn Fn(&Arc<str>) -> bool,
+    ) -> Chance {
+        let (version, ends) = (exposures.version(), self.ends.len());
+        let is_same = |known: &Comparison| {
+            (known.version, known.ends, known.others) == (version, ends, others)
+        };
+        if let Some(known) = self.compared.get().filter(is_same) {
+            return known.chance;
+        }
+        let chance = exposures.chance(&Observation {
+            ends: &self.ends,
+            is_explained,
+            since_ms: self.ends.values().copied().min().unwrap_or_default(),
+            until_ms: self.last_end_ms().max(self.shared.risk_at_ms).max(self.own_risk_ms),
+            time: self.risk(),
+        });
+        self.compared.set(Some(Comparison { version, ends, others, chance }));
+        chance
+    }
+
     /// Records a whole response.
     pub fn record_sound(&mut self, now_ms: u64) {
         self.own_sound = self.own_sound.saturating_add(1);
@@ -184,10 +263,15 @@
     }
 
     /// Returns the separate ends that none of the other parts explains.
-    pub fn evidence(&self, outages: &Outages, others: &[&Self]) -> Evidence {
+    pub fn evidence(&self, outages: &Outages, exposures: &Exposures, others: &[&Self]) -> Evidence {
         let is_explained = |id: &Arc<str>| others.iter().any(|other| other.ends.contains_key(id));
         let ends = self.ends.iter().filter(|(id, _)| !is_explained(id));
-        Evidence { ends: outages.separate(ends.map(|(id, at_ms)| (id, *at_ms))) }
+        let ends = outages.separate(ends.map(|(id, at_ms)| (id, *at_ms)));
+        let chance = match ends.len() {
+            MIN_ENDED.. => self.compare(exposures, others.len(), &is_explained),
+            _ => Chance::Unknown,
+        };
+        Evidence { ends, chance }
     }
 
     /// Returns the number of ends that count.
@@ -229,7 +313,16 @@
     pub fn is_harmful(&self, now_ms: u64, evidence: &Evidence) -> bool {
         let ended = self.ended(evidence);
         let sound = self.sound(now_ms) as usize;
-        (ended >= MIN_ENDED && sound * SOUND_WEIGHT < ended) || self.is_harmful_lately(evidence)
+        let outweighs = ended >= MIN_ENDED && sound * SOUND_WEIGHT < ended;
+        match evidence.chance {
+            Chance::Excluded => evidence.ends.len() >= MIN_ENDED || self.shared.is_compared,
+            Chance::Likely => false,
+            // Hosts don't know quite the same.
+            Chance::Possible => self.shared.is_compared,
+            Chance::Unlikely | Chance::Unknown => {
+                outweighs || self.is_harmful_lately(evidence) || self.shared.is_compared
+            }
+        }
     }
 
     /// Returns the state of the part if it is quarantined.
@@ -283,6 +376,7 @@
             dismissed.extend(ends.map(|(backend, _)| backend.clone()));
             self.ends.retain(|_, at_ms| *at_ms > row.released_ms);
             self.own_sound = 0;
+            self.own_risk = Duration::ZERO;
         }
         if (row.quarantined_ms > 0) != (self.shared.quarantined_ms > 0) {
             tracing::warn!(
@@ -295,6 +389,8 @@
                 sound = row.sound,
                 sound_before = row.sound_before,
                 trials = row.trials,
+                compared = row.is_compared,
+                risk_ms = row.risk_ms,
             );
         }
         self.shared = row;
@@ -320,15 +416,24 @@
             row.sound_ms = row.sound_ms.max(self.own_sound_ms);
             row.sound_before = row.sound_before.max(self.own_sound_before);
         }
+        let mut risk = Duration::ZERO;
+        if self.is_risk_due() {
+            risk = self.own_risk;
+            row.risk_ms = row.risk_ms.saturating_add(risk.as_millis() as u64);
+            row.risk_at_ms = row.risk_at_ms.max(self.own_risk_ms);
+        }
         let is_trial = self.is_trial_due(now_ms);
+        let is_compared = evidence.chance == Chance::Excluded;
         match self.quarantined(now_ms, evidence) {
             Some(state) if row.quarantined_ms == 0 => {
                 row.quarantined_ms = now_ms;
                 row.refused_ms = now_ms;
                 row.trials = 0;
                 row.ended = state.ended;
+                row.is_compared = is_compared;
             }
             Some(state) => {
+                row.is_compared |= is_compared;
                 row.ended = row.ended.saturating_sub(self.disproved).max(state.ended);
                 if elapsed(self.refused_ms, row.refused_ms) >= RENEWAL_INTERVAL {
                     row.refused_ms = self.refused_ms;
@@ -338,7 +443,10 @@
                     row.trial_ms = now_ms;
                 }
             }
-            None => row.quarantined_ms = 0,
+            None => {
+                row.quarantined_ms = 0;
+                row.is_compared = false;
+            }
         }
         let is_missing = self.revision == 0 && (row.quarantined_ms > 0 || row.sound > 0);
         let is_lost = self.is_outdated || is_missing;
@@ -347,6 +455,7 @@
             stored,
             row,
             sound,
+            risk,
             disproved: self.disproved,
             is_trial,
         })
@@ -355,6 +464,7 @@
     /// Applies a row that this host has written.
     pub fn finish_share(&mut self, share: Share, revision: u64) {
         self.own_sound = self.own_sound.saturating_sub(share.sound);
+        self.own_risk = self.own_risk.saturating_sub(share.risk);
         self.disproved = self.disproved.saturating_sub(share.disproved);
         if share.is_trial {
             self.trial_until_ms = share.row.trial_ms + TRIAL_INTERVAL.as_millis() as u64;
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -15,7 +15,7 @@
 };
 use test_case::test_case;
 
-use crate::load::{Load, play};
+use crate::load::{Load, PREFILL, play};
 
 /// Number of hosts in these tests.
 const HOSTS: usize = 3;
@@ -147,6 +147,11 @@
         }
     }
 
+    fn record_exposure(&mut self, host: usize, parts: &[String], time: Duration) {
+        let parts: Vec<Arc<str>> = parts.iter().map(|part| Arc::from(&**part)).collect();
+        self.hosts[host].record_exposure(self.now, &parts, time);
+    }
+
     fn is_quarantined(&self, host: usize, parts: &[&str]) -> bool {
         self.hosts[host].find(self.now, &prompt(parts), None).is_some()
     }
@@ -201,21 +206,31 @@
     engines: 12,
     requests_per_s: 40.0,
     part_fraction: 0.05,
+    part_prefill: PREFILL,
     fatal: 0.0,
     outages: &[],
     outage_engines: 0,
 };
 
-/// Times of outages in series, 2 s apart.
-const SERIES: [Duration; 19] = {
-    let mut times = [Duration::ZERO; 19];
-    let mut number = 0;
-    while number < 19 {
-        times[number] = Duration::from_secs(2 + 2 * number as u64);
+/// Time from a request with a long prompt to its first event.
+const LONG_PREFILL: Duration = Duration::from_millis(2500);
+
+/// Returns times from 2 s on with the same gap between them.
+const fn series<const COUNT: usize>(gap: Duration) -> [Duration; COUNT] {
+    let mut times = [Duration::from_secs(2); COUNT];
+    let mut number = 1;
+    while number < COUNT {
+        times[number] = times[number - 1].saturating_add(gap);
         number += 1;
     }
     times
-};
+}
+
+/// Times of outages in series.
+const SERIES: [Duration; 19] = series(Duration::from_secs(2));
+
+/// Times of outages that follow each other sooner than long prompts are read.
+const DENSE_SERIES: [Duration; 76] = series(Duration::from_millis(500));
 
 #[test_case(LoadCase { load: Load { fatal: 1.0, ..CALM }, sent_after: Some(3) }; "a part that always ends engines")]
 #[test_case(LoadCase { load: Load { fatal: 0.8, ..CALM }, sent_after: Some(3) }; "a part that mostly ends engines")]
@@ -226,6 +241,9 @@
 #[test_case(LoadCase { load: Load { outages: &SERIES, outage_engines: 2, ..CALM }, sent_after: None }; "a sound part beside ends of two engines in series")]
 #[test_case(LoadCase { load: Load { outages: &SERIES, outage_engines: 1, ..CALM }, sent_after: None }; "a sound part beside ends of one engine in series")]
 #[test_case(LoadCase { load: Load { part_fraction: 0.01, outages: &SERIES, outage_engines: 5, ..CALM }, sent_after: None }; "a rare sound part beside outages in series")]
+#[test_case(LoadCase { load: Load { part_fraction: 0.02, part_prefill: LONG_PREFILL, outages: &SERIES, outage_engines: 2, ..CALM }, sent_after: None }; "a sound part of long prompts beside ends of two engines in series")]
+#[test_case(LoadCase { load: Load { part_fraction: 0.02, part_prefill: LONG_PREFILL, outages: &SERIES, outage_engines: 5, ..CALM }, sent_after: None }; "a sound part of long prompts beside outages in series")]
+#[test_case(LoadCase { load: Load { part_fraction: 0.02, part_prefill: LONG_PREFILL, outages: &DENSE_SERIES, outage_engines: 2, ..CALM }, sent_after: None }; "a sound part of long prompts of which hardly any is answered beside ends in dense series")]
 fn harmful_parts_are_told_from_those_that_stand_beside_ends(case: LoadCase) {
     for seed in 0..12 {
         let outcome = play(seed, case.load, Duration::from_secs(45));
--- a/crates/gateway/tests/quarantine/load.rs
+++ b/crates/gateway/tests/quarantine/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::crash::BrokenRequest;
+use gateway::crash::{BrokenRequest, RISK_TIME};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 use crate::{Fleet, HOSTS, prompt};
@@ -11,10 +11,10 @@
 const STEP: Duration = Duration::from_millis(20);
 
 /// Time from a request to its first event.
-const PREFILL: Duration = Duration::from_millis(160);
+pub const PREFILL: Duration = Duration::from_millis(160);
 
-/// Time from a request to the end of its whole response.
-const RESPONSE: Duration = Duration::from_millis(1200);
+/// Time from the first event of a response to its end.
+const GENERATION: Duration = Duration::from_millis(1040);
 
 /// Time from a request to the end of the engine that can't bear it.
 const FATAL_TIME: Duration = Duration::from_millis(60);
@@ -43,6 +43,8 @@
     pub requests_per_s: f64,
     /// Fraction of the requests that have the part.
     pub part_fraction: f64,
+    /// Time from a request with the part to its first event.
+    pub part_prefill: Duration,
     /// Probability that a request with the part ends its engine.
     pub fatal: f64,
     /// Times of outages in which several engines end at the same moment.
@@ -69,7 +71,10 @@
     host: usize,
     parts: Vec<String>,
     started: Duration,
+    prefill: Duration,
     is_fatal: bool,
+    /// Whether it was no longer at risk some time ago.
+    has_passed: bool,
 }
 
 /// Plays a load for a time.
@@ -99,9 +104,16 @@
                 }
                 end(&mut fleet, engine);
             }
+            for own in
+                engine.0.iter_mut().filter(|own| now - own.started >= own.prefill + RISK_TIME)
+            {
+                if !std::mem::replace(&mut own.has_passed, true) {
+                    fleet.record_exposure(own.host, &own.parts, now - own.started);
+                }
+            }
             let (done, left) = std::mem::take(&mut engine.0)
                 .into_iter()
-                .partition::<Vec<_>, _>(|own| now - own.started >= RESPONSE);
+                .partition::<Vec<_>, _>(|own| now - own.started >= own.prefill + GENERATION);
             engine.0 = left;
             for own in done {
                 fleet.hosts[own.host].record_whole(now, &prompt(&names(&own.parts)));
@@ -147,8 +159,16 @@
         outcome.sent_after += usize::from(is_late);
     }
     let is_fatal = has_part && now >= load_start + CALM_TIME && rng.random_bool(load.fatal);
+    let prefill = if has_part { load.part_prefill } else { PREFILL };
     let engine = running[rng.random_range(0..running.len())];
-    engines[engine].0.push(Running { host, parts, started: now, is_fatal });
+    engines[engine].0.push(Running {
+        host,
+        parts,
+        started: now,
+        prefill,
+        is_fatal,
+        has_passed: false,
+    });
 }
 
 /// Ends an engine; each host notices it with its requests there.
@@ -157,6 +177,9 @@
     engine.1 = now + DOWN_TIME;
     let broken = std::mem::take(&mut engine.0);
     let backend = fleet.next_backend;
+    for own in broken.iter().filter(|own| !own.has_passed) {
+        fleet.record_exposure(own.host, &own.parts, now - own.started);
+    }
     for host in 0..HOSTS {
         let requests: Vec<BrokenRequest> = broken
             .iter()
@@ -168,7 +191,7 @@
                     parts: own.parts.iter().map(|part| part.as_str().into()).collect(),
                     in_progress_for,
                     events: 0,
-                    responding_for: in_progress_for.checked_sub(PREFILL),
+                    responding_for: in_progress_for.checked_sub(own.prefill),
                 }
             })
             .collect();
