Return the allocation of a host that no longer lends

Callers of workspaces whose budget wasn't used up got 402.

Cause: a host that isn't a lender gives tokens to the lender in messages, as far as its limit on use lets it; without use that limit is 0. Only where no lender could be asked did it return them to the budget.

Ruled out: takeovers (0.02 to 0.06 of a budget), lost messages (none of 10 workspaces), requests whose callers left without an event (0.01 to 0.03; charged by design).

It now returns them to the budget 0.2 s after its last use. allocation_of_a_former_lender_is_returned failed before (499,999 of 499,999 left).

--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -5,7 +5,7 @@
 use coordination::table::Txn;
 
 use super::{
-    Account, Allocation, Budget, Environment, Marker, Pending, Relaxed, Step,
+    Account, Allocation, Budget, Environment, LEFTOVER_DELAY, Marker, Pending, Relaxed, Step,
     allocation::SpendLimit,
 };
 
@@ -234,10 +234,12 @@
         let is_scarce = self.ungranted() < self.prepaid / 100 * SCARCE_PERCENT;
         let has_surplus = if environment.is_lender {
             spare > 2 * target || (is_scarce && spare > target / 4)
-        } else {
+        } else if environment.is_lender_reachable {
             // Borrowed tokens that requests leave unused serve the next ones, or go to the lender.
-            !environment.is_lender_reachable
-                && spare > 2 * target + MAX_UNUSED_REQUESTS * self.mean_request as u64
+            self.held > MAX_UNUSED_REQUESTS * self.mean_request as u64
+                && now.saturating_sub(self.used_at) >= LEFTOVER_DELAY
+        } else {
+            spare > 2 * target + MAX_UNUSED_REQUESTS * self.mean_request as u64
         };
         let return_tokens = self.recalled || (spare > 0 && (self.closing || has_surplus));
         // Requests that wait for a lowered amount can't be served before the surplus is returned.
--- a/crates/gateway/tests/account/main.rs
+++ b/crates/gateway/tests/account/main.rs
@@ -136,17 +136,22 @@
     }
 }
 
-/// Runs transactions until none is due.
+/// Runs transactions of the only lender until none is due.
 fn run(account: &mut Account, table: &mut Table, now: Duration, platform_ms: u64) {
-    let environment = environment(platform_ms);
+    run_in(environment(platform_ms), account, table, now);
+}
+
+/// Runs transactions until none is due.
+fn run_in(environment: Environment, account: &mut Account, table: &mut Table, now: Duration) {
+    let platform_ms = environment.platform_ms;
     // Short delays follow conflicts.
     for step in 0..50 {
         let now = now + step * MILLISECOND;
         while let Some(step) = account.plan(now, environment) {
             match step {
-                Step::Read(keys) => account.finish_read(now, &table.read(&keys), Some(platform_ms)),
+                Step::Read(keys) => account.finish_read(now, &table.read(&keys), platform_ms),
                 Step::Commit(txn) => {
-                    account.finish_commit(now, table.commit(&txn), Some(platform_ms))
+                    account.finish_commit(now, table.commit(&txn), platform_ms);
                 }
             }
         }
@@ -459,3 +464,37 @@
     assert_eq!(account.take_leftover(later), 800);
     assert_eq!(account.take_leftover(later), 0);
 }
+
+struct FormerLenderCase {
+    is_lender_reachable: bool,
+    /// Time since the last request.
+    unused_ms: u64,
+    is_returned: bool,
+}
+
+#[test_case(FormerLenderCase { is_lender_reachable: true, unused_ms: 1000, is_returned: true }; "another lender can be asked")]
+#[test_case(FormerLenderCase { is_lender_reachable: true, unused_ms: 100, is_returned: false }; "used a moment ago")]
+#[test_case(FormerLenderCase { is_lender_reachable: false, unused_ms: 1000, is_returned: true }; "no other lender can be asked")]
+fn allocation_of_a_former_lender_is_returned(case: FormerLenderCase) {
+    const PREPAID: u64 = 1_000_000;
+    let mut table = Table::default();
+    let mut account = new_account("h-1", PREPAID);
+    // It was a lender for so long that its rate of use is known, and is none any more.
+    for second in 0..60 {
+        run(&mut account, &mut table, Duration::from_secs(second), second * 1000);
+    }
+    let held = account.balance().0;
+    assert!(held > PREPAID / 4, "{held} tokens are prefetched");
+    let used_at = Duration::from_secs(60);
+    assert_eq!(account.reserve(used_at, 1, true), ReserveResult::Reserved);
+    let now = used_at + Duration::from_millis(case.unused_ms);
+    let environment = Environment {
+        lenders: 5,
+        is_lender: false,
+        is_lender_reachable: case.is_lender_reachable,
+        ..environment(now.as_millis() as u64)
+    };
+    run_in(environment, &mut account, &mut table, now);
+    let left = account.balance().0;
+    assert_eq!(left < held / 100, case.is_returned, "{left} tokens are left");
+}
