Write limits of ended hosts again that a restored table lacks

Cause: the host that had shared the statement was killed; the table was then restored from a copy of 7.8 s before, from before the row. The hosts that live knew the limit from the row, and a host writes only what its own responses stated, so that nobody wrote it again. A process that started afterwards read the rows, found none for this backend server (`backend_limit` only for the other one), and sent freely for 0.5 s until a response named the limit.

Ruled out: a process that sends before it has read the rows (it had, 0.9 s before), a limit that had ended (the backend server only reset connections meanwhile).

Hosts now also write what they know from others where the table has no row. The case a_limit_that_the_restored_table_lacks failed before.

Also: an arm of Suspect::is_harmful whose condition always holds is reduced to it.

--- a/crates/gateway/src/limit/sharing.rs
+++ b/crates/gateway/src/limit/sharing.rs
@@ -79,7 +79,7 @@
     }
 
     /// Returns the transaction that shares this host's own statements about listed backend servers,
-    /// if one is due; otherwise one that removes rows which hold no longer, if there are any.
+    /// and those of others that a restored table lacks, if one is due; otherwise one that removes rows which hold no longer, if there are any.
     pub fn plan<'a>(
         &mut self,
         now_ms: u64,
@@ -96,8 +96,11 @@
             let key = limit_key(&entry.id);
             let stored = self.rows.get(&key);
             used.insert(key.clone());
-            let Some((statement, Origin::Own)) = limit.newest() else { continue };
+            let Some((statement, origin)) = limit.newest() else { continue };
+            // The host that had shared it may have ended before the table was restored.
+            let is_lost = origin == Origin::Shared && stored.is_none();
             if txn.writes.len() < MAX_WRITES
+                && (origin == Origin::Own || is_lost)
                 && is_due(entry, statement, stored, now_ms.saturating_sub(min_interval_ms))
             {
                 let missing = Row { key, value: None, revision: 0 };
@@ -137,7 +140,7 @@
     }
 }
 
-/// Returns whether an own statement that is newer than all others is to be written; a mere change
+/// Returns whether a statement that is newer than all others is to be written; a mere change
 /// of a rate only if the stored one isn't newer than `changed_before_ms`.
 fn is_due(
     entry: &Entry,
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -315,7 +315,7 @@
         let sound = self.sound(now_ms) as usize;
         let outweighs = ended >= MIN_ENDED && sound * SOUND_WEIGHT < ended;
         match evidence.chance {
-            Chance::Excluded => evidence.ends.len() >= MIN_ENDED || self.shared.is_compared,
+            Chance::Excluded => true,
             Chance::Likely => false,
             // Hosts don't know quite the same.
             Chance::Possible => self.shared.is_compared,
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -451,6 +451,39 @@
     }
 }
 
+struct LostRowCase {
+    /// Rate that another host, which has ended since, had shared.
+    per_s: Option<f64>,
+    is_stored: bool,
+    is_written: bool,
+}
+
+#[test_case(LostRowCase { per_s: Some(2.0), is_stored: false, is_written: true }; "a limit that the restored table lacks")]
+#[test_case(LostRowCase { per_s: Some(2.0), is_stored: true, is_written: false }; "a limit that the restored table has")]
+#[test_case(LostRowCase { per_s: None, is_stored: false, is_written: false }; "the end of a limit")]
+fn limit_of_another_host_is_written_again_after_a_restore(case: LostRowCase) {
+    let mut sharing = Sharing::new("h0".into());
+    let mut limit = Limit::default();
+    let entry = entry(1);
+    let row = LimitRow {
+        backend: entry.id.clone(),
+        started_unix_ms: 1,
+        per_s: case.per_s,
+        at_ms: 5000,
+        host: "h1".into(),
+    };
+    limit.record_shared(5100, Statement { per_s: case.per_s, at_ms: 5000 }, || 0.5);
+    sharing.apply(&Changes { rows: vec![stored_row(&row, 7)], through: 7 }, true);
+    let rows = if case.is_stored { vec![stored_row(&row, 3)] } else { Vec::new() };
+    sharing.apply(&Changes { rows, through: 3 }, true);
+    let planned = sharing.plan(9100, [(&entry, &limit)].into_iter());
+    assert_eq!(planned.is_some(), case.is_written);
+    let Some(txn) = planned else { return };
+    let text = txn.writes[0].value.as_ref().expect("a value");
+    let written: LimitRow = serde_json::from_str(text).expect("a row");
+    assert_eq!((written.per_s, written.at_ms), (case.per_s, 5000), "as it was stated");
+}
+
 #[test]
 fn many_limits_that_change_are_written_more_rarely() {
     struct Case {
