Go by whole responses where a part is at nearly all ends

Cause: the harmful part stood at 29 of 29 ends with no whole response, but so many requests waited at the few servers left that each end had some with it by chance too. The comparison took that for a proof that the part is sound, where it only can't tell.

Where a part is at more than four of five ends, whole responses decide as before.

--- a/crates/gateway/src/quarantine/exposure.rs
+++ b/crates/gateway/src/quarantine/exposure.rs
@@ -43,6 +43,10 @@
 /// Number of ends for each that is expected by chance, up to which they may be by chance.
 const MAX_CHANCE_EXCESS: f64 = 2.5;
 
+/// Fraction of the ends up to which they may be by chance. Where so many requests are at risk that
+/// nearly each end has some with the part, a harmful one can't be told by them.
+const MAX_CHANCE_FRACTION: f64 = 0.8;
+
 /// Whether requests with a part were at backend servers that ended by chance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Chance {
@@ -54,7 +58,7 @@
     Unlikely,
     /// They were there far more often.
     Excluded,
-    /// There are too few other requests to tell.
+    /// There are too few other requests to tell, or too few ends without the part.
     Unknown,
 }
 
@@ -196,10 +200,11 @@
             .collect();
         let (count, expected) = (ends.len() as f64, ends.iter().map(|end| end.1).sum::<f64>());
         let with_part = ends.iter().filter(|end| end.0).count() as f64;
+        let fraction = with_part / count;
         if with_part < expected * MAX_CHANCE_EXCESS {
-            return Chance::Likely;
+            let is_told = fraction <= MAX_CHANCE_FRACTION;
+            return if is_told { Chance::Likely } else { Chance::Unknown };
         }
-        let fraction = with_part / count;
         let log_likelihood: f64 = ends
             .iter()
             .map(|(has_part, by_chance)| match has_part {
