Go by whole responses where no end states its requests

Cause: rows of ends of earlier versions don't state how many requests were at risk, so that such ends are left out of the comparison. With none left, it answered "possible", which leaves out the rule by whole responses, in place of "unknown", which falls back to it.

Where any end states its requests, nothing changes.

--- a/crates/gateway/src/quarantine/exposure.rs
+++ b/crates/gateway/src/quarantine/exposure.rs
@@ -58,7 +58,8 @@
     Unlikely,
     /// They were there far more often.
     Excluded,
-    /// There are too few other requests to tell, or too few ends without the part.
+    /// There are too few other requests to tell, too few ends without the part, or none of which the
+    /// requests are known.
     Unknown,
 }
 
@@ -198,6 +199,9 @@
         let ends: Vec<(bool, f64)> = ends
             .map(|(backend, end)| (observed.ends.contains_key(backend), by_chance(end)))
             .collect();
+        if ends.is_empty() {
+            return Chance::Unknown;
+        }
         let (count, expected) = (ends.len() as f64, ends.iter().map(|end| end.1).sum::<f64>());
         let with_part = ends.iter().filter(|end| end.0).count() as f64;
         let fraction = with_part / count;
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -257,6 +257,28 @@
     }
 }
 
+/// Rows of hosts of earlier versions don't state how many requests were at risk.
+#[test]
+fn ends_that_hosts_of_earlier_versions_observed_count() {
+    let mut fleet = Fleet::new();
+    for number in 0..4 {
+        fleet.now += STEP;
+        for host in 0..HOSTS {
+            fleet.record_exposure(host, &["y".to_owned()], Duration::from_secs(20));
+        }
+        let end = serde_json::json!({
+            "backend": format!("b{number}"), "started_unix_ms": 1, "host": "former",
+            "at_ms": fleet.now.as_millis() as u64, "parts": [["x", 0]]
+        });
+        fleet.revision += 1;
+        let key = Arc::from(format!("directory/quarantine/end:{number:016x}"));
+        let value = Some(Arc::from(end.to_string()));
+        fleet.write(Row { key, value, revision: fleet.revision });
+        fleet.read(false);
+    }
+    assert_eq!(fleet.refusing(&["x"]), HOSTS);
+}
+
 struct OutageCase {
     /// Backend servers that end at the same moment, again and again.
     backends: usize,
