Stand-ins of the review end their hosts when a case can't run

A case that couldn't run left its hosts; a host whose port was taken meanwhile is now started again. The sources are formatted like the project's.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -55,7 +55,9 @@
                         bytes += 16 * 1024;
                         thread::sleep(Duration::from_millis(5));
                     }
-                    log.line(&format!("runner {number}: the caller of {id} has closed, after {bytes} such bytes"));
+                    log.line(&format!(
+                        "runner {number}: the caller of {id} has closed, after {bytes} such bytes"
+                    ));
                     return Then::Close;
                 }
                 if out.write_all(chunk(&event(&id, place)).as_bytes()).is_err() {
@@ -73,7 +75,8 @@
     (0..RUNNERS).for_each(|number| service.start_runner(number, zones[number % 3]));
     thread::sleep(Duration::from_millis(300));
     let text = temporary.to_str().unwrap().to_owned();
-    let start = |place: usize| Host::start(&store, &text, &format!("front-{place}"), zones[place], &zones);
+    let start =
+        |place: usize| Host::start(&store, &text, &format!("front-{place}"), zones[place], &zones);
     let hosts: Vec<Host> = (0..3).map(start).collect();
     hosts.iter().for_each(Host::wait_until_ready);
     thread::sleep(Duration::from_secs(3));
@@ -85,9 +88,16 @@
             scope.spawn(move || {
                 thread::sleep(Duration::from_millis(100 * number as u64));
                 let id = format!("9c41d07be2a3{number:04x}");
-                let prefix = format!("5c1e07a2:800,{:x}:410,e4{number:06x}:250", 0x91bd_3f06 + number);
+                let prefix =
+                    format!("5c1e07a2:800,{:x}:410,e4{number:06x}:250", 0x91bd_3f06 + number);
                 record.line(&format!("client sends {id}"));
-                let answer = call(front, "POST", "/review/1f", &generation(&id, "1460,200", &prefix), "body");
+                let answer = call(
+                    front,
+                    "POST",
+                    "/review/1f",
+                    &generation(&id, "1460,200", &prefix),
+                    "body",
+                );
                 let Some(answer) = answer.filter(|answer| answer.status() == 200) else {
                     broken.fetch_add(1, Ordering::SeqCst);
                     return record.line(&format!("client gets no success for {id}"));
@@ -106,7 +116,8 @@
                     }
                     true => {
                         wrong.fetch_add(1, Ordering::SeqCst);
-                        let at = (1..=EVENTS).find(|place| pieces.get(place - 1) != Some(&&*event(&id, *place)));
+                        let at = (1..=EVENTS)
+                            .find(|place| pieces.get(place - 1) != Some(&&*event(&id, *place)));
                         let at = at.unwrap_or(EVENTS + 1);
                         let piece = pieces.get(at - 1).copied().unwrap_or_default();
                         let end = piece.len().saturating_sub(90);
@@ -118,14 +129,21 @@
                         )
                     }
                 };
-                record.line(&format!("client gets 200 for {id}, seal {}, {} bytes, {outcome}", answer.header("response-seal"), answer.body.len()));
+                record.line(&format!(
+                    "client gets 200 for {id}, seal {}, {} bytes, {outcome}",
+                    answer.header("response-seal"),
+                    answer.body.len()
+                ));
             });
         }
     });
     let count = |counter: &AtomicUsize| counter.load(Ordering::SeqCst);
     let text = format!(
         "{} streams: {} whole, {} not served or broken off, {} complete with other bytes than the runners' events",
-        STREAMS, count(&whole), count(&broken), count(&wrong)
+        STREAMS,
+        count(&whole),
+        count(&broken),
+        count(&wrong)
     );
     record.line(&text);
     println!("{text}");
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -34,7 +34,8 @@
 
 impl Record {
     pub fn create(path: &str) -> Self {
-        let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
+        let file =
+            File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
         Self { started: Instant::now(), file: Arc::new(Mutex::new(file)) }
     }
 
@@ -48,9 +49,15 @@
     }
 }
 
-/// Ends the case as one that couldn't run.
+/// Process ids of the hosts that run.
+static HOSTS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case as one that couldn't run, and the processes that it started.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case can't run: {why}");
+    for id in HOSTS.lock().unwrap().drain(..) {
+        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    }
     std::process::exit(2)
 }
 
@@ -75,7 +82,9 @@
 
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Self::Object(fields) => fields.iter().find(|field| field.0 == name).map(|field| &field.1),
+            Self::Object(fields) => {
+                fields.iter().find(|field| field.0 == name).map(|field| &field.1)
+            }
             _ => None,
         }
     }
@@ -423,7 +432,8 @@
                     }
                     let changed =
                         rows.history.iter().filter(|row| row.0.0 == table && row.2 > after);
-                    let found: Vec<_> = changed.map(|row| wire(&row.0, row.1.as_ref(), row.2)).collect();
+                    let found: Vec<_> =
+                        changed.map(|row| wire(&row.0, row.1.as_ref(), row.2)).collect();
                     drop(rows);
                     if !found.is_empty() || Instant::now() >= until {
                         return ("200 OK", format!("\"Rows\":[{}],", found.join(",")));
@@ -433,19 +443,30 @@
             }
             "/v1/rows-parts" => {
                 let rows = self.rows.lock().unwrap();
-                let mut parts: Vec<_> = rows.rows.keys().filter(|key| key.0 == table).map(|key| quote(&key.1)).collect();
+                let mut parts: Vec<_> = rows
+                    .rows
+                    .keys()
+                    .filter(|key| key.0 == table)
+                    .map(|key| quote(&key.1))
+                    .collect();
                 parts.dedup();
                 ("200 OK", format!("\"parts\":[{}],\"HasMore\":false,", parts.join(",")))
             }
             "/v1/rows-get" => {
-                let (part, from, to) = (request.query("part"), request.query("From"), request.query("To"));
+                let (part, from, to) =
+                    (request.query("part"), request.query("From"), request.query("To"));
                 let limit = request.query("Limit").parse().unwrap_or(500).min(500);
                 let rows = self.rows.lock().unwrap();
                 let matching = rows.rows.iter().filter(|(key, _)| {
-                    key.0 == table && key.1 == part && key.2 >= from && (to.is_empty() || key.2 < to)
+                    key.0 == table
+                        && key.1 == part
+                        && key.2 >= from
+                        && (to.is_empty() || key.2 < to)
                 });
-                let mut found: Vec<_> =
-                    matching.take(limit + 1).map(|(key, row)| wire(key, Some(&row.0), row.1)).collect();
+                let mut found: Vec<_> = matching
+                    .take(limit + 1)
+                    .map(|(key, row)| wire(key, Some(&row.0), row.1))
+                    .collect();
                 let has_more = found.len() > limit;
                 found.truncate(limit);
                 ("200 OK", format!("\"Rows\":[{}],\"HasMore\":{has_more},", found.join(",")))
@@ -455,7 +476,9 @@
     }
 
     fn commit(&self, body: &str) -> (&'static str, String) {
-        let Some(transaction) = Json::parse(body) else { return ("400 Bad Request", String::new()) };
+        let Some(transaction) = Json::parse(body) else {
+            return ("400 Bad Request", String::new());
+        };
         let key = |entry: &Json| (entry.text("Table"), entry.text("part"), entry.text("Key"));
         let mut rows = self.rows.lock().unwrap();
         let expected = transaction.list("ExpectedRevision");
@@ -465,9 +488,9 @@
         });
         if !holds {
             let keys: Vec<Key> = expected.iter().map(key).collect();
-            let current = keys.iter().filter_map(|key| {
-                rows.rows.get(key).map(|row| wire(key, Some(&row.0), row.1))
-            });
+            let current = keys
+                .iter()
+                .filter_map(|key| rows.rows.get(key).map(|row| wire(key, Some(&row.0), row.1)));
             let current: Vec<_> = current.collect();
             return ("412 Precondition Failed", format!("\"Rows\":[{}],", current.join(",")));
         }
@@ -489,7 +512,8 @@
 
 fn wire(key: &Key, value: Option<&String>, version: u64) -> String {
     let (table, part, name) = (quote(&key.0), quote(&key.1), quote(&key.2));
-    let rest = value.map_or("\"Removed\":true".into(), |value| format!("\"Value\":{}", quote(value)));
+    let rest =
+        value.map_or("\"Removed\":true".into(), |value| format!("\"Value\":{}", quote(value)));
     format!("{{\"Table\":{table},\"part\":{part},\"Key\":{name},\"Ver\":{version},{rest}}}")
 }
 
@@ -565,10 +589,19 @@
         });
     }
 
-    fn run(&self, number: usize, id: &str, start: u64, zone: &str, listener: &TcpListener, address: SocketAddr) {
+    fn run(
+        &self,
+        number: usize,
+        id: &str,
+        start: u64,
+        zone: &str,
+        listener: &TcpListener,
+        address: SocketAddr,
+    ) {
         let ended = Arc::new(AtomicBool::new(false));
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-        let (store, name, key, gone) = (self.store.clone(), self.name, id.to_owned(), ended.clone());
+        let (store, name, key, gone) =
+            (self.store.clone(), self.name, id.to_owned(), ended.clone());
         let (zone, keeps_id) = (zone.to_owned(), self.keeps_id);
         thread::spawn(move || {
             let mut sequence = 1;
@@ -618,7 +651,13 @@
                         respond(&mut out, "421 Misdirected Request", "Not-Executed: 1\r\n", b"");
                         continue;
                     }
-                    match handler(Serving { id: &id, number, start, request: &request, out: &mut out }) {
+                    match handler(Serving {
+                        id: &id,
+                        number,
+                        start,
+                        request: &request,
+                        out: &mut out,
+                    }) {
                         Then::KeepOpen => {}
                         Then::Close => {
                             let _ = out.shutdown(Shutdown::Both);
@@ -677,6 +716,18 @@
 impl Host {
     /// Starts a host of a zone with settings like those of the deployments.
     pub fn start(store: &Store, folder: &str, name: &str, zone: &str, zones: &[&str]) -> Self {
+        // Another process may have taken one of its ports meanwhile.
+        let attempts = (0..5).find_map(|_| Self::try_start(store, folder, name, zone, zones));
+        attempts.unwrap_or_else(|| cannot_run("a host doesn't start"))
+    }
+
+    fn try_start(
+        store: &Store,
+        folder: &str,
+        name: &str,
+        zone: &str,
+        zones: &[&str],
+    ) -> Option<Self> {
         let ports = free_ports(4);
         let (front, ready) = (ports[0], ports[1]);
         // The first and last port of the range are the ones that it uses.
@@ -697,15 +748,20 @@
         let settings = format!("{folder}/{name}.toml");
         std::fs::write(&settings, text).unwrap_or_else(|error| cannot_run(&error.to_string()));
         let log = File::create(format!("{folder}/{name}.log")).unwrap();
-        let child = Command::new("target/release/laburnum-node")
+        let mut child = Command::new("target/release/laburnum-node")
             .env("LABURNUMCOVE_NODE_FILE", &settings)
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|error| cannot_run(&error.to_string()));
+        thread::sleep(Duration::from_millis(150));
+        if child.try_wait().is_ok_and(|status| status.is_some()) {
+            return None;
+        }
+        HOSTS.lock().unwrap().push(child.id());
         let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        Self { child, settings, front: at(front), ready: at(ready) }
+        Some(Self { child, settings, front: at(front), ready: at(ready) })
     }
 
     /// Waits until it says that it is ready.
@@ -715,7 +771,9 @@
             if let Ok(mut stream) = TcpStream::connect(self.ready) {
                 let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
                 let _ = stream.write_all(b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n");
-                if read_message(&mut BufReader::new(stream)).is_some_and(|answer| answer.status() == 200) {
+                if read_message(&mut BufReader::new(stream))
+                    .is_some_and(|answer| answer.status() == 200)
+                {
                     return;
                 }
             }
@@ -729,6 +787,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        HOSTS.lock().unwrap().retain(|id| *id != self.child.id());
         let _ = std::fs::remove_file(&self.settings);
     }
 }
@@ -736,7 +795,13 @@
 // ---------------------------------------------------------------- clients
 
 /// Sends a request on a connection of its own and reads the answer.
-pub fn call(front: SocketAddr, method: &str, path: &str, headers: &str, body: &str) -> Option<Message> {
+pub fn call(
+    front: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> Option<Message> {
     let stream = TcpStream::connect(front).ok()?;
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_secs(17)));
--- a/review/standin/crashing.rs
+++ b/review/standin/crashing.rs
@@ -83,7 +83,9 @@
                 if !seen.crashes.iter().any(|crash| (crash.1, crash.2) == (number, serving_start)) {
                     seen.crashes.push((log.now(), number, serving_start));
                 }
-                log.line(&format!("runner {number} ({runner}) begins to write on {id} and crashes"));
+                log.line(&format!(
+                    "runner {number} ({runner}) begins to write on {id} and crashes"
+                ));
                 return Then::Crash;
             }
             let last: usize = request.header("last-event-id").parse().unwrap_or(0);
@@ -103,7 +105,8 @@
     (0..RUNNERS).for_each(|number| service.start_runner(number, zones[number % 3]));
     thread::sleep(Duration::from_millis(300));
     let text = temporary.to_str().unwrap().to_owned();
-    let start = |place: usize| Host::start(&store, &text, &format!("front-{place}"), zones[place], &zones);
+    let start =
+        |place: usize| Host::start(&store, &text, &format!("front-{place}"), zones[place], &zones);
     let hosts: Vec<Host> = (0..3).map(start).collect();
     hosts.iter().for_each(Host::wait_until_ready);
     thread::sleep(Duration::from_secs(3));
@@ -122,10 +125,18 @@
                     let id = format!("50{client:02x}{number:08x}");
                     let other = 0x91bd_3f06_usize + number % 7;
                     let (shared, rest) = (pattern.shared, pattern.rest);
-                    let prefix = format!("5c1e07a2:{shared},{other:x}:{rest},e4{client:02x}{number:06x}:{rest}");
+                    let prefix = format!(
+                        "5c1e07a2:{shared},{other:x}:{rest},e4{client:02x}{number:06x}:{rest}"
+                    );
                     let counts = format!("{},80", shared + 2 * rest);
                     let route = ["review", "reply"][client % 2];
-                    let answer = call(front, "POST", &format!("/{route}/2f"), &generation(&id, &counts, &prefix), "body");
+                    let answer = call(
+                        front,
+                        "POST",
+                        &format!("/{route}/2f"),
+                        &generation(&id, &counts, &prefix),
+                        "body",
+                    );
                     match answer {
                         Some(answer) if answer.status() == 200 && answer.complete => {
                             served.fetch_add(1, Ordering::SeqCst);
@@ -133,7 +144,9 @@
                         other => {
                             lost.fetch_add(1, Ordering::SeqCst);
                             let status = other.map_or(0, |answer| answer.status());
-                            record.line(&format!("sound request {id} ({route}) isn't answered whole: {status}"));
+                            record.line(&format!(
+                                "sound request {id} ({route}) isn't answered whole: {status}"
+                            ));
                         }
                     }
                     thread::sleep(Duration::from_millis(60));
@@ -144,15 +157,26 @@
         for burst in 0..pattern.bursts {
             for place in 0..pattern.burst {
                 let number = burst * pattern.burst + place;
-                let (front, record, route) = (hosts[number % hosts.len()].front, &record, pattern.route);
+                let (front, record, route) =
+                    (hosts[number % hosts.len()].front, &record, pattern.route);
                 let (shared, rest) = (pattern.shared, pattern.rest);
                 scope.spawn(move || {
                     let id = format!("fa{number:06x}");
-                    let prefix = format!("5c1e07a2:{shared},{CRASHING_PART}:{rest},e5{number:06x}:{}", rest + number);
-                    record.line(&format!("client sends {id}, with the part, to host {}", number % 3));
+                    let prefix = format!(
+                        "5c1e07a2:{shared},{CRASHING_PART}:{rest},e5{number:06x}:{}",
+                        rest + number
+                    );
+                    record
+                        .line(&format!("client sends {id}, with the part, to host {}", number % 3));
                     let counts = format!("{},80", shared + 2 * rest + number);
                     let body = format!("body {number}");
-                    let answer = call(front, "POST", &format!("/{route}/2f"), &generation(&id, &counts, &prefix), &body);
+                    let answer = call(
+                        front,
+                        "POST",
+                        &format!("/{route}/2f"),
+                        &generation(&id, &counts, &prefix),
+                        &body,
+                    );
                     let status = answer.map_or(0, |answer| answer.status());
                     record.line(&format!("client gets {status} for {id}"));
                 });
@@ -162,9 +186,10 @@
         stop.store(true, Ordering::SeqCst);
     });
     let seen = seen.lock().unwrap();
-    let late = seen.crashes.get(4).map(|fifth| {
-        seen.arrivals.iter().filter(|at| **at > fifth.0 + CONTACT_S).count()
-    });
+    let late = seen
+        .crashes
+        .get(4)
+        .map(|fifth| seen.arrivals.iter().filter(|at| **at > fifth.0 + CONTACT_S).count());
     let text = format!(
         "{} requests with the part reached runners, {} crashes; later than {CONTACT_S} s after the fifth crash: {}, allowed {ALLOWED}; \
          sound requests: {} answered whole, {} not",
