Review cases 2 and 3: prompts with other parts before the crashing one

Requests with the part now share other parts with sound requests and go to different runners, as the users' page has it.

--- a/review/standin/crashing.rs
+++ b/review/standin/crashing.rs
@@ -15,6 +15,9 @@
 
 /// The part that crashes runners; it is never the last one of a prompt.
 const CRASHING_PART: &str = "fa7a1c0d";
+/// First of the parts that follow the one which all prompts share.
+const OTHER_PART: usize = 0x91bd_3f06;
+const OTHER_PARTS: usize = 7;
 const EVENTS: usize = 8;
 const RUNNERS: usize = 12;
 /// `ContactMs` in seconds.
@@ -123,7 +126,7 @@
                         return;
                     }
                     let id = format!("50{client:02x}{number:08x}");
-                    let other = 0x91bd_3f06_usize + number % 7;
+                    let other = OTHER_PART + number % OTHER_PARTS;
                     let (shared, rest) = (pattern.shared, pattern.rest);
                     let prefix = format!(
                         "5c1e07a2:{shared},{other:x}:{rest},e4{client:02x}{number:06x}:{rest}"
@@ -162,13 +165,15 @@
                 let (shared, rest) = (pattern.shared, pattern.rest);
                 scope.spawn(move || {
                     let id = format!("fa{number:06x}");
+                    // Sound requests share the parts before it.
+                    let other = OTHER_PART + number % OTHER_PARTS;
                     let prefix = format!(
-                        "5c1e07a2:{shared},{CRASHING_PART}:{rest},e5{number:06x}:{}",
+                        "5c1e07a2:{shared},{other:x}:{rest},{CRASHING_PART}:{rest},e5{number:06x}:{}",
                         rest + number
                     );
                     record
                         .line(&format!("client sends {id}, with the part, to host {}", number % 3));
-                    let counts = format!("{},80", shared + 2 * rest + number);
+                    let counts = format!("{},80", shared + 3 * rest + number);
                     let body = format!("body {number}");
                     let answer = call(
                         front,
