Close a caller's connection by the limits in force, not by those of its accept

What callers saw: a connection that was in use while the idle timeout rose from 1 s to 30 s was closed after 2.5 s of rest, under its caller's next request.

Cause: edge::serve read the idle timeout once and gave it to the HTTP library for the connection's whole life. The same setting bounded the head, which could take 60 s where the configuration allows half a second.

Class: a setting that is read once and kept beyond its version.

It is asked at each poll of the connection, so that a change counts at once; a caller that rests keeps the longer limit that it rests by. A request now counts as in progress until its response has been handed to the socket's buffer, not only until its head.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -10,6 +11,8 @@
 use http_body_util::Full;
 use hyper::body::{Frame, SizeHint};
 
+use crate::connection::Guard;
+
 /// Error if a response breaks off; the caller's connection is closed before its end.
 #[derive(Debug, thiserror::Error)]
 #[error("the answer broke off")]
@@ -62,3 +65,36 @@
         }
     }
 }
+
+/// A body that holds a guard until it has been written.
+pub struct Guarded<B> {
+    body: B,
+    _guard: Rc<Guard>,
+}
+
+impl<B> Guarded<B> {
+    /// Creates a body that holds a guard.
+    pub fn new(body: B, guard: Rc<Guard>) -> Self {
+        Self { body, _guard: guard }
+    }
+}
+
+impl<B: hyper::body::Body + Unpin> hyper::body::Body for Guarded<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -97,12 +97,21 @@
 pub struct Limits {
     /// Longest body of a request in bytes.
     pub max_body_bytes: usize,
-    /// Longest time for the body of a request to arrive.
+    /// Longest time for the head of a request to arrive, and for its body.
     pub read_timeout: Duration,
     /// Longest time that a connection may stay idle.
     pub idle_timeout: Duration,
 }
 
+impl Limits {
+    /// Limits before the configuration is known.
+    pub const INITIAL: Self = Self {
+        max_body_bytes: 1024 * 1024,
+        read_timeout: Duration::from_secs(5),
+        idle_timeout: Duration::from_secs(15),
+    };
+}
+
 /// A customer with its own keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Workspace {
--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,145 @@
+//! A caller's connection: its socket, and the requests that are in progress on it.
+
+use std::{
+    cell::RefCell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::{idle::Timer, node::Node};
+
+/// A caller's connection, which is counted until it is dropped.
+pub struct Connection {
+    node: Rc<Node>,
+    timer: RefCell<Timer>,
+}
+
+impl Connection {
+    /// Counts a connection that was accepted.
+    pub fn open(node: &Rc<Node>) -> Rc<Self> {
+        node.overload.borrow_mut().open_connection();
+        let timer = Timer::new(node.now(), &node.limits_in_force());
+        Rc::new(Self { node: node.clone(), timer: RefCell::new(timer) })
+    }
+
+    /// Records that the head of a request has arrived; the request is in progress until the guard is
+    /// dropped.
+    pub fn begin_request(self: &Rc<Self>) -> Rc<Guard> {
+        self.timer.borrow_mut().record_request();
+        self.node.active.set(self.node.active.get() + 1);
+        Rc::new(Guard(self.clone()))
+    }
+
+    fn record_received(&self) {
+        self.timer.borrow_mut().record_received(self.node.now());
+    }
+
+    fn record_sent(&self) {
+        self.timer.borrow_mut().record_sent(self.node.now());
+    }
+
+    /// Returns whether a request is in progress.
+    pub fn is_in_use(&self) -> bool {
+        self.time_left().is_none()
+    }
+
+    /// Returns the time that is left until the connection is closed unless its caller sends more;
+    /// `None` while a request is in progress.
+    pub fn time_left(&self) -> Option<Duration> {
+        let deadline = self.timer.borrow().deadline(&self.node.limits_in_force())?;
+        Some(deadline.saturating_sub(self.node.now()))
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.node.overload.borrow_mut().close_connection();
+    }
+}
+
+/// Guard that counts a request as in progress until it is dropped.
+pub struct Guard(Rc<Connection>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let Connection { node, timer } = &*self.0;
+        node.active.set(node.active.get() - 1);
+        timer.borrow_mut().record_end(node.now(), &node.limits_in_force());
+    }
+}
+
+/// Socket of a connection, which records when bytes pass.
+pub struct Socket {
+    stream: TokioIo<TcpStream>,
+    connection: Rc<Connection>,
+}
+
+impl Socket {
+    /// Creates the socket of a connection.
+    pub fn new(stream: TcpStream, connection: Rc<Connection>) -> Self {
+        Self { stream: TokioIo::new(stream), connection }
+    }
+
+    fn stream(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
+        Pin::new(&mut self.get_mut().stream)
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let polled = self.as_mut().stream().poll_read(context, buffer);
+        if polled.is_ready() {
+            self.connection.record_received();
+        }
+        polled
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = self.as_mut().stream().poll_write(context, bytes);
+        if polled.is_ready() {
+            self.connection.record_sent();
+        }
+        polled
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = self.as_mut().stream().poll_write_vectored(context, slices);
+        if polled.is_ready() {
+            self.connection.record_sent();
+        }
+        polled
+    }
+}
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -1,26 +1,37 @@
 //! Accepts callers' connections.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::poll_fn,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    task::Poll,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::sleep,
+    time::{Instant, sleep, timeout},
 };
 
-use crate::{node::Node, proxy};
+use crate::{
+    connection::{Connection, Socket},
+    node::Node,
+    proxy,
+};
 
 /// Longest head of a request in bytes, and size of a connection's buffer.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Longest time that a connection waits for the head of a request before the configuration is
-/// known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest time for which a connection that is to be closed sends what was written to it.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Delay after a connection could not be accepted, as when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -69,36 +80,52 @@
     }
 }
 
-/// Guard that counts a caller's connection until it is dropped.
-struct OpenConnection(Rc<Node>);
-
-impl OpenConnection {
-    fn new(node: &Rc<Node>) -> Self {
-        node.overload.borrow_mut().open_connection();
-        Self(node.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.overload.borrow_mut().close_connection();
-    }
-}
-
 async fn serve(node: Rc<Node>, stream: TcpStream) {
-    let _open = OpenConnection::new(&node);
-    let idle_timeout =
-        node.catalog().map_or(DEFAULT_IDLE_TIMEOUT, |catalog| catalog.limits().idle_timeout);
+    let connection = Connection::open(&node);
     let service = service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(proxy::handle(node, request).await) }
+        let (node, guard) = (node.clone(), connection.begin_request());
+        async move { Ok::<_, Infallible>(proxy::handle(node, request, guard).await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = served.await {
+        .serve_connection(Socket::new(stream, connection.clone()), service);
+    let mut served = pin!(served);
+    let result = match wait_for_end(served.as_mut(), &connection).await {
+        Some(result) => result,
+        None => {
+            served.as_mut().graceful_shutdown();
+            match timeout(CLOSE_TIMEOUT, served.as_mut()).await {
+                Ok(result) => result,
+                Err(_) if connection.is_in_use() => served.await,
+                Err(_) => Ok(()),
+            }
+        }
+    };
+    if let Err(error) = result {
         tracing::debug!(event = "caller_connection_ended", %error);
     }
 }
+
+/// Serves a connection until it ends; returns `None` if its caller sends nothing, or only a part of a
+/// head, for too long.
+async fn wait_for_end<T>(
+    mut served: Pin<&mut impl Future<Output = T>>,
+    connection: &Connection,
+) -> Option<T> {
+    let mut sleep = pin!(sleep(Duration::ZERO));
+    poll_fn(|context| {
+        if let Poll::Ready(result) = served.as_mut().poll(context) {
+            return Poll::Ready(Some(result));
+        }
+        // What arrived may have begun a request, and a change of the limits may be in force.
+        let Some(time_left) = connection.time_left() else { return Poll::Pending };
+        if time_left.is_zero() {
+            return Poll::Ready(None);
+        }
+        sleep.as_mut().reset(Instant::now() + time_left);
+        sleep.as_mut().poll(context).map(|()| None)
+    })
+    .await
+}
--- /dev/null
+++ b/crates/gateway/src/idle.rs
@@ -0,0 +1,74 @@
+//! Decides how long a caller's connection stays open while its caller sends nothing, or only a part
+//! of a head.
+//!
+//! The limits are those of the configuration in force at the time of the decision. Only a caller
+//! that already rests keeps the longer limit that it rests by. This suits callers that use their
+//! connections for many requests while limits change.
+
+use std::time::Duration;
+
+use crate::catalog::Limits;
+
+/// What a caller does on its connection.
+#[derive(Debug)]
+enum State {
+    /// It has sent nothing since then; the limit was this one.
+    Resting { since: Duration, limit: Duration },
+    /// It has sent a part of a head since then.
+    SendingHead { since: Duration },
+    /// So many requests or their responses are in progress: the next one may begin while the rest of
+    /// a refused one is dealt with.
+    Busy { requests: usize },
+}
+
+/// Time for which a caller may keep its connection open.
+#[derive(Debug)]
+pub struct Timer(State);
+
+impl Timer {
+    /// Creates the timer of a new connection.
+    pub fn new(now: Duration, limits: &Limits) -> Self {
+        Self(State::Resting { since: now, limit: limits.idle_timeout })
+    }
+
+    /// Records that bytes arrived.
+    pub fn record_received(&mut self, now: Duration) {
+        if matches!(self.0, State::Resting { .. }) {
+            self.0 = State::SendingHead { since: now };
+        }
+    }
+
+    /// Records that bytes were sent; they may be the rest of a response to a slow caller.
+    pub fn record_sent(&mut self, now: Duration) {
+        if let State::Resting { since, .. } = &mut self.0 {
+            *since = now;
+        }
+    }
+
+    /// Records that a whole head has arrived.
+    pub fn record_request(&mut self) {
+        let requests = match self.0 {
+            State::Busy { requests } => requests + 1,
+            State::Resting { .. } | State::SendingHead { .. } => 1,
+        };
+        self.0 = State::Busy { requests };
+    }
+
+    /// Records that a request and its response have ended.
+    pub fn record_end(&mut self, now: Duration, limits: &Limits) {
+        match &mut self.0 {
+            State::Busy { requests } if *requests > 1 => *requests -= 1,
+            _ => *self = Self::new(now, limits),
+        }
+    }
+
+    /// Returns when the connection is closed unless the caller sends more; `None` while a request is
+    /// in progress.
+    pub fn deadline(&self, limits: &Limits) -> Option<Duration> {
+        match self.0 {
+            State::Resting { since, limit } => Some(since + limit.max(limits.idle_timeout)),
+            State::SendingHead { since } => Some(since + limits.read_timeout),
+            State::Busy { .. } => None,
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! decisions. These modules decide without input or output: [`account`] (prepaid tokens),
 //! [`lender`] (which hosts prefetch them), [`directory`] (which host reads the platform's lists for
 //! the others), [`retry_budget`] (limit on retries), [`overload`] (whether this host can take a
-//! request at all), [`drain`] (which requests it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
+//! request at all), [`idle`] (how long a caller's connection stays open), [`drain`] (which requests
+//! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
 //! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
@@ -16,6 +17,7 @@
 pub mod body;
 pub mod budgets;
 pub mod catalog;
+pub mod connection;
 pub mod crash;
 pub mod credit;
 pub mod dialect;
@@ -24,6 +26,7 @@
 pub mod edge;
 pub mod era;
 pub mod events;
+pub mod idle;
 pub mod lender;
 mod lifecycle;
 pub mod limit;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,7 +18,7 @@
 use crate::{
     account::Loss,
     budgets::Budgets,
-    catalog::Catalog,
+    catalog::{Catalog, Limits},
     crash::Crashes,
     credit::Credits,
     dialect::{Dialect, Source},
@@ -227,6 +227,11 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns the limits on callers' requests and connections.
+    pub fn limits_in_force(&self) -> Limits {
+        self.catalog.borrow().as_ref().map_or(Limits::INITIAL, |catalog| catalog.limits())
+    }
+
     /// Puts a configuration in force if it is newer than the current one; returns whether it is.
     pub fn set_catalog(&self, catalog: Catalog) -> bool {
         let is_newer = self.catalog().is_none_or(|current| current.version() < catalog.version());
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -31,9 +31,10 @@
     account::{Progress, ReserveResult},
     attempt::{Attempt, MAX_STREAM_OVERLAP, StartError, UpstreamResponse},
     backend::HealthSignal,
-    body::Body,
+    body::{Body, Guarded},
     budgets::{Budgets, Reservation},
     catalog::{Catalog, RetryPolicy, Route, Service, Workspace},
+    connection::Guard,
     credit::prompt_digest,
     drain,
     node::{Node, Phase},
@@ -288,23 +289,6 @@
     }
 }
 
-/// Guard that counts a request as in progress until it is dropped.
-#[derive(Debug)]
-pub struct ActiveRequest(Rc<Node>);
-
-impl ActiveRequest {
-    fn new(node: &Rc<Node>) -> Self {
-        node.active.set(node.active.get() + 1);
-        Self(node.clone())
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get() - 1);
-    }
-}
-
 /// Guard that counts a request as waiting for its response until it is dropped.
 #[derive(Debug)]
 struct PendingRequest(Rc<Node>);
@@ -323,12 +307,16 @@
     }
 }
 
-/// Handles a caller's request and returns the response.
-pub async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let active = ActiveRequest::new(&node);
+/// Handles a caller's request and returns the response. The request is in progress until the guard
+/// is dropped.
+pub async fn handle(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    guard: Rc<Guard>,
+) -> Response<Guarded<Body>> {
     let (head, body) = request.into_parts();
     let mut response = match node.dialect.parse_request(&head) {
-        Ok(call) => serve(&node, head, body, call, active).await,
+        Ok(call) => serve(&node, head, body, call).await,
         Err(fault) => {
             tracing::info!(event = "request_malformed", fault);
             node.metrics.refused(Refusal::Malformed.reason());
@@ -338,7 +326,7 @@
     if node.phase.get() != Phase::Serving || node.overload.borrow().sheds_connections(node.now()) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    response.map(|body| Guarded::new(body, guard))
 }
 
 async fn serve(
@@ -346,7 +334,6 @@
     head: request::Parts,
     body: Incoming,
     call: Call,
-    active: ActiveRequest,
 ) -> Response<Body> {
     let id = call.id.clone();
     let pending = PendingRequest::try_new(node);
@@ -358,7 +345,7 @@
         }
     };
     match admitted {
-        Ok(job) => forward(job, active, pending).await,
+        Ok(job) => forward(job, pending).await,
         Err(refusal) => {
             node.metrics.refused(refusal.reason());
             tracing::info!(
@@ -562,11 +549,7 @@
 }
 
 /// Sends a request until it is answered, and passes the response on.
-async fn forward(
-    job: Job,
-    active: ActiveRequest,
-    pending: Option<PendingRequest>,
-) -> Response<Body> {
+async fn forward(job: Job, pending: Option<PendingRequest>) -> Response<Body> {
     let response = tokio::select! {
         response = timeout_at(job.deadline, run_attempts(&job)) => Some(response),
         () = job.node.wait_for_end() => None,
@@ -602,7 +585,7 @@
                 head.headers.remove(CONTENT_LENGTH);
             }
             job.node.dialect.remove_private_headers(&mut head.headers);
-            let relay = Relay::new(job, *attempt, &head, active);
+            let relay = Relay::new(job, *attempt, &head);
             let body = Body::Streaming(Box::pin(relay.into_stream(start)));
             let mut response = Response::from_parts(head, body);
             remove_hop_by_hop_headers(&mut response);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
     body::Truncated,
     catalog::RetryPolicy,
     events::{Fault, Rejected, Splitter},
-    proxy::{ANSWERED, ActiveRequest, CALLER_LEFT, Job},
+    proxy::{ANSWERED, CALLER_LEFT, Job},
     request::LATE,
     retry_state::AttemptFailure,
 };
@@ -61,12 +61,11 @@
     /// Time before which no other backend server is tried, after none took the stream.
     retry_at: Instant,
     ended: bool,
-    _active: ActiveRequest,
 }
 
 impl Relay {
     /// Creates the relay of a response whose head has arrived.
-    pub fn new(job: Job, attempt: Attempt, head: &response::Parts, active: ActiveRequest) -> Self {
+    pub fn new(job: Job, attempt: Attempt, head: &response::Parts) -> Self {
         let splitter = match job.route.retry_policy {
             RetryPolicy::Resumable => Splitter::resuming(job.call.resume_after),
             RetryPolicy::Idempotent | RetryPolicy::Never => Splitter::after(job.call.resume_after),
@@ -84,7 +83,6 @@
             progress_at: Instant::now(),
             retry_at: Instant::now(),
             ended: false,
-            _active: active,
         }
     }
 
