Read on after a refusal, or announce the close

What callers saw: a request that was refused before its body had been read (unknown route or key, malformed, too large, a host that stops or has no configuration) lost its connection without notice: the write of the rest failed, the refusal could be lost with it, and the next request on the connection got neither an answer nor a refusal. This is frequent beside a change of the configuration, since a key or a route that goes is refused while bodies are on their way.

Cause: the body was dropped with the refusal. The HTTP library then closes the connection unless the rest is there already, and the kernel answers what still comes with a reset. Only an overloaded host read the body, before it refused.

Class: what ends a connection is decided where nobody tells the caller.

All refusals go through one place now: the caller gets the refusal at once, and the rest of the body is read in the background, for as long as a served body may take and up to four of the largest bodies. A caller within the limits keeps its connection; the close is announced to one that exceeds them or awaits permission for its body. A body whose stated length is too large is refused before it is read.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -14,9 +14,9 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{
-        CONNECTION, CONTENT_LENGTH, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
+        CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
     },
     http::request,
@@ -42,6 +42,7 @@
     relay::Relay,
     request::{Call, LATE, Prompt, Refusal},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
+    unread::{self, Bounds},
 };
 
 /// Time after which a caller may retry if this host isn't ready or can't read the platform.
@@ -57,9 +58,6 @@
 /// Time after which a caller may retry, and finds another host, if this one is overloaded.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Longest time for reading the body of a request that is refused.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Longest time for which the end of a stream that broke off waits until its charge is noted.
 const NOTE_CHARGE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -314,43 +312,57 @@
     request: Request<Incoming>,
     guard: Rc<Guard>,
 ) -> Response<Guarded<Body>> {
-    let (head, body) = request.into_parts();
-    let mut response = match node.dialect.parse_request(&head) {
-        Ok(call) => serve(&node, head, body, call).await,
-        Err(fault) => {
-            tracing::info!(event = "request_malformed", fault);
-            node.metrics.refused(Refusal::Malformed.reason());
-            node.dialect.refusal_response(None, Refusal::Malformed).map(Body::from)
+    let (head, mut body) = request.into_parts();
+    let awaits_permission = head.headers.contains_key(EXPECT);
+    let call = check_head(&node, &head);
+    let served = match &call {
+        Ok(call) => serve(&node, head, &mut body, call).await,
+        Err(refusal) => Err(refusal.clone()),
+    };
+    let (mut response, is_closing) = match served {
+        Ok(response) => (response, false),
+        Err(refusal) => {
+            node.metrics.refused(refusal.reason());
+            let is_overloaded = node.overload.borrow().is_overloaded(node.now());
+            let bounds = Bounds::new(&node.limits_in_force(), is_overloaded);
+            unread::discard(body, bounds, guard.clone());
+            let is_closing = awaits_permission || refusal.ends_connection();
+            let response = node.dialect.refusal_response(call.as_ref().ok(), refusal);
+            (response.map(Body::from), is_closing)
         }
     };
-    if node.phase.get() != Phase::Serving || node.overload.borrow().sheds_connections(node.now()) {
+    let sheds_connections = node.overload.borrow().sheds_connections(node.now());
+    if is_closing || node.phase.get() != Phase::Serving || sheds_connections {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response.map(|body| Guarded::new(body, guard))
 }
 
+/// Parses the head of a request.
+fn check_head(node: &Node, head: &request::Parts) -> Result<Call, Refusal> {
+    node.dialect.parse_request(head).map_err(|fault| {
+        tracing::info!(event = "request_malformed", fault);
+        Refusal::Malformed
+    })
+}
+
 async fn serve(
     node: &Rc<Node>,
     head: request::Parts,
-    body: Incoming,
-    call: Call,
-) -> Response<Body> {
-    let id = call.id.clone();
+    body: &mut Incoming,
+    call: &Call,
+) -> Result<Response<Body>, Refusal> {
     let pending = PendingRequest::try_new(node);
     let admitted = match &pending {
-        Some(_) => admit(node, head, body, &call).await,
-        None => {
-            discard(body).await;
-            Err(Refusal::Overloaded(OVERLOAD_RETRY_AFTER))
-        }
+        Some(_) => admit(node, head, body, call).await,
+        None => Err(Refusal::Overloaded(OVERLOAD_RETRY_AFTER)),
     };
     match admitted {
-        Ok(job) => forward(job, pending).await,
+        Ok(job) => Ok(forward(job, pending).await),
         Err(refusal) => {
-            node.metrics.refused(refusal.reason());
             tracing::info!(
                 event = "request_refused",
-                %id,
+                id = %call.id,
                 reason = refusal.reason(),
                 host = %call.host,
                 pending = node.overload.borrow().load().0,
@@ -359,25 +371,16 @@
                 config_fresh = node.is_catalog_fresh(),
                 config_age_ms = node.catalog_age().map(|age| age.as_millis() as u64),
             );
-            node.dialect.refusal_response(Some(&call), refusal).map(Body::from)
+            Err(refusal)
         }
     }
 }
 
-/// Reads the body of a request that is refused: its bytes are on their way, and a connection that
-/// is closed before they are read is reset, so that the caller may not get the response.
-async fn discard(mut body: Incoming) {
-    let read = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
-    if timeout(DISCARD_TIMEOUT, read).await.is_err() {
-        tracing::debug!(event = "body_not_discarded");
-    }
-}
-
 /// Finds the route of a request, reads its body and reserves its tokens.
 async fn admit(
     node: &Rc<Node>,
     head: request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     call: &Call,
 ) -> Result<Job, Refusal> {
     let arrived = Instant::now();
@@ -390,6 +393,9 @@
     let service = service.and_then(|name| catalog.service(name));
     let service = service.ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?.clone();
     let limits = catalog.limits();
+    if body.size_hint().lower() > limits.max_body_bytes as u64 {
+        return Err(Refusal::BodyTooLarge);
+    }
     let read =
         timeout(limits.read_timeout, Limited::new(body, limits.max_body_bytes).collect()).await;
     let body = match read {
@@ -398,7 +404,7 @@
             return Err(Refusal::BodyTooLarge);
         }
         Ok(Err(_)) => return Err(Refusal::Malformed),
-        Err(_) => return Err(Refusal::TimeoutNotRun),
+        Err(_) => return Err(Refusal::BodyTooSlow),
     };
     let trial = check_quarantine(node, call)?;
     let deadline = arrived + max_wait;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -97,7 +97,9 @@
     Malformed,
     /// Its body is too large.
     BodyTooLarge,
-    /// It did not run: its body did not arrive in time, or its deadline passed before.
+    /// It did not run, since its body did not arrive in time.
+    BodyTooSlow,
+    /// It did not run, since its deadline passed before.
     TimeoutNotRun,
     /// No route matches it.
     NoRoute,
@@ -125,11 +127,18 @@
 }
 
 impl Refusal {
+    /// Returns whether the connection ends with the refusal, as the rest of the request can't be
+    /// read.
+    pub fn ends_connection(&self) -> bool {
+        matches!(self, Self::BodyTooLarge | Self::BodyTooSlow)
+    }
+
     /// Returns the name of the reason for logs, metrics and callers.
     pub fn reason(&self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "too_long",
+            Self::BodyTooSlow => "slow_body",
             Self::TimeoutNotRun => "slow",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "no_key",
