Refuse heads that exceed the configuration's limit

Cause: MaxHeaderBytes wasn't read; a constant of 64 KiB held in its place, for all versions of the configuration. Found while looking for the cause of the idle timeout elsewhere.

The limit in force counts for each request, also on open connections. The length is counted without optional white space, so that no head within the limit is refused. The constant still bounds the buffer of a connection.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -95,6 +95,8 @@
 /// Limits on callers' requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
+    /// Longest head of a request in bytes, if the configuration states one.
+    pub max_head_bytes: Option<usize>,
     /// Longest body of a request in bytes.
     pub max_body_bytes: usize,
     /// Longest time for the head of a request to arrive, and for its body.
@@ -106,6 +108,7 @@
 impl Limits {
     /// Limits before the configuration is known.
     pub const INITIAL: Self = Self {
+        max_head_bytes: None,
         max_body_bytes: 1024 * 1024,
         read_timeout: Duration::from_secs(5),
         idle_timeout: Duration::from_secs(15),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -40,7 +40,7 @@
     node::{Node, Phase},
     peer::Peers,
     relay::Relay,
-    request::{Call, LATE, Prompt, Refusal},
+    request::{Call, LATE, Prompt, Refusal, head_bytes},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
     unread::{self, Bounds},
 };
@@ -338,8 +338,13 @@
     response.map(|body| Guarded::new(body, guard))
 }
 
-/// Parses the head of a request.
+/// Parses the head of a request, if it isn't larger than allowed.
 fn check_head(node: &Node, head: &request::Parts) -> Result<Call, Refusal> {
+    let bytes = head_bytes(head);
+    if node.limits_in_force().max_head_bytes.is_some_and(|max_bytes| bytes > max_bytes) {
+        tracing::info!(event = "request_head_too_large", bytes);
+        return Err(Refusal::HeadTooLarge);
+    }
     node.dialect.parse_request(head).map_err(|fault| {
         tracing::info!(event = "request_malformed", fault);
         Refusal::Malformed
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use coordination::locate::{hash, mix64};
+use hyper::http::request;
 
 use crate::retry_state::ExecutionStatus;
 
@@ -90,11 +91,23 @@
     pub resume_after: Option<u64>,
 }
 
+/// Returns the length in bytes of the head of a request, without optional white space.
+pub fn head_bytes(head: &request::Parts) -> usize {
+    const LINE: usize = "  HTTP/1.1\r\n".len();
+    const HEADER: usize = ":\r\n".len();
+    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER);
+    LINE + head.method.as_str().len() + target + headers.sum::<usize>()
+}
+
 /// Why a request gets no response of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refusal {
     /// It can't be parsed.
     Malformed,
+    /// Its head is too large.
+    HeadTooLarge,
     /// Its body is too large.
     BodyTooLarge,
     /// It did not run, since its body did not arrive in time.
@@ -137,6 +150,7 @@
     pub fn reason(&self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head_too_long",
             Self::BodyTooLarge => "too_long",
             Self::BodyTooSlow => "slow_body",
             Self::TimeoutNotRun => "slow",
