Answer a request that panics, and name it in the log

A panic within a request ended its connection without an answer, and no line said whose request it was.

The panic is caught where the request is served: its caller gets 502, since the request may have run, and a line names the id and the reason. A response that panics after its head breaks off, and is never taken for complete. The request isn't charged as one that its caller gave up.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod metrics;
 pub mod node;
 pub mod overload;
+pub mod panics;
 pub mod peer;
 pub mod placement;
 mod poll;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -5,6 +5,7 @@
     pin::pin,
     rc::Rc,
     sync::Arc,
+    thread,
     time::Duration,
 };
 
@@ -38,6 +39,7 @@
     credit::prompt_digest,
     drain,
     node::{Node, Phase},
+    panics,
     peer::Peers,
     relay::Relay,
     request::{Call, LATE, Prompt, Refusal, head_bytes},
@@ -77,6 +79,9 @@
 /// Outcome of a request whose caller left.
 pub const CALLER_LEFT: &str = "caller_left";
 
+/// Outcome of a request that panicked.
+const PANICKED: &str = "panicked";
+
 /// Charge for the prompt of a request, which stands for one that resumes it, too.
 #[derive(Debug)]
 pub struct PromptCharge {
@@ -280,6 +285,10 @@
 
 impl Drop for Job {
     fn drop(&mut self) {
+        if thread::panicking() {
+            self.log(PANICKED, 0, 0);
+            return;
+        }
         if !self.logged.get() {
             self.charge_abandoned();
         }
@@ -316,7 +325,10 @@
     let awaits_permission = head.headers.contains_key(EXPECT);
     let call = check_head(&node, &head);
     let served = match &call {
-        Ok(call) => serve(&node, head, &mut body, call).await,
+        Ok(call) => {
+            let served = panics::catch(&call.id, serve(&node, head, &mut body, call)).await;
+            served.unwrap_or(Err(Refusal::Unknown))
+        }
         Err(refusal) => Err(refusal.clone()),
     };
     let (mut response, is_closing) = match served {
@@ -596,8 +608,10 @@
                 head.headers.remove(CONTENT_LENGTH);
             }
             job.node.dialect.remove_private_headers(&mut head.headers);
+            let id = job.call.id.clone();
             let relay = Relay::new(job, *attempt, &head);
-            let body = Body::Streaming(Box::pin(relay.into_stream(start)));
+            let body =
+                Body::Streaming(Box::pin(panics::catch_stream(id, relay.into_stream(start))));
             let mut response = Response::from_parts(head, body);
             remove_hop_by_hop_headers(&mut response);
             response
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -141,9 +141,9 @@
 
 impl Refusal {
     /// Returns whether the connection ends with the refusal, as the rest of the request can't be
-    /// read.
+    /// read, or it isn't known whether it was.
     pub fn ends_connection(&self) -> bool {
-        matches!(self, Self::BodyTooLarge | Self::BodyTooSlow)
+        matches!(self, Self::BodyTooLarge | Self::BodyTooSlow | Self::Unknown)
     }
 
     /// Returns the name of the reason for logs, metrics and callers.
