Log and count the connections that a host closes, and bodies that it doesn't read

New lines: connection_closed (idle or slow_head, with the limits in force and the version of the configuration) and body_not_read (with the request's id); new metric laburnum_connections_closed by reason.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -45,6 +45,21 @@
         self.timer.borrow_mut().record_sent(self.node.now());
     }
 
+    /// Records that this host closes the connection, since its caller sends nothing, or only a part
+    /// of a head.
+    pub fn record_timeout(&self) {
+        let reason = self.timer.borrow().state();
+        self.node.metrics.connection_closed(reason);
+        let limits = self.node.limits_in_force();
+        tracing::info!(
+            event = "connection_closed",
+            reason,
+            idle_timeout_ms = limits.idle_timeout.as_millis() as u64,
+            head_timeout_ms = limits.read_timeout.as_millis() as u64,
+            config = self.node.catalog().map(|catalog| catalog.version()),
+        );
+    }
+
     /// Returns whether a request is in progress.
     pub fn is_in_use(&self) -> bool {
         self.time_left().is_none()
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -95,6 +95,7 @@
     let result = match wait_for_end(served.as_mut(), &connection).await {
         Some(result) => result,
         None => {
+            connection.record_timeout();
             served.as_mut().graceful_shutdown();
             match timeout(CLOSE_TIMEOUT, served.as_mut()).await {
                 Ok(result) => result,
--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Returns what the caller does, for logs and metrics.
+    pub fn state(&self) -> &'static str {
+        match self.0 {
+            State::Resting { .. } => "idle",
+            State::SendingHead { .. } => "slow_head",
+            State::Busy { .. } => "in_use",
+        }
+    }
+
     /// Returns when the connection is closed unless the caller sends more; `None` while a request is
     /// in progress.
     pub fn deadline(&self, limits: &Limits) -> Option<Duration> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     provider: SdkMeterProvider,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    connections_closed: Counter<u64>,
     duration: Histogram<f64>,
     held: Gauge<u64>,
     reserved: Gauge<u64>,
@@ -60,6 +61,10 @@
                 .u64_counter("laburnum_request_refusals")
                 .with_description("Requests that were not admitted, by reason")
                 .build(),
+            connections_closed: meter
+                .u64_counter("laburnum_connections_closed")
+                .with_description("Callers' connections that this host closed, by reason")
+                .build(),
             duration: meter
                 .f64_histogram("laburnum_request_seconds")
                 .with_description("Time from a request's head to the end of its answer")
@@ -105,6 +110,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a caller's connection that this host closes.
+    pub fn connection_closed(&self, reason: &'static str) {
+        self.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     fn record_limits(&self, backends: &Backends) {
         for backend in backends.limited() {
             let id = [KeyValue::new("backend", backend.entry.id.to_string())];
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -337,7 +337,8 @@
             node.metrics.refused(refusal.reason());
             let is_overloaded = node.overload.borrow().is_overloaded(node.now());
             let bounds = Bounds::new(&node.limits_in_force(), is_overloaded);
-            unread::discard(body, bounds, guard.clone());
+            let id = call.as_ref().ok().map(|call| call.id.clone());
+            unread::discard(id, body, bounds, guard.clone());
             let is_closing = awaits_permission || refusal.ends_connection();
             let response = node.dialect.refusal_response(call.as_ref().ok(), refusal);
             (response.map(Body::from), is_closing)
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -4,7 +4,7 @@
 //! closed with bytes unread, the kernel would answer them with a reset, which may discard the
 //! refusal too.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -40,8 +40,8 @@
 }
 
 /// Reads the rest of a body in the background; the request is in progress until then. The
-/// connection is closed if the rest exceeds the bounds.
-pub fn discard(body: Incoming, bounds: Bounds, guard: Rc<Guard>) {
+/// connection is closed if the rest exceeds the bounds; the line in the log names the request.
+pub fn discard(id: Option<Arc<str>>, body: Incoming, bounds: Bounds, guard: Rc<Guard>) {
     if body.is_end_stream() {
         return;
     }
@@ -50,13 +50,13 @@
         let read = async {
             while let Some(frame) = rest.frame().await {
                 if let Err(error) = frame {
-                    tracing::debug!(event = "body_not_discarded", %error);
+                    tracing::info!(event = "body_not_read", id = id.as_deref(), %error);
                     return;
                 }
             }
         };
         if timeout(bounds.max_time, read).await.is_err() {
-            tracing::debug!(event = "body_not_discarded", error = "too slow");
+            tracing::info!(event = "body_not_read", id = id.as_deref(), error = "too slow");
         }
         drop(guard);
     });
