Wake a connection whose refused body has been read

Cause: see the test connection_rests_no_longer_than_allowed_after_a_refusal_ whose_body_came_late. The end of the request is recorded by another task than the connection's, which slept without a timer.

Ruled out: a wake by the body's channel; the HTTP library drops its end with the last frame.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,7 +5,7 @@
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, Waker},
     time::Duration,
 };
 
@@ -19,6 +19,8 @@
 pub struct Connection {
     node: Rc<Node>,
     timer: RefCell<Timer>,
+    /// Task that serves the connection; nothing else wakes it while the caller rests.
+    task: RefCell<Option<Waker>>,
 }
 
 impl Connection {
@@ -26,7 +28,7 @@
     pub fn open(node: &Rc<Node>) -> Rc<Self> {
         node.overload.borrow_mut().open_connection();
         let timer = Timer::new(node.now(), &node.limits_in_force());
-        Rc::new(Self { node: node.clone(), timer: RefCell::new(timer) })
+        Rc::new(Self { node: node.clone(), timer: RefCell::new(timer), task: RefCell::default() })
     }
 
     /// Records that the head of a request has arrived; the request is in progress until the guard is
@@ -45,6 +47,11 @@
         self.timer.borrow_mut().record_sent(self.node.now());
     }
 
+    /// Sets the task that is woken when a request ends outside of it.
+    pub fn set_task(&self, task: &Waker) {
+        self.task.borrow_mut().get_or_insert_with(|| task.clone()).clone_from(task);
+    }
+
     /// Returns whether a request is in progress.
     pub fn is_in_use(&self) -> bool {
         self.time_left().is_none()
@@ -67,9 +74,20 @@
 /// Guard that counts a request as in progress until it is dropped.
 pub struct Guard(Rc<Connection>);
 
+impl Guard {
+    /// Drops a guard outside of the connection's task, which is woken to reckon its next deadline.
+    pub fn drop_and_wake(self: Rc<Self>) {
+        let connection = self.0.clone();
+        drop(self);
+        if let Some(task) = &*connection.task.borrow() {
+            task.wake_by_ref();
+        }
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
-        let Connection { node, timer } = &*self.0;
+        let Connection { node, timer, .. } = &*self.0;
         node.active.set(node.active.get() - 1);
         timer.borrow_mut().record_end(node.now(), &node.limits_in_force());
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -116,6 +116,7 @@
 ) -> Option<T> {
     let mut sleep = pin!(sleep(Duration::ZERO));
     poll_fn(|context| {
+        connection.set_task(context.waker());
         if let Poll::Ready(result) = served.as_mut().poll(context) {
             return Poll::Ready(Some(result));
         }
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -58,6 +58,6 @@
         if timeout(bounds.max_time, read).await.is_err() {
             tracing::debug!(event = "body_not_discarded", error = "too slow");
         }
-        drop(guard);
+        guard.drop_and_wake();
     });
 }
