Read refused bodies in small pieces

Cause: the HTTP library's read buffer doubles with each full read, up to 64 KiB, and a piece that is passed on keeps it while the next one is read.

The link still carries up to four of the largest bodies for each refusal.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,16 +11,24 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead as _, ReadBuf},
+    net::TcpStream,
+};
 
 use crate::{idle::Timer, node::Node};
 
+/// Most bytes of a refused body that are read at a time, so that the buffers stay small.
+const DISCARD_BYTES: usize = 4 * 1024;
+
 /// A caller's connection, which is counted until it is dropped.
 pub struct Connection {
     node: Rc<Node>,
     timer: RefCell<Timer>,
     /// Number of requests that ended, but whose responses may not all have been sent.
     unsent: Cell<usize>,
+    /// Number of refused bodies that are being read.
+    discarding: Cell<usize>,
     /// Task that serves the connection; nothing else wakes it while the caller rests.
     task: RefCell<Option<Waker>>,
 }
@@ -34,6 +42,7 @@
             node: node.clone(),
             timer: RefCell::new(timer),
             unsent: Cell::default(),
+            discarding: Cell::default(),
             task: RefCell::default(),
         })
     }
@@ -91,9 +100,15 @@
 pub struct Guard(Rc<Connection>);
 
 impl Guard {
+    /// Reads the rest of the body in small pieces from now on, until `drop_and_wake`.
+    pub fn begin_discard(&self) {
+        self.0.discarding.set(self.0.discarding.get() + 1);
+    }
+
     /// Drops a guard outside of the connection's task, which is woken to reckon its next deadline.
     pub fn drop_and_wake(self: Rc<Self>) {
         let connection = self.0.clone();
+        connection.discarding.set(connection.discarding.get() - 1);
         drop(self);
         if let Some(task) = &*connection.task.borrow() {
             task.wake_by_ref();
@@ -128,9 +143,19 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let polled = self.as_mut().stream().poll_read(context, buffer);
+        let polled = if self.connection.discarding.get() > 0 {
+            let mut piece = [0; DISCARD_BYTES];
+            let length = DISCARD_BYTES.min(buffer.remaining());
+            let mut piece = ReadBuf::new(&mut piece[..length]);
+            let socket = self.as_mut().get_mut();
+            let polled = Pin::new(socket.stream.inner_mut()).poll_read(context, &mut piece);
+            buffer.put_slice(piece.filled());
+            polled
+        } else {
+            self.as_mut().stream().poll_read(context, buffer)
+        };
         if polled.is_ready() {
             self.connection.record_received();
         }
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -45,6 +45,7 @@
     if body.is_end_stream() {
         return;
     }
+    guard.begin_discard();
     spawn_local(async move {
         let mut rest = Limited::new(body, bounds.max_bytes);
         let read = async {
