--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,24 +1,36 @@
 //! A caller's connection: its socket, and the requests that are in progress on it.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, Waker},
     time::Duration,
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead as _, ReadBuf},
+    net::TcpStream,
+};
 
 use crate::{idle::Timer, node::Node};
 
+/// Most bytes of a refused body that are read at a time, so that the buffers stay small.
+const DISCARD_BYTES: usize = 4 * 1024;
+
 /// A caller's connection, which is counted until it is dropped.
 pub struct Connection {
     node: Rc<Node>,
     timer: RefCell<Timer>,
+    /// Number of requests that ended, but whose responses may not all have been sent.
+    unsent: Cell<usize>,
+    /// Number of refused bodies that are being read.
+    discarding: Cell<usize>,
+    /// Task that serves the connection; nothing else wakes it while the caller rests.
+    task: RefCell<Option<Waker>>,
 }
 
 impl Connection {
@@ -26,7 +38,13 @@
     pub fn open(node: &Rc<Node>) -> Rc<Self> {
         node.overload.borrow_mut().open_connection();
         let timer = Timer::new(node.now(), &node.limits_in_force());
-        Rc::new(Self { node: node.clone(), timer: RefCell::new(timer) })
+        Rc::new(Self {
+            node: node.clone(),
+            timer: RefCell::new(timer),
+            unsent: Cell::default(),
+            discarding: Cell::default(),
+            task: RefCell::default(),
+        })
     }
 
     /// Records that the head of a request has arrived; the request is in progress until the guard is
@@ -60,6 +78,19 @@
         );
     }
 
+    /// Records that all that was to be sent has been sent.
+    fn record_flushed(&self) {
+        for _ in 0..self.unsent.take() {
+            self.node.active.set(self.node.active.get() - 1);
+            self.timer.borrow_mut().record_end(self.node.now(), &self.node.limits_in_force());
+        }
+    }
+
+    /// Sets the task that is woken when a request ends outside of it.
+    pub fn set_task(&self, task: &Waker) {
+        self.task.borrow_mut().get_or_insert_with(|| task.clone()).clone_from(task);
+    }
+
     /// Returns whether a request is in progress.
     pub fn is_in_use(&self) -> bool {
         self.time_left().is_none()
@@ -75,18 +106,34 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.record_flushed();
         self.node.overload.borrow_mut().close_connection();
     }
 }
 
-/// Guard that counts a request as in progress until it is dropped.
+/// Guard that counts a request as in progress until it is dropped and its response has been sent.
 pub struct Guard(Rc<Connection>);
 
+impl Guard {
+    /// Reads the rest of the body in small pieces from now on, until `drop_and_wake`.
+    pub fn begin_discard(&self) {
+        self.0.discarding.set(self.0.discarding.get() + 1);
+    }
+
+    /// Drops a guard outside of the connection's task, which is woken to reckon its next deadline.
+    pub fn drop_and_wake(self: Rc<Self>) {
+        let connection = self.0.clone();
+        connection.discarding.set(connection.discarding.get() - 1);
+        drop(self);
+        if let Some(task) = &*connection.task.borrow() {
+            task.wake_by_ref();
+        }
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
-        let Connection { node, timer } = &*self.0;
-        node.active.set(node.active.get() - 1);
-        timer.borrow_mut().record_end(node.now(), &node.limits_in_force());
+        self.0.unsent.set(self.0.unsent.get() + 1);
     }
 }
 
@@ -111,9 +158,19 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let polled = self.as_mut().stream().poll_read(context, buffer);
+        let polled = if self.connection.discarding.get() > 0 {
+            let mut piece = [0; DISCARD_BYTES];
+            let length = DISCARD_BYTES.min(buffer.remaining());
+            let mut piece = ReadBuf::new(&mut piece[..length]);
+            let socket = self.as_mut().get_mut();
+            let polled = Pin::new(socket.stream.inner_mut()).poll_read(context, &mut piece);
+            buffer.put_slice(piece.filled());
+            polled
+        } else {
+            self.as_mut().stream().poll_read(context, buffer)
+        };
         if polled.is_ready() {
             self.connection.record_received();
         }
@@ -135,7 +192,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_flush(context)
+        let connection = self.connection.clone();
+        let polled = self.stream().poll_flush(context);
+        if polled.is_ready() {
+            connection.record_flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -45,6 +45,7 @@
     if body.is_end_stream() {
         return;
     }
+    guard.begin_discard();
     spawn_local(async move {
         let mut rest = Limited::new(body, bounds.max_bytes);
         let read = async {
@@ -58,6 +59,6 @@
         if timeout(bounds.max_time, read).await.is_err() {
             tracing::info!(event = "body_not_read", id = id.as_deref(), error = "too slow");
         }
-        drop(guard);
+        guard.drop_and_wake();
     });
 }
