Bound what reading on after refusals and unread responses may take

From the review of the refusals. Three things were open there:

- Any number of refused bodies could be read at once, each for as long as a served one may take.
Now as many as requests may wait; the others are read for 0.5 s, and their callers are told of the close.
The rest that is read is two of the largest bodies allowed, four before.
They don't count as waiting requests, so that refused callers can't make the host refuse others.
- A caller that takes nothing of a whole response held its connection for good.
Now it is closed after 30 s, or the idle timeout if that is longer.
- A panic in the parser of heads wasn't caught.

Tests: four cases of idle.rs and refused_bodies_are_read_at_length_only_up_to_ the_capacity (they don't compile before).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -64,7 +64,7 @@
     }
 
     /// Records that this host closes the connection, since its caller sends nothing, or only a part
-    /// of a head.
+    /// of a head, or takes nothing of a response.
     pub fn record_timeout(&self) {
         let reason = self.timer.borrow().state();
         self.node.metrics.connection_closed(reason);
@@ -96,8 +96,8 @@
         self.time_left().is_none()
     }
 
-    /// Returns the time that is left until the connection is closed unless its caller sends more;
-    /// `None` while a request is in progress.
+    /// Returns the time that is left until the connection is closed unless its caller sends or takes
+    /// more; `None` while a request is in progress.
     pub fn time_left(&self) -> Option<Duration> {
         let deadline = self.timer.borrow().deadline(&self.node.limits_in_force())?;
         Some(deadline.saturating_sub(self.node.now()))
@@ -118,12 +118,14 @@
     /// Reads the rest of the body in small pieces from now on, until `drop_and_wake`.
     pub fn begin_discard(&self) {
         self.0.discarding.set(self.0.discarding.get() + 1);
+        self.0.node.overload.borrow_mut().begin_discard();
     }
 
     /// Drops a guard outside of the connection's task, which is woken to reckon its next deadline.
     pub fn drop_and_wake(self: Rc<Self>) {
         let connection = self.0.clone();
         connection.discarding.set(connection.discarding.get() - 1);
+        connection.node.overload.borrow_mut().end_discard();
         drop(self);
         if let Some(task) = &*connection.task.borrow() {
             task.wake_by_ref();
@@ -133,7 +135,9 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.unsent.set(self.0.unsent.get() + 1);
+        let Connection { node, timer, unsent, .. } = &*self.0;
+        unsent.set(unsent.get() + 1);
+        timer.borrow_mut().record_whole_response(node.now());
     }
 }
 
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -73,6 +73,8 @@
     capacity: Capacity,
     pending: usize,
     connections: usize,
+    /// Refused bodies whose rest is being read.
+    discards: usize,
     refused_at: Option<Duration>,
     /// When the current overload began.
     since: Duration,
@@ -87,6 +89,7 @@
             capacity,
             pending: 0,
             connections: 0,
+            discards: 0,
             refused_at: None,
             since: Duration::ZERO,
             unready_until: Duration::ZERO,
@@ -123,6 +126,22 @@
         self.pending -= 1;
     }
 
+    /// Returns whether the rest of one more refused body can be read for as long as a served one may
+    /// take.
+    pub fn can_discard(&self, now: Duration) -> bool {
+        !self.is_overloaded(now) && self.discards < self.capacity.max_pending()
+    }
+
+    /// Counts a refused body whose rest is being read.
+    pub fn begin_discard(&mut self) {
+        self.discards += 1;
+    }
+
+    /// Records that the rest of a refused body has been read, or is given up.
+    pub fn end_discard(&mut self) {
+        self.discards -= 1;
+    }
+
     /// Counts a caller's connection.
     pub fn open_connection(&mut self) {
         self.connections += 1;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -323,7 +323,9 @@
 ) -> Response<Guarded<Body>> {
     let (head, mut body) = request.into_parts();
     let awaits_permission = head.headers.contains_key(EXPECT);
-    let call = check_head(&node, &head);
+    // Without an id, as it isn't known before the head is parsed.
+    let call = panics::catch("", async { check_head(&node, &head) }).await;
+    let call = call.unwrap_or(Err(Refusal::Unknown));
     let served = match &call {
         Ok(call) => {
             let served = panics::catch(&call.id, serve(&node, head, &mut body, call)).await;
@@ -335,13 +337,13 @@
         Ok(response) => (response, false),
         Err(refusal) => {
             node.metrics.refused(refusal.reason());
-            let is_overloaded = node.overload.borrow().is_overloaded(node.now());
-            let bounds = Bounds::new(&node.limits_in_force(), is_overloaded);
-            let id = call.as_ref().ok().map(|call| call.id.clone());
-            unread::discard(id, body, bounds, guard.clone());
-            let is_closing = awaits_permission || refusal.ends_connection();
-            let response = node.dialect.refusal_response(call.as_ref().ok(), refusal);
-            (response.map(Body::from), is_closing)
+            let has_capacity = node.overload.borrow().can_discard(node.now());
+            let is_closing = !body.is_end_stream()
+                && (awaits_permission || refusal.ends_connection() || !has_capacity);
+            let call = call.as_ref().ok();
+            let bounds = Bounds::new(&node.limits_in_force(), has_capacity);
+            unread::discard(call.map(|call| call.id.clone()), body, bounds, guard.clone());
+            (node.dialect.refusal_response(call, refusal).map(Body::from), is_closing)
         }
     };
     let sheds_connections = node.overload.borrow().sheds_connections(node.now());
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -12,11 +12,11 @@
 
 use crate::{catalog::Limits, connection::Guard};
 
-/// Longest time for which an overloaded host reads the rest of a body.
-const OVERLOADED_MAX_TIME: Duration = Duration::from_millis(500);
+/// Longest time for which the rest of a body is read if the host has no capacity for it.
+const SHORT_MAX_TIME: Duration = Duration::from_millis(500);
 
 /// Multiple of the largest body allowed up to which the rest of a body is read.
-const MAX_BODIES: usize = 4;
+const MAX_BODIES: usize = 2;
 
 /// Bounds on reading the rest of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,11 +29,11 @@
 
 impl Bounds {
     /// Returns the bounds for a host: a caller within the limits of the configuration stays within
-    /// them, unless the host is overloaded.
-    pub fn new(limits: &Limits, is_overloaded: bool) -> Self {
-        let max_time = match is_overloaded {
-            true => OVERLOADED_MAX_TIME.min(limits.read_timeout),
-            false => limits.read_timeout,
+    /// them if the host has the capacity.
+    pub fn new(limits: &Limits, has_capacity: bool) -> Self {
+        let max_time = match has_capacity {
+            true => limits.read_timeout,
+            false => SHORT_MAX_TIME.min(limits.read_timeout),
         };
         Self { max_time, max_bytes: limits.max_body_bytes.saturating_mul(MAX_BODIES) }
     }
--- a/crates/gateway/tests/idle.rs
+++ b/crates/gateway/tests/idle.rs
@@ -10,6 +10,7 @@
 enum Event {
     Received(u64),
     Request,
+    Whole(u64),
     Sent(u64),
     End(u64),
 }
@@ -31,7 +32,7 @@
     }
 }
 
-use Event::{End, Received, Request, Sent};
+use Event::{End, Received, Request, Sent, Whole};
 
 #[test_case(Case { events: &[], idle_ms: [1000, 1000], deadline_ms: Some(1000) }; "new")]
 #[test_case(Case { events: &[], idle_ms: [1000, 5000], deadline_ms: Some(5000) }; "longer while new")]
@@ -44,6 +45,10 @@
 #[test_case(Case { events: &[Received(7), Request, End(400), Sent(900)], idle_ms: [1000, 1000], deadline_ms: Some(1900) }; "rest of a response to a slow caller")]
 #[test_case(Case { events: &[Received(7), Request, End(400)], idle_ms: [1000, 9000], deadline_ms: Some(9400) }; "longer while at rest")]
 #[test_case(Case { events: &[Received(7), Request, End(400)], idle_ms: [9000, 1000], deadline_ms: Some(9400) }; "shorter while at rest")]
+#[test_case(Case { events: &[Received(7), Request, Whole(400)], idle_ms: [1000, 1000], deadline_ms: Some(30_400) }; "whole response that isn't taken")]
+#[test_case(Case { events: &[Received(7), Request, Whole(400), Sent(900)], idle_ms: [1000, 1000], deadline_ms: Some(30_900) }; "whole response to a slow caller")]
+#[test_case(Case { events: &[Received(7), Request, Whole(400)], idle_ms: [1000, 60_000], deadline_ms: Some(60_400) }; "whole response that isn't taken within a longer idle timeout")]
+#[test_case(Case { events: &[Received(7), Request, Whole(400), Request], idle_ms: [1000, 1000], deadline_ms: None }; "request behind a whole response")]
 #[test_case(Case { events: &[Received(7), Request, Request, End(400)], idle_ms: [1000, 1000], deadline_ms: None }; "next request before the end of a refused one")]
 fn connection_is_closed_at_its_deadline(case: Case) {
     let [during, after] = case.idle_ms.map(limits);
@@ -53,6 +58,7 @@
             Received(at) => timer.record_received(Duration::from_millis(at)),
             Sent(at) => timer.record_sent(Duration::from_millis(at)),
             Request => timer.record_request(),
+            Whole(at) => timer.record_whole_response(Duration::from_millis(at)),
             End(at) => timer.record_end(Duration::from_millis(at), &during),
         }
     }
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -128,3 +128,16 @@
     let naive = share_in_time(unlimited, 600);
     assert!(naive < 0.5, "without a limit all requests wait for the link: {naive}");
 }
+
+#[test]
+fn refused_bodies_are_read_at_length_only_up_to_the_capacity() {
+    let mut overload = Overload::new(SMALL);
+    for _ in 0..SMALL.max_pending() {
+        assert!(overload.can_discard(Duration::ZERO));
+        overload.begin_discard();
+    }
+    assert!(!overload.can_discard(Duration::ZERO));
+    assert!(overload.try_begin(Duration::ZERO), "requests are served as before");
+    overload.end_discard();
+    assert!(overload.can_discard(Duration::ZERO));
+}
