Read a backend server's response although a write to it failed

Cause: a backend server that responds before it has read the whole request, and then closes its connection, resets it. The HTTP library takes the failed write of the rest for the end of the connection, although the response can still be read: a rejection became 502, so that it was unknown whether the request ran, and a response whose head had been read lost its body. Now reading decides: after a write that was reset or found the connection broken the rest of the request is discarded.

Conclusion: what ends an exchange with a backend server is what is read from it.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,7 @@
 //! Pool of connections to backend servers.
 
+mod socket;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -12,13 +14,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
     task::{JoinHandle, spawn_local},
     time::{Instant, timeout},
 };
 
+use self::socket::Socket;
 use crate::backend::Entry;
 
 /// Longest time to establish a connection; TCP retransmits a lost packet only after a second.
@@ -217,7 +219,7 @@
 ) -> Result<(http1::SendRequest<Full<Bytes>>, JoinHandle<()>), ConnectError> {
     let stream = TcpStream::connect(to.address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::handshake(Socket::new(stream)).await?;
     let peer = to.id.clone();
     let driver = spawn_local(async move {
         if let Err(error) = connection.await {
--- /dev/null
+++ b/crates/gateway/src/pool/socket.rs
@@ -0,0 +1,93 @@
+//! Socket of a connection to a backend server.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Socket whose connection ends where reading from it ends, not at a failed write.
+///
+/// A backend server that responds before it has read the whole request, and closes the connection,
+/// resets it. Its response can still be read, so the rest of the request is discarded.
+#[derive(Debug)]
+pub struct Socket {
+    stream: TokioIo<TcpStream>,
+    /// Whether a write failed.
+    is_reset: bool,
+}
+
+impl Socket {
+    /// Creates the socket of a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream: TokioIo::new(stream), is_reset: false }
+    }
+
+    /// Writes so many bytes, or discards them if the backend server has reset the connection.
+    fn write(
+        &mut self,
+        length: usize,
+        write: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if self.is_reset {
+            return Poll::Ready(Ok(length));
+        }
+        match write(Pin::new(&mut self.stream)) {
+            Poll::Ready(Err(error)) if is_reset(&error) => {
+                self.is_reset = true;
+                Poll::Ready(Ok(length))
+            }
+            polled => polled,
+        }
+    }
+}
+
+/// Returns whether reading ends, too, after what has arrived.
+fn is_reset(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
+}
+
+impl Read for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.write(bytes.len(), |stream| stream.poll_write(context, bytes))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let length = slices.iter().map(|slice| slice.len()).sum();
+        self.write(length, |stream| stream.poll_write_vectored(context, slices))
+    }
+}
