Use no backend connection on which a request is still being written

Cause: a connection whose response has been read went back to the pool although the rest of its request was still waiting to be written. The next request on it waited behind the rest. It waited until its deadline (504) also where the backend server read the rest at once: the HTTP library takes the next request only when it is polled, and nothing polls it after the write that had to wait. Now a connection is taken from the pool only when it can send at once, and a write that had to wait has the library polled once more, so that the connection is used again after the rest.

Ruled out: other bytes within the rest, and a second run (the stand-in compares each body and counts runs; neither was seen).

Conclusion: that a response is whole doesn't mean that its connection is free.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -183,7 +183,11 @@
             !connection.sender.is_closed()
                 && connection.idle_since.elapsed() < connection.max_idle_time
         });
-        connections.idle.pop_if(|connection| connection.idle_since.elapsed() < max_idle)
+        let found = connections.idle.iter().rposition(|connection| {
+            // The rest of a request whose response came early may still be on its way.
+            connection.sender.is_ready() && connection.idle_since.elapsed() < max_idle
+        })?;
+        Some(connections.idle.remove(found))
     }
 
     /// Takes back a connection whose response has been read to its end.
--- a/crates/gateway/src/pool/socket.rs
+++ b/crates/gateway/src/pool/socket.rs
@@ -1,7 +1,7 @@
 //! Socket of a connection to a backend server.
 
 use std::{
-    io,
+    io, mem,
     pin::Pin,
     task::{Context, Poll},
 };
@@ -19,12 +19,14 @@
     stream: TokioIo<TcpStream>,
     /// Whether a write failed.
     is_reset: bool,
+    /// Whether a write had to wait since the last flush.
+    has_waited: bool,
 }
 
 impl Socket {
     /// Creates the socket of a connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: TokioIo::new(stream), is_reset: false }
+        Self { stream: TokioIo::new(stream), is_reset: false, has_waited: false }
     }
 
     /// Writes so many bytes, or discards them if the backend server has reset the connection.
@@ -41,7 +43,10 @@
                 self.is_reset = true;
                 Poll::Ready(Ok(length))
             }
-            polled => polled,
+            polled => {
+                self.has_waited |= polled.is_pending();
+                polled
+            }
         }
     }
 }
@@ -71,6 +76,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // If the response is whole before the request is, the HTTP library looks for the next
+        // request only when it is polled once more.
+        if mem::take(&mut self.has_waited) {
+            context.waker().wake_by_ref();
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
