Read on after the HTTP library has refused a head

Cause: a head that can't be parsed, or that is longer than the buffer of a connection, is refused by the HTTP library itself (400, 431, 414). It announces the close, but then the socket was dropped while the caller was still sending the head; the kernel answered the rest with a reset, under which the caller's write failed. Now the rest is read within the bounds that hold for refused bodies, and then the socket is dropped.

Ruled out: a missing announcement; the library writes Connection: close in all cases, on new and on used connections. A short head passed before.

Conclusion: the same policy holds for refusals that the host doesn't write.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -14,7 +14,7 @@
 use eyre::WrapErr as _;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioTimer;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -25,6 +25,7 @@
     connection::{Connection, Socket},
     node::Node,
     proxy,
+    unread::{self, Bounds},
 };
 
 /// Longest head of a request in bytes, and size of a connection's buffer.
@@ -86,25 +87,30 @@
         let (node, guard) = (node.clone(), connection.begin_request());
         async move { Ok::<_, Infallible>(proxy::handle(node, request, guard).await) }
     });
-    let served = http1::Builder::new()
+    let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(Socket::new(stream, connection.clone()), service);
-    let mut served = pin!(served);
-    let result = match wait_for_end(served.as_mut(), &connection).await {
+    let mut pinned = Pin::new(&mut served);
+    let result = match wait_for_end(pinned.as_mut(), &connection).await {
         Some(result) => result,
         None => {
-            served.as_mut().graceful_shutdown();
-            match timeout(CLOSE_TIMEOUT, served.as_mut()).await {
+            pinned.as_mut().graceful_shutdown();
+            match timeout(CLOSE_TIMEOUT, pinned.as_mut()).await {
                 Ok(result) => result,
-                Err(_) if connection.is_in_use() => served.await,
+                Err(_) if connection.is_in_use() => pinned.await,
                 Err(_) => Ok(()),
             }
         }
     };
-    if let Err(error) = result {
-        tracing::debug!(event = "caller_connection_ended", %error);
+    let Err(error) = result else { return };
+    tracing::debug!(event = "caller_connection_ended", %error);
+    if error.is_parse() {
+        // The HTTP library has refused the head; its caller may still be sending it.
+        let is_overloaded = node.overload.borrow().is_overloaded(node.now());
+        let bounds = Bounds::new(&node.limits_in_force(), is_overloaded);
+        unread::drain(TokioIo::new(served.into_parts().io), bounds).await;
     }
 }
 
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -8,7 +8,11 @@
 
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
-use tokio::{task::spawn_local, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt as _, copy, sink},
+    task::spawn_local,
+    time::timeout,
+};
 
 use crate::{catalog::Limits, connection::Guard};
 
@@ -61,3 +65,14 @@
         drop(guard);
     });
 }
+
+/// Reads what still comes over a connection on which nothing more is sent, up to its end or the
+/// bounds.
+pub async fn drain(connection: impl AsyncRead + Unpin, bounds: Bounds) {
+    let mut rest = connection.take(u64::try_from(bounds.max_bytes).unwrap_or(u64::MAX));
+    match timeout(bounds.max_time, copy(&mut rest, &mut sink())).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => tracing::debug!(event = "connection_not_drained", %error),
+        Err(_) => tracing::debug!(event = "connection_not_drained", error = "too slow"),
+    }
+}
