--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,7 @@
 //! Pool of connections to backend servers.
 
+mod socket;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -12,13 +14,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
     task::{JoinHandle, spawn_local},
     time::{Instant, timeout},
 };
 
+use self::socket::Socket;
 use crate::backend::Entry;
 
 /// Longest time to establish a connection; TCP retransmits a lost packet only after a second.
@@ -181,7 +183,11 @@
             !connection.sender.is_closed()
                 && connection.idle_since.elapsed() < connection.max_idle_time
         });
-        connections.idle.pop_if(|connection| connection.idle_since.elapsed() < max_idle)
+        let found = connections.idle.iter().rposition(|connection| {
+            // The rest of a request whose response came early may still be on its way.
+            connection.sender.is_ready() && connection.idle_since.elapsed() < max_idle
+        })?;
+        Some(connections.idle.remove(found))
     }
 
     /// Takes back a connection whose response has been read to its end.
@@ -217,7 +223,7 @@
 ) -> Result<(http1::SendRequest<Full<Bytes>>, JoinHandle<()>), ConnectError> {
     let stream = TcpStream::connect(to.address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::handshake(Socket::new(stream)).await?;
     let peer = to.id.clone();
     let driver = spawn_local(async move {
         if let Err(error) = connection.await {
