Look for unread bytes before an idle connection is closed

Symptom: the soak of changes showed callers whose request had been sent well before the idle timeout, and whose connection a host closed without an answer when it went on after a pause (idle timeout 300 ms, rest 36 ms, pause 0.8 s).

Cause: a signal ends the wait for events without any event, and the timers are looked at next. The idle timer has expired meanwhile, the socket isn't known to be readable yet, and the connection is closed with a request in the kernel's buffer.

Ruled out: the limits (they were in force all along), and the time the test itself takes; its callers rest far less than the timeout of 2 s.

Evidence: paused_host_reads_what_arrived_before_it_closes_idle_connections, six at once: 3 of 6 runs fail before, 0 of 6 after.

A connection whose time is over is now closed 5 ms later, if nothing has arrived by then.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     future::poll_fn,
+    mem,
     net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
@@ -33,6 +34,10 @@
 /// Longest time for which a connection that is to be closed sends what was written to it.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time after which a connection whose time is over is closed, if nothing has arrived by then: what
+/// came while the process was held up is not known before the sockets have been looked at again.
+const UNREAD_TIMEOUT: Duration = Duration::from_millis(5);
+
 /// Delay after a connection could not be accepted, as when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -115,16 +120,18 @@
     connection: &Connection,
 ) -> Option<T> {
     let mut sleep = pin!(sleep(Duration::ZERO));
+    let mut is_over = false;
     poll_fn(|context| {
         if let Poll::Ready(result) = served.as_mut().poll(context) {
             return Poll::Ready(Some(result));
         }
         // What arrived may have begun a request, and a change of the limits may be in force.
-        let Some(time_left) = connection.time_left() else { return Poll::Pending };
-        if time_left.is_zero() {
-            return Poll::Ready(None);
+        let time_left = connection.time_left();
+        let was_over = mem::replace(&mut is_over, time_left.is_some_and(|left| left.is_zero()));
+        let Some(time_left) = time_left else { return Poll::Pending };
+        if !was_over || !is_over {
+            sleep.as_mut().reset(Instant::now() + time_left.max(UNREAD_TIMEOUT));
         }
-        sleep.as_mut().reset(Instant::now() + time_left);
         sleep.as_mut().poll(context).map(|()| None)
     })
     .await
