Weigh each suspect part twice at most for one decision on all

Cause: to weigh a suspect part, the quarantine weighed all harmful ones after it again, so that a look at all of them took the square of their number. A host that starts reads all rows of ends, and each new part beyond the maximum makes it take such a look: 52 % of a profile's samples in that phase are under suspect_mut, called for the whole table, 65 % under evidence in all.

What changed: the parts that are harmful by themselves are found once for a decision. The new test needs 465 weighings before for 30 parts, 60 at most now. Open: a host still takes one look for each new part beyond the maximum.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -28,6 +28,7 @@
 mod suspect;
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::Duration,
@@ -147,6 +148,8 @@
     /// The platform's clock in milliseconds at a time of this process.
     clock: Option<(Duration, u64)>,
     pending: Option<Pending>,
+    /// Number of times that the ends under a part were weighed.
+    weighed: Cell<u64>,
 }
 
 impl Quarantine {
@@ -165,9 +168,15 @@
             disproved: Vec::new(),
             clock: None,
             pending: None,
+            weighed: Cell::new(0),
         }
     }
 
+    /// Returns how often the ends under a part were weighed, which is most of the work.
+    pub fn weighed(&self) -> u64 {
+        self.weighed.get()
+    }
+
     /// Sets the platform's clock.
     pub fn set_clock(&mut self, now: Duration, platform_ms: Option<u64>) {
         if let Some(platform_ms) = platform_ms {
@@ -301,7 +310,13 @@
         }
         let now_ms = self.platform_ms(now);
         let parts = prompt.shared.iter().filter(|part| Some(&part.name) != tried);
-        parts.filter_map(|part| self.quarantined(now_ms, self.suspects.get(&part.name)?)).next()
+        let suspects = parts.filter_map(|part| self.suspects.get(&part.name));
+        let suspects: Vec<_> = suspects.filter(|suspect| suspect.may_be_harmful()).collect();
+        if suspects.is_empty() {
+            return None;
+        }
+        let harmful = self.harmful(now_ms);
+        suspects.into_iter().find_map(|suspect| self.quarantined(now_ms, suspect, &harmful))
     }
 
     /// Decides whether a request may be served: returns the quarantined part of which it is a trial,
@@ -318,7 +333,7 @@
         let Some(found) = self.find(now, prompt, None) else { return Ok(None) };
         let now_ms = self.platform_ms(now);
         let Some(suspect) = self.suspects.get(&found.part) else { return Ok(None) };
-        let evidence = self.evidence(now_ms, suspect);
+        let evidence = self.evidence(suspect, &self.harmful(now_ms));
         let Some(suspect) = self.suspects.get_mut(&found.part) else { return Ok(None) };
         if suspect.take_trial(now_ms, &evidence) {
             return match self.find(now, prompt, Some(&found.part)) {
@@ -330,32 +345,42 @@
         Err(found)
     }
 
-    fn quarantined(&self, now_ms: u64, suspect: &Suspect) -> Option<Quarantined> {
+    fn quarantined(
+        &self,
+        now_ms: u64,
+        suspect: &Suspect,
+        harmful: &[&Suspect],
+    ) -> Option<Quarantined> {
         if !suspect.may_be_harmful() {
             return None;
         }
-        suspect.quarantined(now_ms, &self.evidence(now_ms, suspect))
+        suspect.quarantined(now_ms, &self.evidence(suspect, harmful))
     }
 
-    /// Returns the evidence against a part: separate ends that no harmful part after it explains.
-    fn evidence(&self, now_ms: u64, suspect: &Suspect) -> Evidence {
-        let evidence_of = |own: &Suspect, others: &[&Suspect]| {
-            own.evidence(&self.outages, &self.exposures, others)
-        };
+    /// Returns the parts that are harmful by all ends under them, whatever other parts explain.
+    fn harmful(&self, now_ms: u64) -> Vec<&Suspect> {
+        let suspects = self.suspects.values().filter(|suspect| suspect.may_be_harmful());
+        let is_harmful = |own: &&Suspect| own.is_harmful(now_ms, &self.evidence(own, &[]));
+        suspects.filter(is_harmful).collect()
+    }
+
+    /// Returns the evidence against a part: separate ends that none of the harmful parts after it
+    /// explains.
+    fn evidence(&self, suspect: &Suspect, harmful: &[&Suspect]) -> Evidence {
+        self.weighed.set(self.weighed.get() + 1);
         if !suspect.may_be_harmful() {
-            return evidence_of(suspect, &[]);
+            return suspect.evidence(&self.outages, &self.exposures, &[]);
         }
-        let later = self.suspects.values();
-        let later = later.filter(|own| own.may_be_harmful() && own.depth() > suspect.depth());
-        let harmful = later.filter(|own| own.is_harmful(now_ms, &evidence_of(own, &[])));
-        evidence_of(suspect, &harmful.collect::<Vec<_>>())
+        let later = harmful.iter().copied().filter(|own| own.depth() > suspect.depth());
+        suspect.evidence(&self.outages, &self.exposures, &later.collect::<Vec<_>>())
     }
 
     /// Returns all quarantined parts.
     pub fn parts(&self, now: Duration) -> Vec<Quarantined> {
         let now_ms = self.platform_ms(now);
+        let harmful = self.harmful(now_ms);
         let suspects = self.suspects.values();
-        suspects.filter_map(|suspect| self.quarantined(now_ms, suspect)).collect()
+        suspects.filter_map(|suspect| self.quarantined(now_ms, suspect, &harmful)).collect()
     }
 
     /// Applies rows that were read; `whole` tells that these are all rows.
@@ -480,8 +505,10 @@
     /// Removes the suspect with the least evidence unless all are quarantined.
     fn evict(&mut self, now: Duration) -> bool {
         let now_ms = self.platform_ms(now);
+        let harmful = self.harmful(now_ms);
         let suspects = self.suspects.values();
-        let suspects = suspects.filter(|suspect| self.quarantined(now_ms, suspect).is_none());
+        let suspects =
+            suspects.filter(|suspect| self.quarantined(now_ms, suspect, &harmful).is_none());
         let weakest = suspects.min_by_key(|own| (own.backend_count(), own.last_end_ms()));
         let Some(weakest) = weakest.map(|suspect| suspect.name().clone()) else { return false };
         self.suspects.remove(&weakest);
@@ -508,8 +535,9 @@
             pending.ends.push(end.key.clone());
         }
         if pending.ends.is_empty() {
+            let harmful = self.harmful(now_ms);
             for suspect in self.suspects.values() {
-                let Some(share) = suspect.due_row(now_ms, &self.evidence(now_ms, suspect)) else {
+                let Some(share) = suspect.due_row(now_ms, &self.evidence(suspect, &harmful)) else {
                     continue;
                 };
                 txn.put(&share.stored, &share.row);
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -641,6 +641,19 @@
     assert!(largest.max().unwrap_or_default() < 4096);
 }
 
+#[test]
+fn each_suspect_is_weighed_at_most_twice_to_list_the_quarantined_parts() {
+    const SUSPECTS: usize = 30;
+    let mut fleet = Fleet::new();
+    let names: Vec<String> = (0..SUSPECTS).map(|number| format!("p{number}")).collect();
+    let parts: Vec<&str> = names.iter().map(String::as_str).collect();
+    fleet.end_backends(6, &parts);
+    let before = fleet.hosts[0].weighed();
+    assert!(!fleet.hosts[0].parts(fleet.now).is_empty());
+    let weighed = fleet.hosts[0].weighed() - before;
+    assert!(weighed <= 2 * SUSPECTS as u64, "{weighed} times");
+}
+
 #[test]
 fn backend_server_that_is_heard_again_has_not_ended() {
     let mut fleet = Fleet::new();
