Read on after the daemon has refused a request

Cause: the entry host daemon refused with the body dropped (404, 405, 401, malformed key), with the head refused by the HTTP library, or without reading anything (too many connections).

Conclusion: one copy of the code, gateway::unread, which is public now: `discard` is a future that each side spawns, `Bounds::new` takes plain limits. The daemon refuses at once and reads the rest for client_ms and up to twice max_body_bytes. The close is announced for 408, 413, a body that broke off, a stated length over the limit, and Expect; a stated length that is too large is refused before it is read. Connections beyond max_connections are read on for 64 at a time, the rest are closed after the refusal as before. The gateway behaves as before.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -6,6 +6,7 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -20,10 +21,19 @@
 };
 use crossbeam::channel::Sender;
 use eyre::WrapErr as _;
+use gateway::unread::{self, Bounds};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::{Method, Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Method, Request,
+    body::{Body as _, Incoming},
+    header::{CONNECTION, EXPECT, HeaderValue},
+    http::request,
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc, watch},
     time::timeout,
@@ -42,6 +52,9 @@
 /// Pieces that wait for a slow caller before its request is given up.
 const CALLER_QUEUE: usize = 4_096;
 
+/// Most connections beyond the limit whose requests are read after their refusal.
+const MAX_REJECTED: usize = 64;
+
 /// Path of service calls.
 const SERVICES: &str = "/v1/services/";
 
@@ -61,6 +74,13 @@
     pub read: Duration,
 }
 
+impl Limits {
+    /// Returns the bounds on reading the rest of a refused request.
+    fn unread(&self) -> Bounds {
+        Bounds::new(self.read, self.body_bytes)
+    }
+}
+
 /// A bound edge.
 #[derive(Debug)]
 pub struct Edge {
@@ -109,6 +129,7 @@
             limits: self.limits,
             callers: AtomicU64::new(1),
             slots: slots.clone(),
+            rejected: Arc::new(Semaphore::new(MAX_REJECTED)),
         });
         loop {
             let accepted = tokio::select! {
@@ -136,13 +157,34 @@
     limits: Limits,
     callers: AtomicU64,
     slots: Arc<Semaphore>,
+    rejected: Arc<Semaphore>,
+}
+
+/// A refusal of a request, of which more may come.
+#[derive(Debug)]
+struct Refusal {
+    problem: Problem,
+    /// Whether the request is malformed or exceeds the limits, so that none can follow it.
+    ends_connection: bool,
+}
+
+impl Refusal {
+    fn ending(problem: Problem) -> Self {
+        Self { problem, ends_connection: true }
+    }
+}
+
+impl From<Problem> for Refusal {
+    fn from(problem: Problem) -> Self {
+        Self { problem, ends_connection: false }
+    }
 }
 
 impl Door {
     fn admit(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr, stop: watch::Receiver<bool>) {
         let Ok(slot) = self.slots.clone().try_acquire_owned() else {
             tracing::warn!(event = "connection_refused", %peer, reason = "too many connections");
-            tokio::spawn(reject(stream));
+            tokio::spawn(self.clone().reject(stream));
             return;
         };
         let door = self.clone();
@@ -160,7 +202,7 @@
     ) {
         let _ = stream.set_nodelay(true);
         let door = self.clone();
-        let connection = http1::Builder::new()
+        let mut served = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.read)
             .max_buf_size(self.limits.head_bytes.max(MIN_BUFFER_BYTES))
@@ -168,7 +210,7 @@
                 TokioIo::new(stream),
                 service_fn(move |request| door.clone().answer(request)),
             );
-        tokio::pin!(connection);
+        let mut connection = Pin::new(&mut served);
         let result = tokio::select! {
             result = connection.as_mut() => result,
             () = stopped(&mut stop) => {
@@ -176,33 +218,79 @@
                 connection.await
             }
         };
-        if let Err(error) = result {
-            tracing::debug!(event = "connection_ended", %peer, %error);
+        let Err(error) = result else { return };
+        tracing::debug!(event = "connection_ended", %peer, %error);
+        if error.is_parse() {
+            // The HTTP library has refused the head; its caller may still be sending it.
+            let stream = served.into_parts().io.into_inner();
+            unread::drain(stream, self.limits.unread()).await;
+        }
+    }
+
+    /// Refuses a connection beyond the limit.
+    async fn reject(self: Arc<Self>, mut stream: TcpStream) {
+        // The request was not read, so it may be a retry of one that ran.
+        let body = document(&Problem { outcome: Outcome::NotRunHere, ..overloaded() });
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\n\
+             content-type: application/problem+json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let answer = head + &body;
+        let send = async {
+            stream.write_all(answer.as_bytes()).await?;
+            stream.shutdown().await
+        };
+        let sent = timeout(Duration::from_secs(1), send).await;
+        if let (Ok(Ok(())), Ok(_slot)) = (sent, self.rejected.try_acquire()) {
+            unread::drain(stream, self.limits.unread()).await;
         }
     }
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Infallible> {
-        Ok(match self.take(request).await {
+        let (head, mut body) = request.into_parts();
+        Ok(match self.take(&head, &mut body).await {
             Ok((caller, parts)) => self.relay(caller, parts).await,
-            Err(problem) => refuse(&problem),
+            Err(refusal) => self.refuse(&head, body, &refusal),
         })
     }
 
+    /// Refuses a request at once, and reads the rest of its body in the background.
+    fn refuse(&self, head: &request::Parts, body: Incoming, refusal: &Refusal) -> Answer {
+        let mut answer = refuse(&refusal.problem);
+        if body.is_end_stream() {
+            return answer;
+        }
+        let awaits_permission = head.headers.contains_key(EXPECT);
+        if refusal.ends_connection || awaits_permission || self.is_too_large(&body) {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        tokio::spawn(unread::discard(None, body, self.limits.unread()));
+        answer
+    }
+
+    /// Returns whether the stated length of a body, or of its rest, is larger than allowed.
+    fn is_too_large(&self, body: &Incoming) -> bool {
+        usize::try_from(body.size_hint().lower())
+            .map_or(true, |bytes| bytes > self.limits.body_bytes)
+    }
+
     async fn take(
         &self,
-        request: Request<Incoming>,
-    ) -> Result<(Caller, mpsc::Receiver<Part>), Problem> {
-        let path = request.uri().path().to_owned();
+        head: &request::Parts,
+        body: &mut Incoming,
+    ) -> Result<(Caller, mpsc::Receiver<Part>), Refusal> {
+        let path = head.uri.path();
         let service = path.strip_prefix(SERVICES).map(Arc::<str>::from);
         if service.is_none() && path != TICKETS {
-            return Err(bad(404, "not_found", "no such path"));
+            return Err(bad(404, "not_found", "no such path").into());
         }
-        if request.method() != Method::POST {
-            return Err(bad(405, "method", "expected POST"));
+        if head.method != Method::POST {
+            return Err(bad(405, "method", "expected POST").into());
         }
-        let token = bearer(&request)?;
-        let key = key(&request)?;
-        let body = self.body(request).await?;
+        let token = bearer(&head.headers)?;
+        let key = key(&head.headers)?;
+        let body = self.body(body).await.map_err(Refusal::ending)?;
         let caller = self.callers.fetch_add(1, Ordering::Relaxed);
         let event = match service {
             Some(service) => Event::Call(parse(caller, token, service, key, &body)?),
@@ -218,16 +306,18 @@
         Ok((caller, parts))
     }
 
-    async fn body(&self, request: Request<Incoming>) -> Result<Bytes, Problem> {
-        let limited = Limited::new(request.into_body(), self.limits.body_bytes);
+    async fn body(&self, body: &mut Incoming) -> Result<Bytes, Problem> {
+        let too_large = || bad(413, "body_too_large", "the body is too large");
+        if self.is_too_large(body) {
+            return Err(too_large());
+        }
+        let limited = Limited::new(body, self.limits.body_bytes);
         let Ok(collected) = timeout(self.limits.read, limited.collect()).await else {
             return Err(bad(408, "slow_request", "the body did not arrive in time"));
         };
         match collected {
             Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                Err(bad(413, "body_too_large", "the body is too large"))
-            }
+            Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
             Err(_) => Err(bad(400, "body_incomplete", "the body did not arrive whole")),
         }
     }
@@ -252,17 +342,3 @@
     // A sender that is gone means the same.
     let _ = stop.wait_for(|stop| *stop).await;
 }
-
-async fn reject(mut stream: TcpStream) {
-    use tokio::io::AsyncWriteExt as _;
-
-    // The request was not read, so it may be a retry of one that ran.
-    let body = document(&Problem { outcome: Outcome::NotRunHere, ..overloaded() });
-    let head = format!(
-        "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\n\
-         content-type: application/problem+json\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    let answer = head + &body;
-    let _ = timeout(Duration::from_secs(1), stream.write_all(answer.as_bytes())).await;
-}
--- a/crates/daemon/src/edge/input.rs
+++ b/crates/daemon/src/edge/input.rs
@@ -7,7 +7,7 @@
     action::Problem,
     event::{Call, Caller},
 };
-use hyper::{Request, body::Incoming, header};
+use hyper::{HeaderMap, header};
 use serde::Deserialize;
 
 use super::answer::bad;
@@ -25,8 +25,8 @@
     input: Option<serde_json::Value>,
 }
 
-pub(super) fn bearer(request: &Request<Incoming>) -> Result<Arc<str>, Problem> {
-    let value = request.headers().get(header::AUTHORIZATION);
+pub(super) fn bearer(headers: &HeaderMap) -> Result<Arc<str>, Problem> {
+    let value = headers.get(header::AUTHORIZATION);
     let token = value.and_then(|value| value.to_str().ok());
     let token = token.and_then(|value| value.strip_prefix("Bearer "));
     token
@@ -34,10 +34,10 @@
         .ok_or_else(|| bad(401, "unauthorized", "expected Authorization: Bearer <token>"))
 }
 
-pub(super) fn key(request: &Request<Incoming>) -> Result<Option<Arc<str>>, Problem> {
+pub(super) fn key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Problem> {
     const MAX_KEY_BYTES: usize = 256;
 
-    let Some(value) = request.headers().get("idempotency-key") else { return Ok(None) };
+    let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
     match value.to_str() {
         Ok(text) if !text.is_empty() && text.len() <= MAX_KEY_BYTES => Ok(Some(text.into())),
         _ => Err(bad(400, "bad_key", "expected an Idempotency-Key of 1 to 256 visible characters")),
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,18 +5,27 @@
     io,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll, Waker},
     time::Duration,
 };
 
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{
+    body::{Body as _, Incoming},
+    rt::{Read, ReadBufCursor, Write},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead as _, ReadBuf},
     net::TcpStream,
+    task::spawn_local,
 };
 
-use crate::{idle::Timer, node::Node};
+use crate::{
+    idle::Timer,
+    node::Node,
+    unread::{self, Bounds},
+};
 
 /// Most bytes of a refused body that are read at a time, so that the buffers stay small.
 const DISCARD_BYTES: usize = 4 * 1024;
@@ -115,14 +124,22 @@
 pub struct Guard(Rc<Connection>);
 
 impl Guard {
-    /// Reads the rest of the body in small pieces from now on, until `drop_and_wake`.
-    pub fn begin_discard(&self) {
+    /// Reads the rest of a refused body in the background, in small pieces; the request is in progress
+    /// until then.
+    pub fn discard(self: Rc<Self>, id: Option<Arc<str>>, body: Incoming, bounds: Bounds) {
+        if body.is_end_stream() {
+            return;
+        }
         self.0.discarding.set(self.0.discarding.get() + 1);
         self.0.node.overload.borrow_mut().begin_discard();
+        spawn_local(async move {
+            unread::discard(id.as_deref(), body, bounds).await;
+            self.drop_and_wake();
+        });
     }
 
     /// Drops a guard outside of the connection's task, which is woken to reckon its next deadline.
-    pub fn drop_and_wake(self: Rc<Self>) {
+    fn drop_and_wake(self: Rc<Self>) {
         let connection = self.0.clone();
         connection.discarding.set(connection.discarding.get() - 1);
         connection.node.overload.borrow_mut().end_discard();
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -115,7 +115,7 @@
     if error.is_parse() {
         // The HTTP library has refused the head; its caller may still be sending it.
         let has_capacity = node.overload.borrow().can_discard(node.now());
-        let bounds = Bounds::new(&node.limits_in_force(), has_capacity);
+        let bounds = Bounds::from_limits(&node.limits_in_force(), has_capacity);
         node.overload.borrow_mut().begin_discard();
         unread::drain(TokioIo::new(served.into_parts().io), bounds).await;
         node.overload.borrow_mut().end_discard();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,7 +52,7 @@
 pub mod retry_state;
 pub mod service;
 mod subscription;
-mod unread;
+pub mod unread;
 pub mod witness;
 
 pub use crate::lifecycle::run;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -44,7 +44,7 @@
     relay::Relay,
     request::{Call, LATE, Prompt, Refusal, head_bytes},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
-    unread::{self, Bounds},
+    unread::Bounds,
 };
 
 /// Time after which a caller may retry if this host isn't ready or can't read the platform.
@@ -341,8 +341,8 @@
             let is_closing = !body.is_end_stream()
                 && (awaits_permission || refusal.ends_connection() || !has_capacity);
             let call = call.as_ref().ok();
-            let bounds = Bounds::new(&node.limits_in_force(), has_capacity);
-            unread::discard(call.map(|call| call.id.clone()), body, bounds, guard.clone());
+            let bounds = Bounds::from_limits(&node.limits_in_force(), has_capacity);
+            guard.clone().discard(call.map(|call| call.id.clone()), body, bounds);
             (node.dialect.refusal_response(call, refusal).map(Body::from), is_closing)
         }
     };
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -4,17 +4,16 @@
 //! closed with bytes unread, the kernel would answer them with a reset, which may discard the
 //! refusal too.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::time::Duration;
 
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use tokio::{
     io::{AsyncRead, AsyncReadExt as _, copy, sink},
-    task::spawn_local,
     time::timeout,
 };
 
-use crate::{catalog::Limits, connection::Guard};
+use crate::catalog::Limits;
 
 /// Longest time for which the rest of a body is read if the host has no capacity for it.
 const SHORT_MAX_TIME: Duration = Duration::from_millis(500);
@@ -32,39 +31,37 @@
 }
 
 impl Bounds {
-    /// Returns the bounds for a host: a caller within the limits of the configuration stays within
-    /// them if the host has the capacity.
-    pub fn new(limits: &Limits, has_capacity: bool) -> Self {
-        let max_time = match has_capacity {
+    /// Returns bounds within which a caller stays whose body takes no longer, and isn't larger, than
+    /// allowed.
+    pub fn new(read_timeout: Duration, max_body_bytes: usize) -> Self {
+        Self { max_time: read_timeout, max_bytes: max_body_bytes.saturating_mul(MAX_BODIES) }
+    }
+
+    /// Returns the bounds for the limits of a configuration, shortened if the host has no capacity.
+    pub fn from_limits(limits: &Limits, has_capacity: bool) -> Self {
+        let read_timeout = match has_capacity {
             true => limits.read_timeout,
             false => SHORT_MAX_TIME.min(limits.read_timeout),
         };
-        Self { max_time, max_bytes: limits.max_body_bytes.saturating_mul(MAX_BODIES) }
+        Self::new(read_timeout, limits.max_body_bytes)
     }
 }
 
-/// Reads the rest of a body in the background; the request is in progress until then. The
-/// connection is closed if the rest exceeds the bounds; the line in the log names the request.
-pub fn discard(id: Option<Arc<str>>, body: Incoming, bounds: Bounds, guard: Rc<Guard>) {
-    if body.is_end_stream() {
-        return;
-    }
-    guard.begin_discard();
-    spawn_local(async move {
-        let mut rest = Limited::new(body, bounds.max_bytes);
-        let read = async {
-            while let Some(frame) = rest.frame().await {
-                if let Err(error) = frame {
-                    tracing::info!(event = "body_not_read", id = id.as_deref(), %error);
-                    return;
-                }
+/// Reads the rest of a body. The connection is closed if the rest exceeds the bounds; the line in the
+/// log names the request, if its id is known.
+pub async fn discard(id: Option<&str>, body: Incoming, bounds: Bounds) {
+    let mut rest = Limited::new(body, bounds.max_bytes);
+    let read = async {
+        while let Some(frame) = rest.frame().await {
+            if let Err(error) = frame {
+                tracing::info!(event = "body_not_read", id, %error);
+                return;
             }
-        };
-        if timeout(bounds.max_time, read).await.is_err() {
-            tracing::info!(event = "body_not_read", id = id.as_deref(), error = "too slow");
         }
-        guard.drop_and_wake();
-    });
+    };
+    if timeout(bounds.max_time, read).await.is_err() {
+        tracing::info!(event = "body_not_read", id, error = "too slow");
+    }
 }
 
 /// Reads what still comes over a connection on which nothing more is sent, up to its end or the
