--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -31,6 +31,7 @@
 const DISCARD_BYTES: usize = 4 * 1024;
 
 /// A caller's connection, which is counted until it is dropped.
+#[derive(Debug)]
 pub struct Connection {
     node: Rc<Node>,
     timer: RefCell<Timer>,
@@ -121,6 +122,7 @@
 }
 
 /// Guard that counts a request as in progress until it is dropped and its response has been sent.
+#[derive(Debug)]
 pub struct Guard(Rc<Connection>);
 
 impl Guard {
@@ -159,6 +161,7 @@
 }
 
 /// Socket of a connection, which records when bytes pass.
+#[derive(Debug)]
 pub struct Socket {
     stream: TokioIo<TcpStream>,
     connection: Rc<Connection>,
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -333,26 +333,47 @@
         }
         Err(refusal) => Err(refusal.clone()),
     };
-    let (mut response, is_closing) = match served {
-        Ok(response) => (response, false),
+    let mut response = match served {
+        Ok(response) => response,
         Err(refusal) => {
-            node.metrics.refused(refusal.reason());
-            let has_capacity = node.overload.borrow().can_discard(node.now());
-            let is_closing = !body.is_end_stream()
-                && (awaits_permission || refusal.ends_connection() || !has_capacity);
             let call = call.as_ref().ok();
-            let bounds = Bounds::from_limits(&node.limits_in_force(), has_capacity);
-            guard.clone().discard(call.map(|call| call.id.clone()), body, bounds);
-            (node.dialect.refusal_response(call, refusal).map(Body::from), is_closing)
+            refuse(&node, call, refusal, body, awaits_permission, &guard)
         }
     };
     let sheds_connections = node.overload.borrow().sheds_connections(node.now());
-    if is_closing || node.phase.get() != Phase::Serving || sheds_connections {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    if node.phase.get() != Phase::Serving || sheds_connections {
+        response.headers_mut().insert(CONNECTION, close_option());
     }
     response.map(|body| Guarded::new(body, guard))
 }
 
+/// Returns the response to a request that is refused, and reads the rest of its body in the
+/// background; announces the close if no request can follow.
+fn refuse(
+    node: &Node,
+    call: Option<&Call>,
+    refusal: Refusal,
+    rest: Incoming,
+    awaits_permission: bool,
+    guard: &Rc<Guard>,
+) -> Response<Body> {
+    node.metrics.refused(refusal.reason());
+    let has_capacity = node.overload.borrow().can_discard(node.now());
+    let is_last = awaits_permission || refusal.ends_connection() || !has_capacity;
+    let is_closing = is_last && !rest.is_end_stream();
+    let bounds = Bounds::from_limits(&node.limits_in_force(), has_capacity);
+    guard.clone().discard(call.map(|call| call.id.clone()), rest, bounds);
+    let mut response = node.dialect.refusal_response(call, refusal).map(Body::from);
+    if is_closing {
+        response.headers_mut().insert(CONNECTION, close_option());
+    }
+    response
+}
+
+fn close_option() -> HeaderValue {
+    HeaderValue::from_static("close")
+}
+
 /// Parses the head of a request, if it isn't larger than allowed.
 fn check_head(node: &Node, head: &request::Parts) -> Result<Call, Refusal> {
     let bytes = head_bytes(head);
