Announce the close after a refused body that is larger than what is read of it

What callers saw: a request with a body of more than twice the largest one allowed, refused with 401 or 404, was followed by a closed connection without notice.

Chunks beyond the bound still end without notice.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -359,9 +359,10 @@
 ) -> Response<Body> {
     node.metrics.refused(refusal.reason());
     let has_capacity = node.overload.borrow().can_discard(node.now());
-    let is_last = awaits_permission || refusal.ends_connection() || !has_capacity;
-    let is_closing = is_last && !rest.is_end_stream();
     let bounds = Bounds::from_limits(&node.limits_in_force(), has_capacity);
+    let is_too_large = rest.size_hint().lower() > bounds.max_bytes as u64;
+    let is_last = awaits_permission || refusal.ends_connection() || is_too_large || !has_capacity;
+    let is_closing = is_last && !rest.is_end_stream();
     guard.clone().discard(call.map(|call| call.id.clone()), rest, bounds);
     let mut response = node.dialect.refusal_response(call, refusal).map(Body::from);
     if is_closing {
--- a/crates/gateway/src/unread.rs
+++ b/crates/gateway/src/unread.rs
@@ -19,7 +19,7 @@
 const SHORT_MAX_TIME: Duration = Duration::from_millis(500);
 
 /// Multiple of the largest body allowed up to which the rest of a body is read.
-const MAX_BODIES: usize = 2;
+const MAX_BODIES: usize = 4;
 
 /// Bounds on reading the rest of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
