Believe the end of a stream only from a backend server that sent an event

Callers got an empty stream as a whole one where the backend server responded with a success and ended the body at once, and a stream ended as complete after one of its first events where the backend server that resumed it sent nothing and ended the body.

Cause: any end that a last chunk or a stated length marked was believed. Only an end of the connection asked for an event of its backend server.

An end is now judged by a module of its own. One of a backend server that sent an event of the stream is believed as before. A stream without any event has not ended: its backend server failed, and another one is tried where the stream may be resumed. Otherwise an end without an event is a claim that nothing is left. It is believed once a second backend server, asked to resume after the same event, says the same. If none can be asked, the stream is broken off, so that its caller can resume it. Nothing tells such a claim from that of a backend server whose former one broke off after its last event, so health stays as it is.

A stream that fails before any event was broken off before its head had been written, so that the caller got no response at all. What was passed on is written first now.

Ruled out: an empty success was not charged before either, as only events and callers that leave set the used tokens.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -511,6 +511,11 @@
         self.is_framed || self.events > 0
     }
 
+    /// Returns the number of events that were passed on.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     fn finish_prefill(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
         if let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id) {
@@ -541,6 +546,12 @@
     /// Records that the response has been read to its end, and releases the connection to the pool.
     pub fn finish(&mut self, failed: bool) {
         self.health = if failed { HealthSignal::Failed } else { HealthSignal::Healthy };
+        self.release();
+    }
+
+    /// Releases the connection to the pool, since the response has been read to its end, and leaves
+    /// open whether the backend server is healthy.
+    pub fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.node.pool.release(&self.to.id, connection);
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -239,6 +239,11 @@
         self.partial.iter().all(u8::is_ascii_whitespace)
     }
 
+    /// Returns whether an event is held back.
+    pub fn holds_event(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Returns whether the stream may end here, so that no event is missing as far as that is known.
     pub fn may_end(&self) -> bool {
         // Where no step is known and no other backend server can confirm the id, it is believed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
 //! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
-//! (whether a request may be sent again and what its caller is told).
+//! (whether a request may be sent again and what its caller is told), [`stream_end`] (whether the
+//! end of a stream is believed).
 
 pub mod account;
 pub mod attempt;
@@ -51,6 +52,7 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod service;
+pub mod stream_end;
 mod subscription;
 pub mod unread;
 pub mod witness;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,10 @@
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt as _;
 use hyper::{HeaderMap, body::Incoming, header::CONTENT_TYPE, http::response};
-use tokio::time::{Instant, timeout};
+use tokio::{
+    task::yield_now,
+    time::{Instant, timeout},
+};
 
 use crate::{
     attempt::{Attempt, MAX_STREAM_OVERLAP, StartError},
@@ -17,6 +20,7 @@
     proxy::{ANSWERED, CALLER_LEFT, Job},
     request::LATE,
     retry_state::AttemptFailure,
+    stream_end::{Claim, End, Verdict},
 };
 
 /// Time without data, in percent of the route's longest gap, after which a stream is resumed at
@@ -60,6 +64,8 @@
     progress_at: Instant,
     /// Time before which no other backend server is tried, after none took the stream.
     retry_at: Instant,
+    /// Last claim that nothing is left of the stream.
+    claim: Option<Claim>,
     ended: bool,
 }
 
@@ -82,6 +88,7 @@
             events: 0,
             progress_at: Instant::now(),
             retry_at: Instant::now(),
+            claim: None,
             ended: false,
         }
     }
@@ -114,6 +121,8 @@
             };
             if !self.resume(cause, may_go_on).await {
                 self.job.note_charge(cause).await;
+                // What was passed on is written before the connection breaks off.
+                yield_now().await;
                 self.finish(cause);
                 return Some(Err(Truncated));
             }
@@ -174,14 +183,15 @@
                 attempt.record_activity();
                 self.process(frame.into_data().unwrap_or_default())
             }
-            Some(None) if !has_events || (self.splitter.may_end() && attempt.may_end_stream()) => {
+            Some(None) if has_events => self.process_end(),
+            Some(None) => {
                 attempt.finish(false);
                 if self.is_success {
                     self.job.record_whole_response();
                 }
                 ReadResult::End
             }
-            Some(None | Some(Err(_))) => {
+            Some(Some(Err(_))) => {
                 attempt.record_broken(&self.job);
                 ReadResult::Interrupted("broken_off")
             }
@@ -201,6 +211,38 @@
         ReadResult::Interrupted(LATE)
     }
 
+    /// Processes the end of the body of a stream.
+    fn process_end(&mut self) -> ReadResult {
+        let Some(attempt) = &mut self.attempt else { return ReadResult::Interrupted("broken_off") };
+        let end = End {
+            backend: attempt.backend().clone(),
+            events: attempt.events() + u64::from(self.splitter.holds_event()),
+            after: self.splitter.last_id(),
+            may_end: self.splitter.may_end() && attempt.may_end_stream(),
+        };
+        let verdict = end.judge(self.claim.as_ref());
+        match verdict {
+            Verdict::Complete => attempt.finish(false),
+            Verdict::Confirmed | Verdict::Unconfirmed => attempt.release(),
+            Verdict::Empty => attempt.record_failure(),
+            Verdict::BrokenOff => attempt.record_broken(&self.job),
+        }
+        let result = match verdict {
+            Verdict::Complete | Verdict::Confirmed => {
+                self.job.record_whole_response();
+                ReadResult::End
+            }
+            Verdict::Unconfirmed => ReadResult::Interrupted("end_unconfirmed"),
+            Verdict::Empty => ReadResult::Interrupted("empty_stream"),
+            Verdict::BrokenOff => ReadResult::Interrupted("broken_off"),
+        };
+        self.log_end(&end, verdict);
+        if verdict == Verdict::Unconfirmed {
+            self.claim = Some(Claim::from(end));
+        }
+        result
+    }
+
     /// Processes bytes of the response and returns those that can be passed on.
     fn process(&mut self, bytes: Bytes) -> ReadResult {
         if !self.has_events() {
@@ -309,6 +351,24 @@
         );
     }
 
+    fn log_end(&self, end: &End, verdict: Verdict) {
+        let name = match verdict {
+            Verdict::Complete | Verdict::BrokenOff => return,
+            Verdict::Confirmed => "stream_end_confirmed",
+            Verdict::Unconfirmed => "stream_end_unconfirmed",
+            Verdict::Empty => "stream_empty",
+        };
+        tracing::info!(
+            event = name,
+            id = %self.job.call.id,
+            backend = %end.backend,
+            after = end.after,
+            events = end.events,
+            claimed_by = self.claim.as_ref().map(|claim| &*claim.backend),
+            left_ms = self.job.time_left().as_millis() as u64,
+        );
+    }
+
     fn log_resumed(&self, cause: &str, from: Option<&Arc<str>>, to: &Attempt) {
         tracing::info!(
             event = "stream_resumed",
