Keep a copy of the configuration while a restored store holds an older one

What callers saw: a host that started beside a store that was restored from an older copy refused an added route with 404 and an added key with 401, and served a removed route and a revoked key with 200, until the operator had written the newest configuration again. Its peers, which had lived through the restore, kept the newest one.

Cause: a process takes the operator's row for the newest configuration. In a store that came back older, that row is the one of the copy, and nothing else tells a new process of the newest one.

Fix: a host that has a newer configuration in force than the operator's row holds in a new era writes that document to the row fleet/config, unless another host has. Hosts read it once in each era, in the first 10 s of an era, and while the publisher of the directory knows a newer version than theirs. In those 10 s an unknown route or key gets a refusal that lets the caller retry, also from hosts that lived through the restore, since they may lack the newest version. A process without a configuration waits for the copy for up to 1.5 s, if the era began less than that ago or the copy wasn't read yet, so that it serves nothing that was removed. The fleet's first era, in which nothing can be missing, is as before.

The lines `configuration` state the row and the era that were read, `configuration_copy` each write of the copy, and `request_refused` how far the configuration counts (`config_standing` in place of `config_fresh`).

Ruled out: a late answer that confirms an old configuration; the store of the test answers at once.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+
 /// Whether a request may be sent again once it may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -129,6 +131,8 @@
 /// One version of the configuration.
 #[derive(Debug)]
 pub struct Catalog {
+    /// Document that it was parsed from.
+    document: Bytes,
     version: u64,
     /// Routes of each host name, longest prefix first.
     routes: HashMap<Arc<str>, Vec<Rc<Route>>>,
@@ -139,8 +143,9 @@
 }
 
 impl Catalog {
-    /// Creates a version from its parts; each workspace comes with its keys.
+    /// Creates a version from its document and its parts; each workspace comes with its keys.
     pub fn new(
+        document: Bytes,
         version: u64,
         routes: impl IntoIterator<Item = Route>,
         services: impl IntoIterator<Item = Service>,
@@ -163,6 +168,7 @@
             all_workspaces.push(workspace);
         }
         Self {
+            document,
             version,
             routes: routes_by_host,
             services: services.into_iter().map(by_name).collect(),
@@ -172,6 +178,11 @@
         }
     }
 
+    /// Returns the document that it was parsed from.
+    pub fn document(&self) -> &[u8] {
+        &self.document
+    }
+
     /// Returns the version number.
     pub fn version(&self) -> u64 {
         self.version
--- /dev/null
+++ b/crates/gateway/src/config_copy.rs
@@ -0,0 +1,102 @@
+//! Keeps a copy of the configuration in the system's own rows while the operator's row is older.
+
+use std::{rc::Rc, time::Duration};
+
+use coordination::{
+    locate::hash,
+    table::{Op, Outcome, Row, Txn, Write},
+};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    dialect::Source,
+    node::{Node, Origin},
+};
+
+/// Key of the row with the copy, whose value is the operator's document.
+const COPY_ROW: &str = "fleet/config";
+
+/// Interval at which it is looked for whether something is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Interval of the reads while no configuration is in force, and after a read that failed.
+const START_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Interval of the reads of a host that has a configuration.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time over which the hosts' attempts to write the copy are spread.
+const WRITE_SPREAD: Duration = Duration::from_millis(300);
+
+/// Reads and writes the copy forever.
+pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
+    let spread_ms = hash(node.settings.host.as_bytes()) % WRITE_SPREAD.as_millis() as u64;
+    let mut read_at: Option<Instant> = None;
+    loop {
+        let versions = node.versions(&*source);
+        let interval = match (versions.in_force, versions.copy) {
+            (0, _) | (_, None) => START_INTERVAL,
+            _ => READ_INTERVAL,
+        };
+        if versions.is_write_due() {
+            sleep(Duration::from_millis(spread_ms)).await;
+            write(&node, &*source).await;
+            read_at = Some(Instant::now());
+            sleep(START_INTERVAL).await;
+        } else if versions.is_read_due() && read_at.is_none_or(|at| at.elapsed() >= interval) {
+            read(&node, &*source).await;
+            read_at = Some(Instant::now());
+        }
+        sleep(TICK).await;
+    }
+}
+
+/// Reads the copy and puts it in force if it is the newest configuration; `None` if the platform
+/// doesn't answer.
+async fn read(node: &Node, source: &impl Source) -> Option<Row> {
+    let sent_at = Instant::now();
+    let Outcome::Rows(rows) = source.table(&Op::Read(vec![COPY_ROW.into()])).await else {
+        return None;
+    };
+    let row: Row = rows.into_iter().next()?;
+    let mut version = 0;
+    if let Some(document) = &row.value {
+        match node.dialect.parse_catalog(document.as_bytes()) {
+            Ok(catalog) => {
+                version = catalog.version();
+                node.put_in_force(catalog, Origin::Copy, source.era(), sent_at.elapsed());
+            }
+            Err(fault) => tracing::error!(event = "configuration_copy_unreadable", fault),
+        }
+    }
+    node.own_reads.borrow_mut().copy_version = Some((source.era(), version));
+    Some(row)
+}
+
+/// Writes the configuration in force, unless another host has.
+async fn write(node: &Node, source: &impl Source) {
+    let Some(row) = read(node, source).await else { return };
+    let versions = node.versions(source);
+    let Some(catalog) = node.catalog().filter(|_| versions.is_write_due()) else { return };
+    let Ok(document) = str::from_utf8(catalog.document()) else {
+        tracing::error!(event = "configuration_copy_unwritable", version = catalog.version());
+        return;
+    };
+    let mut txn = Txn::default();
+    txn.check(&row);
+    txn.writes.push(Write { key: row.key.clone(), value: Some(document.into()) });
+    let era = source.era();
+    let outcome = source.table(&Op::Commit(txn)).await;
+    let is_committed = matches!(outcome, Outcome::Committed(_)) && source.era() == era;
+    if is_committed {
+        node.own_reads.borrow_mut().copy_version = Some((era, catalog.version()));
+    }
+    tracing::info!(
+        event = "configuration_copy",
+        version = catalog.version(),
+        operator = versions.operator,
+        former = versions.copy,
+        era,
+        written = is_committed,
+    );
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -75,6 +75,13 @@
     /// Returns the name of the header that can't be parsed.
     fn parse_request(&self, head: &request::Parts) -> Result<Call, &'static str>;
 
+    /// Parses a document of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of the fault.
+    fn parse_catalog(&self, document: &[u8]) -> Result<Catalog, String>;
+
     /// Returns the headers with which a request is forwarded to a backend server.
     fn forwarded_headers(&self, head: &request::Parts, dispatch: &Dispatch<'_>) -> HeaderMap;
 
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -76,6 +76,12 @@
         !self.is_complete && Duration::from_millis(now_ms.saturating_sub(self.since_ms)) > time
     }
 
+    /// Returns the time since the table was restored; `None` in the fleet's first era.
+    pub fn restored_for(&self, now_ms: u64) -> Option<Duration> {
+        let is_first = self.since_ms == self.founded_ms;
+        (!is_first).then(|| Duration::from_millis(now_ms.saturating_sub(self.since_ms)))
+    }
+
     /// Returns whether the fleet is being founded at a time, so that every budget is new.
     pub fn is_founding(&self, now_ms: u64) -> bool {
         let age = Duration::from_millis(now_ms.saturating_sub(self.founded_ms));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
-//! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
+//! [`standing`] (how far a configuration counts after a restore of the table), [`backend`] and
+//! [`placement`] (where a request goes, or that it is refused), [`retry_state`]
 //! (whether a request may be sent again and what its caller is told).
 
 pub mod account;
@@ -17,6 +18,7 @@
 pub mod body;
 pub mod budgets;
 pub mod catalog;
+mod config_copy;
 pub mod connection;
 pub mod crash;
 pub mod credit;
@@ -51,6 +53,7 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod service;
+pub mod standing;
 mod subscription;
 pub mod unread;
 pub mod witness;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     budgets::Budgets,
+    config_copy,
     dialect::{Dialect, Source},
     drain, edge, era, limit_sync, membership,
     metrics::Metrics,
@@ -102,6 +103,7 @@
     spawn!("quarantine", quarantine_sync::run);
     spawn!("limits", limit_sync::run);
     spawn!("configuration", poll::catalog);
+    spawn!("copy of the configuration", config_copy::run);
     spawn!("backend servers", poll::backends);
     spawn!("hosts", membership::run);
     spawn!("budgets", Budgets::run);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,7 @@
     pool::Pool,
     quarantine::Quarantine,
     retry_budget::{RetryBudget, RetryLimit},
+    standing::{Standing, Versions},
     witness::Notes,
 };
 
@@ -152,6 +153,10 @@
     started: Instant,
     catalog: RefCell<Option<Rc<Catalog>>>,
     catalog_read: Cell<Option<Instant>>,
+    /// Current era of the platform's table, and when this process first saw it.
+    era_seen: Cell<Option<(u64, Instant)>>,
+    /// When the platform's table was restored, if the current era isn't the first.
+    restored_at: Cell<Option<Instant>>,
     hosts: Cell<Option<u64>>,
     retry_budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
 }
@@ -164,12 +169,25 @@
     pub catalog_ms: u64,
     /// Whether the newest configuration can't be parsed.
     pub catalog_unreadable: bool,
+    /// Era and version of the operator's configuration; 0 if it was missing or unreadable.
+    pub operator_version: Option<(u64, u64)>,
+    /// Era and version of the copy of the configuration; 0 if it was missing or unreadable.
+    pub copy_version: Option<(u64, u64)>,
     /// When the backend servers were read.
     pub backends_ms: u64,
     /// Hosts that are alive, if they were read.
     pub hosts: Option<Vec<PeerInfo>>,
 }
 
+/// Where a configuration was read.
+#[derive(Debug, Clone, Copy)]
+pub enum Origin {
+    /// The operator's row.
+    Operator,
+    /// The copy in the system's own rows.
+    Copy,
+}
+
 impl std::fmt::Debug for dyn Dialect {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Dialect")
@@ -212,6 +230,8 @@
             started: Instant::now(),
             catalog: RefCell::default(),
             catalog_read: Cell::default(),
+            era_seen: Cell::default(),
+            restored_at: Cell::default(),
             hosts: Cell::default(),
             retry_budgets: RefCell::default(),
         }
@@ -242,19 +262,66 @@
         is_newer
     }
 
+    /// Puts a configuration that was read in an era in force if it is newer than the current one.
+    pub fn put_in_force(&self, catalog: Catalog, origin: Origin, era: u64, age: Duration) {
+        let (version, former) = (catalog.version(), self.catalog().map(|own| own.version()));
+        if self.set_catalog(catalog) {
+            let age_ms = age.as_millis() as u64;
+            tracing::info!(event = "configuration", version, former, age_ms, ?origin, era);
+        }
+    }
+
+    /// Returns the versions of the configuration that this host knows of in the current era, and
+    /// takes over when that began.
+    pub fn versions(&self, source: &impl Source) -> Versions {
+        let restored = self.restored_for(source);
+        self.restored_at.set(restored.and_then(|age| Instant::now().checked_sub(age)));
+        let era = source.era();
+        let in_era =
+            |read: Option<(u64, u64)>| read.filter(|read| read.0 == era).map(|read| read.1);
+        let reads = self.own_reads.borrow();
+        let directory = self.directory.borrow();
+        let is_published = directory.age(self.moment(source)).is_some();
+        Versions {
+            restored,
+            in_force: self.catalog().map_or(0, |catalog| catalog.version()),
+            operator: in_era(reads.operator_version),
+            copy: in_era(reads.copy_version),
+            published: if is_published { directory.config_version() } else { 0 },
+        }
+    }
+
+    /// Returns the time since the platform's table was restored, at least that since this process
+    /// saw the era; `None` in the fleet's first era.
+    fn restored_for(&self, source: &impl Source) -> Option<Duration> {
+        let (era, now) = (source.era(), Instant::now());
+        let seen = self.era_seen.get().filter(|seen| seen.0 == era);
+        let (_, seen_at) = seen.unwrap_or((era, now));
+        self.era_seen.set(Some((era, seen_at)));
+        let known = self.era_start.get();
+        match known.filter(|start| start.era == era) {
+            Some(start) => {
+                let age = start.restored_for(source.clock_ms().unwrap_or_default())?;
+                Some(age.max(seen_at.elapsed()))
+            }
+            None if known.is_none() && self.settings.first_start => None,
+            None => Some(seen_at.elapsed()),
+        }
+    }
+
+    /// Returns how far the configuration in force can be taken for the newest one.
+    pub fn catalog_standing(&self) -> Standing {
+        let max_age = self.settings.apply_time * CATALOG_MAX_AGE_PERCENT / 100;
+        let restored = self.restored_at.get().map(|at| at.elapsed());
+        Standing::of(self.catalog_age(), max_age.max(MIN_CATALOG_MAX_AGE), restored)
+    }
+
     /// Records that the configuration in force was the platform's newest a time ago.
     pub fn confirm_catalog(&self, age: Duration) {
         let read = Instant::now().checked_sub(age);
         self.catalog_read.set(self.catalog_read.get().max(read));
     }
 
-    /// Returns whether the configuration in force was recently confirmed as the platform's newest.
-    pub fn is_catalog_fresh(&self) -> bool {
-        let max_age = self.settings.apply_time * CATALOG_MAX_AGE_PERCENT / 100;
-        let max_age = max_age.max(MIN_CATALOG_MAX_AGE);
-        self.catalog_age().is_some_and(|age| age < max_age)
-    }
-
     /// Returns the time since the configuration in force was the platform's newest for certain.
     pub fn catalog_age(&self) -> Option<Duration> {
         self.catalog_read.get().map(|read| read.elapsed())
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -6,9 +6,10 @@
 
 use crate::{
     backend::Entry,
+    catalog::Catalog,
     dialect::{Read, Source, Unavailable},
     directory::Mode,
-    node::Node,
+    node::{Node, Origin},
     relisting::Relisting,
     subscription::wait_for_change,
 };
@@ -23,6 +24,12 @@
 /// Interval at which a subscriber checks whether it still is one.
 const SUBSCRIBER_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which it is looked for whether the platform's table has been restored.
+const ERA_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval at which a process that waits for the copy of the configuration looks for it.
+const HOLD_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Logs when the platform can no longer be read, and when it can be read again.
 #[derive(Debug)]
 struct Reachability {
@@ -69,16 +76,11 @@
             RETRY_INTERVAL
         };
         if let Some(Read { value: update, sent_at }) = read {
+            let era = source.era();
+            record_operator_version(&node, era, update.changed.as_deref());
             if let Some(catalog) = update.changed {
-                let version = catalog.version();
-                if node.set_catalog(*catalog) {
-                    tracing::info!(
-                        event = "configuration",
-                        version,
-                        former = current_version,
-                        age_ms = sent_at.elapsed().as_millis() as u64,
-                    );
-                }
+                wait_for_copy(&node, &*source).await;
+                node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
             }
             if !update.is_unreadable {
                 node.confirm_catalog(sent_at.elapsed());
@@ -87,7 +89,32 @@
             own_reads.catalog_ms = read_ms.unwrap_or_default();
             own_reads.catalog_unreadable = update.is_unreadable;
         }
-        sleep(interval).await;
+        sleep_within_era(&*source, interval).await;
+    }
+}
+
+/// Records the version of the operator's configuration that a read found, if it has changed.
+fn record_operator_version(node: &Node, era: u64, changed: Option<&Catalog>) {
+    let mut own_reads = node.own_reads.borrow_mut();
+    let known = own_reads.operator_version.filter(|known| known.0 == era);
+    // The first read in an era finds the row, unless it is missing or unreadable.
+    let version = changed.map(Catalog::version).or(known.map(|known| known.1));
+    own_reads.operator_version = Some((era, version.unwrap_or_default()));
+}
+
+/// Waits until the copy of the configuration is in force or the operator's may be.
+async fn wait_for_copy(node: &Node, source: &impl Source) {
+    let since = Instant::now();
+    while node.versions(source).is_held(since.elapsed()) {
+        sleep(HOLD_INTERVAL).await;
+    }
+}
+
+/// Waits for a time, or until the platform's table has been restored.
+async fn sleep_within_era(source: &impl Source, time: Duration) {
+    let (era, until) = (source.era(), Instant::now() + time);
+    while source.era() == era && Instant::now() < until {
+        sleep(ERA_INTERVAL.min(until.saturating_duration_since(Instant::now()))).await;
     }
 }
 
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -44,6 +44,7 @@
     relay::Relay,
     request::{Call, LATE, Prompt, Refusal, head_bytes},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
+    standing::Standing,
     unread::Bounds,
 };
 
@@ -410,7 +411,7 @@
                 pending = node.overload.borrow().load().0,
                 connections = node.overload.borrow().load().1,
                 config = node.catalog().map(|catalog| catalog.version()),
-                config_fresh = node.is_catalog_fresh(),
+                config_standing = ?node.catalog_standing(),
                 config_age_ms = node.catalog_age().map(|age| age.as_millis() as u64),
             );
             Err(refusal)
@@ -496,8 +497,9 @@
     head: &request::Parts,
     call: &Call,
 ) -> Result<(Rc<Route>, Option<Rc<Workspace>>), Refusal> {
-    let unknown = |refusal| {
-        if node.is_catalog_fresh() { refusal } else { Refusal::NotRun(UNREADY_RETRY_AFTER) }
+    let unknown = |refusal| match node.catalog_standing() {
+        Standing::Newest => refusal,
+        Standing::Outdated | Standing::Restored => Refusal::NotRun(UNREADY_RETRY_AFTER),
     };
     let route = catalog.route(&call.host, head.uri.path());
     let route = route.ok_or_else(|| unknown(Refusal::NoRoute))?;
