--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,9 +8,10 @@
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
-//! [`backend`] and [`placement`] (where a request goes, or that it is refused), [`retry_state`]
-//! (whether a request may be sent again and what its caller is told), [`stream_end`] (whether the
-//! end of a stream is believed).
+//! [`standing`] (how far a configuration counts after a restore of the table), [`backend`] and
+//! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
+//! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
+//! believed).
 
 pub mod account;
 pub mod attempt;
@@ -18,6 +19,7 @@
 pub mod body;
 pub mod budgets;
 pub mod catalog;
+mod config_copy;
 pub mod connection;
 pub mod crash;
 pub mod credit;
@@ -52,7 +54,10 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod service;
-pub mod stream_end;
+//! [`standing`] (how far a configuration counts after a restore of the table), [`backend`] and
+//! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
+//! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
+//! believed).
 mod subscription;
 pub mod unread;
 pub mod witness;
