Refuse lines of a stream that lack their counts or their offset

What callers saw: a stream that broke off before its first token with an end line that had neither "tokens" nor "prompt_tokens" was a whole answer without a token, charged with 0 tokens, while the rest of it was to be had.

Cause: the fields of a line defaulted to 0 where they were missing, so that an end line without a count agreed with an answer without a token, and a token without an offset was taken for the first one. An end line that carries a token was read as an end, and the token was dropped.

Why the change works: the contract of model engines has all of these fields. A line that lacks one, or that is both an end and a token, fails the attempt, which is then retried as after a broken connection.

Ruled out: an end line with a wrong count, and a body that closes without an end line, failed the attempt before already. Where all tokens that the caller allows were delivered, the caller is told "incomplete", as before.

--- a/crates/daemon/src/backend/stream.rs
+++ b/crates/daemon/src/backend/stream.rs
@@ -16,15 +16,15 @@
     request: Arc<str>,
     attempt: u32,
     #[serde(default)]
-    offset: u64,
+    offset: Option<u64>,
     #[serde(default)]
     token: Option<Arc<str>>,
     #[serde(default)]
     end: bool,
     #[serde(default)]
-    tokens: u64,
+    tokens: Option<u64>,
     #[serde(default)]
-    prompt_tokens: u64,
+    prompt_tokens: Option<u64>,
 }
 
 /// Parses a line with its end.
@@ -33,13 +33,22 @@
         return Err(failed("line cut"));
     }
     let line: Line = serde_json::from_str(text).map_err(|error| failed(error.to_string()))?;
-    let Line { request, attempt, .. } = line;
-    if line.end {
-        let Line { tokens, prompt_tokens, .. } = line;
-        return Ok(Report::End { request, attempt, tokens, prompt_tokens });
+    match line {
+        Line {
+            request,
+            attempt,
+            end: true,
+            token: None,
+            offset: None,
+            tokens: Some(tokens),
+            prompt_tokens: Some(prompt_tokens),
+        } => Ok(Report::End { request, attempt, tokens, prompt_tokens }),
+        Line { end: true, .. } => Err(failed("end line without its counts, or with a token")),
+        Line { request, attempt, offset: Some(offset), token: Some(token), .. } => {
+            Ok(Report::Piece { request, attempt, offset, token })
+        }
+        _ => Err(failed("line without a token and its offset")),
     }
-    let token = line.token.ok_or_else(|| failed("line without a token"))?;
-    Ok(Report::Piece { request, attempt, offset: line.offset, token })
 }
 
 /// Opens a stream, or tells why there is none.
--- a/crates/standin/src/engine/reader.rs
+++ b/crates/standin/src/engine/reader.rs
@@ -24,6 +24,10 @@
     NoEnd,
     /// Ends the answer with one token too many in the count.
     WrongCount,
+    /// Ends the answer early, with an end line that carries no counts.
+    BareEnd,
+    /// Sends an end line that counts the tokens sent so far, and goes on.
+    EndBetween,
     /// Sends each line twice.
     Duplicate,
     /// Sends two lines in the wrong order.
@@ -94,6 +98,7 @@
         loop {
             let progress = *self.progress.borrow_and_update();
             while self.offset < progress.tokens {
+                self.send_early_end(sender, progress).await?;
                 self.send_token(sender).await?;
             }
             match progress.state {
@@ -137,6 +142,32 @@
         }
     }
 
+    /// Sends an end line before the end where the fault asks for it.
+    async fn send_early_end(
+        &self,
+        sender: &mpsc::Sender<Piece>,
+        progress: Progress,
+    ) -> Result<(), Over> {
+        if self.sent != self.fault.after {
+            return Ok(());
+        }
+        let line = match self.fault.kind {
+            Kind::BareEnd => json_line(&serde_json::json!({
+                "request": self.request, "attempt": self.attempt, "end": true,
+            })),
+            Kind::EndBetween => json_line(&End {
+                request: &self.request,
+                attempt: self.attempt,
+                end: true,
+                tokens: self.offset,
+                prompt_tokens: progress.prompt_tokens,
+            }),
+            _ => return Ok(()),
+        };
+        send(sender, Piece::Data(line)).await?;
+        if self.fault.kind == Kind::EndBetween { Ok(()) } else { Err(Over) }
+    }
+
     async fn send_end(
         &mut self,
         sender: &mpsc::Sender<Piece>,
--- a/crates/standin/tests/contract/fault.rs
+++ b/crates/standin/tests/contract/fault.rs
@@ -34,6 +34,10 @@
     }
     let mut wrong_count = whole(0..5);
     wrong_count[5]["tokens"] = json!(6);
+    let mut bare_end = tokens(0..2);
+    bare_end.push(json!({"request": "r", "attempt": 1, "end": true}));
+    let mut end_between = whole(0..5);
+    end_between.insert(2, end("r", 1, 2));
     vec![
         Case { fault: json!({"kind": "none"}), lines: whole(0..5), ending: Ending::Clean },
         Case {
@@ -63,6 +67,16 @@
         },
         Case { fault: json!({"kind": "no_end"}), lines: tokens(0..5), ending: Ending::Clean },
         Case { fault: json!({"kind": "wrong_count"}), lines: wrong_count, ending: Ending::Clean },
+        Case {
+            fault: json!({"kind": "bare_end", "after": 2}),
+            lines: bare_end,
+            ending: Ending::Clean,
+        },
+        Case {
+            fault: json!({"kind": "end_between", "after": 2}),
+            lines: end_between,
+            ending: Ending::Clean,
+        },
         Case {
             fault: json!({"kind": "duplicate", "after": 3}),
             lines: whole([0, 1, 2, 3, 3, 4, 4]),
