Believe an end line only where the stream doesn't go on after it

What callers saw: a stream whose backend server sent an end line that counts the tokens sent so far, and went on with tokens and a second end line, was a whole answer of 4 tokens out of 12, or of none, and charged as such.

Cause: the connection was closed at the first end line, whatever followed.

Why the change works: the body is read on after the end line. A line that isn't the same end line once more fails the attempt, which is then retried and goes on after the tokens that were delivered. An end line before a connection that breaks counts as before.

What it costs: the end of an answer waits for the end of the body. Where a backend server sends a true end line and then keeps the body open in silence, the attempt fails after the idle timeout of a stream (10 s).

Evidence: of the cases in stream_ends.rs for this 5 failed before the change; all 18 pass with it, as do cut.rs, moves.rs and process.rs.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -9,7 +9,7 @@
 
 use std::{
     collections::BTreeMap,
-    io::{BufRead as _, BufReader, Read as _},
+    io::{BufRead, BufReader, Read as _},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -191,13 +191,41 @@
                 Err(failure) => return Some(failure),
             };
             if matches!(report, Report::End { .. }) {
-                return Some(report);
+                return follow_end(&mut lines, &text, report, abandoned);
             }
             self.report(run, report);
         }
     }
 }
 
+/// Reads what follows the end line `text` of a stream; returns `end`, a failure if the stream goes
+/// on, or `None` once it was abandoned.
+fn follow_end(
+    lines: &mut impl BufRead,
+    text: &str,
+    end: Report,
+    abandoned: &AtomicBool,
+) -> Option<Report> {
+    let mut further = Vec::new();
+    loop {
+        further.clear();
+        let read = lines.by_ref().take(MAX_LINE_BYTES).read_until(b'\n', &mut further);
+        if abandoned.load(Ordering::Relaxed) {
+            return None;
+        }
+        match read {
+            Ok(0) => return Some(end),
+            // A repeated line contradicts nothing.
+            Ok(_) if further == text.as_bytes() => {}
+            Err(error) if further.is_empty() => {
+                tracing::debug!(event = "stream_not_closed", %error, reason = "end line received");
+                return Some(end);
+            }
+            Ok(_) | Err(_) => return Some(failed("stream goes on after its end line")),
+        }
+    }
+}
+
 /// Returns what the core hears of an exchange that was not started.
 fn unstarted(exchange: &Exchange, cause: &str) -> Event {
     match exchange {
--- a/crates/daemon/tests/stream_ends.rs
+++ b/crates/daemon/tests/stream_ends.rs
@@ -32,6 +32,8 @@
 #[test_case("wrong_count", 0, "incomplete"; "a count that is too great")]
 #[test_case("bare_end", 0, ""; "an end without counts and without a token")]
 #[test_case("bare_end", 4, ""; "an end without counts")]
+#[test_case("end_between", 0, ""; "an end before the first token")]
+#[test_case("end_between", 4, ""; "an end between tokens")]
 fn a_false_end_is_no_whole_answer(kind: &str, after: u64, code: &str) {
     let fleet = Fleet::open(Plan { hosts: &[("host-a", "a")], ..Plan::default() });
     fleet.wait_ready("host-a");
@@ -45,10 +47,11 @@
     assert_eq!(charged, code.is_empty().then_some(TOKENS + 2), "{reply:?}");
 }
 
-/// Returns the last report of a stream that is answered with a body.
-fn last_report(body: &str) -> Report {
+/// Returns the last report of a stream that is answered with a body, which may lack its last chunk.
+fn last_report(body: &str, is_closed: bool) -> Report {
     let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-    let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    let last = if is_closed { "0\r\n\r\n" } else { "" };
+    let chunk = format!("{:x}\r\n{body}\r\n{last}", body.len());
     let peer = raw::spawn(format!("{head}{chunk}")).expect("peer");
     let (exchanges, queue) = unbounded();
     let (core, events) = unbounded();
@@ -79,6 +82,7 @@
 
 const PIECE: &str = r#"{"request":"r","attempt":1,"offset":0,"token":"t"}"#;
 const END: &str = r#"{"request":"r","attempt":1,"end":true,"tokens":1,"prompt_tokens":2}"#;
+const OTHER_END: &str = r#"{"request":"r","attempt":1,"end":true,"tokens":2,"prompt_tokens":2}"#;
 
 #[test_case(&[PIECE, END], true; "whole")]
 #[test_case(&[r#"{"request":"r","attempt":1,"end":true}"#], false; "end without counts")]
@@ -86,9 +90,19 @@
 #[test_case(&[PIECE, r#"{"request":"r","attempt":1,"end":true,"tokens":1}"#], false; "end without a count of the prompt")]
 #[test_case(&[r#"{"request":"r","attempt":1,"token":"t"}"#, END], false; "token without an offset")]
 #[test_case(&[PIECE, r#"{"request":"r","attempt":1,"offset":1,"token":"t","end":true,"tokens":1,"prompt_tokens":2}"#], false; "end with a token")]
+#[test_case(&[PIECE, END, END], true; "the end line twice")]
+#[test_case(&[PIECE, END, OTHER_END], false; "two ends")]
+#[test_case(&[PIECE, END, r#"{"request":"r","attempt":1,"offset":1,"token":"t"}"#], false; "token after the end")]
+#[test_case(&[PIECE, END, "garbage"], false; "garbage after the end")]
 #[test_case(&[PIECE, r#"{"request":"r","attempt":1,"token":"t","end":true,"tokens":1,"prompt_tokens":2}"#], false; "end with a token without an offset")]
 fn only_a_sound_end_line_ends_a_stream(lines: &[&str], is_whole: bool) {
     let body: String = lines.iter().map(|line| format!("{line}\n")).collect();
-    let last = last_report(&body);
+    let last = last_report(&body, true);
     assert_eq!(matches!(last, Report::End { .. }), is_whole, "{last:?}");
 }
+
+#[test]
+fn a_connection_that_breaks_after_the_end_line_costs_no_answer() {
+    let last = last_report(&format!("{PIECE}\n{END}\n"), false);
+    assert!(matches!(last, Report::End { .. }), "{last:?}");
+}
