Tell a caller that its call has an unknown outcome in place of half an answer

What callers saw: where a plain service answered 200 with an empty body, or with the first half of its JSON document under a length that agrees with it, the caller of a ticket got exactly that as its whole answer.

Cause: a body of any content that is as long as its header says was passed on.

Why the change works: the contract of plain services has a JSON body for each success. A success without one is handled as a connection that breaks after the call was sent: an idempotent call is sent again, one with a ticket has the outcome "unknown" and isn't sent twice. Other statuses are passed on as before.

Ruled out: bytes behind a body on its connection reach nobody, since each connection carries one request; a document that stays JSON when it is cut, such as a number, can't be told.

--- a/crates/daemon/src/backend/call.rs
+++ b/crates/daemon/src/backend/call.rs
@@ -39,6 +39,7 @@
 
 fn answer(response: Response<Body>) -> Report {
     let status = response.status().as_u16();
+    let is_success = response.status().is_success();
     let framed = response.headers().contains_key(header::CONTENT_LENGTH) || is_chunked(&response);
     if !framed {
         return failed("answer with neither length nor chunks");
@@ -47,7 +48,12 @@
     let read = response.into_body().take(MAX_ANSWER_BYTES + 1).read_to_string(&mut body);
     match read {
         Ok(bytes) if bytes as u64 > MAX_ANSWER_BYTES => failed("answer too large"),
+        Ok(_) if is_success && !is_json(&body) => failed("success without a JSON body"),
         Ok(_) => Report::Answer { status, body: body.into() },
         Err(error) => failed(error.to_string()),
     }
 }
+
+fn is_json(text: &str) -> bool {
+    serde_json::from_str::<serde::de::IgnoredAny>(text).is_ok()
+}
--- a/crates/daemon/tests/stream_ends.rs
+++ b/crates/daemon/tests/stream_ends.rs
@@ -19,7 +19,7 @@
     account::{call, prompt},
 };
 use serde_json::json;
-use standin::raw;
+use standin::{control, raw};
 use test_case::test_case;
 
 /// Tokens of a whole answer.
@@ -47,6 +47,21 @@
     assert_eq!(charged, code.is_empty().then_some(TOKENS + 2), "{reply:?}");
 }
 
+#[test_case("empty"; "an empty body")]
+#[test_case("half"; "half a body")]
+fn an_answer_of_a_service_that_is_not_json_is_not_passed_on(kind: &str) {
+    let fleet = Fleet::open(Plan { hosts: &[("host-a", "a")], ..Plan::default() });
+    fleet.wait_ready("host-a");
+    let caller = fleet.caller("host-a");
+    let ticket = caller.ticket().expect("ticket");
+    let fault = json!({"kind": kind, "count": 1});
+    control::post(fleet.service.address, "/control/fault", &fault).expect("fault");
+    let body = json!({"input": {"centre": 7}});
+    let reply = call(&caller, "disburse", Some(&ticket), &body);
+    assert_eq!(reply.refusal().1, "unknown", "{reply:?}");
+    assert_eq!(fleet.runs().into_values().sum::<u64>(), 1);
+}
+
 /// Returns the last report of a stream that is answered with a body, which may lack its last chunk.
 fn last_report(body: &str, is_closed: bool) -> Report {
     let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -55,6 +55,10 @@
     Stall,
     /// Runs the call and answers with neither length nor chunks.
     NoLength,
+    /// Runs the call and answers with an empty body.
+    Empty,
+    /// Runs the call and answers with the first half of the body, of which the length is stated.
+    Half,
     /// Answers 503 and doesn't run the call.
     Refuse,
 }
@@ -127,14 +131,20 @@
             Kind::None | Kind::Refuse => Ok(Answer::json(StatusCode::OK, &receipt)),
             Kind::DropAnswer => Ok(Answer::Close),
             Kind::Stall => Ok(Answer::Hang),
-            Kind::NoLength => {
-                let bytes = serde_json::to_vec(&receipt).unwrap_or_default();
-                Ok(Answer::NoLength(Bytes::from(bytes)))
+            Kind::NoLength => Ok(Answer::NoLength(json_bytes(&receipt))),
+            Kind::Empty => Ok(Answer::bytes(StatusCode::OK, Bytes::new())),
+            Kind::Half => {
+                let bytes = json_bytes(&receipt);
+                Ok(Answer::bytes(StatusCode::OK, bytes.slice(..bytes.len() / 2)))
             }
         }
     }
 }
 
+fn json_bytes(receipt: &Receipt<'_>) -> Bytes {
+    Bytes::from(serde_json::to_vec(receipt).unwrap_or_default())
+}
+
 impl Counts {
     fn add(&mut self, request: &str) -> u64 {
         let runs = self.runs.entry(request.to_owned()).or_default();
--- a/crates/standin/tests/contract/service.rs
+++ b/crates/standin/tests/contract/service.rs
@@ -40,6 +40,8 @@
 #[test_case("drop_answer" => (Seen::Nothing, json!({"r": 1})))]
 #[test_case("stall" => (Seen::Nothing, json!({"r": 1})))]
 #[test_case("no_length" => (Seen::NoLength(200), json!({"r": 1})))]
+#[test_case("empty" => (Seen::Whole(200), json!({"r": 1})))]
+#[test_case("half" => (Seen::Whole(200), json!({"r": 1})))]
 #[test_case("refuse" => (Seen::Whole(503), json!({})))]
 fn a_fault_shows_in_one_answer_and_in_the_runs(kind: &str) -> (Seen, Value) {
     let service = service::spawn(service::Settings::default()).unwrap();
