Repair the list of the gateway's modules after a merge

The merge of the copy of the configuration had two conflicts in this file; the second one was resolved with the text of the first, so that the crate didn't build.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,10 +54,8 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod service;
-//! [`standing`] (how far a configuration counts after a restore of the table), [`backend`] and
-//! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
-//! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
-//! believed).
+pub mod standing;
+pub mod stream_end;
 mod subscription;
 pub mod unread;
 pub mod witness;
