Ask another backend server if bytes follow the end of a stream

A stream ended as complete after one of its first events where its backend server had stated a length that was too short, or written a last chunk into the stream, and went on behind it.

Cause: the HTTP library ends a connection on which such bytes arrive, with an error that nobody looked at. The end of the body had been believed.

The driver of the connection now records such an error. It is looked at once the body has ended; one turn of the event loop lets bytes be read that have arrived by then. In a stream that may be resumed the end is a claim that another backend server is asked about; events that it sends go on. If nobody can be asked the end is believed, since bytes are allowed behind a whole response, unless another one had begun the next event. Elsewhere the response is believed. The backend server's health is lowered, and each such response leaves the line surplus_after_response.

Bytes that arrive later aren't waited for, and the library doesn't read any on a connection that the response closes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -122,6 +122,8 @@
     has_begun: bool,
     /// Whether the response states its length or marks its end.
     is_framed: bool,
+    /// Whether bytes followed the response that belong to none.
+    has_surplus: bool,
     health: HealthSignal,
 }
 
@@ -221,6 +223,7 @@
             is_exposure_recorded: false,
             has_begun: false,
             is_framed: true,
+            has_surplus: false,
             health: HealthSignal::Neutral,
         })
     }
@@ -543,8 +546,27 @@
         self.node.crashes.record(&self.node, &self.to, request);
     }
 
+    /// Records whether bytes that belong to no response follow the one that has been read to its end;
+    /// the connection is closed then. Returns whether they do, as far as they have arrived.
+    pub fn record_surplus(&mut self, job: &Job) -> bool {
+        let has_surplus = self.connection.as_ref().is_some_and(Connection::has_surplus);
+        if has_surplus {
+            tracing::warn!(
+                event = "surplus_after_response",
+                id = %job.call.id,
+                backend = %self.to.id,
+                events = self.events,
+            );
+            self.has_surplus = true;
+            self.record_failure();
+            self.connection = None;
+        }
+        has_surplus
+    }
+
     /// Records that the response has been read to its end, and releases the connection to the pool.
     pub fn finish(&mut self, failed: bool) {
+        let failed = failed || self.has_surplus;
         self.health = if failed { HealthSignal::Failed } else { HealthSignal::Healthy };
         self.release();
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    error::Error as _,
     io,
     rc::Rc,
     sync::Arc,
@@ -84,6 +85,8 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Whether bytes arrived that belong to no response.
+    has_surplus: Rc<Cell<bool>>,
     _slot: OpenSlot,
     idle_since: Instant,
     max_idle_time: Duration,
@@ -97,6 +100,12 @@
         self.reused
     }
 
+    /// Returns whether bytes followed the last response that belong to none, as far as they have
+    /// arrived.
+    pub fn has_surplus(&self) -> bool {
+        self.has_surplus.get()
+    }
+
     /// Sends a request and returns the head of the response.
     ///
     /// # Errors
@@ -165,10 +174,11 @@
         }
         let slot = OpenSlot::new(open);
         let result = timeout(CONNECT_TIMEOUT, connect(to)).await.map_err(|_| ConnectError::Silent);
-        let (sender, driver) = result.and_then(|result| result)?;
+        let (sender, driver, has_surplus) = result.and_then(|result| result)?;
         Ok(Connection {
             sender,
             driver,
+            has_surplus,
             _slot: slot,
             idle_since: Instant::now(),
             max_idle_time: MAX_IDLE_TIME,
@@ -218,17 +228,33 @@
     }
 }
 
-async fn connect(
-    to: &Entry,
-) -> Result<(http1::SendRequest<Full<Bytes>>, JoinHandle<()>), ConnectError> {
+type Parts = (http1::SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Cell<bool>>);
+
+async fn connect(to: &Entry) -> Result<Parts, ConnectError> {
     let stream = TcpStream::connect(to.address).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(Socket::new(stream)).await?;
     let peer = to.id.clone();
+    let has_surplus = Rc::new(Cell::new(false));
+    let surplus = has_surplus.clone();
     let driver = spawn_local(async move {
         if let Err(error) = connection.await {
+            surplus.set(is_surplus(&error));
             tracing::debug!(event = "backend_connection_broken", backend = %peer, %error);
         }
     });
-    Ok((sender, driver))
+    Ok((sender, driver, has_surplus))
+}
+
+/// Returns whether a connection ended since bytes arrived that belong to no response. The HTTP
+/// library tells such an error only by what it isn't.
+fn is_surplus(error: &hyper::Error) -> bool {
+    let is_other = error.is_incomplete_message()
+        || error.is_parse()
+        || error.is_user()
+        || error.is_canceled()
+        || error.is_closed()
+        || error.is_body_write_aborted()
+        || error.is_timeout();
+    !is_other && error.source().is_none()
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -811,6 +811,7 @@
         }
     }
     let failed = head.status.is_server_error();
+    attempt.record_surplus(job);
     attempt.finish(failed);
     if head.status.is_success() {
         // Only streams tell how many tokens they have brought.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -110,16 +110,14 @@
             let (cause, may_go_on) = match self.read().await {
                 ReadResult::Bytes(bytes) if bytes.is_empty() => continue,
                 ReadResult::Bytes(bytes) => return Some(Ok(bytes)),
-                ReadResult::End => {
-                    let last = self.splitter.finish();
-                    self.record_events(last.count);
-                    self.finish(ANSWERED);
-                    return (last.count > 0).then_some(Ok(last.bytes));
-                }
+                ReadResult::End => return self.complete().map(Ok),
                 ReadResult::Stalled(cause) => (cause, true),
                 ReadResult::Interrupted(cause) => (cause, false),
             };
             if !self.resume(cause, may_go_on).await {
+                if self.believes_claim() {
+                    return self.complete().map(Ok);
+                }
                 self.job.note_charge(cause).await;
                 // What was passed on is written before the connection breaks off.
                 yield_now().await;
@@ -130,6 +128,31 @@
         None
     }
 
+    /// Ends the stream as complete and returns the bytes that were held back.
+    fn complete(&mut self) -> Option<Bytes> {
+        let last = self.splitter.finish();
+        self.record_events(last.count);
+        self.finish(ANSWERED);
+        (last.count > 0).then_some(last.bytes)
+    }
+
+    /// Returns whether a claim that nothing is left is believed now that nobody can be asked.
+    fn believes_claim(&self) -> bool {
+        let Some(claim) = &self.claim else { return false };
+        let is_believed = self.splitter.may_end() && claim.suffices(self.splitter.last_id());
+        if is_believed {
+            self.job.record_whole_response();
+            tracing::info!(
+                event = "stream_end_believed",
+                id = %self.job.call.id,
+                backend = %claim.backend,
+                after = self.splitter.last_id(),
+                events = self.events,
+            );
+        }
+        is_believed
+    }
+
     fn finish(&mut self, outcome: &str) {
         self.ended = true;
         self.job.log(outcome, 200, self.events);
@@ -183,8 +206,13 @@
                 attempt.record_activity();
                 self.process(frame.into_data().unwrap_or_default())
             }
-            Some(None) if has_events => self.process_end(),
+            Some(None) if has_events => {
+                // Lets bytes be read that have arrived behind the body.
+                yield_now().await;
+                self.process_end()
+            }
             Some(None) => {
+                attempt.record_surplus(&self.job);
                 attempt.finish(false);
                 if self.is_success {
                     self.job.record_whole_response();
@@ -219,6 +247,7 @@
             events: attempt.events() + u64::from(self.splitter.holds_event()),
             after: self.splitter.last_id(),
             may_end: self.splitter.may_end() && attempt.may_end_stream(),
+            has_surplus: attempt.record_surplus(&self.job),
         };
         let verdict = end.judge(self.claim.as_ref());
         match verdict {
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -13,6 +13,8 @@
     pub after: Option<u64>,
     /// Whether no event is missing as far as the bytes tell.
     pub may_end: bool,
+    /// Whether bytes that belong to no response follow the body.
+    pub has_surplus: bool,
 }
 
 /// What the end of a body is.
@@ -37,6 +39,17 @@
     pub backend: Arc<str>,
     /// Id of the event after which nothing is left.
     after: Option<u64>,
+    /// Whether it is believed if nobody can be asked: the backend server has sent events, and only the
+    /// bytes behind the body tell against it.
+    is_sufficient: bool,
+}
+
+impl Claim {
+    /// Returns whether the claim is believed if nobody can be asked about a stream that has come to
+    /// this event.
+    pub fn suffices(&self, after: Option<u64>) -> bool {
+        self.is_sufficient && self.after == after
+    }
 }
 
 impl End {
@@ -46,7 +59,7 @@
             return Verdict::BrokenOff;
         }
         if self.events > 0 {
-            return Verdict::Complete;
+            return if self.has_surplus { Verdict::Unconfirmed } else { Verdict::Complete };
         }
         if self.after.is_none() {
             return Verdict::Empty;
@@ -59,6 +72,6 @@
 
 impl From<End> for Claim {
     fn from(end: End) -> Self {
-        Self { backend: end.backend, after: end.after }
+        Self { backend: end.backend, after: end.after, is_sufficient: end.events > 0 }
     }
 }
--- a/crates/gateway/tests/stream_end.rs
+++ b/crates/gateway/tests/stream_end.rs
@@ -3,6 +3,10 @@
 use gateway::stream_end::{Claim, End, Verdict};
 use test_case::test_case;
 
+fn end(backend: &str, events: u64, after: Option<u64>) -> End {
+    End { backend: backend.into(), events, after, may_end: true, has_surplus: false }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Case {
     /// Backend server and last event of a claim that was made before.
@@ -10,12 +14,19 @@
     events: u64,
     after: Option<u64>,
     may_end: bool,
+    has_surplus: bool,
     verdict: Verdict,
 }
 
 impl Case {
-    const WHOLE: Self =
-        Self { claim: None, events: 5, after: Some(5), may_end: true, verdict: Verdict::Complete };
+    const WHOLE: Self = Self {
+        claim: None,
+        events: 5,
+        after: Some(5),
+        may_end: true,
+        has_surplus: false,
+        verdict: Verdict::Complete,
+    };
     const CLAIM: Self = Self { events: 0, verdict: Verdict::Unconfirmed, ..Self::WHOLE };
 }
 
@@ -29,14 +40,25 @@
 #[test_case(Case { claim: Some(("b", 5)), ..Case::CLAIM }; "claimed twice by the same")]
 #[test_case(Case { claim: Some(("a", 4)), ..Case::CLAIM }; "claimed after another event")]
 #[test_case(Case { claim: Some(("a", 5)), may_end: false, verdict: Verdict::BrokenOff, ..Case::CLAIM }; "claimed by two where a third had begun the next event")]
+#[test_case(Case { has_surplus: true, verdict: Verdict::Unconfirmed, ..Case::WHOLE }; "before bytes of no response")]
+#[test_case(Case { has_surplus: true, after: None, verdict: Verdict::Unconfirmed, ..Case::WHOLE }; "before bytes of no response without ids")]
+#[test_case(Case { has_surplus: true, events: 0, after: None, verdict: Verdict::Empty, ..Case::WHOLE }; "without any event and before bytes of no response")]
+#[test_case(Case { has_surplus: true, claim: Some(("a", 5)), verdict: Verdict::Confirmed, ..Case::CLAIM }; "claimed by two and before bytes of no response")]
+#[test_case(Case { has_surplus: true, may_end: false, verdict: Verdict::BrokenOff, ..Case::WHOLE }; "within an event and before bytes of no response")]
 fn end_is_judged(case: Case) {
-    let end = |backend: &str, events, after, may_end| End {
-        backend: backend.into(),
-        events,
-        after,
-        may_end,
+    let claim = case.claim.map(|(backend, after)| Claim::from(end(backend, 0, Some(after))));
+    let end = End {
+        may_end: case.may_end,
+        has_surplus: case.has_surplus,
+        ..end("b", case.events, case.after)
     };
-    let claim = case.claim.map(|(backend, after)| Claim::from(end(backend, 0, Some(after), true)));
-    let end = end("b", case.events, case.after, case.may_end);
     assert_eq!(end.judge(claim.as_ref()), case.verdict);
 }
+
+#[test_case(5, Some(5), true; "of a backend server that sent events")]
+#[test_case(5, Some(6), false; "that a later event denies")]
+#[test_case(0, Some(5), false; "of a backend server that sent none")]
+fn claim_suffices_if_nobody_can_be_asked(events: u64, after: Option<u64>, suffices: bool) {
+    let claim = Claim::from(End { has_surplus: true, ..end("a", events, Some(5)) });
+    assert_eq!(claim.suffices(after), suffices);
+}
