Spread the writes of the configuration's copy by the number of hosts

The attempts were spread over 300 ms whatever the size of the fleet. In the test with 18 hosts and in that with late answers, three and two attempts failed on a row that another host had just written. They are now spread over 10 ms for each host, 3 s at the most, so that a fleet of hundreds doesn't spend its writes on it, and one of three hosts writes sooner.

--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -25,12 +25,14 @@
 /// Interval of the reads of a host that has a configuration.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time over which the hosts' attempts to write the copy are spread.
-const WRITE_SPREAD: Duration = Duration::from_millis(300);
+/// Time for each host of the fleet over which the hosts' attempts to write the copy are spread.
+const WRITE_SPREAD: Duration = Duration::from_millis(10);
+
+/// Longest time over which they are spread.
+const MAX_WRITE_SPREAD: Duration = Duration::from_secs(3);
 
 /// Reads and writes the copy forever.
 pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
-    let spread_ms = hash(node.settings.host.as_bytes()) % WRITE_SPREAD.as_millis() as u64;
     let mut read_at: Option<Instant> = None;
     loop {
         let versions = node.versions(&*source);
@@ -39,7 +41,7 @@
             _ => READ_INTERVAL,
         };
         if versions.is_write_due() {
-            sleep(Duration::from_millis(spread_ms)).await;
+            sleep(write_delay(&node)).await;
             write(&node, &*source).await;
             read_at = Some(Instant::now());
             sleep(START_INTERVAL).await;
@@ -51,6 +53,13 @@
     }
 }
 
+/// Returns how long this host waits whether another one writes the copy.
+fn write_delay(node: &Node) -> Duration {
+    let hosts = u32::try_from(node.hosts()).unwrap_or(u32::MAX);
+    let spread = WRITE_SPREAD.saturating_mul(hosts).min(MAX_WRITE_SPREAD);
+    Duration::from_millis(hash(node.settings.host.as_bytes()) % spread.as_millis() as u64)
+}
+
 /// Reads the copy and puts it in force if it is the newest configuration; `None` if the platform
 /// doesn't answer.
 async fn read(node: &Node, source: &impl Source) -> Option<Row> {
