Name the freshness of the configuration, and look for a restored table less often

Standing was a figurative name. A quiet host looked 20 times a second whether the copy of the configuration is due, and 10 times whether the era of the table has changed; each look wakes the host. It now looks four times a second, and 20 times only while something may be due.

--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -16,8 +16,11 @@
 /// Key of the row with the copy, whose value is the operator's document.
 const COPY_ROW: &str = "fleet/config";
 
-/// Interval at which it is looked for whether something is due.
-const TICK: Duration = Duration::from_millis(50);
+/// Interval at which it is looked for whether something is due, as after a restore of the table.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The same interval while the copy has been read and the table holds the newest configuration.
+const QUIET_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval of the reads while no configuration is in force, and after a read that failed.
 const START_INTERVAL: Duration = Duration::from_millis(150);
@@ -49,7 +52,9 @@
             read(&node, &*source).await;
             read_at = Some(Instant::now());
         }
-        sleep(TICK).await;
+        let is_quiet =
+            versions.copy.is_some() && !versions.is_read_due() && !versions.is_write_due();
+        sleep(if is_quiet { QUIET_INTERVAL } else { LOOK_INTERVAL }).await;
     }
 }
 
--- a/crates/gateway/src/standing.rs
+++ b/crates/gateway/src/freshness.rs
@@ -15,7 +15,7 @@
 
 /// How far the configuration in force can be taken for the newest one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
+pub enum Freshness {
     /// It was read recently enough.
     Newest,
     /// It was read too long ago.
@@ -24,7 +24,7 @@
     Restored,
 }
 
-impl Standing {
+impl Freshness {
     /// Judges a configuration that was confirmed as the platform's `age` ago, where the table was
     /// restored a time ago, if ever.
     pub fn of(age: Option<Duration>, max_age: Duration, restored: Option<Duration>) -> Self {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
-//! [`standing`] (how far a configuration counts after a restore of the table), [`backend`] and
+//! [`freshness`] (how far a configuration counts after a restore of the table), [`backend`] and
 //! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
 //! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
 //! believed).
@@ -29,6 +29,7 @@
 pub mod edge;
 pub mod era;
 pub mod events;
+pub mod freshness;
 pub mod idle;
 pub mod lender;
 mod lifecycle;
@@ -54,7 +55,6 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod service;
-pub mod standing;
 pub mod stream_end;
 mod subscription;
 pub mod unread;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
     dialect::{Dialect, Source},
     directory::{Directory, Mode, Moment, OwnView, Timing},
     era::EraStart,
+    freshness::{Freshness, Versions},
     lender::Site,
     limit,
     metrics::Metrics,
@@ -33,7 +34,6 @@
     pool::Pool,
     quarantine::Quarantine,
     retry_budget::{RetryBudget, RetryLimit},
-    standing::{Standing, Versions},
     witness::Notes,
 };
 
@@ -310,10 +310,10 @@
     }
 
     /// Returns how far the configuration in force can be taken for the newest one.
-    pub fn catalog_standing(&self) -> Standing {
+    pub fn catalog_freshness(&self) -> Freshness {
         let max_age = self.settings.apply_time * CATALOG_MAX_AGE_PERCENT / 100;
         let restored = self.restored_at.get().map(|at| at.elapsed());
-        Standing::of(self.catalog_age(), max_age.max(MIN_CATALOG_MAX_AGE), restored)
+        Freshness::of(self.catalog_age(), max_age.max(MIN_CATALOG_MAX_AGE), restored)
     }
 
     /// Records that the configuration in force was the platform's newest a time ago.
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -25,7 +25,7 @@
 const SUBSCRIBER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which it is looked for whether the platform's table has been restored.
-const ERA_INTERVAL: Duration = Duration::from_millis(100);
+const ERA_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval at which a process that waits for the copy of the configuration looks for it.
 const HOLD_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -38,13 +38,13 @@
     connection::Guard,
     credit::prompt_digest,
     drain,
+    freshness::Freshness,
     node::{Node, Phase},
     panics,
     peer::Peers,
     relay::Relay,
     request::{Call, LATE, Prompt, Refusal, head_bytes},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
-    standing::Standing,
     unread::Bounds,
 };
 
@@ -411,7 +411,7 @@
                 pending = node.overload.borrow().load().0,
                 connections = node.overload.borrow().load().1,
                 config = node.catalog().map(|catalog| catalog.version()),
-                config_standing = ?node.catalog_standing(),
+                config_freshness = ?node.catalog_freshness(),
                 config_age_ms = node.catalog_age().map(|age| age.as_millis() as u64),
             );
             Err(refusal)
@@ -497,9 +497,9 @@
     head: &request::Parts,
     call: &Call,
 ) -> Result<(Rc<Route>, Option<Rc<Workspace>>), Refusal> {
-    let unknown = |refusal| match node.catalog_standing() {
-        Standing::Newest => refusal,
-        Standing::Outdated | Standing::Restored => Refusal::NotRun(UNREADY_RETRY_AFTER),
+    let unknown = |refusal| match node.catalog_freshness() {
+        Freshness::Newest => refusal,
+        Freshness::Outdated | Freshness::Restored => Refusal::NotRun(UNREADY_RETRY_AFTER),
     };
     let route = catalog.route(&call.host, head.uri.path());
     let route = route.ok_or_else(|| unknown(Refusal::NoRoute))?;
--- a/crates/gateway/tests/standing.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::standing::{Standing, Versions};
+use gateway::freshness::{Freshness, Versions};
 use test_case::test_case;
 
 const MAX_AGE: Duration = Duration::from_millis(1800);
@@ -10,19 +10,19 @@
 const SETTLING: Option<Duration> = Some(Duration::from_secs(9));
 const SETTLED: Option<Duration> = Some(Duration::from_secs(10));
 
-#[test_case(Some(0), None => Standing::Newest; "the first era")]
-#[test_case(Some(0), SETTLED => Standing::Newest; "an era that began long ago")]
-#[test_case(Some(0), JUST_BEGUN => Standing::Restored; "an era that has just begun")]
-#[test_case(Some(0), SETTLING => Standing::Restored; "an era in which the operator may still write again")]
-#[test_case(Some(1799), None => Standing::Newest; "an age below the limit")]
-#[test_case(Some(1800), None => Standing::Outdated; "an age at the limit")]
-#[test_case(Some(1800), JUST_BEGUN => Standing::Outdated; "an old one in an era that has just begun")]
-#[test_case(None, None => Standing::Outdated; "never confirmed")]
+#[test_case(Some(0), None => Freshness::Newest; "the first era")]
+#[test_case(Some(0), SETTLED => Freshness::Newest; "an era that began long ago")]
+#[test_case(Some(0), JUST_BEGUN => Freshness::Restored; "an era that has just begun")]
+#[test_case(Some(0), SETTLING => Freshness::Restored; "an era in which the operator may still write again")]
+#[test_case(Some(1799), None => Freshness::Newest; "an age below the limit")]
+#[test_case(Some(1800), None => Freshness::Outdated; "an age at the limit")]
+#[test_case(Some(1800), JUST_BEGUN => Freshness::Outdated; "an old one in an era that has just begun")]
+#[test_case(None, None => Freshness::Outdated; "never confirmed")]
 fn what_is_unknown_is_refused_for_good_by_the_newest_configuration_only(
     age_ms: Option<u64>,
     restored: Option<Duration>,
-) -> Standing {
-    Standing::of(age_ms.map(Duration::from_millis), MAX_AGE, restored)
+) -> Freshness {
+    Freshness::of(age_ms.map(Duration::from_millis), MAX_AGE, restored)
 }
 
 /// A host that has read everything in the fleet's first era.
