Tell the copy of the configuration of an earlier era from that of the current one

What callers saw: a host that started beside a store that was restored a second time served a route and a key that had been removed since the first time.

Cause: the restored store still held the copy that hosts had written after the first restore. A process that waits for the copy took it for that of the hosts that live, so that its wait ended with an outdated one.

The key of the copy names the era in which it was written. Only a copy of the current era ends the wait; one of an earlier era counts like the operator's row, and is removed when the current one is written.

--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -1,6 +1,6 @@
 //! Keeps a copy of the configuration in the system's own rows while the operator's row is older.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use coordination::{
     locate::hash,
@@ -9,12 +9,17 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    catalog::Catalog,
     dialect::Source,
     node::{Node, Origin},
 };
 
-/// Key of the row with the copy, whose value is the operator's document.
-const COPY_ROW: &str = "fleet/config";
+/// Prefix of the keys of the rows with the copy; the era in which it was written follows. Their value
+/// is the operator's document.
+const COPY_PREFIX: &str = "fleet/config";
+
+/// Maximum number of such rows that are read; those of earlier eras are removed.
+const MAX_COPIES: u32 = 100;
 
 /// Interval at which it is looked for whether something is due, as after a restore of the table.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -65,41 +70,62 @@
     Duration::from_millis(hash(node.settings.host.as_bytes()) % spread.as_millis() as u64)
 }
 
+fn copy_key(era: u64) -> Arc<str> {
+    format!("{COPY_PREFIX}/{era}").into()
+}
+
 /// Reads the copy and puts it in force if it is the newest configuration; `None` if the platform
 /// doesn't answer.
-async fn read(node: &Node, source: &impl Source) -> Option<Row> {
+///
+/// A copy of an earlier era came back with the table and may be outdated, so that a process without
+/// a configuration waits for that of the current era first.
+async fn read(node: &Node, source: &impl Source) -> Option<Vec<Row>> {
     let sent_at = Instant::now();
-    let Outcome::Rows(rows) = source.table(&Op::Read(vec![COPY_ROW.into()])).await else {
-        return None;
-    };
-    let row: Row = rows.into_iter().next()?;
-    let mut version = 0;
-    if let Some(document) = &row.value {
-        match node.dialect.parse_catalog(document.as_bytes()) {
-            Ok(catalog) => {
-                version = catalog.version();
-                node.put_in_force(catalog, Origin::Copy, source.era(), sent_at.elapsed());
-            }
-            Err(fault) => tracing::error!(event = "configuration_copy_unreadable", fault),
+    let scan = Op::Scan { prefix: COPY_PREFIX.into(), after: "".into(), limit: MAX_COPIES };
+    let Outcome::Rows(rows) = source.table(&scan).await else { return None };
+    let era = source.era();
+    let key = copy_key(era);
+    let copies = rows.iter().filter_map(|row| Some((row.key == key, parse(node, row)?)));
+    let copies: Vec<_> = copies.collect();
+    let current = copies.iter().find(|(is_current, _)| *is_current);
+    let version = current.map_or(0, |(_, catalog)| catalog.version());
+    node.own_reads.borrow_mut().copy_version = Some((era, version));
+    let is_held = node.versions(source).is_held(Duration::ZERO);
+    for (is_current, catalog) in copies {
+        if is_current || !is_held {
+            node.put_in_force(catalog, Origin::Copy, era, sent_at.elapsed());
         }
     }
-    node.own_reads.borrow_mut().copy_version = Some((source.era(), version));
-    Some(row)
+    Some(rows)
 }
 
-/// Writes the configuration in force, unless another host has.
+/// Parses a copy; one that can't be parsed is logged and left out.
+fn parse(node: &Node, row: &Row) -> Option<Catalog> {
+    let document = row.value.as_ref()?;
+    let parsed = node.dialect.parse_catalog(document.as_bytes());
+    let log = |fault: &String| {
+        tracing::error!(event = "configuration_copy_unreadable", key = %row.key, %fault);
+    };
+    parsed.inspect_err(log).ok()
+}
+
+/// Writes the configuration in force, unless another host has, and removes copies of earlier eras.
 async fn write(node: &Node, source: &impl Source) {
-    let Some(row) = read(node, source).await else { return };
+    let Some(rows) = read(node, source).await else { return };
     let versions = node.versions(source);
     let Some(catalog) = node.catalog().filter(|_| versions.is_write_due()) else { return };
     let Ok(document) = str::from_utf8(catalog.document()) else {
         tracing::error!(event = "configuration_copy_unwritable", version = catalog.version());
         return;
     };
-    let mut txn = Txn::default();
-    txn.check(&row);
-    txn.writes.push(Write { key: row.key.clone(), value: Some(document.into()) });
     let era = source.era();
+    let key = copy_key(era);
+    let missing = Row { key: key.clone(), value: None, revision: 0 };
+    let mut txn = Txn::default();
+    txn.check(rows.iter().find(|row| row.key == key).unwrap_or(&missing));
+    let earlier = rows.iter().filter(|row| row.key != key);
+    txn.writes.extend(earlier.map(|row| Write { key: row.key.clone(), value: None }));
+    txn.writes.push(Write { key, value: Some(document.into()) });
     let outcome = source.table(&Op::Commit(txn)).await;
     let is_committed = matches!(outcome, Outcome::Committed(_)) && source.era() == era;
     if is_committed {
