Prefer the operator's row to a copy of the configuration that is no newer

Cause: the copy was put in force before the operator's row had been read, and looked for in the first 10 s only.

The copy is read once the operator's row of the era is known, and put in force only if its version is higher. It is looked for for a minute, each 5 s after the first ten. A subscriber reads the operator's row once in each era, so that it can write the copy; a write that fails is tried again after 1 s; that the table was restored is known before what was read counts as the newest.

One table of cases is replaced, as the decision returns an interval in place of yes or no; each case is kept.

--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -27,11 +27,8 @@
 /// The same interval while the copy has been read and the table holds the newest configuration.
 const QUIET_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval of the reads while no configuration is in force, and after a read that failed.
-const START_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Interval of the reads of a host that has a configuration.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay after an attempt to write the copy.
+const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for each host of the fleet over which the hosts' attempts to write the copy are spread.
 const WRITE_SPREAD: Duration = Duration::from_millis(10);
@@ -42,23 +39,21 @@
 /// Reads and writes the copy forever.
 pub async fn run(node: Rc<Node>, source: Rc<impl Source>) {
     let mut read_at: Option<Instant> = None;
+    let mut written_at: Option<Instant> = None;
     loop {
         let versions = node.versions(&*source);
-        let interval = match (versions.in_force, versions.copy) {
-            (0, _) | (_, None) => START_INTERVAL,
-            _ => READ_INTERVAL,
-        };
-        if versions.is_write_due() {
+        let interval = versions.read_interval();
+        if versions.is_write_due() && written_at.is_none_or(|at| at.elapsed() >= WRITE_INTERVAL) {
             sleep(write_delay(&node)).await;
             write(&node, &*source).await;
-            read_at = Some(Instant::now());
-            sleep(START_INTERVAL).await;
-        } else if versions.is_read_due() && read_at.is_none_or(|at| at.elapsed() >= interval) {
+            (read_at, written_at) = (Some(Instant::now()), Some(Instant::now()));
+        } else if let Some(interval) = interval
+            && read_at.is_none_or(|at| at.elapsed() >= interval)
+        {
             read(&node, &*source).await;
             read_at = Some(Instant::now());
         }
-        let is_quiet =
-            versions.copy.is_some() && !versions.is_read_due() && !versions.is_write_due();
+        let is_quiet = versions.copy.is_some() && interval.is_none() && !versions.is_write_due();
         sleep(if is_quiet { QUIET_INTERVAL } else { LOOK_INTERVAL }).await;
     }
 }
@@ -74,7 +69,7 @@
     format!("{COPY_PREFIX}/{era}").into()
 }
 
-/// Reads the copy and puts it in force if it is the newest configuration; `None` if the platform
+/// Reads the copy and puts it in force if it is newer than the operator's row; `None` if the platform
 /// doesn't answer.
 ///
 /// A copy of an earlier era came back with the table and may be outdated, so that a process without
@@ -90,9 +85,12 @@
     let current = copies.iter().find(|(is_current, _)| *is_current);
     let version = current.map_or(0, |(_, catalog)| catalog.version());
     node.own_reads.borrow_mut().copy_version = Some((era, version));
-    let is_held = node.versions(source).is_held(Duration::ZERO);
+    let versions = node.versions(source);
+    let is_held = versions.is_held(Duration::ZERO);
     for (is_current, catalog) in copies {
-        if is_current || !is_held {
+        // The operator's row of this era counts even if it bears the same version.
+        let is_newer = versions.operator.is_some_and(|own| own < catalog.version());
+        if is_newer && (is_current || !is_held) {
             node.put_in_force(catalog, Origin::Copy, era, sent_at.elapsed());
         }
     }
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -10,6 +10,18 @@
 /// again.
 const SETTLING_TIME: Duration = Duration::from_secs(10);
 
+/// Time after a restore within which a host that was cut off or frozen may still write the copy.
+const COPY_TIME: Duration = Duration::from_secs(60);
+
+/// Interval of the reads of the copy until one has succeeded and a configuration is in force.
+const START_READ_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Interval of the reads while the operator may not have written again.
+const SETTLING_READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval of the reads after that.
+const LATE_READ_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Longest time for which a process without a configuration waits for the copy after a restore.
 const HOLD_TIME: Duration = Duration::from_millis(1500);
 
@@ -58,9 +70,17 @@
 }
 
 impl Versions {
-    /// Returns whether the copy is to be read.
-    pub fn is_read_due(&self) -> bool {
-        self.copy.is_none() || is_settling(self.restored) || self.published > self.in_force
+    /// Returns the interval at which the copy is to be read; `None` if it isn't. Which of the two is
+    /// newer can be told only once the operator's row has been read.
+    pub fn read_interval(&self) -> Option<Duration> {
+        self.operator?;
+        if self.copy.is_none() || self.in_force == 0 {
+            return Some(START_READ_INTERVAL);
+        }
+        if is_settling(self.restored) || self.published > self.in_force {
+            return Some(SETTLING_READ_INTERVAL);
+        }
+        self.restored.filter(|age| *age < COPY_TIME).map(|_| LATE_READ_INTERVAL)
     }
 
     /// Returns whether the copy is to be written, since the table holds no configuration as new as
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -63,7 +63,10 @@
     loop {
         let current_version = node.catalog().map(|catalog| catalog.version());
         let mode = node.mode(&*source);
-        if mode == Mode::Subscribe && is_catalog_published(&node, &*source) {
+        // What the publisher of a restored table knows may be older than what this host knows.
+        let is_read_in_era = node.own_reads.borrow().operator_version.map(|read| read.0);
+        let is_read_in_era = is_read_in_era == Some(source.era());
+        if mode == Mode::Subscribe && is_read_in_era && is_catalog_published(&node, &*source) {
             wait_for_change(&node, SUBSCRIBER_INTERVAL).await;
             continue;
         }
@@ -78,6 +81,8 @@
         if let Some(Read { value: update, sent_at }) = read {
             let era = source.era();
             record_operator_version(&node, era, update.changed.as_deref());
+            // Takes over that the table was restored before what was read counts as the newest.
+            node.versions(&*source);
             if let Some(catalog) = update.changed {
                 wait_for_copy(&node, &*source).await;
                 node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -9,6 +9,7 @@
 const JUST_BEGUN: Option<Duration> = Some(Duration::from_millis(300));
 const SETTLING: Option<Duration> = Some(Duration::from_secs(9));
 const SETTLED: Option<Duration> = Some(Duration::from_secs(10));
+const LONG_AGO: Option<Duration> = Some(Duration::from_secs(60));
 
 #[test_case(Some(0), None => Freshness::Newest; "the first era")]
 #[test_case(Some(0), SETTLED => Freshness::Newest; "an era that began long ago")]
@@ -29,15 +30,18 @@
 const QUIET: Versions =
     Versions { restored: None, in_force: 2, operator: Some(2), copy: Some(0), published: 2 };
 
-#[test_case(QUIET => false; "a quiet fleet")]
-#[test_case(Versions { copy: None, ..QUIET } => true; "not read yet")]
-#[test_case(Versions { restored: JUST_BEGUN, ..QUIET } => true; "an era that has just begun")]
-#[test_case(Versions { restored: SETTLING, copy: Some(2), ..QUIET } => true; "a newer copy may come")]
-#[test_case(Versions { restored: SETTLED, ..QUIET } => false; "an era that began long ago")]
-#[test_case(Versions { restored: SETTLED, published: 3, ..QUIET } => true; "the publisher knows a newer one")]
-#[test_case(Versions { restored: SETTLED, published: 1, ..QUIET } => false; "the publisher knows an older one")]
-fn copy_is_read_while_it_may_be_newer(versions: Versions) -> bool {
-    versions.is_read_due()
+#[test_case(QUIET => None; "a quiet fleet")]
+#[test_case(Versions { copy: None, ..QUIET } => Some(150); "not read yet")]
+#[test_case(Versions { copy: None, operator: None, ..QUIET } => None; "the row of the operator is not read yet")]
+#[test_case(Versions { in_force: 0, ..QUIET } => Some(150); "nothing in force")]
+#[test_case(Versions { restored: JUST_BEGUN, ..QUIET } => Some(1000); "an era that has just begun")]
+#[test_case(Versions { restored: SETTLING, copy: Some(2), ..QUIET } => Some(1000); "a newer copy may come")]
+#[test_case(Versions { restored: SETTLED, ..QUIET } => Some(5000); "hosts that wake late may write it")]
+#[test_case(Versions { restored: LONG_AGO, ..QUIET } => None; "an era that began long ago")]
+#[test_case(Versions { restored: LONG_AGO, published: 3, ..QUIET } => Some(1000); "the publisher knows a newer one")]
+#[test_case(Versions { restored: LONG_AGO, published: 1, ..QUIET } => None; "the publisher knows an older one")]
+fn copy_is_read_while_it_may_be_newer(versions: Versions) -> Option<u128> {
+    versions.read_interval().map(|interval| interval.as_millis())
 }
 
 /// A host beside a table that was restored from a copy with an older configuration.
