Let the only backend server of a service end a stream

Cause: an end without events needs the word of a second backend server, and there is none. The word of the only one counts now. A confirmed end speaks no more for the parts of the prompt, which these backend servers may not have read.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -514,6 +514,11 @@
         self.is_framed || self.events > 0
     }
 
+    /// Returns whether no other backend server provides the service.
+    pub fn is_only(&self, job: &Job) -> bool {
+        self.node.backends.borrow().is_only(&job.service.name, &self.to.id)
+    }
+
     /// Returns the number of events that were passed on.
     pub fn events(&self) -> u64 {
         self.events
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -269,6 +269,12 @@
         self.backends.values().filter(|backend| !backend.is_leaving()).count()
     }
 
+    /// Returns whether no other backend server provides a service.
+    pub fn is_only(&self, service: &str, id: &str) -> bool {
+        let mut others = self.backends.values().map(|backend| &backend.entry);
+        !others.any(|other| &*other.service == service && &*other.id != id)
+    }
+
     /// Applies the newest list and returns the ids of the entries that were added, changed or
     /// removed.
     ///
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -248,6 +248,7 @@
             after: self.splitter.last_id(),
             may_end: self.splitter.may_end() && attempt.may_end_stream(),
             has_surplus: attempt.record_surplus(&self.job),
+            is_only: attempt.is_only(&self.job),
         };
         let verdict = end.judge(self.claim.as_ref());
         match verdict {
@@ -257,10 +258,12 @@
             Verdict::BrokenOff => attempt.record_broken(&self.job),
         }
         let result = match verdict {
-            Verdict::Complete | Verdict::Confirmed => {
+            Verdict::Complete => {
                 self.job.record_whole_response();
                 ReadResult::End
             }
+            // It speaks for no part of the prompt, which these backend servers may not have read.
+            Verdict::Confirmed => ReadResult::End,
             Verdict::Unconfirmed => ReadResult::Interrupted("end_unconfirmed"),
             Verdict::Empty => ReadResult::Interrupted("empty_stream"),
             Verdict::BrokenOff => ReadResult::Interrupted("broken_off"),
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -15,6 +15,8 @@
     pub may_end: bool,
     /// Whether bytes that belong to no response follow the body.
     pub has_surplus: bool,
+    /// Whether no other backend server provides the service.
+    pub is_only: bool,
 }
 
 /// What the end of a body is.
@@ -22,7 +24,7 @@
 pub enum Verdict {
     /// The end of the stream.
     Complete,
-    /// The end of the stream, as another backend server has said before.
+    /// The end of the stream, as another backend server has said before, or as there is no other.
     Confirmed,
     /// A claim that nothing is left of the stream, which another backend server has to confirm.
     Unconfirmed,
@@ -66,7 +68,7 @@
         }
         let is_confirmed =
             claim.is_some_and(|claim| claim.after == self.after && claim.backend != self.backend);
-        if is_confirmed { Verdict::Confirmed } else { Verdict::Unconfirmed }
+        if is_confirmed || self.is_only { Verdict::Confirmed } else { Verdict::Unconfirmed }
     }
 }
 
