Take no copy of the configuration beside a row that can't be parsed

Cause: an unreadable row counted as version 0, so that any copy was newer.

The version of such a row isn't known now, and without it no copy is read.

--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -21,7 +21,7 @@
 /// Maximum number of such rows that are read; those of earlier eras are removed.
 const MAX_COPIES: u32 = 100;
 
-/// Interval at which it is looked for whether something is due, as after a restore of the table.
+/// Interval at which the task checks whether a read or a write is due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The same interval while the copy has been read and the table holds the newest configuration.
@@ -58,7 +58,7 @@
     }
 }
 
-/// Returns how long this host waits whether another one writes the copy.
+/// Returns for how long this host leaves the write to others.
 fn write_delay(node: &Node) -> Duration {
     let hosts = u32::try_from(node.hosts()).unwrap_or(u32::MAX);
     let spread = WRITE_SPREAD.saturating_mul(hosts).min(MAX_WRITE_SPREAD);
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -77,7 +77,7 @@
     }
 
     /// Returns the time since the table was restored; `None` in the fleet's first era.
-    pub fn restored_for(&self, now_ms: u64) -> Option<Duration> {
+    pub fn since_restore(&self, now_ms: u64) -> Option<Duration> {
         let is_first = self.since_ms == self.founded_ms;
         (!is_first).then(|| Duration::from_millis(now_ms.saturating_sub(self.since_ms)))
     }
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -19,7 +19,7 @@
 /// Interval of the reads while the operator may not have written again.
 const SETTLING_READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval of the reads after that.
+/// Interval of the reads from then until [`COPY_TIME`] is over.
 const LATE_READ_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Longest time for which a process without a configuration waits for the copy after a restore.
@@ -28,9 +28,9 @@
 /// How far the configuration in force can be taken for the newest one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
-    /// It was read recently enough.
+    /// It was confirmed recently, and no restore of the table is recent.
     Newest,
-    /// It was read too long ago.
+    /// It was confirmed too long ago.
     Outdated,
     /// The table was restored, so that a newer one may be missing in it.
     Restored,
@@ -58,10 +58,10 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Versions {
     /// Time since the table was restored; `None` in the fleet's first era.
-    pub restored: Option<Duration>,
+    pub since_restore: Option<Duration>,
     /// Version in force; 0 without any.
     pub in_force: u64,
-    /// Version of the operator's row, 0 if it is missing or unreadable; `None` until it was read.
+    /// Version of the operator's row, 0 if it is missing; `None` until one was parsed.
     pub operator: Option<u64>,
     /// Version of the copy, 0 if it is missing or unreadable; `None` until it was read.
     pub copy: Option<u64>,
@@ -77,17 +77,17 @@
         if self.copy.is_none() || self.in_force == 0 {
             return Some(START_READ_INTERVAL);
         }
-        if is_settling(self.restored) || self.published > self.in_force {
+        if is_settling(self.since_restore) || self.published > self.in_force {
             return Some(SETTLING_READ_INTERVAL);
         }
-        self.restored.filter(|age| *age < COPY_TIME).map(|_| LATE_READ_INTERVAL)
+        self.since_restore.filter(|age| *age < COPY_TIME).map(|_| LATE_READ_INTERVAL)
     }
 
     /// Returns whether the copy is to be written, since the table holds no configuration as new as
     /// the one in force.
     pub fn is_write_due(&self) -> bool {
         let is_older = |version: Option<u64>| version.is_some_and(|own| own < self.in_force);
-        self.restored.is_some()
+        self.since_restore.is_some()
             && is_older(self.operator)
             && (self.copy.is_none() || is_older(self.copy))
     }
@@ -95,7 +95,9 @@
     /// Returns whether the operator's configuration, which was read `waited` ago, has to wait for
     /// the copy to come into force.
     pub fn is_held(&self, waited: Duration) -> bool {
-        let Some(restored) = self.restored else { return false };
-        self.in_force == 0 && waited < HOLD_TIME && (self.copy.is_none() || restored < HOLD_TIME)
+        let Some(since_restore) = self.since_restore else { return false };
+        self.in_force == 0
+            && waited < HOLD_TIME
+            && (self.copy.is_none() || since_restore < HOLD_TIME)
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -169,7 +169,10 @@
     pub catalog_ms: u64,
     /// Whether the newest configuration can't be parsed.
     pub catalog_unreadable: bool,
-    /// Era and version of the operator's configuration; 0 if it was missing or unreadable.
+    /// Era of the platform's table in which the configuration was read last.
+    pub catalog_era: Option<u64>,
+    /// Era and version of the operator's configuration, 0 if it was missing; `None` until one was
+    /// parsed in the era.
     pub operator_version: Option<(u64, u64)>,
     /// Era and version of the copy of the configuration; 0 if it was missing or unreadable.
     pub copy_version: Option<(u64, u64)>,
@@ -271,11 +274,17 @@
         }
     }
 
-    /// Returns the versions of the configuration that this host knows of in the current era, and
-    /// takes over when that began.
+    /// Takes over when the platform's table was restored, and returns the time since then; `None` in
+    /// the fleet's first era.
+    pub fn track_restore(&self, source: &impl Source) -> Option<Duration> {
+        let since_restore = self.since_restore(source);
+        self.restored_at.set(since_restore.and_then(|age| Instant::now().checked_sub(age)));
+        since_restore
+    }
+
+    /// Returns the versions of the configuration that this host knows of in the current era.
     pub fn versions(&self, source: &impl Source) -> Versions {
-        let restored = self.restored_for(source);
-        self.restored_at.set(restored.and_then(|age| Instant::now().checked_sub(age)));
+        let since_restore = self.track_restore(source);
         let era = source.era();
         let in_era =
             |read: Option<(u64, u64)>| read.filter(|read| read.0 == era).map(|read| read.1);
@@ -283,7 +292,7 @@
         let directory = self.directory.borrow();
         let is_published = directory.age(self.moment(source)).is_some();
         Versions {
-            restored,
+            since_restore,
             in_force: self.catalog().map_or(0, |catalog| catalog.version()),
             operator: in_era(reads.operator_version),
             copy: in_era(reads.copy_version),
@@ -291,9 +300,9 @@
         }
     }
 
-    /// Returns the time since the platform's table was restored, at least that since this process
-    /// saw the era; `None` in the fleet's first era.
-    fn restored_for(&self, source: &impl Source) -> Option<Duration> {
+    /// Returns the time since the platform's table was restored, or since this process saw the era if
+    /// that is longer; `None` in the fleet's first era.
+    fn since_restore(&self, source: &impl Source) -> Option<Duration> {
         let (era, now) = (source.era(), Instant::now());
         let seen = self.era_seen.get().filter(|seen| seen.0 == era);
         let (_, seen_at) = seen.unwrap_or((era, now));
@@ -301,7 +310,7 @@
         let known = self.era_start.get();
         match known.filter(|start| start.era == era) {
             Some(start) => {
-                let age = start.restored_for(source.clock_ms().unwrap_or_default())?;
+                let age = start.since_restore(source.clock_ms().unwrap_or_default())?;
                 Some(age.max(seen_at.elapsed()))
             }
             None if known.is_none() && self.settings.first_start => None,
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -6,8 +6,7 @@
 
 use crate::{
     backend::Entry,
-    catalog::Catalog,
-    dialect::{Read, Source, Unavailable},
+    dialect::{Read, Source, Unavailable, Update},
     directory::Mode,
     node::{Node, Origin},
     relisting::Relisting,
@@ -64,9 +63,9 @@
         let current_version = node.catalog().map(|catalog| catalog.version());
         let mode = node.mode(&*source);
         // What the publisher of a restored table knows may be older than what this host knows.
-        let is_read_in_era = node.own_reads.borrow().operator_version.map(|read| read.0);
-        let is_read_in_era = is_read_in_era == Some(source.era());
-        if mode == Mode::Subscribe && is_read_in_era && is_catalog_published(&node, &*source) {
+        let read_in = node.own_reads.borrow().catalog_era;
+        let is_read = read_in == Some(source.era());
+        if mode == Mode::Subscribe && is_read && is_catalog_published(&node, &*source) {
             wait_for_change(&node, SUBSCRIBER_INTERVAL).await;
             continue;
         }
@@ -80,9 +79,9 @@
         };
         if let Some(Read { value: update, sent_at }) = read {
             let era = source.era();
-            record_operator_version(&node, era, update.changed.as_deref());
-            // Takes over that the table was restored before what was read counts as the newest.
-            node.versions(&*source);
+            record_operator_version(&node, era, &update);
+            // Before what was read counts as the newest.
+            node.track_restore(&*source);
             if let Some(catalog) = update.changed {
                 wait_for_copy(&node, &*source).await;
                 node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
@@ -99,12 +98,16 @@
 }
 
 /// Records the version of the operator's configuration that a read found, if it has changed.
-fn record_operator_version(node: &Node, era: u64, changed: Option<&Catalog>) {
+fn record_operator_version(node: &Node, era: u64, update: &Update) {
     let mut own_reads = node.own_reads.borrow_mut();
+    own_reads.catalog_era = Some(era);
     let known = own_reads.operator_version.filter(|known| known.0 == era);
-    // The first read in an era finds the row, unless it is missing or unreadable.
-    let version = changed.map(Catalog::version).or(known.map(|known| known.1));
-    own_reads.operator_version = Some((era, version.unwrap_or_default()));
+    let changed = update.changed.as_ref().map(|catalog| catalog.version());
+    // The first read in an era finds the row, unless it is missing. Of one that can't be parsed the
+    // version isn't known.
+    let missing = (!update.is_unreadable).then_some(0);
+    let version = changed.or(known.map(|known| known.1)).or(missing);
+    own_reads.operator_version = version.map(|version| (era, version));
 }
 
 /// Waits until the copy of the configuration is in force or the operator's may be.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -174,7 +174,7 @@
         }
         let slot = OpenSlot::new(open);
         let result = timeout(CONNECT_TIMEOUT, connect(to)).await.map_err(|_| ConnectError::Silent);
-        let (sender, driver, has_surplus) = result.and_then(|result| result)?;
+        let Opened { sender, driver, has_surplus } = result.and_then(|result| result)?;
         Ok(Connection {
             sender,
             driver,
@@ -228,9 +228,14 @@
     }
 }
 
-type Parts = (http1::SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Cell<bool>>);
+/// A connection that was just opened.
+struct Opened {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    has_surplus: Rc<Cell<bool>>,
+}
 
-async fn connect(to: &Entry) -> Result<Parts, ConnectError> {
+async fn connect(to: &Entry) -> Result<Opened, ConnectError> {
     let stream = TcpStream::connect(to.address).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(Socket::new(stream)).await?;
@@ -243,11 +248,11 @@
             tracing::debug!(event = "backend_connection_broken", backend = %peer, %error);
         }
     });
-    Ok((sender, driver, has_surplus))
+    Ok(Opened { sender, driver, has_surplus })
 }
 
 /// Returns whether a connection ended since bytes arrived that belong to no response. The HTTP
-/// library tells such an error only by what it isn't.
+/// library has no predicate for this error, the only one without a predicate that has no source.
 fn is_surplus(error: &hyper::Error) -> bool {
     let is_other = error.is_incomplete_message()
         || error.is_parse()
