--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -514,9 +514,10 @@
         self.is_framed || self.events > 0
     }
 
-    /// Returns whether no other backend server provides the service.
+    /// Returns whether no other backend server may ever be sent the request.
     pub fn is_only(&self, job: &Job) -> bool {
-        self.node.backends.borrow().is_only(&job.service.name, &self.to.id)
+        let is_only_provider = self.node.backends.borrow().is_only(&job.service.name, &self.to.id);
+        is_only_provider || job.route.max_attempts < 2
     }
 
     /// Returns the number of events that were passed on.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -269,10 +269,10 @@
         self.backends.values().filter(|backend| !backend.is_leaving()).count()
     }
 
-    /// Returns whether no other backend server provides a service.
+    /// Returns whether no other backend server provides a service, apart from those that are leaving.
     pub fn is_only(&self, service: &str, id: &str) -> bool {
-        let mut others = self.backends.values().map(|backend| &backend.entry);
-        !others.any(|other| &*other.service == service && &*other.id != id)
+        let mut others = self.backends.values().filter(|backend| *backend.entry.id != *id);
+        !others.any(|other| &*other.entry.service == service && !other.is_leaving())
     }
 
     /// Applies the newest list and returns the ids of the entries that were added, changed or
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -15,7 +15,8 @@
     pub may_end: bool,
     /// Whether bytes that belong to no response follow the body.
     pub has_surplus: bool,
-    /// Whether no other backend server provides the service.
+    /// Whether no other backend server may ever be asked, as none provides the service or the route
+    /// allows one attempt.
     pub is_only: bool,
 }
 
