Keep long prompts that are ranked last away from more urgent streams

Each long prompt that an engine reads delays the events of all streams that run there, and the placement weighed neither how urgent those are nor how long the prompt is.

Long prompts and other prompts now prefer different engines, which all hosts order by the same hash; the share follows from the tokens that a host sees, and a group that fills up opens the other one. It applies only where the operator ranks most of what is long last.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -148,6 +148,10 @@
                 tried: &tried,
                 target_latency: job.route.target_latency,
                 time_left: job.time_left(),
+                priority: job.route.priority,
+                stream_ranks: node
+                    .catalog()
+                    .and_then(|catalog| catalog.stream_ranks(&job.service.name)),
             };
             node.backends.borrow_mut().place(now, &requirements)
         };
@@ -412,10 +416,8 @@
             self.health = HealthSignal::Failed;
             return Err(AttemptFailure::Unknown);
         }
-        if let Some(load) = reply.load
-            && let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id)
-        {
-            backend.record_load(self.node.now(), load);
+        if let Some(load) = reply.load {
+            self.node.backends.borrow_mut().record_load(self.node.now(), &self.to.id, load);
         }
         if let Some(connection) = &mut self.connection {
             connection.set_keep_alive(reply.keep_alive);
@@ -603,6 +605,7 @@
     excluded: Excluded,
     retry_after: Option<Duration>,
 ) {
+    let group = estimate.and_then(|estimate| estimate.group);
     tracing::info!(
         event = "placed",
         id = %job.call.id,
@@ -621,6 +624,9 @@
         report_age_ms = estimate
             .and_then(|estimate| estimate.report_age)
             .map(|age| age.as_millis() as u64),
+        group = group.map(|group| if group.is_long { "long" } else { "other" }),
+        group_share = group.map(|group| group.share),
+        group_load = group.map(|group| group.load),
         left_ms = job.time_left().as_millis() as u64,
     );
 }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -83,6 +83,35 @@
     pub event_tokens: u64,
 }
 
+/// How the operator ranks the streamed routes of a service that bound the pause between events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamRanks {
+    /// Priority of the most urgent ones.
+    pub first: u8,
+    /// Priority of the least urgent ones.
+    pub last: u8,
+    /// Shortest bound on the pause between two events.
+    pub max_gap: Duration,
+}
+
+impl StreamRanks {
+    /// Returns the ranks of each service among routes.
+    fn of_services<'a>(routes: impl Iterator<Item = &'a Rc<Route>>) -> HashMap<Arc<str>, Self> {
+        let mut ranks: HashMap<Arc<str>, Self> = HashMap::new();
+        for route in routes.filter(|route| route.streamed) {
+            let Some(max_gap) = route.max_gap else { continue };
+            let own = Self { first: route.priority, last: route.priority, max_gap };
+            for share in &route.shares {
+                let known = ranks.entry(share.service.clone()).or_insert(own);
+                known.first = known.first.min(own.first);
+                known.last = known.last.max(own.last);
+                known.max_gap = known.max_gap.min(own.max_gap);
+            }
+        }
+        ranks
+    }
+}
+
 /// A service that backend servers provide.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
@@ -137,6 +166,7 @@
     /// Routes of each host name, longest prefix first.
     routes: HashMap<Arc<str>, Vec<Rc<Route>>>,
     services: HashMap<Arc<str>, Rc<Service>>,
+    stream_ranks: HashMap<Arc<str>, StreamRanks>,
     limits: Limits,
     workspaces: Vec<Rc<Workspace>>,
     keys: HashMap<Arc<str>, Rc<Workspace>>,
@@ -170,6 +200,7 @@
         Self {
             document,
             version,
+            stream_ranks: StreamRanks::of_services(routes_by_host.values().flatten()),
             routes: routes_by_host,
             services: services.into_iter().map(by_name).collect(),
             limits,
@@ -204,6 +235,11 @@
         self.services.get(name)
     }
 
+    /// Returns the ranks of a service's streamed routes, if any bounds its pauses.
+    pub fn stream_ranks(&self, service: &str) -> Option<StreamRanks> {
+        self.stream_ranks.get(service).copied()
+    }
+
     /// Returns the workspace that holds a key.
     pub fn workspace_by_key(&self, key: &str) -> Option<&Rc<Workspace>> {
         self.keys.get(key)
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,6 +10,7 @@
 //! preferably in this host's zone.
 
 mod limited;
+mod separation;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -21,8 +22,11 @@
 use rand::{RngExt, rngs::StdRng};
 
 pub use self::limited::Limited;
+pub use self::separation::Group;
+use self::separation::Separation;
 use crate::{
     backend::{Backend, Entry, HealthSignal, Load},
+    catalog::StreamRanks,
     limit::Fleet,
     request::Prompt,
 };
@@ -105,6 +109,10 @@
     pub target_latency: Duration,
     /// Time left until the request's deadline.
     pub time_left: Duration,
+    /// Priority of the route; 0 is the most urgent.
+    pub priority: u8,
+    /// Ranks of the streamed routes of the service.
+    pub stream_ranks: Option<StreamRanks>,
 }
 
 /// Result of placing a request.
@@ -156,6 +164,8 @@
     pub load: Load,
     /// Age of its last load report.
     pub report_age: Option<Duration>,
+    /// Engines that the prompt prefers, if those of the service are divided.
+    pub group: Option<Group>,
 }
 
 /// Reachability of the backend servers in an availability zone.
@@ -185,6 +195,7 @@
     fleet: Fleet,
     /// Until when refused callers of a service were told to wait, while its limits are used up.
     limited_until: HashMap<Arc<str>, Duration>,
+    separation: Separation,
     rng: StdRng,
 }
 
@@ -197,6 +208,7 @@
             zones: HashMap::new(),
             fleet: Fleet::new(host),
             limited_until: HashMap::new(),
+            separation: Separation::default(),
             rng,
         }
     }
@@ -242,6 +254,15 @@
         }
     }
 
+    /// Records the load that a backend server reports.
+    pub fn record_load(&mut self, now: Duration, id: &str, load: Load) {
+        let Some(backend) = self.backends.get_mut(id) else { return };
+        backend.record_load(now, load);
+        let slots = f64::from(backend.entry.slots.max(1));
+        let taken = f64::from(load.running + load.waiting) / slots;
+        self.separation.record_load(now, &backend.entry.service, backend.hash, taken);
+    }
+
     /// Records what an attempt says about the health of a backend server and of its zone.
     pub fn record_health(&mut self, now: Duration, id: &str, signal: HealthSignal) {
         let Some(backend) = self.backends.get_mut(id) else { return };
@@ -358,8 +379,13 @@
         };
         let candidates: Vec<&Backend> = self.backends.values().filter(is_candidate_for).collect();
         let excluded = self.excluded(now, requirements.service);
+        let group = self.separation.find_group(now, requirements, candidates.len());
+        let is_outside = |backend: &Backend| group.is_some_and(|own| !own.contains(backend.hash));
         let session = requirements.prompt.and_then(|prompt| prompt.shared.last());
-        let weight = |backend: &Backend| session.map(|part| mix64(backend.hash ^ part.prefix_hash));
+        let weight = |backend: &Backend| {
+            let weight = session.map(|part| mix64(backend.hash ^ part.prefix_hash));
+            weight.map(|weight| (!is_outside(backend), weight))
+        };
         let preferred = PreferredEngines::find(
             candidates.iter().map(|backend| (weight(backend), backend.hash)),
         );
@@ -378,7 +404,13 @@
                 predicted_latency_ms(backend.load(now), backend, requirements, expected_prefill);
             let prefill_cost =
                 expected_prefill as f64 / PREFILL_TOKENS_PER_MS * PREFILL_COST_FACTOR;
-            let cost = health_penalty_ms + cost(latency, requirements) + prefill_cost + jitter;
+            let outside_ms =
+                group.filter(|_| is_outside(backend)).map_or(0.0, |own| own.outside_ms);
+            let cost = health_penalty_ms
+                + cost(latency, requirements)
+                + prefill_cost
+                + outside_ms
+                + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, latency, health_penalty_ms, prefill_tokens, backend));
             }
@@ -396,6 +428,7 @@
             penalty_ms,
             load: backend.load(now),
             report_age: backend.report_age(now),
+            group,
         };
         // The penalty is left out: that a backend server may be faulty is no proof that it is late.
         let latency = Duration::from_secs_f64(latency_ms / 1000.0);
@@ -462,8 +495,8 @@
 
 impl PreferredEngines {
     /// Finds the two backend servers with the greatest weights; there are none without weights.
-    fn find(weighed: impl Iterator<Item = (Option<u64>, u64)>) -> Self {
-        let mut ranked: [Option<(u64, u64)>; 2] = [None; 2];
+    fn find(weighed: impl Iterator<Item = (Option<(bool, u64)>, u64)>) -> Self {
+        let mut ranked: [Option<((bool, u64), u64)>; 2] = [None; 2];
         for (weight, hash) in weighed {
             let candidate = weight.map(|weight| (weight, hash));
             if candidate > ranked[0] {
--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -309,6 +309,8 @@
             tried: &[],
             target_latency: Duration::from_secs(1),
             time_left: Duration::from_secs(5),
+            priority: 0,
+            stream_ranks: None,
         };
         let Decision::Send { to, .. } = host.backends.place(now, &requirements) else {
             self.refused += 1;
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -43,6 +43,8 @@
         tried,
         target_latency: SECOND,
         time_left: 15 * SECOND,
+        priority: 0,
+        stream_ranks: None,
     }
 }
 
