Prefer open connections for short prompts where engines are divided

Callers wait for the round trips, and some meet a lost packet or an engine without a free connection.

Reading a short prompt takes any engine of its group some milliseconds, so such prompts now weigh 15 ms for an engine to which no connection is open. Plain services and undivided engines choose as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -139,8 +139,14 @@
         if let Some(part) = job.quarantined_part() {
             return Err(StartError::Quarantined(part));
         }
+        let max_idle = if job.route.retry_policy.allows_retry() {
+            Duration::MAX
+        } else {
+            UNRETRYABLE_MAX_IDLE
+        };
         let decision = {
             let tried = job.tried.borrow();
+            let connected = job.call.prompt.as_ref().map(|_| node.pool.connected(max_idle));
             let requirements = Requirements {
                 service: &job.service.name,
                 zone: &node.settings.zone,
@@ -152,6 +158,7 @@
                 stream_ranks: node
                     .catalog()
                     .and_then(|catalog| catalog.stream_ranks(&job.service.name)),
+                connected: connected.as_ref(),
             };
             node.backends.borrow_mut().place(now, &requirements)
         };
@@ -186,11 +193,6 @@
         let max_connections = job.service.max_connections * CONNECTIONS_USED_PERCENT / 100 / hosts;
         let overcommit = if hosts > EQUAL_SHARE_MAX_HOSTS { CONNECTIONS_OVERCOMMIT } else { 1 };
         let max_connections = (max_connections * overcommit).max(MIN_CONNECTIONS);
-        let max_idle = if job.route.retry_policy.allows_retry() {
-            Duration::MAX
-        } else {
-            UNRETRYABLE_MAX_IDLE
-        };
         let connection = match node.pool.acquire(&to, max_connections, max_idle).await {
             Ok(connection) => connection,
             Err(error) => {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -7,7 +7,9 @@
 //! elsewhere only if the preferred engine's queue costs more than another prefill, and then mostly
 //! to a second preferred engine, on which the hosts agree too. This suits a load of many sessions
 //! with long shared prompts. For plain services the least loaded backend server is chosen,
-//! preferably in this host's zone.
+//! preferably in this host's zone. Where long prompts are kept apart ([`separation`]), others prefer
+//! engines to which a connection is open: many hosts with few requests each would otherwise open one
+//! for nearly every request.
 
 mod limited;
 mod separation;
@@ -73,6 +75,10 @@
 /// Delay in milliseconds that is expected if all slots are taken, and for each waiting request.
 const QUEUE_DELAY_MS: (f64, f64) = (300.0, 30.0);
 
+/// Cost in milliseconds of a new connection: round trips, and now and then a lost packet or a backend
+/// server that has no connection left.
+const NEW_CONNECTION_MS: f64 = 15.0;
+
 /// Upper bound of the random part of a cost in milliseconds, so that hosts don't all choose the
 /// same among equal backend servers.
 const JITTER_MS: f64 = 2.0;
@@ -113,6 +119,8 @@
     pub priority: u8,
     /// Ranks of the streamed routes of the service.
     pub stream_ranks: Option<StreamRanks>,
+    /// Backend servers to which a connection is open that the request may use, if known.
+    pub connected: Option<&'a BTreeSet<Arc<str>>>,
 }
 
 /// Result of placing a request.
@@ -410,6 +418,7 @@
                 + cost(latency, requirements)
                 + prefill_cost
                 + outside_ms
+                + new_connection_ms(backend, requirements, group)
                 + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, latency, health_penalty_ms, prefill_tokens, backend));
@@ -542,6 +551,20 @@
     backend.failure_rate(now) * FAILURE_PENALTY_MS + silent
 }
 
+/// Returns the cost in milliseconds of the connection that the request needs; it counts only for
+/// prompts that any engine of their group reads soon.
+fn new_connection_ms(
+    backend: &Backend,
+    requirements: &Requirements<'_>,
+    group: Option<Group>,
+) -> f64 {
+    let is_short = group.is_some_and(|group| !group.is_long);
+    match requirements.connected {
+        Some(connected) if is_short && !connected.contains(&backend.entry.id) => NEW_CONNECTION_MS,
+        _ => 0.0,
+    }
+}
+
 /// Returns the predicted time in milliseconds until a backend server responds.
 fn predicted_latency_ms(
     load: Load,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     error::Error as _,
     io,
     rc::Rc,
@@ -106,6 +106,12 @@
         self.has_surplus.get()
     }
 
+    /// Returns whether a request may be sent over it that needs one that was used within `max_idle`.
+    fn is_usable(&self, max_idle: Duration) -> bool {
+        // The rest of a request whose response came early may still be on its way.
+        self.sender.is_ready() && self.idle_since.elapsed() < max_idle.min(self.max_idle_time)
+    }
+
     /// Sends a request and returns the head of the response.
     ///
     /// # Errors
@@ -186,6 +192,16 @@
         })
     }
 
+    /// Returns the backend servers to which a connection is open that was used within `max_idle`.
+    pub fn connected(&self, max_idle: Duration) -> BTreeSet<Arc<str>> {
+        let by_backend = self.by_backend.borrow();
+        let has_idle = |connections: &BackendConnections| {
+            connections.idle.iter().any(|connection| connection.is_usable(max_idle))
+        };
+        let connected = by_backend.iter().filter(|(_, connections)| has_idle(connections));
+        connected.map(|(id, _)| id.clone()).collect()
+    }
+
     fn take_idle(&self, id: &str, max_idle: Duration) -> Option<Connection> {
         let mut by_backend = self.by_backend.borrow_mut();
         let connections = by_backend.get_mut(id)?;
@@ -193,10 +209,8 @@
             !connection.sender.is_closed()
                 && connection.idle_since.elapsed() < connection.max_idle_time
         });
-        let found = connections.idle.iter().rposition(|connection| {
-            // The rest of a request whose response came early may still be on its way.
-            connection.sender.is_ready() && connection.idle_since.elapsed() < max_idle
-        })?;
+        let found =
+            connections.idle.iter().rposition(|connection| connection.is_usable(max_idle))?;
         Some(connections.idle.remove(found))
     }
 
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -339,6 +339,7 @@
         time_left: at(5000),
         priority: 0,
         stream_ranks: None,
+        connected: None,
     };
     let mut told: Vec<Duration> = (0..20)
         .map(|_| match backends.place(at(20), &requirements) {
--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -311,6 +311,7 @@
             time_left: Duration::from_secs(5),
             priority: 0,
             stream_ranks: None,
+            connected: None,
         };
         let Decision::Send { to, .. } = host.backends.place(now, &requirements) else {
             self.refused += 1;
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -45,6 +45,7 @@
         time_left: 15 * SECOND,
         priority: 0,
         stream_ranks: None,
+        connected: None,
     }
 }
 
--- a/crates/gateway/tests/separation.rs
+++ b/crates/gateway/tests/separation.rs
@@ -1,7 +1,11 @@
 //! Engines for long prompts, and the load of urgent streams beside long prompts for which they are
 //! kept apart.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use gateway::{
     backend::{Entry, HealthSignal, Load},
@@ -46,6 +50,7 @@
         time_left: Duration::from_secs(12),
         priority,
         stream_ranks: ranks,
+        connected: None,
     }
 }
 
@@ -175,6 +180,24 @@
     assert!(faded.expect("divided").outside_ms > 80.0, "reports that are old count no longer");
 }
 
+#[test]
+fn short_prompt_goes_to_an_engine_of_its_group_to_which_a_connection_is_open() {
+    let mut host = new_host(5, 90);
+    let (long, short) = (Prompt::new(12_000, 400, []), Prompt::new(800, 300, []));
+    place(&mut host, Duration::ZERO, &requirements(&long, LAST, Some(RANKS)));
+    for number in 0..90 {
+        let id: Arc<str> = format!("e{number}").into();
+        let connected = BTreeSet::from([id.clone()]);
+        let wanted = |prompt, priority| Requirements {
+            connected: Some(&connected),
+            ..requirements(prompt, priority, Some(RANKS))
+        };
+        let (to, group) = place(&mut host, Duration::ZERO, &wanted(&short, URGENT));
+        let hash = coordination::locate::hash(id.as_bytes());
+        assert_eq!(to == id, group.expect("divided").contains(hash), "short prompt, {id}");
+    }
+}
+
 /// A stream that runs at an engine.
 #[derive(Debug)]
 struct Stream {
