Send nothing to the backend servers of evacuated zones

Nothing in the code read the rows.

The rows are read with the configuration, as changes or whole. Hosts that follow the directory get them with its beat. Which of two reads is the later one is told by the era and revision of the table, as a clock says nothing about a read that was answered late. Placement leaves the servers of these zones out, and checks again right before a request is sent. After a restore from an older copy a host keeps what it knew for 10 s and records it in a row of the system's own, for hosts that start meanwhile.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -198,7 +198,8 @@
             node.pool.release(&to.id, connection);
             return Err(StartError::Quarantined(part));
         }
-        // It may have stated meanwhile that it wants no requests, or only few.
+        // It may have stated meanwhile that it wants no requests, or only few, or its zone may have
+        // been evacuated.
         let accepts_requests = node.backends.borrow().accepts_requests(node.now(), &to.id);
         if !accepts_requests || permit.take().is_err() {
             node.pool.release(&to.id, connection);
@@ -610,6 +611,7 @@
         backend = to,
         unread = prefill_tokens,
         candidates = estimate.map_or(0, |estimate| estimate.candidates),
+        evacuated = excluded.evacuated,
         leaving = excluded.leaving,
         resting = excluded.resting,
         limited = excluded.limited,
@@ -621,6 +623,12 @@
         report_age_ms = estimate
             .and_then(|estimate| estimate.report_age)
             .map(|age| age.as_millis() as u64),
+        evacuations_age_ms = job
+            .node
+            .evacuations
+            .borrow()
+            .age(job.node.now())
+            .map(|age| age.as_millis() as u64),
         left_ms = job.time_left().as_millis() as u64,
     );
 }
--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns for how long this host leaves the write to others.
-fn write_delay(node: &Node) -> Duration {
+pub(crate) fn write_delay(node: &Node) -> Duration {
     let hosts = u32::try_from(node.hosts()).unwrap_or(u32::MAX);
     let spread = WRITE_SPREAD.saturating_mul(hosts).min(MAX_WRITE_SPREAD);
     Duration::from_millis(hash(node.settings.host.as_bytes()) % spread.as_millis() as u64)
@@ -69,6 +69,14 @@
     format!("{COPY_PREFIX}/{era}").into()
 }
 
+/// Waits until a process that has just started knows the evacuations, or may be taken to.
+async fn wait_for_evacuations(node: &Node, source: &impl Source) {
+    let since = Instant::now();
+    while node.catalog().is_none() && node.is_evacuation_held(source, since.elapsed()) {
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
 /// Reads the copy and puts it in force if it is newer than the operator's row; `None` if the platform
 /// doesn't answer.
 ///
@@ -91,6 +99,7 @@
         // The operator's row of this era counts even if it bears the same version.
         let is_newer = versions.operator.is_some_and(|own| own < catalog.version());
         if is_newer && (is_current || !is_held) {
+            wait_for_evacuations(node, source).await;
             node.put_in_force(catalog, Origin::Copy, era, sent_at.elapsed());
         }
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -12,6 +12,7 @@
 use crate::{
     backend::{Entry, Load},
     catalog::Catalog,
+    evacuation::Listing,
     request::{Call, Refusal},
 };
 
@@ -129,6 +130,8 @@
     pub changed: Option<Box<Catalog>>,
     /// Whether the newest one can't be parsed.
     pub is_unreadable: bool,
+    /// Evacuated zones by the operator's rows, which were read with it.
+    pub evacuated: Listing,
 }
 
 /// Rows that were read from the platform's table.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -22,7 +22,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{backend::Entry, dialect::Changes, peer::PeerInfo};
+use crate::{backend::Entry, dialect::Changes, evacuation::Listing, peer::PeerInfo};
 
 /// Table of the directory.
 pub const DIRECTORY_TABLE: &str = "directory";
@@ -110,6 +110,8 @@
     pub config_unreadable: bool,
     /// The publisher is stopping.
     pub resigned: bool,
+    /// Evacuated zones as the publisher has read them; `None` if it is of a version that doesn't.
+    pub evacuated: Option<Listing>,
 }
 
 /// What a host has read itself.
@@ -125,6 +127,8 @@
     pub config_unreadable: bool,
     /// The platform's clock in milliseconds before the oldest of these was read.
     pub read_ms: u64,
+    /// Evacuated zones.
+    pub evacuated: Option<Listing>,
 }
 
 /// Time by which the age of the directory is judged.
@@ -267,6 +271,11 @@
         self.beat.as_ref().is_some_and(|beat| beat.config_unreadable)
     }
 
+    /// Returns the evacuated zones as the publisher has read them.
+    pub fn evacuated(&self) -> Option<&Listing> {
+        self.beat.as_ref()?.evacuated.as_ref()
+    }
+
     /// Returns the entries of all backend servers.
     pub fn backends(&self) -> Vec<Entry> {
         self.backends.values().flatten().cloned().collect()
@@ -336,7 +345,12 @@
         let changed = self.changed_rows(own);
         let is_beat_due = Duration::from_millis(platform_ms.saturating_sub(self.beat_written_ms))
             >= self.timing.beat_interval();
-        let is_news = !changed.is_empty() || own.config_version > self.config_version();
+        // The revision up to which they were read alone is no news.
+        let zones = |listing: Option<&Listing>| listing.map(|own| (own.era, own.zones.clone()));
+        let is_news = !changed.is_empty()
+            || own.config_version > self.config_version()
+            || (own.evacuated.is_some()
+                && zones(own.evacuated.as_ref()) != zones(self.evacuated()));
         if self.is_publisher && !is_news && !is_beat_due {
             return None;
         }
@@ -351,6 +365,7 @@
             config_version: own.config_version,
             config_unreadable: own.config_unreadable,
             resigned: false,
+            evacuated: own.evacuated.clone(),
         };
         let rows: Vec<_> = changed.into_iter().take(MAX_WRITES).collect();
         self.beat_written_ms = platform_ms;
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -8,22 +8,22 @@
 
 /// Time after a restore within which the operator may not have written the newest configuration
 /// again.
-const SETTLING_TIME: Duration = Duration::from_secs(10);
+pub(crate) const SETTLING_TIME: Duration = Duration::from_secs(10);
 
 /// Time after a restore within which a host that was cut off or frozen may still write the copy.
 const COPY_TIME: Duration = Duration::from_secs(60);
 
 /// Interval of the reads of the copy until one has succeeded and a configuration is in force.
-const START_READ_INTERVAL: Duration = Duration::from_millis(150);
+pub(crate) const START_READ_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Interval of the reads while the operator may not have written again.
-const SETTLING_READ_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const SETTLING_READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval of the reads from then until [`COPY_TIME`] is over.
 const LATE_READ_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Longest time for which a process without a configuration waits for the copy after a restore.
-const HOLD_TIME: Duration = Duration::from_millis(1500);
+pub(crate) const HOLD_TIME: Duration = Duration::from_millis(1500);
 
 /// How far the configuration in force can be taken for the newest one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
-//! [`freshness`] (how far a configuration counts after a restore of the table), [`backend`] and
+//! [`freshness`] (how far a configuration counts after a restore of the table), [`evacuation`]
+//! (which zones get no requests), [`backend`] and
 //! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
 //! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
 //! believed).
@@ -28,6 +29,8 @@
 pub mod drain;
 pub mod edge;
 pub mod era;
+pub mod evacuation;
+mod evacuation_copy;
 pub mod events;
 pub mod freshness;
 pub mod idle;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -13,7 +13,7 @@
     budgets::Budgets,
     config_copy,
     dialect::{Dialect, Source},
-    drain, edge, era, limit_sync, membership,
+    drain, edge, era, evacuation_copy, limit_sync, membership,
     metrics::Metrics,
     node::{Node, Phase, Settings},
     peer, poll, probe, quarantine_sync, service, subscription,
@@ -104,6 +104,7 @@
     spawn!("limits", limit_sync::run);
     spawn!("configuration", poll::catalog);
     spawn!("copy of the configuration", config_copy::run);
+    spawn!("copy of the evacuations", evacuation_copy::run);
     spawn!("backend servers", poll::backends);
     spawn!("hosts", membership::run);
     spawn!("budgets", Budgets::run);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and latency histograms of a host, in the Prometheus text format.
 
-use std::time::Duration;
+use std::{cell::RefCell, collections::BTreeSet, sync::Arc, time::Duration};
 
 use eyre::WrapErr as _;
 use opentelemetry::{
@@ -35,6 +35,11 @@
     limits: Gauge<f64>,
     permits_issued: Gauge<u64>,
     permits_used: Gauge<u64>,
+    evacuated_s: Gauge<f64>,
+    evacuated_backends: Gauge<u64>,
+    unknown_evacuations: Gauge<u64>,
+    /// Zones that were evacuated since the start; their gauges are 0 afterwards.
+    evacuated_zones: RefCell<BTreeSet<Arc<str>>>,
 }
 
 impl Metrics {
@@ -92,6 +97,19 @@
                 "laburnum_backend_permits_used",
                 "Requests that this host sent to a limited backend server so far",
             ),
+            evacuated_s: meter
+                .f64_gauge("laburnum_evacuated_seconds")
+                .with_description("Time for which a zone is evacuated; 0 if it isn't any more")
+                .build(),
+            evacuated_backends: gauge(
+                "laburnum_evacuated_backends",
+                "Backend servers that get no requests, since their zone is evacuated",
+            ),
+            unknown_evacuations: gauge(
+                "laburnum_unknown_evacuations",
+                "Evacuations that name no known zone",
+            ),
+            evacuated_zones: RefCell::default(),
             registry,
             provider,
         })
@@ -126,6 +144,23 @@
         }
     }
 
+    fn record_evacuations(&self, node: &Node) {
+        let backends = node.backends.borrow();
+        let counts = backends.count_by_zone();
+        let mut zones = self.evacuated_zones.borrow_mut();
+        zones.extend(backends.evacuated().keys().cloned());
+        for zone in &*zones {
+            let label = [KeyValue::new("zone", zone.to_string())];
+            let since = backends.evacuated().get(zone);
+            let evacuated_for = since.map_or(Duration::ZERO, |since| node.now() - *since);
+            self.evacuated_s.record(evacuated_for.as_secs_f64(), &label);
+            let count = since.and_then(|_| counts.get(zone)).copied().unwrap_or(0);
+            self.evacuated_backends.record(count as u64, &label);
+        }
+        let unknown = node.evacuations.borrow().unknown(&node.settings.known_zones).len();
+        self.unknown_evacuations.record(unknown as u64, &[]);
+    }
+
     /// Returns all metrics of a host as text.
     ///
     /// # Errors
@@ -142,6 +177,7 @@
         let quarantined = node.quarantine.borrow().parts(node.now()).len();
         self.quarantined.record(quarantined as u64, &[]);
         self.record_limits(&node.backends.borrow());
+        self.record_evacuations(node);
         self.provider.force_flush().wrap_err("step=flush metrics")?;
         TextEncoder::new().encode_to_string(&self.registry.gather()).wrap_err("step=encode metrics")
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -24,6 +24,7 @@
     dialect::{Dialect, Source},
     directory::{Directory, Mode, Moment, OwnView, Timing},
     era::EraStart,
+    evacuation::{self, Evacuations},
     freshness::{Freshness, Versions},
     lender::Site,
     limit,
@@ -76,6 +77,10 @@
     pub writes_per_s: u64,
     /// Time within which a change of the configuration or of a backend server has to be in force.
     pub apply_time: Duration,
+    /// Time within which an evacuation has to be in force; `None` where none is expected.
+    pub evacuate_time: Option<Duration>,
+    /// Zones of the deployment; empty if they aren't stated.
+    pub known_zones: BTreeSet<Arc<str>>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
     /// Limit on the retries of all hosts together.
@@ -138,6 +143,8 @@
     has_shared_rows: Cell<bool>,
     /// What this host has read of the platform's lists itself.
     pub own_reads: RefCell<OwnReads>,
+    /// Zones whose backend servers get no requests.
+    pub evacuations: RefCell<Evacuations>,
     /// What is known of the current era of the platform's table.
     pub era_start: Cell<Option<EraStart>>,
     /// Counters.
@@ -225,6 +232,7 @@
             directory_changed: Notify::new(),
             has_shared_rows: Cell::new(false),
             own_reads: RefCell::default(),
+            evacuations: RefCell::default(),
             era_start: Cell::default(),
             metrics,
             active: Cell::new(0),
@@ -364,6 +372,46 @@
             config_version: self.catalog().map_or(0, |catalog| catalog.version()),
             config_unreadable: reads.catalog_unreadable,
             read_ms: reads.catalog_ms.min(reads.backends_ms),
+            evacuated: self.evacuations.borrow().listing().cloned(),
+        }
+    }
+
+    /// Returns whether evacuations may occur, by the settings or as some are known.
+    pub fn may_have_evacuations(&self) -> bool {
+        self.settings.evacuate_time.is_some() || !self.backends.borrow().evacuated().is_empty()
+    }
+
+    /// Returns whether a process that has just started sends no request yet, as it may lack an
+    /// evacuation. It has waited for a time.
+    pub fn is_evacuation_held(&self, source: &impl Source, waited: Duration) -> bool {
+        let since_restore = self.track_restore(source);
+        self.may_have_evacuations()
+            && self.evacuations.borrow().is_held(source.era(), since_restore, waited)
+    }
+
+    /// Puts the known evacuations in force.
+    pub fn apply_evacuations(&self, origin: evacuation::Origin) {
+        let now = self.now();
+        let mut evacuations = self.evacuations.borrow_mut();
+        let mut backends = self.backends.borrow_mut();
+        let zones = evacuations.zones();
+        if zones.iter().ne(backends.evacuated().keys()) {
+            let listing = evacuations.listing();
+            tracing::info!(
+                event = "evacuations",
+                ?zones,
+                former = ?backends.evacuated().keys(),
+                kept = ?evacuations.kept(),
+                ?origin,
+                era = listing.map(|listing| listing.era),
+                through = listing.map(|listing| listing.through),
+                age_ms = evacuations.age(now).map(|age| age.as_millis() as u64),
+            );
+            backends.set_evacuated(now, zones);
+        }
+        let known = &self.settings.known_zones;
+        for zone in evacuations.take_unreported(known) {
+            tracing::warn!(event = "evacuation_unknown_zone", %zone, ?known);
         }
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -76,6 +76,10 @@
 /// Time after which a caller may retry if there is no candidate.
 const NO_CANDIDATE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest time after which a caller may retry if all backend servers are in evacuated zones, which
+/// lasts until the operator ends it. Callers are spread over its second half.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Longest time after which a caller may retry if all backend servers are busy.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -118,7 +122,7 @@
         prefill_tokens: u64,
         /// Estimate on which the choice is based.
         estimate: Estimate,
-        /// Backend servers that couldn't be chosen by their own statements.
+        /// Backend servers that couldn't be chosen by the operator's or their own statements.
         excluded: Excluded,
     },
     /// Refuse the request, since it can't be served in time.
@@ -127,14 +131,17 @@
         retry_after: Duration,
         /// Estimate for the best candidate; `None` if there was no candidate.
         estimate: Option<Estimate>,
-        /// Backend servers that couldn't be chosen by their own statements.
+        /// Backend servers that couldn't be chosen by the operator's or their own statements.
         excluded: Excluded,
     },
 }
 
-/// Numbers of a service's backend servers that get no request by their own statements.
+/// Numbers of a service's backend servers that get no request by the operator's or their own
+/// statements.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Excluded {
+    /// Their zone is evacuated.
+    pub evacuated: usize,
     /// They are leaving.
     pub leaving: usize,
     /// They asked for no requests for a time.
@@ -181,6 +188,8 @@
     /// Unlisted backend servers whose statements still matter, and since when they are unlisted.
     unlisted: BTreeMap<Arc<str>, (Duration, Backend)>,
     zones: HashMap<Arc<str>, Zone>,
+    /// Evacuated zones, and since when this host knows.
+    evacuated: BTreeMap<Arc<str>, Duration>,
     /// Hosts among which limits are divided.
     fleet: Fleet,
     /// Until when refused callers of a service were told to wait, while its limits are used up.
@@ -195,6 +204,7 @@
             backends: BTreeMap::new(),
             unlisted: BTreeMap::new(),
             zones: HashMap::new(),
+            evacuated: BTreeMap::new(),
             fleet: Fleet::new(host),
             limited_until: HashMap::new(),
             rng,
@@ -203,7 +213,33 @@
 
     /// Returns whether a new request may be sent to a backend server now.
     pub fn accepts_requests(&self, now: Duration, id: &str) -> bool {
-        self.backends.get(id).is_some_and(|backend| backend.accepts_requests(now))
+        let backend = self.backends.get(id).filter(|own| !self.is_evacuated(own));
+        backend.is_some_and(|backend| backend.accepts_requests(now))
+    }
+
+    /// Sets the evacuated zones, to whose backend servers no request is sent.
+    pub fn set_evacuated(&mut self, now: Duration, zones: impl IntoIterator<Item = Arc<str>>) {
+        let zones = zones.into_iter();
+        let since = |zone: &Arc<str>| self.evacuated.get(zone).copied().unwrap_or(now);
+        self.evacuated = zones.map(|zone| (zone.clone(), since(&zone))).collect();
+    }
+
+    /// Returns the evacuated zones, and since when this host knows that they are.
+    pub fn evacuated(&self) -> &BTreeMap<Arc<str>, Duration> {
+        &self.evacuated
+    }
+
+    /// Returns the number of backend servers in each zone.
+    pub fn count_by_zone(&self) -> BTreeMap<Arc<str>, usize> {
+        let mut counts = BTreeMap::new();
+        for backend in self.backends.values() {
+            *counts.entry(backend.entry.zone.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn is_evacuated(&self, backend: &Backend) -> bool {
+        self.evacuated.contains_key(&backend.entry.zone)
     }
 
     /// Returns a listed backend server.
@@ -213,13 +249,15 @@
 
     /// Returns whether a request that was placed at a backend server may still be sent to it.
     pub fn may_send(&self, now: Duration, id: &str) -> bool {
-        let backend = self.backends.get(id);
+        let backend = self.backends.get(id).filter(|own| !self.is_evacuated(own));
         backend.is_some_and(|own| !own.is_leaving() && own.resting_until(now).is_none())
     }
 
-    /// Returns whether a backend server is listed and hasn't announced that it leaves.
+    /// Returns whether a backend server is listed, hasn't announced that it leaves and is in no
+    /// evacuated zone, whose machines may be switched off.
     pub fn is_in_service(&self, id: &str) -> bool {
-        self.backends.get(id).is_some_and(|backend| !backend.is_leaving())
+        let backend = self.backends.get(id).filter(|own| !self.is_evacuated(own));
+        backend.is_some_and(|backend| !backend.is_leaving())
     }
 
     /// Returns whether bytes of this instance of a backend server arrived later than a time.
@@ -269,10 +307,13 @@
         self.backends.values().filter(|backend| !backend.is_leaving()).count()
     }
 
-    /// Returns whether no other backend server provides a service, apart from those that are leaving.
+    /// Returns whether no other backend server provides a service, apart from those that are leaving
+    /// or evacuated.
     pub fn is_only(&self, service: &str, id: &str) -> bool {
         let mut others = self.backends.values().filter(|backend| *backend.entry.id != *id);
-        !others.any(|other| &*other.entry.service == service && !other.is_leaving())
+        !others.any(|other| {
+            &*other.entry.service == service && !other.is_leaving() && !self.is_evacuated(other)
+        })
     }
 
     /// Applies the newest list and returns the ids of the entries that were added, changed or
@@ -347,14 +388,16 @@
     /// Returns whether a service has a candidate that wasn't tried.
     pub fn has_other(&mut self, now: Duration, service: &str, tried: &[Arc<str>]) -> bool {
         self.refresh_permits(now, service);
-        self.backends.values().any(|backend| is_candidate(backend, now, service, tried))
+        let mut candidates = self.backends.values().filter(|own| !self.is_evacuated(own));
+        candidates.any(|backend| is_candidate(backend, now, service, tried))
     }
 
     /// Chooses a backend server for a request, or refuses the request.
     pub fn place(&mut self, now: Duration, requirements: &Requirements<'_>) -> Decision {
         self.refresh_permits(now, requirements.service);
         let is_candidate_for = |backend: &&Backend| {
-            is_candidate(backend, now, requirements.service, requirements.tried)
+            !self.evacuated.contains_key(&backend.entry.zone)
+                && is_candidate(backend, now, requirements.service, requirements.tried)
         };
         let candidates: Vec<&Backend> = self.backends.values().filter(is_candidate_for).collect();
         let excluded = self.excluded(now, requirements.service);
@@ -386,7 +429,8 @@
         let Some((_, latency_ms, penalty_ms, prefill_tokens, backend)) = best else {
             let rest = self.rest_of(now, requirements);
             let limit = self.limited_retry_after(now, requirements.service);
-            let earliest = rest.into_iter().chain(limit).min();
+            let evacuated = self.evacuated_retry_after(requirements.service, excluded);
+            let earliest = rest.into_iter().chain(limit).chain(evacuated).min();
             let retry_after = earliest.unwrap_or(NO_CANDIDATE_RETRY_AFTER);
             return Decision::Refuse { retry_after, estimate: None, excluded };
         };
@@ -406,11 +450,14 @@
         Decision::Send { to: backend.entry.clone(), prefill_tokens, estimate, excluded }
     }
 
-    /// Counts the backend servers of a service that get no request by their own statements.
+    /// Counts the backend servers of a service that get no request by the operator's or their own
+    /// statements.
     fn excluded(&self, now: Duration, service: &str) -> Excluded {
         let mut excluded = Excluded::default();
         for backend in self.backends.values().filter(|own| *own.entry.service == *service) {
-            if backend.is_leaving() {
+            if self.is_evacuated(backend) {
+                excluded.evacuated += 1;
+            } else if backend.is_leaving() {
                 excluded.leaving += 1;
             } else if backend.is_resting(now) {
                 excluded.resting += 1;
@@ -425,13 +472,24 @@
     /// if some asked for none.
     fn rest_of(&mut self, now: Duration, requirements: &Requirements<'_>) -> Option<Duration> {
         let serves = |backend: &&Backend| {
-            *backend.entry.service == *requirements.service && !backend.is_leaving()
+            *backend.entry.service == *requirements.service
+                && !backend.is_leaving()
+                && !self.is_evacuated(backend)
         };
         let rests = self.backends.values().filter(serves);
         let earliest = rests.filter_map(|backend| backend.resting_until(now)).min()?;
         let spread = self.rng.random_range(0.0..REST_SPREAD.as_secs_f64());
         Some(earliest - now + Duration::from_secs_f64(spread))
     }
+
+    /// Returns when a caller may retry if all backend servers of a service that aren't leaving are in
+    /// evacuated zones.
+    fn evacuated_retry_after(&mut self, service: &str, excluded: Excluded) -> Option<Duration> {
+        let of_service = self.backends.values().filter(|own| *own.entry.service == *service);
+        let is_whole = of_service.count() == excluded.evacuated + excluded.leaving;
+        (is_whole && excluded.evacuated > 0)
+            .then(|| EVACUATED_RETRY_AFTER.mul_f64(self.rng.random_range(0.5..1.0)))
+    }
 }
 
 /// Takes over a newer entry of an instance; returns whether its content changed.
--- a/crates/gateway/src/placement/limited.rs
+++ b/crates/gateway/src/placement/limited.rs
@@ -98,8 +98,11 @@
     /// Returns the time until the limits of a service's backend servers allow one more request than
     /// those for which callers were told to wait before; `None` if there are no limits.
     pub(super) fn limited_retry_after(&mut self, now: Duration, service: &str) -> Option<Duration> {
-        let takes_requests =
-            |backend: &&Backend| *backend.entry.service == *service && !backend.is_leaving();
+        let takes_requests = |backend: &&Backend| {
+            *backend.entry.service == *service
+                && !backend.is_leaving()
+                && !self.is_evacuated(backend)
+        };
         let limited = self.backends.values().filter(takes_requests);
         let per_s: f64 = limited.filter_map(|backend| backend.limit.per_s()).sum();
         if per_s <= 0.0 {
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -8,6 +8,7 @@
     backend::Entry,
     dialect::{Read, Source, Unavailable, Update},
     directory::Mode,
+    evacuation::{self, Listing},
     node::{Node, Origin},
     relisting::Relisting,
     subscription::wait_for_change,
@@ -81,7 +82,8 @@
             let era = source.era();
             record_operator_version(&node, era, &update);
             // Before what was read counts as the newest.
-            node.track_restore(&*source);
+            let since_restore = node.track_restore(&*source);
+            record_evacuations(&node, sent_at, since_restore, update.evacuated);
             if let Some(catalog) = update.changed {
                 wait_for_copy(&node, &*source).await;
                 node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
@@ -110,10 +112,27 @@
     own_reads.operator_version = version.map(|version| (era, version));
 }
 
-/// Waits until the copy of the configuration is in force or the operator's may be.
+/// Puts the evacuations in force that a read of the operator's rows found.
+fn record_evacuations(
+    node: &Node,
+    sent_at: Instant,
+    since_restore: Option<Duration>,
+    listing: Listing,
+) {
+    let age = sent_at.elapsed();
+    let since_restore = since_restore.map(|restored| restored.saturating_sub(age));
+    let sent_at = node.now().saturating_sub(age);
+    node.evacuations.borrow_mut().record_read(sent_at, since_restore, listing);
+    node.apply_evacuations(evacuation::Origin::Operator);
+}
+
+/// Waits until the copies of the configuration and of the evacuations are in force or the operator's
+/// rows alone may be.
 async fn wait_for_copy(node: &Node, source: &impl Source) {
     let since = Instant::now();
-    while node.versions(source).is_held(since.elapsed()) {
+    while node.versions(source).is_held(since.elapsed())
+        || (node.catalog().is_none() && node.is_evacuation_held(source, since.elapsed()))
+    {
         sleep(HOLD_INTERVAL).await;
     }
 }
@@ -130,8 +149,13 @@
 /// as of the publisher's read if that found no newer one.
 fn is_catalog_published(node: &Node, source: &impl Source) -> bool {
     let Some(catalog) = node.catalog() else { return false };
+    let since_restore = node.track_restore(source);
+    if node.evacuations.borrow().is_read_due(node.now(), since_restore) {
+        return false;
+    }
     let directory = node.directory.borrow();
-    if catalog.version() < directory.config_version() {
+    // A publisher of an earlier version doesn't publish the evacuations.
+    if catalog.version() < directory.config_version() || directory.evacuated().is_none() {
         return false;
     }
     if let Some(age) = directory.age(node.moment(source))
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -9,6 +9,7 @@
 use crate::{
     dialect::{Changes, Source},
     directory::{DIRECTORY_TABLE, Mode},
+    evacuation::Origin,
     node::{Node, Phase},
 };
 
@@ -50,6 +51,7 @@
             Ok(Some(changes)) => {
                 position = Some((source.era(), changes.through));
                 node.directory.borrow_mut().apply(&changes, after.is_none());
+                apply_evacuations(&node, source.era());
                 apply_to_quarantine(&node, source.clock_ms(), &changes, after.is_none());
                 apply_to_limits(&node, source.clock_ms(), &changes, after.is_none());
                 node.set_shared_rows_read();
@@ -68,6 +70,15 @@
     }
 }
 
+/// Takes over the evacuations that the publisher has read in an era.
+fn apply_evacuations(node: &Node, era: u64) {
+    let published = node.directory.borrow().evacuated().filter(|own| own.era == era).cloned();
+    if let Some(listing) = published {
+        node.evacuations.borrow_mut().record_published(node.now(), listing);
+        node.apply_evacuations(Origin::Directory);
+    }
+}
+
 fn apply_to_quarantine(node: &Node, clock_ms: Option<u64>, changes: &Changes, whole: bool) {
     let mut quarantine = node.quarantine.borrow_mut();
     quarantine.set_clock(node.now(), clock_ms);
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -12,6 +12,7 @@
     backend::Entry,
     dialect::Changes,
     directory::{Directory, Mode, Moment, OwnView, Timing},
+    evacuation::{Evacuations, Listing},
     lender::Site,
     peer::PeerInfo,
 };
@@ -29,6 +30,7 @@
     era: u64,
     backends: Vec<Entry>,
     config_version: u64,
+    evacuated: BTreeSet<Arc<str>>,
     /// Number of times that lists were read from the entries.
     direct_reads: u64,
     /// Bytes of the directory's rows that hosts read.
@@ -74,6 +76,7 @@
     position: Option<(u64, u64)>,
     /// What it has read of the lists itself.
     own: Option<OwnView>,
+    evacuations: Evacuations,
     next_direct_ms: u64,
     next_look_ms: u64,
     is_alive: bool,
@@ -131,6 +134,7 @@
             started_ms: self.now_ms,
             position: None,
             own: None,
+            evacuations: Evacuations::default(),
             next_direct_ms: 0,
             next_look_ms: 0,
             is_alive: true,
@@ -162,6 +166,9 @@
             let changes = self.platform.changes(after);
             host.position = Some((moment.era, changes.through));
             host.directory.apply(&changes, after.is_none());
+            if let Some(listing) = host.directory.evacuated().filter(|own| own.era == moment.era) {
+                host.evacuations.record_published(moment.now, listing.clone());
+            }
             let mode = host.directory.mode(moment);
             if mode == Mode::Subscribe {
                 host.own = None;
@@ -171,12 +178,19 @@
                 let interval = if mode == Mode::Publish { APPLY / 10 } else { APPLY / 4 };
                 host.next_direct_ms = self.now_ms + interval.as_millis() as u64;
                 self.platform.direct_reads += 1;
+                let listing = Listing {
+                    era: moment.era,
+                    through: self.platform.revision,
+                    zones: self.platform.evacuated.clone(),
+                };
+                host.evacuations.record_read(moment.now, None, listing);
                 host.own = Some(OwnView {
                     backends: self.platform.backends.clone(),
                     hosts: (0..count).map(peer).collect(),
                     config_version: self.platform.config_version,
                     config_unreadable: false,
                     read_ms: self.now_ms,
+                    evacuated: host.evacuations.listing().cloned(),
                 });
             }
             let Some(own) = &host.own else { continue };
@@ -210,7 +224,7 @@
     }
 
     /// Returns whether every host that is alive and reaches the platform knows the current
-    /// configuration and whether the first backend server is draining.
+    /// configuration, the evacuated zones and whether the first backend server is draining.
     fn all_know(&self) -> bool {
         let draining = self.platform.backends[0].draining;
         self.hosts.iter().filter(|host| host.is_alive && host.reaches_platform).all(|host| {
@@ -219,7 +233,9 @@
                 None => (host.directory.backends(), host.directory.config_version()),
             };
             let knows = |entry: &Entry| &*entry.id == "i-0" && entry.draining == draining;
-            version == self.platform.config_version && backends.iter().any(knows)
+            version == self.platform.config_version
+                && host.evacuations.zones() == self.platform.evacuated
+                && backends.iter().any(knows)
         })
     }
 
@@ -325,6 +341,7 @@
             (fault.strike)(&mut fleet, publisher);
             fleet.platform.backends[0].draining = true;
             fleet.platform.config_version = 2;
+            fleet.platform.evacuated.insert("a".into());
             let mut waited_ms = 0;
             while !fleet.all_know() {
                 fleet.step();
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use gateway::{
     backend::{Entry, HealthSignal, Load},
-    placement::{Backends, Decision, Requirements},
+    placement::{Backends, Decision, Excluded, Requirements},
     request::Prompt,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -477,3 +477,201 @@
     assert!(returns[0] >= SECOND);
     assert!(returns[75] - returns[25] > Duration::from_millis(100), "{returns:?}");
 }
+
+const SETTLED: Duration = Duration::from_secs(60);
+
+/// A case of evacuated zones: servers `e0` to `e3` are in the zones a, a, b and c.
+struct EvacuationCase {
+    name: &'static str,
+    evacuated: &'static [&'static str],
+    disturb: fn(&mut Backends),
+    /// Servers that may be chosen.
+    candidates: &'static [&'static str],
+    excluded: Excluded,
+}
+
+impl EvacuationCase {
+    const NONE: Self = Self {
+        name: "no zone",
+        evacuated: &[],
+        disturb: |_| {},
+        candidates: &["e0", "e1", "e2", "e3"],
+        excluded: Excluded { evacuated: 0, leaving: 0, resting: 0, limited: 0 },
+    };
+}
+
+fn in_zones() -> Backends {
+    let zones = ["a", "a", "b", "c"].into_iter().enumerate();
+    new_backends(1, zones.map(|(number, zone)| entry(&format!("e{number}"), zone, 4)))
+}
+
+/// Requests reached backend servers of evacuated zones.
+#[test]
+fn backend_servers_of_evacuated_zones_get_nothing() {
+    let cases = [
+        EvacuationCase::NONE,
+        EvacuationCase {
+            name: "one zone",
+            evacuated: &["a"],
+            candidates: &["e2", "e3"],
+            excluded: Excluded { evacuated: 2, ..Excluded::default() },
+            ..EvacuationCase::NONE
+        },
+        EvacuationCase {
+            name: "two zones",
+            evacuated: &["a", "c"],
+            candidates: &["e2"],
+            excluded: Excluded { evacuated: 3, ..Excluded::default() },
+            ..EvacuationCase::NONE
+        },
+        EvacuationCase { name: "an unknown zone", evacuated: &["d"], ..EvacuationCase::NONE },
+        EvacuationCase {
+            name: "one that is leaving, too",
+            evacuated: &["a"],
+            disturb: |backends| {
+                backends.get_mut("e0").expect("listed").record_leaving();
+                backends.get_mut("e2").expect("listed").record_leaving();
+            },
+            candidates: &["e3"],
+            excluded: Excluded { evacuated: 2, leaving: 1, ..Excluded::default() },
+        },
+        EvacuationCase {
+            name: "the others can't be reached",
+            evacuated: &["a"],
+            disturb: |backends| {
+                for id in ["e2", "e3"] {
+                    backends.record_health(SETTLED, id, HealthSignal::Unreachable);
+                }
+            },
+            candidates: &[],
+            excluded: Excluded { evacuated: 2, ..Excluded::default() },
+        },
+        EvacuationCase {
+            name: "all zones",
+            evacuated: &["a", "b", "c"],
+            candidates: &[],
+            excluded: Excluded { evacuated: 4, ..Excluded::default() },
+            ..EvacuationCase::NONE
+        },
+    ];
+    for case in cases {
+        let mut backends = in_zones();
+        (case.disturb)(&mut backends);
+        backends.set_evacuated(SETTLED, case.evacuated.iter().map(|zone| Arc::from(*zone)));
+        let mut chosen = Vec::new();
+        for id in ["e0", "e1", "e2", "e3"] {
+            let others = ["e0", "e1", "e2", "e3"].into_iter().filter(|other| *other != id);
+            let tried: Vec<Arc<str>> = others.map(Arc::from).collect();
+            let has_other = backends.has_other(SETTLED, "s", &tried);
+            let (is_sent, excluded) = match backends.place(SETTLED, &requirements(None, &tried)) {
+                Decision::Send { to, excluded, .. } => (&*to.id == id, excluded),
+                Decision::Refuse { excluded, .. } => (false, excluded),
+            };
+            assert_eq!(excluded, case.excluded, "{}", case.name);
+            assert_eq!(has_other, is_sent, "{}: {id}", case.name);
+            chosen.extend(is_sent.then_some(id));
+        }
+        assert_eq!(chosen, case.candidates, "{}", case.name);
+        for (id, zone) in [("e0", "a"), ("e1", "a"), ("e2", "b"), ("e3", "c")] {
+            if case.evacuated.contains(&zone) {
+                assert!(!backends.accepts_requests(SETTLED, id), "{}: {id}", case.name);
+                assert!(!backends.may_send(SETTLED, id), "{}: {id}", case.name);
+                assert!(!backends.is_in_service(id), "{}: {id}", case.name);
+            }
+        }
+        backends.set_evacuated(2 * SETTLED, []);
+        assert!(backends.accepts_requests(2 * SETTLED, "e1"), "{}: taken back", case.name);
+        assert!(backends.may_send(2 * SETTLED, "e1"), "{}: taken back", case.name);
+    }
+}
+
+/// A case of a refusal while zones are evacuated.
+struct RefusalCase {
+    name: &'static str,
+    evacuated: &'static [&'static str],
+    disturb: fn(&mut Backends),
+    /// Shortest and longest time after which the caller may retry, in milliseconds.
+    retry_after_ms: (u128, u128),
+}
+
+/// Callers were sent back for the rest or limit of a server that gets nothing after it either.
+#[test]
+fn refusal_beside_evacuated_zones_says_when_to_retry() {
+    let rest = |backends: &mut Backends, ids: &[&str]| {
+        for id in ids {
+            let backend = backends.get_mut(id).expect("listed");
+            backend.record_rest(SETTLED, 30 * SECOND);
+        }
+    };
+    let cases = [
+        RefusalCase {
+            name: "all zones",
+            evacuated: &["a", "b", "c"],
+            disturb: |_| {},
+            retry_after_ms: (1000, 2000),
+        },
+        RefusalCase {
+            name: "all zones, and one would rest",
+            evacuated: &["a", "b", "c"],
+            disturb: |backends| {
+                let backend = backends.get_mut("e0").expect("listed");
+                backend.record_rest(SETTLED, Duration::from_millis(10));
+            },
+            retry_after_ms: (1000, 2000),
+        },
+        RefusalCase {
+            name: "all but a zone whose server is leaving",
+            evacuated: &["a", "b"],
+            disturb: |backends| backends.get_mut("e3").expect("listed").record_leaving(),
+            retry_after_ms: (1000, 2000),
+        },
+        RefusalCase {
+            name: "all but a zone that can't be reached",
+            evacuated: &["a", "b"],
+            disturb: |backends| backends.record_health(SETTLED, "e3", HealthSignal::Unreachable),
+            retry_after_ms: (500, 500),
+        },
+    ];
+    for case in cases {
+        let mut backends = in_zones();
+        (case.disturb)(&mut backends);
+        backends.set_evacuated(SETTLED, case.evacuated.iter().map(|zone| Arc::from(*zone)));
+        let decision = backends.place(SETTLED, &requirements(None, &[]));
+        let Decision::Refuse { retry_after, estimate: None, .. } = decision else {
+            panic!("{}: {decision:?}", case.name);
+        };
+        let (least, most) = case.retry_after_ms;
+        let retry_after_ms = retry_after.as_millis();
+        assert!((least..=most).contains(&retry_after_ms), "{}: {retry_after_ms}", case.name);
+    }
+    let mut backends = in_zones();
+    rest(&mut backends, &["e2", "e3"]);
+    backends.set_evacuated(SETTLED, [Arc::from("a")]);
+    let decision = backends.place(SETTLED, &requirements(None, &[]));
+    let Decision::Refuse { retry_after, .. } = decision else { panic!("{decision:?}") };
+    assert!(retry_after >= 30 * SECOND, "the others rest: {retry_after:?}");
+}
+
+/// A stream waited for the confirmation of its end by a server that may not be asked.
+#[test]
+fn backend_server_beside_evacuated_ones_is_the_only_one() {
+    let mut backends = in_zones();
+    assert!(!backends.is_only("s", "e2"));
+    backends.set_evacuated(SETTLED, ["a", "c"].map(Arc::from));
+    assert!(backends.is_only("s", "e2"));
+    assert!(!backends.is_only("s", "e0"), "e2 can be asked");
+    backends.set_evacuated(SETTLED, ["a", "b", "c"].map(Arc::from));
+    assert!(backends.is_only("s", "e0"), "one whose stream goes on");
+    backends.set_evacuated(SETTLED, []);
+    assert!(!backends.is_only("s", "e2"));
+}
+
+/// The time since when a zone is evacuated began anew with each read.
+#[test]
+fn evacuation_that_goes_on_keeps_its_beginning() {
+    let mut backends = in_zones();
+    backends.set_evacuated(SECOND, [Arc::from("a")]);
+    backends.set_evacuated(2 * SECOND, ["a", "b"].map(Arc::from));
+    let since: Vec<_> = backends.evacuated().values().copied().collect();
+    assert_eq!(since, [SECOND, 2 * SECOND]);
+}
