--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -4,11 +4,14 @@
 //! until the operator writes it again, so that a host keeps what it knew for a time, and records it
 //! in a row of the system's own for hosts that start meanwhile.
 
+mod report;
+
 use std::{collections::BTreeSet, mem, sync::Arc, time::Duration};
 
 use coordination::table::Revision;
 use serde::{Deserialize, Serialize};
 
+pub use self::report::{Evacuation, Report};
 use crate::freshness::{HOLD_TIME, SETTLING_READ_INTERVAL, SETTLING_TIME, START_READ_INTERVAL};
 
 /// Evacuated zones as one read of the operator's rows found them.
