Read the evacuations before sending after a pause of the process

It now waits for a read that is recent enough, for a second at most, unless reads have just failed: while the store is away, the last known state applies.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -135,6 +135,7 @@
     /// Returns an error if the request can't be sent; nothing was written then.
     pub async fn start(job: &Job, resume_after: Option<u64>) -> Result<Self, StartError> {
         let node = job.node.clone();
+        node.wait_for_evacuations().await;
         let now = node.now();
         if let Some(part) = job.quarantined_part() {
             return Err(StartError::Quarantined(part));
@@ -200,7 +201,8 @@
         }
         // It may have stated meanwhile that it wants no requests, or only few, or its zone may have
         // been evacuated.
-        let accepts_requests = node.backends.borrow().accepts_requests(node.now(), &to.id);
+        let accepts_requests = node.backends.borrow().accepts_requests(node.now(), &to.id)
+            && !node.are_evacuations_outdated();
         if !accepts_requests || permit.take().is_err() {
             node.pool.release(&to.id, connection);
             return Err(StartError::Unreachable);
@@ -345,7 +347,8 @@
                     return Err(SendError::NotSent);
                 }
             };
-            let may_send = self.node.backends.borrow().may_send(self.node.now(), &self.to.id);
+            let may_send = self.node.backends.borrow().may_send(self.node.now(), &self.to.id)
+                && !self.node.are_evacuations_outdated();
             if !may_send || self.permit.take().is_err() || job.quarantined_part().is_some() {
                 return Err(SendError::NotSent);
             }
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -14,6 +14,10 @@
 pub use self::report::{Evacuation, Report};
 use crate::freshness::{HOLD_TIME, SETTLING_READ_INTERVAL, SETTLING_TIME, START_READ_INTERVAL};
 
+/// Longest time that a read takes to fail, unless the process was paused meanwhile; also the age up to
+/// which what was read is never outdated.
+const MAX_READ_TIME: Duration = Duration::from_secs(5);
+
 /// Evacuated zones as one read of the operator's rows found them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -52,6 +56,8 @@
     listing: Option<Listing>,
     /// When that was, by the send of the read.
     listed_at: Duration,
+    /// When a read failed last.
+    failed_at: Option<Duration>,
     /// When this process first saw the listing's era.
     era_seen_at: Duration,
     /// Zones that were evacuated before the table was restored and that the listing lacks.
@@ -78,10 +84,27 @@
         }
     }
 
-    /// Records what the publisher of the directory has read. When it did isn't known, so that this
+    /// Records what the publisher of the directory has read at a time, which is a lower bound. It
     /// doesn't show that a row is still missing.
-    pub fn record_published(&mut self, now: Duration, listing: Listing) {
-        self.record_listing(now, listing);
+    pub fn record_published(&mut self, read_at: Duration, listing: Listing) {
+        self.record_listing(read_at, listing);
+    }
+
+    /// Records a read that failed. One that a pause of the process ended doesn't show that the
+    /// platform is unavailable.
+    pub fn record_failure(&mut self, started: Duration, ended: Duration) {
+        if ended.saturating_sub(started) < MAX_READ_TIME {
+            self.failed_at = Some(ended);
+        }
+    }
+
+    /// Returns whether evacuations that have to be in force within `evacuate_time` may be missing,
+    /// although the platform isn't known to be unavailable, as after a pause of the process.
+    pub fn is_outdated(&self, now: Duration, evacuate_time: Duration) -> bool {
+        let is_older = |at: Duration, age: Duration| now.saturating_sub(at) > age;
+        self.listing.is_some()
+            && is_older(self.listed_at, evacuate_time.max(MAX_READ_TIME))
+            && self.failed_at.is_none_or(|at| is_older(at, MAX_READ_TIME))
     }
 
     /// Takes a listing over unless it was read earlier than the known one; returns whether it was
@@ -98,7 +121,7 @@
             }
             self.kept.retain(|zone| !listing.zones.contains(zone));
         }
-        self.listed_at = at;
+        self.listed_at = self.listed_at.max(at);
         true
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -51,6 +51,9 @@
 /// Longest time for which the first requests wait for the rows that hosts share.
 const SHARED_ROWS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time for which requests wait for the evacuations after a pause of the process.
+const EVACUATIONS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Settings of a host.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -145,6 +148,8 @@
     pub own_reads: RefCell<OwnReads>,
     /// Zones whose backend servers get no requests.
     pub evacuations: RefCell<Evacuations>,
+    /// Notified when they have been read, or couldn't be.
+    evacuations_read: Notify,
     /// What is known of the current era of the platform's table.
     pub era_start: Cell<Option<EraStart>>,
     /// Counters.
@@ -233,6 +238,7 @@
             has_shared_rows: Cell::new(false),
             own_reads: RefCell::default(),
             evacuations: RefCell::default(),
+            evacuations_read: Notify::new(),
             era_start: Cell::default(),
             metrics,
             active: Cell::new(0),
@@ -413,6 +419,31 @@
         for zone in evacuations.take_unreported(known) {
             tracing::warn!(event = "evacuation_unknown_zone", %zone, ?known);
         }
+        self.evacuations_read.notify_waiters();
+    }
+
+    /// Records that a read of the evacuations failed that was started at a time.
+    pub fn record_evacuations_unread(&self, started: Duration) {
+        self.evacuations.borrow_mut().record_failure(started, self.now());
+        self.evacuations_read.notify_waiters();
+    }
+
+    /// Returns whether an evacuation may be missing, as after a pause of the process.
+    pub fn are_evacuations_outdated(&self) -> bool {
+        let evacuate_time = self.settings.evacuate_time;
+        evacuate_time.is_some_and(|time| self.evacuations.borrow().is_outdated(self.now(), time))
+    }
+
+    /// Waits while an evacuation may be missing, at most until the platform counts as unavailable.
+    pub async fn wait_for_evacuations(&self) {
+        let since = Instant::now();
+        while self.are_evacuations_outdated() {
+            let time_left = EVACUATIONS_TIMEOUT.saturating_sub(since.elapsed());
+            if timeout(time_left, self.evacuations_read.notified()).await.is_err() {
+                tracing::warn!(event = "evacuations_unread");
+                self.record_evacuations_unread(self.now());
+            }
+        }
     }
 
     /// Returns whether callers can be served.
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -70,8 +70,11 @@
             wait_for_change(&node, SUBSCRIBER_INTERVAL).await;
             continue;
         }
-        let read_ms = source.clock_ms();
+        let (read_ms, started) = (source.clock_ms(), node.now());
         let read = reachability.record(source.catalog(current_version).await);
+        if read.is_none() {
+            node.record_evacuations_unread(started);
+        }
         node.budgets.set_platform_reachable(read.is_some());
         let interval = if read.is_some() && current_version.is_some() {
             poll_interval(&node, mode)
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -51,7 +51,7 @@
             Ok(Some(changes)) => {
                 position = Some((source.era(), changes.through));
                 node.directory.borrow_mut().apply(&changes, after.is_none());
-                apply_evacuations(&node, source.era());
+                apply_evacuations(&node, &*source);
                 apply_to_quarantine(&node, source.clock_ms(), &changes, after.is_none());
                 apply_to_limits(&node, source.clock_ms(), &changes, after.is_none());
                 node.set_shared_rows_read();
@@ -70,11 +70,13 @@
     }
 }
 
-/// Takes over the evacuations that the publisher has read in an era.
-fn apply_evacuations(node: &Node, era: u64) {
-    let published = node.directory.borrow().evacuated().filter(|own| own.era == era).cloned();
-    if let Some(listing) = published {
-        node.evacuations.borrow_mut().record_published(node.now(), listing);
+/// Takes over the evacuations that the publisher has read in the current era.
+fn apply_evacuations(node: &Node, source: &impl Source) {
+    let directory = node.directory.borrow();
+    let listing = directory.evacuated().filter(|own| own.era == source.era()).cloned();
+    if let (Some(listing), Some(age)) = (listing, directory.age(node.moment(source))) {
+        let read_at = node.now().saturating_sub(age);
+        node.evacuations.borrow_mut().record_published(read_at, listing);
         node.apply_evacuations(Origin::Directory);
     }
 }
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -150,3 +150,30 @@
     assert_eq!(evacuations.unknown(&known), zones(&["x", "y"]));
     assert_eq!(evacuations.unknown(&zones(&[])), zones(&[]), "no zones are stated");
 }
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A host that went on after a pause sent requests by what it had read before.
+#[test_case(10, None => false; "read within the time")]
+#[test_case(16, None => true; "read before a pause")]
+#[test_case(16, Some((12, 13)) => false; "the platform is unavailable")]
+#[test_case(30, Some((12, 13)) => true; "paused while the platform was unavailable")]
+#[test_case(16, Some((10, 16)) => true; "a pause ended the read")]
+fn evacuations_are_outdated_after_a_pause(at: u64, failure: Option<(u32, u32)>) -> bool {
+    let mut evacuations = learn(None, &[Read(10, (1, 5), &[])]);
+    if let Some((started, ended)) = failure {
+        evacuations.record_failure(started * SECOND, ended * SECOND);
+    }
+    evacuations.is_outdated(Duration::from_secs(at), 5 * SECOND)
+}
+
+/// The same beat made an older read look like a new one.
+#[test]
+fn beat_that_is_applied_again_renews_nothing() {
+    let mut evacuations = learn(None, &[Published(10, (1, 5), &[]), Published(9, (1, 5), &[])]);
+    assert_eq!(evacuations.age(16 * SECOND), Some(6 * SECOND));
+    assert!(evacuations.is_outdated(16 * SECOND, 5 * SECOND));
+    evacuations.record_failure(15 * SECOND, 15 * SECOND);
+    assert!(!evacuations.is_outdated(16 * SECOND, 5 * SECOND));
+    assert!(!Evacuations::default().is_outdated(16 * SECOND, 5 * SECOND), "nothing was read");
+}
