--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -386,6 +386,24 @@
     assert_eq!(directory.mode(moment), Mode::Direct);
 }
 
+/// Beats of publishers of an earlier version were left out, or ended evacuations.
+#[test]
+fn beat_without_evacuations_says_nothing_about_them() {
+    let mut directory = Directory::new("h-1".into(), Timing::new(APPLY), 0, false);
+    let beat = |value: &str| Row {
+        key: "directory/all/beat".into(),
+        value: Some(value.into()),
+        revision: 1,
+    };
+    let former = r#"{"publisher":"h-2","era":1,"read_ms":8000,"config_version":3}"#;
+    directory.apply(&Changes { rows: vec![beat(former)], through: 1 }, true);
+    assert_eq!((directory.config_version(), directory.evacuated()), (3, None));
+    let current = r#"{"publisher":"h-2","evacuated":{"era":1,"through":7,"zones":["a"]}}"#;
+    directory.apply(&Changes { rows: vec![beat(current)], through: 2 }, false);
+    let zones = BTreeSet::from(["a".into()]);
+    assert_eq!(directory.evacuated(), Some(&Listing { era: 1, through: 7, zones }));
+}
+
 /// As while a service is replaced: hosts that read everything would load the platform on which the
 /// publisher waits.
 #[test]
