Accept evacuations of a table without eras whose revisions fall

A table that states no eras may come back from an older copy unnoticed. Its revisions are lower then, and a host would have dropped all reads until they had risen again. Reads of such a table follow each other, so that the last one counts. The system's own row is looked for at the short interval only while it counts.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -77,6 +77,10 @@
         since_restore: Option<Duration>,
         listing: Listing,
     ) {
+        // Revisions of a table that states no eras may fall with a restore.
+        if listing.era == 0 {
+            self.listing = None;
+        }
         let is_current = self.record_listing(sent_at, listing);
         // A row that was written again in time is in what a later read finds.
         if is_current && self.is_settled(sent_at, since_restore) {
--- a/crates/gateway/src/evacuation_copy.rs
+++ b/crates/gateway/src/evacuation_copy.rs
@@ -5,7 +5,10 @@
 use coordination::table::{Op, Outcome, Row, Txn, Write};
 use tokio::time::{Instant, sleep};
 
-use crate::{config_copy::write_delay, dialect::Source, evacuation::Origin, node::Node};
+use crate::{
+    config_copy::write_delay, dialect::Source, evacuation::Origin, freshness::SETTLING_TIME,
+    node::Node,
+};
 
 /// Prefix of the keys of these rows; the era in which one was written follows. Their value is a JSON
 /// list of zones.
@@ -41,7 +44,8 @@
             read(&node, &*source).await;
             read_at = Some(Instant::now());
         }
-        sleep(if since_restore.is_some() { LOOK_INTERVAL } else { QUIET_INTERVAL }).await;
+        let is_recent = since_restore.is_some_and(|age| age < SETTLING_TIME);
+        sleep(if is_recent { LOOK_INTERVAL } else { QUIET_INTERVAL }).await;
     }
 }
 
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -48,6 +48,7 @@
 #[test_case(None, &[Read(1, (1, 5), &["a"]), Published(2, (1, 9), &[])] => zones(&[]); "its end is published")]
 #[test_case(None, &[Read(1, (1, 9), &["a"]), Published(2, (1, 5), &[])] => zones(&["a"]); "an earlier read is published")]
 #[test_case(None, &[Published(1, (1, 9), &["a"]), Read(2, (1, 5), &[])] => zones(&["a"]); "a late answer of an earlier read")]
+#[test_case(None, &[Read(1, (0, 9), &["a"]), Read(2, (0, 5), &[])] => zones(&[]); "a table without eras falls back")]
 #[test_case(Some(10), &[Read(9, (1, 90), &["a"]), Read(11, (2, 5), &[])] => zones(&["a"]); "a restore takes a row away")]
 #[test_case(Some(10), &[Read(9, (1, 90), &["a"]), Published(11, (2, 5), &[])] => zones(&["a"]); "a restore takes a row away and the publisher reads that")]
 #[test_case(Some(10), &[Read(9, (1, 90), &["a"]), Read(11, (2, 5), &[]), Read(19, (2, 6), &[])] => zones(&["a"]); "the operator may still write it again")]
