Put the copy of the configuration in force at once again

Configurations come into force as before, and a process that doesn't know the evacuations yet refuses requests as not run.

--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -69,14 +69,6 @@
     format!("{COPY_PREFIX}/{era}").into()
 }
 
-/// Waits until a process that has just started knows the evacuations, or may be taken to.
-async fn wait_for_evacuations(node: &Node, source: &impl Source) {
-    let since = Instant::now();
-    while node.catalog().is_none() && node.is_evacuation_held(source, since.elapsed()) {
-        sleep(LOOK_INTERVAL).await;
-    }
-}
-
 /// Reads the copy and puts it in force if it is newer than the operator's row; `None` if the platform
 /// doesn't answer.
 ///
@@ -99,7 +91,6 @@
         // The operator's row of this era counts even if it bears the same version.
         let is_newer = versions.operator.is_some_and(|own| own < catalog.version());
         if is_newer && (is_current || !is_held) {
-            wait_for_evacuations(node, source).await;
             node.put_in_force(catalog, Origin::Copy, era, sent_at.elapsed());
         }
     }
--- a/crates/gateway/src/evacuation_copy.rs
+++ b/crates/gateway/src/evacuation_copy.rs
@@ -44,6 +44,7 @@
             read(&node, &*source).await;
             read_at = Some(Instant::now());
         }
+        node.check_evacuations(&*source);
         let is_recent = since_restore.is_some_and(|age| age < SETTLING_TIME);
         sleep(if is_recent { LOOK_INTERVAL } else { QUIET_INTERVAL }).await;
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -150,6 +150,10 @@
     pub evacuations: RefCell<Evacuations>,
     /// Notified when they have been read, or couldn't be.
     evacuations_read: Notify,
+    /// Whether this process has learned enough of them to send requests.
+    knows_evacuations: Cell<bool>,
+    /// Since when it waits for the system's own row of them.
+    evacuations_held_since: Cell<Option<Instant>>,
     /// What is known of the current era of the platform's table.
     pub era_start: Cell<Option<EraStart>>,
     /// Counters.
@@ -239,6 +243,8 @@
             own_reads: RefCell::default(),
             evacuations: RefCell::default(),
             evacuations_read: Notify::new(),
+            knows_evacuations: Cell::new(false),
+            evacuations_held_since: Cell::default(),
             era_start: Cell::default(),
             metrics,
             active: Cell::new(0),
@@ -387,12 +393,23 @@
         self.settings.evacuate_time.is_some() || !self.backends.borrow().evacuated().is_empty()
     }
 
-    /// Returns whether a process that has just started sends no request yet, as it may lack an
-    /// evacuation. It has waited for a time.
-    pub fn is_evacuation_held(&self, source: &impl Source, waited: Duration) -> bool {
+    /// Returns whether this process has learned enough of the evacuations to send requests.
+    pub fn knows_evacuations(&self) -> bool {
+        self.knows_evacuations.get()
+    }
+
+    /// Finds out whether a process that has just started has learned enough of the evacuations.
+    pub fn check_evacuations(&self, source: &impl Source) {
+        let evacuations = self.evacuations.borrow();
+        if self.knows_evacuations() || evacuations.listing().is_none() {
+            return;
+        }
+        let since = self.evacuations_held_since.get().unwrap_or_else(Instant::now);
+        self.evacuations_held_since.set(Some(since));
         let since_restore = self.track_restore(source);
-        self.may_have_evacuations()
-            && self.evacuations.borrow().is_held(source.era(), since_restore, waited)
+        let is_held = self.may_have_evacuations()
+            && evacuations.is_held(source.era(), since_restore, since.elapsed());
+        self.knows_evacuations.set(!is_held);
     }
 
     /// Puts the known evacuations in force.
@@ -450,6 +467,7 @@
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
             && self.catalog.borrow().is_some()
+            && self.knows_evacuations()
             && self.backends.borrow().accepting_count() > 0
             && self.overload.borrow().is_ready(self.now())
     }
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -87,6 +87,7 @@
             // Before what was read counts as the newest.
             let since_restore = node.track_restore(&*source);
             record_evacuations(&node, sent_at, since_restore, update.evacuated);
+            node.check_evacuations(&*source);
             if let Some(catalog) = update.changed {
                 wait_for_copy(&node, &*source).await;
                 node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
@@ -129,13 +130,10 @@
     node.apply_evacuations(evacuation::Origin::Operator);
 }
 
-/// Waits until the copies of the configuration and of the evacuations are in force or the operator's
-/// rows alone may be.
+/// Waits until the copy of the configuration is in force or the operator's may be.
 async fn wait_for_copy(node: &Node, source: &impl Source) {
     let since = Instant::now();
-    while node.versions(source).is_held(since.elapsed())
-        || (node.catalog().is_none() && node.is_evacuation_held(source, since.elapsed()))
-    {
+    while node.versions(source).is_held(since.elapsed()) {
         sleep(HOLD_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -427,7 +427,8 @@
     call: &Call,
 ) -> Result<Job, Refusal> {
     let arrived = Instant::now();
-    let catalog = node.catalog().ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?;
+    let catalog = node.catalog().filter(|_| node.knows_evacuations());
+    let catalog = catalog.ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?;
     node.wait_for_shared_rows().await;
     let (route, workspace) = find_route(node, &catalog, &head, call)?;
     let max_wait = call.max_wait.map_or(route.timeout, |max_wait| max_wait.min(route.timeout));
