--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -135,6 +135,7 @@
     /// Returns an error if the request can't be sent; nothing was written then.
     pub async fn start(job: &Job, resume_after: Option<u64>) -> Result<Self, StartError> {
         let node = job.node.clone();
+        node.wait_for_evacuations().await;
         let now = node.now();
         if let Some(part) = job.quarantined_part() {
             return Err(StartError::Quarantined(part));
@@ -204,8 +205,10 @@
             node.pool.release(&to.id, connection);
             return Err(StartError::Quarantined(part));
         }
-        // It may have stated meanwhile that it wants no requests, or only few.
-        let accepts_requests = node.backends.borrow().accepts_requests(node.now(), &to.id);
+        // It may have stated meanwhile that it wants no requests, or only few, or its zone may have
+        // been evacuated.
+        let accepts_requests = node.backends.borrow().accepts_requests(node.now(), &to.id)
+            && !node.are_evacuations_outdated();
         if !accepts_requests || permit.take().is_err() {
             node.pool.release(&to.id, connection);
             return Err(StartError::Unreachable);
@@ -350,7 +353,8 @@
                     return Err(SendError::NotSent);
                 }
             };
-            let may_send = self.node.backends.borrow().may_send(self.node.now(), &self.to.id);
+            let may_send = self.node.backends.borrow().may_send(self.node.now(), &self.to.id)
+                && !self.node.are_evacuations_outdated();
             if !may_send || self.permit.take().is_err() || job.quarantined_part().is_some() {
                 return Err(SendError::NotSent);
             }
@@ -615,6 +619,7 @@
         backend = to,
         unread = prefill_tokens,
         candidates = estimate.map_or(0, |estimate| estimate.candidates),
+        evacuated = excluded.evacuated,
         leaving = excluded.leaving,
         resting = excluded.resting,
         limited = excluded.limited,
@@ -629,6 +634,12 @@
         group = group.map(|group| if group.is_long { "long" } else { "other" }),
         group_share = group.map(|group| group.share),
         group_load = group.map(|group| group.load),
+        evacuations_age_ms = job
+            .node
+            .evacuations
+            .borrow()
+            .age(job.node.now())
+            .map(|age| age.as_millis() as u64),
         left_ms = job.time_left().as_millis() as u64,
     );
 }
--- a/crates/gateway/src/config_copy.rs
+++ b/crates/gateway/src/config_copy.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns for how long this host leaves the write to others.
-fn write_delay(node: &Node) -> Duration {
+pub(crate) fn write_delay(node: &Node) -> Duration {
     let hosts = u32::try_from(node.hosts()).unwrap_or(u32::MAX);
     let spread = WRITE_SPREAD.saturating_mul(hosts).min(MAX_WRITE_SPREAD);
     Duration::from_millis(hash(node.settings.host.as_bytes()) % spread.as_millis() as u64)
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -24,6 +24,7 @@
     dialect::{Dialect, Source},
     directory::{Directory, Mode, Moment, OwnView, Timing},
     era::EraStart,
+    evacuation::{self, Evacuations},
     freshness::{Freshness, Versions},
     lender::Site,
     limit,
@@ -50,6 +51,9 @@
 /// Longest time for which the first requests wait for the rows that hosts share.
 const SHARED_ROWS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time for which requests wait for the evacuations after a pause of the process.
+const EVACUATIONS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Settings of a host.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -76,6 +80,10 @@
     pub writes_per_s: u64,
     /// Time within which a change of the configuration or of a backend server has to be in force.
     pub apply_time: Duration,
+    /// Time within which an evacuation has to be in force; `None` where none is expected.
+    pub evacuate_time: Option<Duration>,
+    /// Zones of the deployment; empty if they aren't stated.
+    pub known_zones: BTreeSet<Arc<str>>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
     /// Limit on the retries of all hosts together.
@@ -138,6 +146,14 @@
     has_shared_rows: Cell<bool>,
     /// What this host has read of the platform's lists itself.
     pub own_reads: RefCell<OwnReads>,
+    /// Zones whose backend servers get no requests.
+    pub evacuations: RefCell<Evacuations>,
+    /// Notified when they have been read, or couldn't be.
+    evacuations_read: Notify,
+    /// Whether this process has learned enough of them to send requests.
+    knows_evacuations: Cell<bool>,
+    /// Since when it waits for the system's own row of them.
+    evacuations_held_since: Cell<Option<Instant>>,
     /// What is known of the current era of the platform's table.
     pub era_start: Cell<Option<EraStart>>,
     /// Counters.
@@ -225,6 +241,10 @@
             directory_changed: Notify::new(),
             has_shared_rows: Cell::new(false),
             own_reads: RefCell::default(),
+            evacuations: RefCell::default(),
+            evacuations_read: Notify::new(),
+            knows_evacuations: Cell::new(false),
+            evacuations_held_since: Cell::default(),
             era_start: Cell::default(),
             metrics,
             active: Cell::new(0),
@@ -364,6 +384,82 @@
             config_version: self.catalog().map_or(0, |catalog| catalog.version()),
             config_unreadable: reads.catalog_unreadable,
             read_ms: reads.catalog_ms.min(reads.backends_ms),
+            evacuated: self.evacuations.borrow().listing().cloned(),
+        }
+    }
+
+    /// Returns whether evacuations may occur, by the settings or as some are known.
+    pub fn may_have_evacuations(&self) -> bool {
+        self.settings.evacuate_time.is_some() || !self.backends.borrow().evacuated().is_empty()
+    }
+
+    /// Returns whether this process has learned enough of the evacuations to send requests.
+    pub fn knows_evacuations(&self) -> bool {
+        self.knows_evacuations.get()
+    }
+
+    /// Finds out whether a process that has just started has learned enough of the evacuations.
+    pub fn check_evacuations(&self, source: &impl Source) {
+        let evacuations = self.evacuations.borrow();
+        if self.knows_evacuations() || evacuations.listing().is_none() {
+            return;
+        }
+        let since = self.evacuations_held_since.get().unwrap_or_else(Instant::now);
+        self.evacuations_held_since.set(Some(since));
+        let since_restore = self.track_restore(source);
+        let is_held = self.may_have_evacuations()
+            && evacuations.is_held(source.era(), since_restore, since.elapsed());
+        self.knows_evacuations.set(!is_held);
+    }
+
+    /// Puts the known evacuations in force.
+    pub fn apply_evacuations(&self, origin: evacuation::Origin) {
+        let now = self.now();
+        let mut evacuations = self.evacuations.borrow_mut();
+        let mut backends = self.backends.borrow_mut();
+        let zones = evacuations.zones();
+        if zones.iter().ne(backends.evacuated().keys()) {
+            let listing = evacuations.listing();
+            tracing::info!(
+                event = "evacuations",
+                ?zones,
+                former = ?backends.evacuated().keys(),
+                kept = ?evacuations.kept(),
+                ?origin,
+                era = listing.map(|listing| listing.era),
+                through = listing.map(|listing| listing.through),
+                age_ms = evacuations.age(now).map(|age| age.as_millis() as u64),
+            );
+            backends.set_evacuated(now, zones);
+        }
+        let known = &self.settings.known_zones;
+        for zone in evacuations.take_unreported(known) {
+            tracing::warn!(event = "evacuation_unknown_zone", %zone, ?known);
+        }
+        self.evacuations_read.notify_waiters();
+    }
+
+    /// Records that a read of the evacuations failed that was started at a time.
+    pub fn record_evacuations_unread(&self, started: Duration) {
+        self.evacuations.borrow_mut().record_failure(started, self.now());
+        self.evacuations_read.notify_waiters();
+    }
+
+    /// Returns whether an evacuation may be missing, as after a pause of the process.
+    pub fn are_evacuations_outdated(&self) -> bool {
+        let evacuate_time = self.settings.evacuate_time;
+        evacuate_time.is_some_and(|time| self.evacuations.borrow().is_outdated(self.now(), time))
+    }
+
+    /// Waits while an evacuation may be missing, at most until the platform counts as unavailable.
+    pub async fn wait_for_evacuations(&self) {
+        let since = Instant::now();
+        while self.are_evacuations_outdated() {
+            let time_left = EVACUATIONS_TIMEOUT.saturating_sub(since.elapsed());
+            if timeout(time_left, self.evacuations_read.notified()).await.is_err() {
+                tracing::warn!(event = "evacuations_unread");
+                self.record_evacuations_unread(self.now());
+            }
         }
     }
 
@@ -371,6 +467,7 @@
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
             && self.catalog.borrow().is_some()
+            && self.knows_evacuations()
             && self.backends.borrow().accepting_count() > 0
             && self.overload.borrow().is_ready(self.now())
     }
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -8,6 +8,7 @@
     backend::Entry,
     dialect::{Read, Source, Unavailable, Update},
     directory::Mode,
+    evacuation::{self, Listing},
     node::{Node, Origin},
     relisting::Relisting,
     subscription::wait_for_change,
@@ -69,8 +70,11 @@
             wait_for_change(&node, SUBSCRIBER_INTERVAL).await;
             continue;
         }
-        let read_ms = source.clock_ms();
+        let (read_ms, started) = (source.clock_ms(), node.now());
         let read = reachability.record(source.catalog(current_version).await);
+        if read.is_none() {
+            node.record_evacuations_unread(started);
+        }
         node.budgets.set_platform_reachable(read.is_some());
         let interval = if read.is_some() && current_version.is_some() {
             poll_interval(&node, mode)
@@ -81,7 +85,9 @@
             let era = source.era();
             record_operator_version(&node, era, &update);
             // Before what was read counts as the newest.
-            node.track_restore(&*source);
+            let since_restore = node.track_restore(&*source);
+            record_evacuations(&node, sent_at, since_restore, update.evacuated);
+            node.check_evacuations(&*source);
             if let Some(catalog) = update.changed {
                 wait_for_copy(&node, &*source).await;
                 node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
@@ -110,6 +116,20 @@
     own_reads.operator_version = version.map(|version| (era, version));
 }
 
+/// Puts the evacuations in force that a read of the operator's rows found.
+fn record_evacuations(
+    node: &Node,
+    sent_at: Instant,
+    since_restore: Option<Duration>,
+    listing: Listing,
+) {
+    let age = sent_at.elapsed();
+    let since_restore = since_restore.map(|restored| restored.saturating_sub(age));
+    let sent_at = node.now().saturating_sub(age);
+    node.evacuations.borrow_mut().record_read(sent_at, since_restore, listing);
+    node.apply_evacuations(evacuation::Origin::Operator);
+}
+
 /// Waits until the copy of the configuration is in force or the operator's may be.
 async fn wait_for_copy(node: &Node, source: &impl Source) {
     let since = Instant::now();
@@ -130,8 +150,13 @@
 /// as of the publisher's read if that found no newer one.
 fn is_catalog_published(node: &Node, source: &impl Source) -> bool {
     let Some(catalog) = node.catalog() else { return false };
+    let since_restore = node.track_restore(source);
+    if node.evacuations.borrow().is_read_due(node.now(), since_restore) {
+        return false;
+    }
     let directory = node.directory.borrow();
-    if catalog.version() < directory.config_version() {
+    // A publisher of an earlier version doesn't publish the evacuations.
+    if catalog.version() < directory.config_version() || directory.evacuated().is_none() {
         return false;
     }
     if let Some(age) = directory.age(node.moment(source))
