Hold a cold backend server to the cold rate of its service

A backend server that has just started accepts few requests per second and crashes far above that rate; hosts sent it as many as any other. The entry states for how long it stays cold, and the service at what rate, but neither was read.

The rate is now one more limit for all hosts together: its permits are numbered by the platform's clock and assigned by hash, so that no message is needed and the sum over all hosts is bounded, whoever sees the entry first. The lower of the cold rate and a stated limit counts, and the permits start anew when a cold time begins. The entry's rest becomes an end by an upper bound of the platform's clock when this update was first read, rounded up, so that it never ends early and the directory's row stays as it is from update to update. A row without cold servers is written as before.

Callers that find no permit are told when the next one is due, or when the first server isn't cold any more.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -603,6 +603,9 @@
     excluded: Excluded,
     retry_after: Option<Duration>,
 ) {
+    if to.is_none() {
+        job.node.metrics.not_placed(excluded);
+    }
     tracing::info!(
         event = "placed",
         id = %job.call.id,
@@ -613,6 +616,7 @@
         leaving = excluded.leaving,
         resting = excluded.resting,
         limited = excluded.limited,
+        cold = excluded.cold,
         retry_after_ms = retry_after.map(|time| time.as_millis() as u64),
         delay_ms = estimate.map(|estimate| estimate.latency_ms as u64),
         doubt_ms = estimate.map(|estimate| estimate.penalty_ms as u64),
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -32,6 +32,9 @@
 /// Number of remembered prompt parts at which expired ones are removed.
 const MAX_CACHED_PARTS: usize = 1024;
 
+/// Least difference in milliseconds by which the end of a cold time is moved to an earlier time.
+const MIN_COLD_DECREASE_MS: u64 = 1000;
+
 /// Entry of a backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -51,6 +54,8 @@
     pub started_unix_ms: u64,
     /// Number of the update that wrote the entry; rises with each update of one instance.
     pub sequence: u64,
+    /// End of the time for which it is cold, by the platform's clock in milliseconds; 0 if it isn't.
+    pub cold_until_ms: u64,
 }
 
 impl Entry {
@@ -61,6 +66,18 @@
             && self.service == other.service
     }
 
+    /// Returns the end of the cold time by this entry and a newer one of the same instance.
+    ///
+    /// Each entry is read some time after it was written, so that each end is an upper bound. A
+    /// slightly earlier one is no news, as each update would change it; a later one may be that of
+    /// another cold time.
+    pub fn newer_cold_until_ms(&self, newer: &Self) -> u64 {
+        let known = self.cold_until_ms;
+        let decrease_ms = known.saturating_sub(newer.cold_until_ms);
+        let is_news = newer.cold_until_ms == 0 || decrease_ms >= MIN_COLD_DECREASE_MS;
+        if is_news { newer.cold_until_ms } else { known.max(newer.cold_until_ms) }
+    }
+
     /// Returns whether this is an older entry of the same instance, as in a restored copy of the
     /// list. Without a start time a lower number may come from a restart.
     pub fn is_outdated_by(&self, newest: &Self) -> bool {
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -83,8 +83,17 @@
     pub event_tokens: u64,
 }
 
+/// What backend servers of a service accept while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Requests per second that each accepts from all hosts together.
+    pub per_s: f64,
+    /// Time for which each is cold after a start; zero if it isn't stated.
+    pub time: Duration,
+}
+
 /// A service that backend servers provide.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: Arc<str>,
@@ -92,6 +101,8 @@
     pub max_connections: usize,
     /// Properties of its backend servers if they are model engines.
     pub engine: Option<Engine>,
+    /// What its backend servers accept while they are cold, if that is limited.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on callers' requests and connections.
@@ -204,6 +215,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values().map(|service| &**service)
+    }
+
     /// Returns the workspace that holds a key.
     pub fn workspace_by_key(&self, key: &str) -> Option<&Rc<Workspace>> {
         self.keys.get(key)
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -12,6 +12,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -149,9 +150,23 @@
     Publish,
 }
 
-/// An entry in a row of the directory: id, service, address, zone, slots, draining, start time and
-/// sequence number.
-type CompactEntry = (Arc<str>, Arc<str>, std::net::SocketAddr, Arc<str>, u32, bool, u64, u64);
+/// An entry in a row of the directory: id, service, address, zone, slots, draining, start time,
+/// sequence number and, unless it is 0, the end of the cold time.
+///
+/// Hosts of a version that doesn't know the end can't read a row that states one; without cold
+/// backend servers all versions read each other's rows.
+#[derive(Debug, Serialize, Deserialize)]
+struct CompactEntry(
+    Arc<str>,
+    Arc<str>,
+    SocketAddr,
+    Arc<str>,
+    u32,
+    bool,
+    u64,
+    u64,
+    #[serde(default, skip_serializing_if = "is_zero")] u64,
+);
 
 /// A transaction of the publisher whose outcome isn't known.
 #[derive(Debug)]
@@ -456,7 +471,7 @@
 }
 
 fn compact(entry: &Entry) -> CompactEntry {
-    (
+    CompactEntry(
         entry.id.clone(),
         entry.service.clone(),
         entry.address,
@@ -465,12 +480,27 @@
         entry.draining,
         entry.started_unix_ms,
         entry.sequence,
+        entry.cold_until_ms,
     )
 }
 
 fn expand(compact: CompactEntry) -> Entry {
-    let (id, service, address, zone, slots, draining, started_unix_ms, sequence) = compact;
-    Entry { id, service, address, zone, slots, draining, started_unix_ms, sequence }
+    let CompactEntry(
+        id,
+        service,
+        address,
+        zone,
+        slots,
+        draining,
+        started_unix_ms,
+        sequence,
+        cold_until_ms,
+    ) = compact;
+    Entry { id, service, address, zone, slots, draining, started_unix_ms, sequence, cold_until_ms }
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// # Panics
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -10,11 +10,16 @@
 //! statements about a process of a backend server the newest counts, also one that names no limit
 //! any more.
 //!
+//! A backend server that is cold, by its entry or by assumption, takes no more than the cold rate of
+//! its service. While it is cold, the lower of both rates is in force. The cold time is a state that
+//! each host derives from the platform's clock.
+//!
 //! This suits a load of many hosts, each with requests all the time, and limits far below what the
 //! hosts would send.
 
 use std::time::Duration;
 
+mod cold;
 mod fleet;
 mod permits;
 mod report;
@@ -23,6 +28,7 @@
 mod statement;
 
 pub use self::{
+    cold::{Cold, ColdBasis, ColdBound},
     fleet::Fleet,
     permits::{Permit, Usage},
     report::Report,
@@ -43,6 +49,9 @@
 #[derive(Debug, Default)]
 pub struct Limit {
     statements: Statements,
+    cold: Cold,
+    /// Whether the backend server was cold at the last refresh.
+    is_cold: bool,
     permits: Permits,
 }
 
@@ -94,20 +103,62 @@
         self.statements.newest()
     }
 
-    /// Returns the requests per second that all hosts together may send, if there is a limit.
-    pub fn per_s(&self) -> Option<f64> {
+    /// Returns the requests per second that the newest statement names, if it names a limit.
+    pub fn stated_per_s(&self) -> Option<f64> {
         let (statement, _) = self.newest()?;
         statement.per_s.map(|per_s| per_s.clamp(MIN_RATE_PER_S, MAX_RATE_PER_S))
     }
 
+    /// Returns what is known of the cold time.
+    pub fn cold(&self) -> &Cold {
+        &self.cold
+    }
+
+    /// Returns what is known of the cold time, to be changed; it takes effect at the next refresh.
+    pub fn cold_mut(&mut self) -> &mut Cold {
+        &mut self.cold
+    }
+
+    /// Returns the cold rate if it was in force at the last refresh: the backend server was cold, and
+    /// named no lower limit.
+    pub fn cold_per_s(&self) -> Option<f64> {
+        let cold = self.cold.per_s().filter(|_| self.is_cold)?.min(MAX_RATE_PER_S);
+        self.stated_per_s().is_none_or(|stated| cold < stated).then_some(cold)
+    }
+
+    /// Returns the requests per second that all hosts together may send, if there is a limit or the
+    /// backend server was cold at the last refresh.
+    pub fn per_s(&self) -> Option<f64> {
+        self.cold_per_s().or_else(|| self.stated_per_s())
+    }
+
     /// Adds the permits that were issued meanwhile and removes those that expired; `backend` is the
     /// hash of the backend server's id.
     pub fn refresh(&mut self, now: Duration, fleet: &Fleet, backend: u64) {
+        self.refresh_cold(now, fleet);
         if let Some(per_s) = self.per_s() {
             self.permits.refresh(now, per_s, fleet, backend);
         }
     }
 
+    /// Takes over whether the backend server is cold. A cold time that begins invalidates the permits
+    /// of a higher rate.
+    fn refresh_cold(&mut self, now: Duration, fleet: &Fleet) {
+        if self.cold.is_unknown() && !self.is_cold {
+            return;
+        }
+        let platform_ms = fleet.platform_ms(now);
+        let is_cold = self.cold.basis(now, platform_ms).is_some();
+        if is_cold == self.is_cold {
+            return;
+        }
+        let former = self.per_s();
+        self.is_cold = is_cold;
+        if self.per_s() != former && (is_cold || self.per_s().is_none()) {
+            self.permits.restart(platform_ms.unwrap_or_default());
+        }
+    }
+
     /// Returns how many permits this host got and used since the process started to know limits of
     /// the backend server.
     pub fn usage(&self) -> Usage {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,11 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::{node::Node, placement::Backends};
+use crate::{
+    limit::ColdBasis,
+    node::Node,
+    placement::{Backends, Excluded},
+};
 
 /// Bucket bounds of the latency histograms in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -35,6 +39,8 @@
     limits: Gauge<f64>,
     permits_issued: Gauge<u64>,
     permits_used: Gauge<u64>,
+    cold: Gauge<u64>,
+    not_placed: Counter<u64>,
 }
 
 impl Metrics {
@@ -92,6 +98,16 @@
                 "laburnum_backend_permits_used",
                 "Requests that this host sent to a limited backend server so far",
             ),
+            cold: gauge(
+                "laburnum_cold_backends",
+                "Backend servers that are cold, by their entries or by assumption",
+            ),
+            not_placed: meter
+                .u64_counter("laburnum_requests_not_placed")
+                .with_description(
+                    "Requests that found no permit, by what bound the backend servers",
+                )
+                .build(),
             registry,
             provider,
         })
@@ -110,17 +126,29 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that was placed nowhere, once for each kind of bound that left backend servers
+    /// without a permit.
+    pub fn not_placed(&self, excluded: Excluded) {
+        for (bound, servers) in [("cold", excluded.cold), ("limited", excluded.limited)] {
+            self.not_placed.add(u64::from(servers > 0), &[KeyValue::new("bound", bound)]);
+        }
+    }
+
     /// Counts a caller's connection that this host closes.
     pub fn connection_closed(&self, reason: &'static str) {
         self.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    fn record_limits(&self, backends: &Backends) {
+    fn record_limits(&self, now: Duration, backends: &Backends) {
+        for (basis, name) in [(ColdBasis::Entry, "entry"), (ColdBasis::Assumption, "assumption")] {
+            let cold = backends.cold(now).filter(|(_, found)| *found == basis).count();
+            self.cold.record(cold as u64, &[KeyValue::new("basis", name)]);
+        }
         for backend in backends.limited() {
             let id = [KeyValue::new("backend", backend.entry.id.to_string())];
             let usage = backend.limit.usage();
             // A limit that was withdrawn is one without bounds.
-            self.limits.record(backend.limit.per_s().unwrap_or(f64::INFINITY), &id);
+            self.limits.record(backend.limit.stated_per_s().unwrap_or(f64::INFINITY), &id);
             self.permits_issued.record(usage.issued, &id);
             self.permits_used.record(usage.used, &id);
         }
@@ -141,7 +169,7 @@
         self.ready.record(u64::from(node.is_ready()), &[]);
         let quarantined = node.quarantine.borrow().parts(node.now()).len();
         self.quarantined.record(quarantined as u64, &[]);
-        self.record_limits(&node.backends.borrow());
+        self.record_limits(node.now(), &node.backends.borrow());
         self.provider.force_flush().wrap_err("step=flush metrics")?;
         TextEncoder::new().encode_to_string(&self.registry.gather()).wrap_err("step=encode metrics")
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,7 +26,7 @@
     era::EraStart,
     freshness::{Freshness, Versions},
     lender::Site,
-    limit,
+    limit::{self, ColdBound},
     metrics::Metrics,
     overload::{Capacity, Overload},
     peer::{PeerInfo, Peers},
@@ -78,6 +78,8 @@
     pub apply_time: Duration,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
+    /// What a cold backend server takes beyond its rate.
+    pub cold_bound: ColdBound,
     /// Limit on the retries of all hosts together.
     pub retry_limit: RetryLimit,
     /// Resources of this host.
@@ -260,6 +262,9 @@
         let is_newer = self.catalog().is_none_or(|current| current.version() < catalog.version());
         if is_newer {
             self.budgets.configure(&catalog);
+            let services = catalog.services();
+            let starts = services.filter_map(|own| Some((own.name.clone(), own.cold_start?)));
+            self.backends.borrow_mut().set_cold_starts(self.settings.cold_bound, starts);
             *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         }
         is_newer
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -9,6 +9,7 @@
 //! with long shared prompts. For plain services the least loaded backend server is chosen,
 //! preferably in this host's zone.
 
+mod cold;
 mod limited;
 
 use std::{
@@ -23,7 +24,8 @@
 pub use self::limited::Limited;
 use crate::{
     backend::{Backend, Entry, HealthSignal, Load},
-    limit::Fleet,
+    catalog::ColdStart,
+    limit::{ColdBound, Fleet},
     request::Prompt,
 };
 
@@ -141,6 +143,8 @@
     pub resting: usize,
     /// They named a limit, under which this host may send nothing now.
     pub limited: usize,
+    /// They are cold, and this host may send nothing now.
+    pub cold: usize,
 }
 
 /// Estimate for a backend server, and the facts behind it.
@@ -163,6 +167,8 @@
 struct Zone {
     last_heard_at: Duration,
     unreachable_at: Option<Duration>,
+    /// When its backend servers were last assumed to become cold.
+    cold_since: Option<Duration>,
 }
 
 impl Zone {
@@ -185,6 +191,9 @@
     fleet: Fleet,
     /// Until when refused callers of a service were told to wait, while its limits are used up.
     limited_until: HashMap<Arc<str>, Duration>,
+    /// What cold backend servers accept, by their service.
+    cold_starts: HashMap<Arc<str>, ColdStart>,
+    cold_bound: ColdBound,
     rng: StdRng,
 }
 
@@ -197,6 +206,8 @@
             zones: HashMap::new(),
             fleet: Fleet::new(host),
             limited_until: HashMap::new(),
+            cold_starts: HashMap::new(),
+            cold_bound: ColdBound::default(),
             rng,
         }
     }
@@ -236,7 +247,7 @@
         match self.zones.get_mut(&backend.entry.zone) {
             Some(zone) => zone.last_heard_at = now,
             None => {
-                let zone = Zone { last_heard_at: now, unreachable_at: None };
+                let zone = Zone { last_heard_at: now, ..Zone::default() };
                 self.zones.insert(backend.entry.zone.clone(), zone);
             }
         }
@@ -292,6 +303,7 @@
         let mut listed = BTreeSet::new();
         for entry in list {
             let id = entry.id.clone();
+            let mut is_new = false;
             match self.backends.get_mut(&id) {
                 Some(current) if entry.is_outdated_by(&current.entry) => {}
                 Some(current) if current.entry.is_same_instance(&entry) => {
@@ -306,15 +318,18 @@
                         continue;
                     }
                     Some((_, former)) if former.entry.is_same_instance(&entry) => {
+                        is_new = true;
                         changed.push(id.clone());
                         self.backends.insert(id.clone(), former.relist(entry));
                     }
                     _ => {
+                        is_new = true;
                         changed.push(id.clone());
                         self.backends.insert(id.clone(), Backend::new(entry));
                     }
                 },
             }
+            self.update_cold(now, &id, is_new);
             listed.insert(id);
         }
         if !keep_unlisted {
@@ -415,7 +430,10 @@
             } else if backend.is_resting(now) {
                 excluded.resting += 1;
             } else if !backend.limit.allows_request() {
-                excluded.limited += 1;
+                match backend.limit.cold_per_s() {
+                    Some(_) => excluded.cold += 1,
+                    None => excluded.limited += 1,
+                }
             }
         }
         excluded
@@ -434,10 +452,14 @@
     }
 }
 
-/// Takes over a newer entry of an instance; returns whether its content changed.
+/// Takes over a newer entry of an instance; returns whether its content changed beside its cold
+/// time, which doesn't concern connections.
 fn update_entry(current: &mut Entry, newer: Entry) -> bool {
-    let newer = Entry { draining: current.draining || newer.draining, ..newer };
-    let is_changed = Entry { sequence: newer.sequence, ..current.clone() } != newer;
+    let cold_until_ms = current.newer_cold_until_ms(&newer);
+    let draining = current.draining || newer.draining;
+    let newer = Entry { draining, cold_until_ms, ..newer };
+    let former = Entry { sequence: newer.sequence, cold_until_ms, ..current.clone() };
+    let is_changed = former != newer;
     *current = newer;
     is_changed
 }
--- a/crates/gateway/src/placement/limited.rs
+++ b/crates/gateway/src/placement/limited.rs
@@ -14,6 +14,10 @@
 /// what is served within it are spread over its second half.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Time after the end of a cold time over which callers are spread, so that they don't return at the
+/// same moment.
+const WARM_SPREAD: Duration = Duration::from_millis(500);
+
 /// A limited backend server gets no request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limited;
@@ -39,9 +43,9 @@
         else {
             return false;
         };
-        let former = backend.limit.per_s();
+        let former = backend.limit.stated_per_s();
         backend.limit.record_own(sent_ms, now_ms, per_s, || self.rng.random_range(0.0..1.0));
-        let is_changed = backend.limit.per_s() != former;
+        let is_changed = backend.limit.stated_per_s() != former;
         if is_changed {
             log_limit(backend, former, now_ms, None);
         }
@@ -55,9 +59,9 @@
         };
         for backend in self.backends.values_mut() {
             let Some((statement, host)) = sharing.statement(&backend.entry) else { continue };
-            let former = backend.limit.per_s();
+            let former = backend.limit.stated_per_s();
             backend.limit.record_shared(now_ms, statement, || self.rng.random_range(0.0..1.0));
-            if backend.limit.per_s() != former {
+            if backend.limit.stated_per_s() != former {
                 log_limit(backend, former, now_ms, Some(&host));
             }
         }
@@ -96,19 +100,31 @@
     }
 
     /// Returns the time until the limits of a service's backend servers allow one more request than
-    /// those for which callers were told to wait before; `None` if there are no limits.
+    /// those for which callers were told to wait before, or until the first backend server without
+    /// a limit isn't cold any more, plus a random part; `None` if there are no limits.
     pub(super) fn limited_retry_after(&mut self, now: Duration, service: &str) -> Option<Duration> {
         let takes_requests =
             |backend: &&Backend| *backend.entry.service == *service && !backend.is_leaving();
         let limited = self.backends.values().filter(takes_requests);
-        let per_s: f64 = limited.filter_map(|backend| backend.limit.per_s()).sum();
+        let per_s: f64 = limited.clone().filter_map(|backend| backend.limit.per_s()).sum();
         if per_s <= 0.0 {
             return None;
         }
+        let platform_ms = self.fleet.platform_ms(now);
+        let cold = limited.filter(|own| own.limit.cold_per_s().is_some());
+        let soon_warm = cold
+            .filter(|own| own.limit.stated_per_s().is_none())
+            .map(|own| own.limit.cold().time_left(now, platform_ms))
+            .min()
+            .filter(|time| *time < MAX_LIMITED_RETRY_AFTER);
         let share_per_s = per_s / self.fleet.hosts() as f64;
         let turn = Duration::from_secs_f64((1.0 / share_per_s).min(60.0));
         let told_until = self.limited_until.get(service).copied().unwrap_or_default();
         let next = told_until.max(now) + turn;
+        if let Some(time) = soon_warm.filter(|time| now + *time < next) {
+            let spread = WARM_SPREAD.as_secs_f64();
+            return Some(time + Duration::from_secs_f64(self.rng.random_range(0.0..spread)));
+        }
         let latest = now + MAX_LIMITED_RETRY_AFTER;
         self.limited_until.insert(service.into(), next.min(latest));
         if next <= latest {
@@ -124,7 +140,7 @@
     tracing::info!(
         event = "backend_limit",
         backend = %backend.entry.id,
-        per_s = backend.limit.per_s(),
+        per_s = backend.limit.stated_per_s(),
         former,
         stated = statement.and_then(|(statement, _)| statement.per_s),
         source = statement.map(|(_, origin)| match origin {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -98,6 +98,7 @@
         draining: false,
         started_unix_ms: 1,
         sequence: 1,
+        cold_until_ms: 0,
     }
 }
 
@@ -369,6 +370,79 @@
     assert_eq!(directory.mode(moment), Mode::Direct);
 }
 
+/// Hosts of versions that know no cold time wrote rows without its end, and read such rows only.
+#[test]
+fn entry_states_the_end_of_a_cold_time_only_if_there_is_one() {
+    struct Case {
+        name: &'static str,
+        row: &'static str,
+        /// End of the cold time, if the entry can be read.
+        until: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "without an end",
+            row: r#"[["i-0","s","127.0.0.1:1","a",4,false,1,1]]"#,
+            until: Some(0),
+        },
+        Case {
+            name: "with an end",
+            row: r#"[["i-0","s","127.0.0.1:1","a",4,false,1,1,8000]]"#,
+            until: Some(8000),
+        },
+        Case {
+            name: "with an end that is none",
+            row: r#"[["i-0","s","127.0.0.1:1","a",4,false,1,1,"soon"]]"#,
+            until: None,
+        },
+    ];
+    for case in cases {
+        let mut directory = Directory::new("h-1".into(), Timing::new(APPLY), 0, false);
+        let key = "directory/all/b01".into();
+        let row = Row { key, value: Some(case.row.into()), revision: 1 };
+        directory.apply(&Changes { rows: vec![row], through: 1 }, true);
+        let entries = directory.backends();
+        let found = entries.first().map(|entry| entry.cold_until_ms);
+        assert_eq!(found, case.until, "{}", case.name);
+    }
+    let mut fleet = Fleet::new(20, 1);
+    fleet.platform.backends[0].cold_until_ms = 8000;
+    for until in [8000, 0] {
+        fleet.platform.backends[0].cold_until_ms = until;
+        fleet.run(3_000);
+        let is_backend_row =
+            |row: &&Row| row.key.starts_with("directory/all/b") && !row.key.ends_with("beat");
+        let row = fleet.platform.rows.values().find(is_backend_row);
+        let text = row.and_then(|row| row.value.clone()).expect("published");
+        assert_eq!(text.contains("8000"), until == 8000, "{text}");
+        assert_eq!(text.matches(',').count(), if until == 8000 { 8 } else { 7 }, "{text}");
+    }
+}
+
+/// An end that stays is published once, although each update of the entry has another number.
+#[test]
+fn cold_backend_servers_are_published_once() {
+    let mut fleet = Fleet::new(40, 300);
+    fleet.run(5_000);
+    for entry in fleet.platform.backends.iter_mut().take(20) {
+        entry.cold_until_ms = 9_500;
+    }
+    fleet.run(500);
+    let is_known = |host: &Host| {
+        let entries = host.directory.backends();
+        entries.iter().filter(|entry| entry.cold_until_ms == 9_500).count() == 20
+    };
+    assert!(fleet.hosts.iter().all(is_known));
+    let revisions = |fleet: &Fleet| -> Vec<u64> {
+        let rows = fleet.platform.rows.values();
+        let published = rows.filter(|row| row.key.starts_with("directory/all/b"));
+        published.filter(|row| !row.key.ends_with("beat")).map(|row| row.revision).collect()
+    };
+    let published = revisions(&fleet);
+    fleet.run(3_000);
+    assert_eq!(revisions(&fleet), published);
+}
+
 /// As while a service is replaced: hosts that read everything would load the platform on which the
 /// publisher waits.
 #[test]
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -1,6 +1,8 @@
 //! Limits that backend servers name for all hosts together, and the loads for which permits are
 //! made.
 
+#[path = "limit/cold.rs"]
+mod cold;
 #[path = "limit/simulation.rs"]
 mod simulation;
 
@@ -364,6 +366,7 @@
         draining: false,
         started_unix_ms,
         sequence: 1,
+        cold_until_ms: 0,
     }
 }
 
--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -357,6 +357,7 @@
         draining: false,
         started_unix_ms: 1,
         sequence: 1,
+        cold_until_ms: 0,
     };
     (0..count).map(entry).collect()
 }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -22,6 +22,7 @@
         draining: false,
         started_unix_ms: 1,
         sequence: 1,
+        cold_until_ms: 0,
     }
 }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -138,6 +138,7 @@
             draining: false,
             started_unix_ms: self.started_unix_ms,
             sequence: 1,
+            cold_until_ms: 0,
         };
         self.hosts[host].record_end(self.now, self.now, &backend, requests);
     }
