--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -3,6 +3,8 @@
 
 #[path = "limit/cold.rs"]
 mod cold;
+#[path = "limit/cold_load.rs"]
+mod cold_load;
 #[path = "limit/simulation.rs"]
 mod simulation;
 
--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -1,12 +1,13 @@
 //! Hosts that share limited backend servers, without a network, on a clock of their own.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use coordination::table::{Outcome, Row, Txn};
 use gateway::{
-    backend::Entry,
+    backend::{Entry, HealthSignal},
+    catalog::ColdStart,
     dialect::Changes,
-    limit::Sharing,
+    limit::{ColdBound, Sharing},
     placement::{Backends, Decision, Requirements},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -44,6 +45,27 @@
 /// Time from a request to its response.
 const RESPONSE_MS: u64 = 30;
 
+/// Cold rate and cold time of the service if its backend servers may be cold.
+pub const COLD_START: ColdStart = ColdStart { per_s: 9.9, time: Duration::from_secs(3) };
+
+/// Interval at which backend servers write their entries.
+const ENTRY_INTERVAL_MS: u64 = 1200;
+
+/// Longest time from the write of an entry until hosts can read it.
+const MAX_ENTRY_DELAY_MS: u64 = 300;
+
+/// Interval at which hosts read the entries, each at its own time.
+const READ_INTERVAL_MS: u64 = 1000;
+
+/// Time after its last update from which the entry of a server that ended is gone.
+const ENTRY_LIFETIME_MS: u64 = 2400;
+
+/// Longest time until a host learns that an evacuation has ended.
+const MAX_LEARN_MS: u64 = 1000;
+
+/// Number of backend servers that a request is sent to before its caller is refused.
+const MAX_ATTEMPTS: usize = 3;
+
 /// What happens to some hosts or to a backend server.
 #[derive(Debug, Clone, Copy)]
 pub enum Fault {
@@ -59,6 +81,14 @@
     Cut { first: usize, count: usize, for_ms: u64 },
     /// A backend server names another limit from now on; infinity for none.
     Name { server: usize, per_s: f64 },
+    /// Backend servers end, and start again under their ids after a time, cold.
+    Restart { first: usize, count: usize, after_ms: u64 },
+    /// Backend servers that run become cold.
+    Chill { first: usize, count: usize },
+    /// All hosts send nothing to backend servers.
+    Evacuate { first: usize, count: usize },
+    /// That ends, and the backend servers are cold.
+    EndEvacuation { first: usize, count: usize },
 }
 
 /// Requests of callers, and what backend servers take.
@@ -83,6 +113,37 @@
     sharing: Sharing,
     /// Version of the table up to which it was read.
     read_version: u64,
+    /// Entries that it has read of servers that may be cold.
+    entries: Vec<Option<Entry>>,
+    /// When it learns that the evacuation of a server has ended.
+    learns_ms: Vec<Option<u64>>,
+}
+
+/// An update of a server's entry.
+#[derive(Debug, Clone, Copy)]
+struct Update {
+    started_ms: u64,
+    sequence: u64,
+    /// Time for which the server stays cold.
+    remaining_ms: u64,
+    written_ms: u64,
+    /// When hosts can read it.
+    visible_ms: u64,
+}
+
+/// A backend server that may be cold.
+#[derive(Debug, Clone, Default)]
+struct Server {
+    /// When its process started or starts.
+    started_ms: u64,
+    cold_until_ms: u64,
+    sequence: u64,
+    next_write_ms: u64,
+    /// Newest updates of its entry, the newest last.
+    updates: Vec<Update>,
+    is_evacuated: bool,
+    /// Times in which it was cold.
+    cold_times: Vec<Range<u64>>,
 }
 
 /// A response on its way.
@@ -107,9 +168,29 @@
     responses: Vec<Response>,
     arrivals: Vec<Vec<u64>>,
     refused: usize,
+    /// Backend servers if they may be cold; none otherwise.
+    servers: Vec<Server>,
+    /// Times at which callers were served and refused.
+    outcomes: Vec<(u64, bool)>,
 }
 
 impl Simulation {
+    /// Creates hosts of a service whose backend servers may be cold; none of them is at first.
+    pub fn with_cold_servers(seed: u64, hosts: usize, demand_per_s: f64, servers: usize) -> Self {
+        let limits = vec![f64::INFINITY; servers].leak();
+        let mut simulation = Self::new(seed, 0, Load { demand_per_s, limits });
+        simulation.servers = (0..servers as u64)
+            .map(|number| Server {
+                started_ms: 1,
+                next_write_ms: CLOCK_START_MS + number * 370 % ENTRY_INTERVAL_MS,
+                ..Server::default()
+            })
+            .collect();
+        simulation.write_entries();
+        (0..hosts).for_each(|_| simulation.add_host());
+        simulation
+    }
+
     pub fn new(seed: u64, hosts: usize, load: Load) -> Self {
         let mut simulation = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -122,6 +203,8 @@
             responses: Vec::new(),
             arrivals: vec![Vec::new(); load.limits.len()],
             refused: 0,
+            servers: Vec::new(),
+            outcomes: Vec::new(),
         };
         (0..hosts).for_each(|_| simulation.add_host());
         simulation
@@ -134,6 +217,7 @@
             let now_ms = self.now_ms;
             let due = faults.iter().filter(|(at, _)| at + TRAFFIC_START_MS == now_ms);
             due.for_each(|(_, fault)| self.inject(*fault));
+            self.write_entries();
             self.deliver();
             for index in 0..self.hosts.len() {
                 self.step_host(index);
@@ -157,6 +241,87 @@
         self.arrivals[server].iter().copied().filter(is_in_span).collect()
     }
 
+    /// Returns the times in which a server was cold, since the start of traffic.
+    pub fn cold_times(&self, server: usize) -> Vec<Range<u64>> {
+        let since_traffic = |at: u64| at - TRAFFIC_START_MS;
+        let times = self.servers[server].cold_times.iter();
+        times.map(|time| since_traffic(time.start)..since_traffic(time.end)).collect()
+    }
+
+    /// Returns the numbers of callers that were served and refused in a span of time since the start
+    /// of traffic.
+    pub fn served_and_refused(&self, span: Range<u64>) -> (usize, usize) {
+        let is_in_span = |at: u64| span.contains(&(at - TRAFFIC_START_MS));
+        let outcomes = self.outcomes.iter().filter(|(at, _)| is_in_span(*at));
+        let served = outcomes.clone().filter(|(_, is_served)| *is_served).count();
+        (served, outcomes.count() - served)
+    }
+
+    /// Writes the entries of the servers that run.
+    fn write_entries(&mut self) {
+        let now_ms = self.now_ms;
+        for server in &mut self.servers {
+            if now_ms < server.started_ms || now_ms < server.next_write_ms {
+                continue;
+            }
+            server.next_write_ms = now_ms + ENTRY_INTERVAL_MS;
+            server.sequence += 1;
+            server.updates.push(Update {
+                started_ms: server.started_ms,
+                sequence: server.sequence,
+                remaining_ms: server.cold_until_ms.saturating_sub(now_ms),
+                written_ms: now_ms,
+                visible_ms: now_ms + self.rng.random_range(0..MAX_ENTRY_DELAY_MS),
+            });
+            let excess = server.updates.len().saturating_sub(3);
+            server.updates.drain(..excess);
+        }
+    }
+
+    /// Lets a host read the entries if that is due.
+    fn read_entries(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let host = &mut self.hosts[index];
+        let is_due = host.started_ms == now_ms
+            || (now_ms + STEP_MS * 7 * index as u64).is_multiple_of(READ_INTERVAL_MS);
+        let learns: Vec<usize> = (0..host.learns_ms.len())
+            .filter(|server| host.learns_ms[*server].is_some_and(|at| at <= now_ms))
+            .collect();
+        if self.servers.is_empty() || !(is_due || !learns.is_empty()) {
+            return;
+        }
+        let now = Duration::from_millis(now_ms - host.started_ms);
+        for (number, server) in self.servers.iter().enumerate() {
+            let visible = server.updates.iter().rfind(|update| update.visible_ms <= now_ms);
+            let is_listed = |update: &&Update| now_ms < update.written_ms + ENTRY_LIFETIME_MS;
+            let known = host.entries[number].take();
+            host.entries[number] = visible.filter(is_listed).map(|update| {
+                let is_known = |entry: &Entry| {
+                    entry.started_unix_ms == update.started_ms && entry.sequence == update.sequence
+                };
+                known.filter(is_known).unwrap_or_else(|| Entry {
+                    started_unix_ms: update.started_ms,
+                    sequence: update.sequence,
+                    cold_until_ms: match update.remaining_ms {
+                        0 => 0,
+                        rest => (now_ms + rest).next_multiple_of(500),
+                    },
+                    zone: format!("z{number}").into(),
+                    ..entry(number)
+                })
+            });
+            if learns.contains(&number) {
+                host.backends.assume_cold(now, &format!("z{number}"));
+                host.learns_ms[number] = None;
+            }
+        }
+        let is_known_evacuated =
+            |number: usize| host.learns_ms[number].is_some() || self.servers[number].is_evacuated;
+        let listed = host.entries.iter().enumerate().filter(|own| !is_known_evacuated(own.0));
+        let list = listed.filter_map(|(_, entry)| entry.clone()).collect();
+        host.backends.replace(now, list, false);
+    }
+
     /// Returns the number of requests that were refused.
     pub fn refused(&self) -> usize {
         self.refused
@@ -175,6 +340,8 @@
             backends: Backends::new("", StdRng::seed_from_u64(0)),
             sharing: Sharing::new("".into()),
             read_version: 0,
+            entries: vec![None; self.servers.len()],
+            learns_ms: vec![None; self.servers.len()],
         };
         self.hosts.push(host);
         self.start_process(self.hosts.len() - 1);
@@ -186,7 +353,13 @@
         host.runs = true;
         host.started_ms = self.now_ms;
         host.backends = Backends::new(&host.name, StdRng::seed_from_u64(seed));
-        host.backends.replace(Duration::ZERO, entries(self.limits.len()), false);
+        if self.servers.is_empty() {
+            host.backends.replace(Duration::ZERO, entries(self.limits.len()), false);
+        } else {
+            host.backends.set_cold_starts(ColdBound::default(), [("s".into(), COLD_START)]);
+            host.entries.fill(None);
+            host.learns_ms.fill(None);
+        }
         host.sharing = Sharing::new(host.name.clone());
         host.read_version = 0;
     }
@@ -212,6 +385,31 @@
                 }
             }
             Fault::Name { server, per_s } => self.limits[server] = per_s,
+            Fault::Restart { first, count, after_ms } => {
+                let at_ms = self.now_ms + after_ms;
+                for server in &mut self.servers[first..first + count] {
+                    (server.started_ms, server.next_write_ms) = (at_ms, at_ms);
+                    server.chill(at_ms);
+                }
+            }
+            Fault::Chill { first, count } => {
+                let servers = self.servers[first..first + count].iter_mut();
+                servers.for_each(|server| server.chill(self.now_ms));
+            }
+            Fault::Evacuate { first, count } => {
+                let servers = self.servers[first..first + count].iter_mut();
+                servers.for_each(|server| server.is_evacuated = true);
+            }
+            Fault::EndEvacuation { first, count } => {
+                for number in first..first + count {
+                    self.servers[number].is_evacuated = false;
+                    self.servers[number].chill(self.now_ms);
+                    for host in &mut self.hosts {
+                        let after_ms = self.rng.random_range(0..MAX_LEARN_MS);
+                        host.learns_ms[number] = Some(self.now_ms + after_ms);
+                    }
+                }
+            }
             Fault::Cut { first, count, for_ms } => {
                 for host in &mut self.hosts[first..first + count] {
                     host.cut_until_ms = self.now_ms + for_ms;
@@ -255,6 +453,7 @@
         }
         if now_ms >= self.hosts[index].cut_until_ms {
             self.talk_to_platform(index);
+            self.read_entries(index);
         }
         let demand = self.demand_per_s * STEP_MS as f64 / 1000.0;
         if now_ms >= TRAFFIC_START_MS && self.rng.random_bool(demand) {
@@ -302,29 +501,51 @@
     fn send(&mut self, index: usize) {
         let host = &mut self.hosts[index];
         let now = Duration::from_millis(self.now_ms - host.started_ms);
-        let requirements = Requirements {
-            service: "s",
-            zone: "a",
-            prompt: None,
-            tried: &[],
-            target_latency: Duration::from_secs(1),
-            time_left: Duration::from_secs(5),
-        };
-        let Decision::Send { to, .. } = host.backends.place(now, &requirements) else {
-            self.refused += 1;
+        let mut tried = Vec::new();
+        while tried.len() < MAX_ATTEMPTS {
+            let requirements = Requirements {
+                service: "s",
+                zone: "a",
+                prompt: None,
+                tried: &tried,
+                target_latency: Duration::from_secs(1),
+                time_left: Duration::from_secs(5),
+            };
+            let Decision::Send { to, .. } = host.backends.place(now, &requirements) else { break };
+            let permit = host.backends.take_permit(now, &to.id).expect("a placed one has a permit");
+            host.backends.get_mut(&to.id).expect("listed").start_request(now, None, 0);
+            let server: usize = to.id[1..].parse().expect("a number");
+            if self.servers.get(server).is_some_and(|server| self.now_ms < server.started_ms) {
+                host.backends.finish_request(now, &to.id, HealthSignal::Unreachable);
+                permit.into_iter().for_each(|permit| host.backends.put_back_permit(&to.id, permit));
+                tried.push(to.id);
+                continue;
+            }
+            self.arrivals[server].push(self.now_ms);
+            self.outcomes.push((self.now_ms, true));
+            self.responses.push(Response {
+                at_ms: self.now_ms + RESPONSE_MS,
+                host: index,
+                server,
+                sent_ms: self.now_ms,
+                started_ms: host.started_ms,
+            });
             return;
-        };
-        host.backends.take_permit(now, &to.id).expect("a placed request has a permit");
-        host.backends.get_mut(&to.id).expect("listed").start_request(now, None, 0);
-        let server: usize = to.id[1..].parse().expect("a number");
-        self.arrivals[server].push(self.now_ms);
-        self.responses.push(Response {
-            at_ms: self.now_ms + RESPONSE_MS,
-            host: index,
-            server,
-            sent_ms: self.now_ms,
-            started_ms: host.started_ms,
-        });
+        }
+        self.refused += 1;
+        self.outcomes.push((self.now_ms, false));
+    }
+}
+
+impl Server {
+    /// Makes it cold at a time.
+    fn chill(&mut self, at_ms: u64) {
+        let until_ms = at_ms + COLD_START.time.as_millis() as u64;
+        self.cold_until_ms = until_ms;
+        match self.cold_times.last_mut() {
+            Some(last) if at_ms <= last.end => last.end = until_ms,
+            _ => self.cold_times.push(at_ms..until_ms),
+        }
     }
 }
 
@@ -348,7 +569,11 @@
 }
 
 fn entries(count: usize) -> Vec<Entry> {
-    let entry = |number| Entry {
+    (0..count).map(entry).collect()
+}
+
+fn entry(number: usize) -> Entry {
+    Entry {
         id: server_id(number).into(),
         service: "s".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
@@ -358,8 +583,7 @@
         started_unix_ms: 1,
         sequence: 1,
         cold_until_ms: 0,
-    };
-    (0..count).map(entry).collect()
+    }
 }
 
 /// Returns the largest number of arrivals in a window.
