--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -31,7 +31,7 @@
     cold::{Cold, ColdBasis, ColdBound},
     fleet::Fleet,
     permits::{Permit, Usage},
-    report::Report,
+    report::{ColdBackend, Report},
     row::{LIMIT_PREFIX, LimitRow},
     sharing::Sharing,
     statement::{Origin, Statement},
--- a/crates/gateway/src/limit/report.rs
+++ b/crates/gateway/src/limit/report.rs
@@ -1,4 +1,4 @@
-//! What the rows of limits say, for operators.
+//! What the rows of limits and the entries of cold backend servers say, for operators.
 
 use std::{fmt, sync::Arc};
 
@@ -6,6 +6,20 @@
 use serde::Serialize;
 
 use super::row::LimitRow;
+use crate::{backend::Entry, catalog::Catalog};
+
+/// A backend server that is cold.
+#[derive(Debug, Serialize)]
+pub struct ColdBackend {
+    /// Id of the backend server.
+    pub backend: Arc<str>,
+    /// Service that it provides.
+    pub service: Arc<str>,
+    /// Requests per second that it takes by its service's configuration, if that states it.
+    pub per_s: Option<f64>,
+    /// Time in milliseconds for which it stays cold, at most.
+    pub left_ms: u64,
+}
 
 /// Limits as all hosts share them.
 #[derive(Debug, Default, Serialize)]
@@ -14,6 +28,8 @@
     pub now_ms: u64,
     /// Newest statement about each backend server; one without a rate names no limit any more.
     pub limits: Vec<LimitRow>,
+    /// Backend servers that are cold by their entries.
+    pub cold: Vec<ColdBackend>,
     /// Keys of rows that can't be read.
     pub unreadable: Vec<Arc<str>>,
 }
@@ -31,6 +47,24 @@
         report.limits.sort_by(|one, other| one.backend.cmp(&other.backend));
         report
     }
+
+    /// Adds the backend servers that are cold.
+    #[must_use]
+    pub fn with_cold(mut self, entries: &[Entry], catalog: Option<&Catalog>) -> Self {
+        let per_s = |service: &str| {
+            let cold_start = catalog?.service(service)?.cold_start?;
+            Some(cold_start.per_s)
+        };
+        let is_cold = |entry: &&Entry| self.now_ms < entry.cold_until_ms;
+        let cold = entries.iter().filter(is_cold).map(|entry| ColdBackend {
+            backend: entry.id.clone(),
+            service: entry.service.clone(),
+            per_s: per_s(&entry.service),
+            left_ms: entry.cold_until_ms - self.now_ms,
+        });
+        self.cold = cold.collect();
+        self
+    }
 }
 
 impl fmt::Display for Report {
@@ -44,6 +78,14 @@
                 limit.backend, limit.started_unix_ms, limit.host,
             )?;
         }
+        for cold in &self.cold {
+            let rate = cold.per_s.map_or("none".to_owned(), |per_s| per_s.to_string());
+            writeln!(
+                f,
+                "cold={} service={} per_s={rate} left_ms={}",
+                cold.backend, cold.service, cold.left_ms,
+            )?;
+        }
         for key in &self.unreadable {
             writeln!(f, "unreadable={key}")?;
         }
