--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -287,7 +287,7 @@
         let learns: Vec<usize> = (0..host.learns_ms.len())
             .filter(|server| host.learns_ms[*server].is_some_and(|at| at <= now_ms))
             .collect();
-        if self.servers.is_empty() || !(is_due || !learns.is_empty()) {
+        if self.servers.is_empty() || (!is_due && learns.is_empty()) {
             return;
         }
         let now = Duration::from_millis(now_ms - host.started_ms);
