--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -104,9 +104,7 @@
             ),
             not_placed: meter
                 .u64_counter("laburnum_requests_not_placed")
-                .with_description(
-                    "Requests that found no permit, by what bound the backend servers",
-                )
+                .with_description("Requests that found no permit, by the kind of bound")
                 .build(),
             registry,
             provider,
