--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -612,6 +612,9 @@
     retry_after: Option<Duration>,
 ) {
     let group = estimate.and_then(|estimate| estimate.group);
+    if to.is_none() {
+        job.node.metrics.not_placed(excluded);
+    }
     tracing::info!(
         event = "placed",
         id = %job.call.id,
@@ -623,6 +626,7 @@
         leaving = excluded.leaving,
         resting = excluded.resting,
         limited = excluded.limited,
+        cold = excluded.cold,
         retry_after_ms = retry_after.map(|time| time.as_millis() as u64),
         delay_ms = estimate.map(|estimate| estimate.latency_ms as u64),
         doubt_ms = estimate.map(|estimate| estimate.penalty_ms as u64),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,6 +11,7 @@
 //! engines to which a connection is open: many hosts with few requests each would otherwise open one
 //! for nearly every request.
 
+mod cold;
 mod limited;
 mod separation;
 
@@ -28,8 +29,8 @@
 use self::separation::Separation;
 use crate::{
     backend::{Backend, Entry, HealthSignal, Load},
-    catalog::StreamRanks,
-    limit::Fleet,
+    catalog::{ColdStart, StreamRanks},
+    limit::{ColdBound, Fleet},
     request::Prompt,
 };
 
@@ -164,6 +165,8 @@
     pub resting: usize,
     /// They named a limit, under which this host may send nothing now.
     pub limited: usize,
+    /// They are cold, and this host may send nothing now.
+    pub cold: usize,
 }
 
 /// Estimate for a backend server, and the facts behind it.
@@ -188,6 +191,8 @@
 struct Zone {
     last_heard_at: Duration,
     unreachable_at: Option<Duration>,
+    /// When its backend servers were last assumed to become cold.
+    cold_since: Option<Duration>,
 }
 
 impl Zone {
@@ -213,6 +218,9 @@
     /// Until when refused callers of a service were told to wait, while its limits are used up.
     limited_until: HashMap<Arc<str>, Duration>,
     separation: Separation,
+    /// What cold backend servers accept, by their service.
+    cold_starts: HashMap<Arc<str>, ColdStart>,
+    cold_bound: ColdBound,
     rng: StdRng,
 }
 
@@ -227,6 +235,8 @@
             fleet: Fleet::new(host),
             limited_until: HashMap::new(),
             separation: Separation::default(),
+            cold_starts: HashMap::new(),
+            cold_bound: ColdBound::default(),
             rng,
         }
     }
@@ -241,7 +251,12 @@
     pub fn set_evacuated(&mut self, now: Duration, zones: impl IntoIterator<Item = Arc<str>>) {
         let zones = zones.into_iter();
         let since = |zone: &Arc<str>| self.evacuated.get(zone).copied().unwrap_or(now);
-        self.evacuated = zones.map(|zone| (zone.clone(), since(&zone))).collect();
+        let zones = zones.map(|zone| (zone.clone(), since(&zone))).collect();
+        let former = std::mem::replace(&mut self.evacuated, zones);
+        let ended = former.into_keys().filter(|zone| !self.evacuated.contains_key(zone));
+        for zone in ended.collect::<Vec<_>>() {
+            self.assume_cold(now, &zone);
+        }
     }
 
     /// Returns the evacuated zones, and since when this host knows that they are.
@@ -294,7 +309,7 @@
         match self.zones.get_mut(&backend.entry.zone) {
             Some(zone) => zone.last_heard_at = now,
             None => {
-                let zone = Zone { last_heard_at: now, unreachable_at: None };
+                let zone = Zone { last_heard_at: now, ..Zone::default() };
                 self.zones.insert(backend.entry.zone.clone(), zone);
             }
         }
@@ -362,6 +377,7 @@
         let mut listed = BTreeSet::new();
         for entry in list {
             let id = entry.id.clone();
+            let mut is_new = false;
             match self.backends.get_mut(&id) {
                 Some(current) if entry.is_outdated_by(&current.entry) => {}
                 Some(current) if current.entry.is_same_instance(&entry) => {
@@ -376,15 +392,18 @@
                         continue;
                     }
                     Some((_, former)) if former.entry.is_same_instance(&entry) => {
+                        is_new = true;
                         changed.push(id.clone());
                         self.backends.insert(id.clone(), former.relist(entry));
                     }
                     _ => {
+                        is_new = true;
                         changed.push(id.clone());
                         self.backends.insert(id.clone(), Backend::new(entry));
                     }
                 },
             }
+            self.update_cold(now, &id, is_new);
             listed.insert(id);
         }
         if !keep_unlisted {
@@ -504,7 +523,10 @@
             } else if backend.is_resting(now) {
                 excluded.resting += 1;
             } else if !backend.limit.allows_request() {
-                excluded.limited += 1;
+                match backend.limit.cold_per_s() {
+                    Some(_) => excluded.cold += 1,
+                    None => excluded.limited += 1,
+                }
             }
         }
         excluded
@@ -534,10 +556,14 @@
     }
 }
 
-/// Takes over a newer entry of an instance; returns whether its content changed.
+/// Takes over a newer entry of an instance; returns whether its content changed beside its cold
+/// time, which doesn't concern connections.
 fn update_entry(current: &mut Entry, newer: Entry) -> bool {
-    let newer = Entry { draining: current.draining || newer.draining, ..newer };
-    let is_changed = Entry { sequence: newer.sequence, ..current.clone() } != newer;
+    let cold_until_ms = current.newer_cold_until_ms(&newer);
+    let draining = current.draining || newer.draining;
+    let newer = Entry { draining, cold_until_ms, ..newer };
+    let former = Entry { sequence: newer.sequence, cold_until_ms, ..current.clone() };
+    let is_changed = former != newer;
     *current = newer;
     is_changed
 }
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -1,6 +1,10 @@
 //! Limits that backend servers name for all hosts together, and the loads for which permits are
 //! made.
 
+#[path = "limit/cold.rs"]
+mod cold;
+#[path = "limit/cold_load.rs"]
+mod cold_load;
 #[path = "limit/simulation.rs"]
 mod simulation;
 
@@ -367,6 +371,7 @@
         draining: false,
         started_unix_ms,
         sequence: 1,
+        cold_until_ms: 0,
     }
 }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -22,6 +22,7 @@
         draining: false,
         started_unix_ms: 1,
         sequence: 1,
+        cold_until_ms: 0,
     }
 }
 
@@ -499,7 +500,7 @@
         evacuated: &[],
         disturb: |_| {},
         candidates: &["e0", "e1", "e2", "e3"],
-        excluded: Excluded { evacuated: 0, leaving: 0, resting: 0, limited: 0 },
+        excluded: Excluded { evacuated: 0, leaving: 0, resting: 0, limited: 0, cold: 0 },
     };
 }
 
--- a/crates/gateway/tests/separation.rs
+++ b/crates/gateway/tests/separation.rs
@@ -35,6 +35,7 @@
         draining: false,
         started_unix_ms: 1,
         sequence: 1,
+        cold_until_ms: 0,
     });
     backends.replace(Duration::ZERO, entries.collect(), false);
     backends
