Take no response with an invalid status from a backend server

Callers got 600 and 999 as answers, with the body, on plain routes and streams, and a 101 without one. A 600 that stated Not-Executed was believed, so that a request that may have run ran again, and one that stated Server-Leaving took a sound process out of service.

Cause: the HTTP library accepts any three digits from 100 on and returns a 101 as the response; nothing looked at the number after that. A response is now validated by its status before anything else in it is read: outside 200 to 599 it is the fault of its backend server. The request goes on as after a broken response, the status is logged (`status_invalid`) and counts as a failure.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,7 +2,7 @@
 
 mod permit;
 
-use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{ops::RangeInclusive, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -63,6 +63,10 @@
 /// reject it.
 pub const MAX_STREAM_OVERLAP: Duration = Duration::from_millis(250);
 
+/// Statuses that a response may have. The HTTP library skips informational ones except 101, which
+/// answers an upgrade that no request asks for, and accepts any number of three digits from 100 on.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Interval at which an attempt is checked for being abandoned.
 const ABANDON_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -379,6 +383,10 @@
         response: Response<Incoming>,
     ) -> Result<Response<Incoming>, AttemptFailure> {
         let (head, body) = response.into_parts();
+        // Nothing else that such a response states is believed, either.
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(self.reject_status(job, head.status));
+        }
         let reply = self.node.dialect.parse_response(&head);
         let is_success = head.status.is_success();
         self.is_framed = head.headers.contains_key(CONTENT_LENGTH)
@@ -429,6 +437,18 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Records a response with a status that no response to the request can have.
+    fn reject_status(&mut self, job: &Job, status: StatusCode) -> AttemptFailure {
+        tracing::warn!(
+            event = "status_invalid",
+            id = %job.call.id,
+            backend = %self.to.id,
+            status = status.as_u16(),
+        );
+        self.record_failure();
+        AttemptFailure::Unknown
+    }
+
     /// Records what a response states about the backend server's further requests.
     ///
     /// A response to another request on this connection counts too: it comes from the same process.
