Answer in HTTP/1.1 also where the backend server speaks HTTP/1.0

A stream from a backend server that speaks HTTP/1.0 and breaks off reached its caller as a whole one: a few events, and then the ordinary end of the connection.

Cause: the version of the response was passed on with its head, so that the HTTP library sent the body without chunks. The end of the connection is the only end of such a body, and looks the same after a break. The version concerns only the connection to the backend server, like the hop-by-hop headers, and is replaced together with them. The caller then gets chunks, of which the last one is missing after a break.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -14,7 +14,7 @@
 use futures_util::future::LocalBoxFuture;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as _, Incoming},
     header::{
         CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
@@ -626,7 +626,7 @@
             job.log(ANSWERED, head.status.as_u16(), 0);
             let mut response = Response::from_parts(head, Body::Buffered(Full::new(body)));
             job.node.dialect.remove_private_headers(response.headers_mut());
-            remove_hop_by_hop_headers(&mut response);
+            remove_hop_by_hop_fields(&mut response);
             response
         }
         Ok(UpstreamResponse::Streaming { mut head, attempt, start }) => {
@@ -640,7 +640,7 @@
             let body =
                 Body::Streaming(Box::pin(panics::catch_stream(id, relay.into_stream(start))));
             let mut response = Response::from_parts(head, body);
-            remove_hop_by_hop_headers(&mut response);
+            remove_hop_by_hop_fields(&mut response);
             response
         }
         Err(refusal) => {
@@ -823,8 +823,10 @@
     Ok(UpstreamResponse::Buffered { head, body: buffered.freeze() })
 }
 
-/// Removes the headers that concern only the connection to the backend server.
-fn remove_hop_by_hop_headers(response: &mut Response<Body>) {
+/// Removes the headers and the version that concern only the connection to the backend server. A body
+/// without a length has no marked end in HTTP/1.0, so a break would look like the end to a caller.
+fn remove_hop_by_hop_fields(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_11;
     let headers = response.headers_mut();
     for name in [CONNECTION, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
         headers.remove(name);
