Take no success without content for a stream

A 204 on a streaming route reached its caller as a whole answer without an event. Where the stream was resumed at another backend server, the caller got none of its events, as a 204 has no body.

Cause: the head of the first response is passed on before its body is judged, and the check for empty streams comes too late for this status. A 204 or 205 on a streaming route is now the fault of its backend server before the head is passed on, also where it answers a stream that is to be resumed. One that states that the request did not run is still believed.

New test, failing before for 204 with and without a length. With a 205 the stream was resumed and its events reached the caller, but under a status that allows no content.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -67,6 +67,10 @@
 /// answers an upgrade that no request asks for, and accepts any number of three digits from 100 on.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// Statuses of a success that has no content.
+const STATUSES_WITHOUT_CONTENT: [StatusCode; 2] =
+    [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT];
+
 /// Interval at which an attempt is checked for being abandoned.
 const ABANDON_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -434,6 +438,11 @@
                 if is_misdirected { HealthSignal::Unreachable } else { HealthSignal::Failed };
             return Err(AttemptFailure::NotRun);
         }
+        // A response without content can't be a stream, and what another backend server sends of the
+        // stream couldn't follow it.
+        if job.route.streamed && STATUSES_WITHOUT_CONTENT.contains(&head.status) {
+            return Err(self.reject_status(job, head.status));
+        }
         Ok(Response::from_parts(head, body))
     }
 
