Reset the connection of a caller in HTTP/1.0 where a response breaks off

A caller that speaks HTTP/1.0 got a stream that broke off as a whole one: the events so far and the ordinary end of the connection.

Cause: HTTP/1.0 has no chunks, so the end of a body without a length is that of its connection. The host closed it in the same way after a break. It now resets the connection of such a caller (no time to linger) if the body of a response fails. What the caller hasn't read by then may be lost, but it can't take the part for the whole. Callers in HTTP/1.1 miss the last chunk, as before, and lose nothing.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,6 +11,7 @@
 };
 
 use hyper::{
+    Version,
     body::{Body as _, Incoming},
     rt::{Read, ReadBufCursor, Write},
 };
@@ -41,6 +42,9 @@
     discarding: Cell<usize>,
     /// Task that serves the connection; nothing else wakes it while the caller rests.
     task: RefCell<Option<Waker>>,
+    /// Whether its caller can't tell a response that breaks off from a whole one unless the connection
+    /// is reset.
+    needs_reset: Cell<bool>,
 }
 
 impl Connection {
@@ -54,6 +58,7 @@
             unsent: Cell::default(),
             discarding: Cell::default(),
             task: RefCell::default(),
+            needs_reset: Cell::default(),
         })
     }
 
@@ -65,6 +70,16 @@
         Rc::new(Guard(self.clone()))
     }
 
+    /// Records the version of a request. In HTTP/1.0 a body without a length ends with its connection.
+    pub fn record_version(&self, version: Version) {
+        self.needs_reset.set(version < Version::HTTP_11);
+    }
+
+    /// Returns whether the connection is to be reset if a response breaks off.
+    pub fn needs_reset(&self) -> bool {
+        self.needs_reset.get()
+    }
+
     fn record_received(&self) {
         self.timer.borrow_mut().record_received(self.node.now());
     }
@@ -173,6 +188,13 @@
         Self { stream: TokioIo::new(stream), connection }
     }
 
+    /// Closes the connection so that its caller is told of a failure; what it hasn't read may be lost.
+    pub fn reset(self) {
+        if let Err(error) = self.stream.inner().set_zero_linger() {
+            tracing::debug!(event = "connection_not_reset", %error);
+        }
+    }
+
     fn stream(self: Pin<&mut Self>) -> Pin<&mut TokioIo<TcpStream>> {
         Pin::new(&mut self.get_mut().stream)
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -14,7 +14,9 @@
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use http_body_util::Full;
-use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -88,7 +90,8 @@
 
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     let connection = Connection::open(&node);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
+        connection.record_version(request.version());
         let (node, guard) = (node.clone(), connection.begin_request());
         async move { Ok::<_, Infallible>(proxy::handle(node, request, guard).await) }
     });
@@ -119,6 +122,8 @@
         node.overload.borrow_mut().begin_discard();
         unread::drain(TokioIo::new(served.into_parts().io), bounds).await;
         node.overload.borrow_mut().end_discard();
+    } else if error.is_user() && connection.needs_reset() {
+        served.into_parts().io.reset();
     }
 }
 
