Take no reset during the upload for the end of a response

A backend server that answered a long upload at once with a success of unstated length, sent a part of it and reset the connection had this part passed on as a whole answer, on plain routes and streams, also in HTTP/1.0 and with `Connection: close`.

Cause: the socket discards the rest of a request after a write that fails, so that an early rejection can be read. The kernel reports a reset once. Where the write got the report, reading found an ordinary end, which ends a response without a length. A backend server that ends its direction first is worse: no read reports the reset that follows.

Where a response without a length ends, an attempt whose connection is in that state has broken off. Responses with a length or chunks, and rejections, are judged as before.

A response without a length that ends in order while the kernel holds all of the request can't be told from a whole one, and is still passed on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -537,10 +537,16 @@
         true
     }
 
+    /// Returns whether the end of the connection can't be the end of the response: without a frame, one
+    /// whose connection was reset, or that ends before the request has been sent, has broken off.
+    pub fn is_cut(&self) -> bool {
+        !self.is_framed && self.connection.as_ref().is_some_and(Connection::is_cut)
+    }
+
     /// Returns whether the end of the connection may be the end of a stream: without a frame, one
     /// that has no event yet has broken off.
     pub fn may_end_stream(&self) -> bool {
-        self.is_framed || self.events > 0
+        (self.is_framed || self.events > 0) && !self.is_cut()
     }
 
     /// Returns whether no other backend server may ever be sent the request.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,7 +21,7 @@
     time::{Instant, timeout},
 };
 
-use self::socket::Socket;
+use self::socket::{Socket, SocketState};
 use crate::backend::Entry;
 
 /// Longest time to establish a connection; TCP retransmits a lost packet only after a second.
@@ -87,6 +87,7 @@
     driver: JoinHandle<()>,
     /// Whether bytes arrived that belong to no response.
     has_surplus: Rc<Cell<bool>>,
+    socket: Rc<SocketState>,
     _slot: OpenSlot,
     idle_since: Instant,
     max_idle_time: Duration,
@@ -106,6 +107,12 @@
         self.has_surplus.get()
     }
 
+    /// Returns whether the end of the connection isn't that of a response, as the connection was reset
+    /// or a part of the request is still to be sent.
+    pub fn is_cut(&self) -> bool {
+        self.socket.is_cut()
+    }
+
     /// Sends a request and returns the head of the response.
     ///
     /// # Errors
@@ -174,11 +181,12 @@
         }
         let slot = OpenSlot::new(open);
         let result = timeout(CONNECT_TIMEOUT, connect(to)).await.map_err(|_| ConnectError::Silent);
-        let Opened { sender, driver, has_surplus } = result.and_then(|result| result)?;
+        let Opened { sender, driver, has_surplus, socket } = result.and_then(|result| result)?;
         Ok(Connection {
             sender,
             driver,
             has_surplus,
+            socket,
             _slot: slot,
             idle_since: Instant::now(),
             max_idle_time: MAX_IDLE_TIME,
@@ -233,12 +241,14 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     has_surplus: Rc<Cell<bool>>,
+    socket: Rc<SocketState>,
 }
 
 async fn connect(to: &Entry) -> Result<Opened, ConnectError> {
     let stream = TcpStream::connect(to.address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(Socket::new(stream)).await?;
+    let socket = Rc::new(SocketState::default());
+    let (sender, connection) = http1::handshake(Socket::new(stream, socket.clone())).await?;
     let peer = to.id.clone();
     let has_surplus = Rc::new(Cell::new(false));
     let surplus = has_surplus.clone();
@@ -248,7 +258,7 @@
             tracing::debug!(event = "backend_connection_broken", backend = %peer, %error);
         }
     });
-    Ok(Opened { sender, driver, has_surplus })
+    Ok(Opened { sender, driver, has_surplus, socket })
 }
 
 /// Returns whether a connection ended since bytes arrived that belong to no response. The HTTP
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -23,7 +23,7 @@
     http::request,
 };
 use tokio::{
-    task::spawn_local,
+    task::{spawn_local, yield_now},
     time::{Instant, sleep, timeout, timeout_at},
 };
 use wire::lend::{PromptDigest, ResumePoint};
@@ -793,7 +793,15 @@
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
-            None => break,
+            None => {
+                // Lets the connection find out how it ends.
+                yield_now().await;
+                if !attempt.is_cut() {
+                    break;
+                }
+                attempt.record_broken(job);
+                return Err(AttemptFailure::Unknown);
+            }
             Some(Err(_)) => {
                 attempt.record_broken(job);
                 return Err(AttemptFailure::Unknown);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -207,11 +207,17 @@
                 self.process(frame.into_data().unwrap_or_default())
             }
             Some(None) if has_events => {
-                // Lets bytes be read that have arrived behind the body.
+                // Lets bytes be read that have arrived behind the body, and the connection find out how
+                // it ends.
                 yield_now().await;
                 self.process_end()
             }
             Some(None) => {
+                yield_now().await;
+                if attempt.is_cut() {
+                    attempt.record_broken(&self.job);
+                    return ReadResult::Interrupted("broken_off");
+                }
                 attempt.record_surplus(&self.job);
                 attempt.finish(false);
                 if self.is_success {
