Bound what is read before the head of a response

A backend server that sends informational responses without end held up all callers of a host: 20 requests to sound backend servers and the deadline of 1.5 s took 5.7 to 7.7 s (debug build).

Cause: the HTTP library limits one head, but skips any number of informational responses in one turn of the event loop. The socket now counts the bytes from the send of a request to the head of its response, and fails beyond 512 KiB, more than the library allows one head. Until then it reads at most 4 KiB at a time. The request ends as after any broken response.

The first line that arrived is kept for the log: `send_broken` states it as `start` where the bytes are no response, so that a status which the HTTP library refuses, such as 000, can be read there.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -312,12 +312,13 @@
                 self.health = HealthSignal::Unreachable;
                 return Err(AttemptFailure::NotSent);
             }
-            Err(SendError::Broken(error)) => {
+            Err(SendError::Broken { error, start }) => {
                 tracing::info!(
                     event = "send_broken",
                     id = %job.call.id,
                     backend = %self.to.id,
                     %error,
+                    start,
                 );
                 self.record_broken(job);
                 return Err(AttemptFailure::Unknown);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -59,8 +59,13 @@
     #[error("closed before the request")]
     NotSent,
     /// The request may have arrived.
-    #[error("{0}")]
-    Broken(hyper::Error),
+    #[error("{error}")]
+    Broken {
+        /// Why there is no response.
+        error: hyper::Error,
+        /// The first bytes that arrived, if they are those of no response.
+        start: Option<String>,
+    },
 }
 
 /// Guard that counts a connection as open, also while it is being established, until it is dropped.
@@ -126,10 +131,15 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            match error.take_message() {
-                Some(_) => SendError::NotSent,
-                None => SendError::Broken(error.into_error()),
+        self.socket.begin_request();
+        let sent = self.sender.try_send_request(request).await;
+        self.socket.finish_head();
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => {
+                let error = error.into_error();
+                let start = error.is_parse().then(|| self.socket.start());
+                SendError::Broken { error, start }
             }
         })
     }
--- a/crates/gateway/src/pool/socket.rs
+++ b/crates/gateway/src/pool/socket.rs
@@ -1,16 +1,29 @@
 //! Socket of a connection to a backend server.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io, mem,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead as _, ReadBuf},
+    net::TcpStream,
+};
+
+/// Most bytes that are read at a time until the head of a response has arrived.
+const PIECE_BYTES: usize = 4 * 1024;
+
+/// Most bytes before the end of the head of a response. The HTTP library limits a single head to less
+/// and skips any number of informational responses; without end, they would keep the host busy.
+const MAX_HEAD_BYTES: usize = 512 * 1024;
+
+/// Number of bytes of a response that are kept for the log.
+const START_BYTES: usize = 32;
 
 /// What a connection knows of its socket.
 #[derive(Debug, Default)]
@@ -18,6 +31,11 @@
     /// Whether the end of the connection, if reading has come to it, isn't that of a response: the
     /// connection was reset, or a part of the request is still to be written.
     is_cut: Cell<bool>,
+    /// Number of bytes that have arrived since a request was sent; `None` unless the head of its
+    /// response is awaited.
+    awaited: Cell<Option<usize>>,
+    /// The first of these bytes, for the log.
+    start: RefCell<Vec<u8>>,
 }
 
 impl SocketState {
@@ -25,6 +43,41 @@
     pub fn is_cut(&self) -> bool {
         self.is_cut.get()
     }
+
+    /// Records that a request is sent.
+    pub fn begin_request(&self) {
+        self.awaited.set(Some(0));
+        self.start.borrow_mut().clear();
+    }
+
+    /// Records that the head of the response to the request has arrived, or won't.
+    pub fn finish_head(&self) {
+        self.awaited.set(None);
+    }
+
+    /// Returns the beginning of the first line that arrived after the last request was sent.
+    pub fn start(&self) -> String {
+        let start = self.start.borrow();
+        let line = start.split(|byte| b"\r\n".contains(byte)).next().unwrap_or_default();
+        line.escape_ascii().to_string()
+    }
+
+    /// Records bytes that have arrived before the end of a head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they are too many.
+    fn record_read(&self, awaited: usize, bytes: &[u8]) -> io::Result<()> {
+        let mut start = self.start.borrow_mut();
+        let length = (START_BYTES - start.len()).min(bytes.len());
+        start.extend_from_slice(&bytes[..length]);
+        let awaited = awaited + bytes.len();
+        self.awaited.set(Some(awaited));
+        if awaited > MAX_HEAD_BYTES {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "no end of a head"));
+        }
+        Ok(())
+    }
 }
 
 /// Socket whose connection ends where reading from it ends, not at a failed write.
@@ -93,9 +146,17 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let Some(awaited) = self.state.awaited.get() else {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        };
+        let mut piece = [0; PIECE_BYTES];
+        let length = PIECE_BYTES.min(buffer.remaining());
+        let mut piece = ReadBuf::new(&mut piece[..length]);
+        ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut piece))?;
+        buffer.put_slice(piece.filled());
+        Poll::Ready(self.state.record_read(awaited, piece.filled()))
     }
 }
 
