Take no answer with an invalid status from a plain service

The daemon passed answers of plain services with the statuses 600, 999, 100 and 101 on to the caller of the call.

Cause: the HTTP library accepts any three digits from 100 on, and the client of back ends passed on whatever had a length and a body. Outside 200 to 599 the answer is now the failure of a call that may have run: it goes to another back end where it may be repeated, ends as `unknown` otherwise, and the back end counts as failing. The cause in the time line states the status.

Failing before: these four statuses, and a caller that got 600. Never failed: 000, 099, 0, 99, four digits, no number, nothing; any of them on a stream, which takes nothing but 200; and an early answer to a request of 3 MB that is reset, as the daemon takes no answer without a length or chunks.

--- a/crates/daemon/src/backend/call.rs
+++ b/crates/daemon/src/backend/call.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services.
 
-use std::{io::Read as _, time::Duration};
+use std::{io::Read as _, ops::RangeInclusive, time::Duration};
 
 use coordination::{host::event::Report, request};
 use oxhttp::model::{Body, Method, Response, header};
@@ -10,6 +10,9 @@
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024;
 
+/// Statuses that an answer may have; the HTTP library accepts any number of three digits from 100 on.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Calls a service and returns what came of it.
 pub(super) fn send(
     address: &str,
@@ -39,6 +42,9 @@
 
 fn answer(response: Response<Body>) -> Report {
     let status = response.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return failed(format!("status {status}"));
+    }
     let is_success = response.status().is_success();
     let framed = response.headers().contains_key(header::CONTENT_LENGTH) || is_chunked(&response);
     if !framed {
--- a/crates/standin/src/raw.rs
+++ b/crates/standin/src/raw.rs
@@ -8,6 +8,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 /// Bytes of a request that are read at once.
@@ -28,7 +29,23 @@
 ///
 /// Returns an error where no port can be bound or the thread can't be started.
 pub fn spawn(answer: impl Into<Vec<u8>>) -> io::Result<Handle> {
-    let answer = answer.into();
+    start(answer.into(), serve)
+}
+
+/// Starts a peer that reads the head of a request from each connection, writes `answer`, waits for
+/// `pause` and closes the connection, which is reset where a part of the request is unread.
+///
+/// # Errors
+///
+/// Returns an error where no port can be bound or the thread can't be started.
+pub fn spawn_early(answer: impl Into<Vec<u8>>, pause: Duration) -> io::Result<Handle> {
+    start(answer.into(), move |stream, answer| serve_early(stream, answer, pause))
+}
+
+fn start(
+    answer: Vec<u8>,
+    serve: impl Fn(TcpStream, &[u8]) -> io::Result<()> + Send + 'static,
+) -> io::Result<Handle> {
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
     let address = listener.local_addr()?;
     let stopped = Arc::new(AtomicBool::new(false));
@@ -65,6 +82,20 @@
     io::copy(&mut stream, &mut io::sink()).map(drop)
 }
 
+fn serve_early(mut stream: TcpStream, answer: &[u8], pause: Duration) -> io::Result<()> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte)? == 0 {
+            return Ok(());
+        }
+        head.extend_from_slice(&byte);
+    }
+    stream.write_all(answer)?;
+    thread::sleep(pause);
+    Ok(())
+}
+
 fn read_request(stream: &mut TcpStream) -> io::Result<()> {
     let mut request = Vec::new();
     let mut buffer = vec![0; READ_BYTES];
