Take no success without content from a plain service

A plain service that answered 204 with a JSON body had this passed on: its caller got a whole answer with status 204 and no body, as that status has none.

Cause: a success must have a JSON body, which was checked without regard to the status. A 204 or 205 is now the failure of a call that may have run, with or without a body.

New test case, failing before.

--- a/crates/daemon/src/backend/call.rs
+++ b/crates/daemon/src/backend/call.rs
@@ -3,7 +3,7 @@
 use std::{io::Read as _, ops::RangeInclusive, time::Duration};
 
 use coordination::{host::event::Report, request};
-use oxhttp::model::{Body, Method, Response, header};
+use oxhttp::model::{Body, Method, Response, StatusCode, header};
 
 use super::http::{build, client, failed, is_chunked, probe, unsent};
 
@@ -13,6 +13,10 @@
 /// Statuses that an answer may have; the HTTP library accepts any number of three digits from 100 on.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// Statuses of a success that has no content; a body that follows one can't be passed on.
+const STATUSES_WITHOUT_CONTENT: [StatusCode; 2] =
+    [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT];
+
 /// Calls a service and returns what came of it.
 pub(super) fn send(
     address: &str,
@@ -45,6 +49,9 @@
     if !FINAL_STATUSES.contains(&status) {
         return failed(format!("status {status}"));
     }
+    if STATUSES_WITHOUT_CONTENT.contains(&response.status()) {
+        return failed(format!("status {status}, success without a JSON body"));
+    }
     let is_success = response.status().is_success();
     let framed = response.headers().contains_key(header::CONTENT_LENGTH) || is_chunked(&response);
     if !framed {
--- a/crates/daemon/tests/invalid_responses.rs
+++ b/crates/daemon/tests/invalid_responses.rs
@@ -110,6 +110,7 @@
 #[test_case(""; "nothing")]
 #[test_case("100"; "informational")]
 #[test_case("101"; "another protocol")]
+#[test_case("204"; "no content with a body")]
 fn invalid_status_is_no_answer(status: &str) {
     for kind in [Kind::Call, Kind::Stream] {
         for framing in [
