--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,7 +2,7 @@
 
 mod permit;
 
-use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{ops::RangeInclusive, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -63,6 +63,14 @@
 /// reject it.
 pub const MAX_STREAM_OVERLAP: Duration = Duration::from_millis(250);
 
+/// Statuses that a response may have. The HTTP library skips informational ones except 101, which
+/// answers an upgrade that no request asks for, and accepts any number of three digits from 100 on.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Statuses of a success that has no content.
+const STATUSES_WITHOUT_CONTENT: [StatusCode; 2] =
+    [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT];
+
 /// Interval at which an attempt is checked for being abandoned.
 const ABANDON_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -313,12 +321,13 @@
                 self.health = HealthSignal::Unreachable;
                 return Err(AttemptFailure::NotSent);
             }
-            Err(SendError::Broken(error)) => {
+            Err(SendError::Broken { error, start }) => {
                 tracing::info!(
                     event = "send_broken",
                     id = %job.call.id,
                     backend = %self.to.id,
                     %error,
+                    start,
                 );
                 self.record_broken(job);
                 return Err(AttemptFailure::Unknown);
@@ -389,6 +398,10 @@
         response: Response<Incoming>,
     ) -> Result<Response<Incoming>, AttemptFailure> {
         let (head, body) = response.into_parts();
+        // Nothing else that such a response states is believed, either.
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(self.reject_status(job, head.status));
+        }
         let reply = self.node.dialect.parse_response(&head);
         let is_success = head.status.is_success();
         self.is_framed = head.headers.contains_key(CONTENT_LENGTH)
@@ -434,9 +447,26 @@
                 if is_misdirected { HealthSignal::Unreachable } else { HealthSignal::Failed };
             return Err(AttemptFailure::NotRun);
         }
+        // A response without content can't be a stream, and what another backend server sends of the
+        // stream couldn't follow it.
+        if job.route.streamed && STATUSES_WITHOUT_CONTENT.contains(&head.status) {
+            return Err(self.reject_status(job, head.status));
+        }
         Ok(Response::from_parts(head, body))
     }
 
+    /// Records a response with a status that no response to the request can have.
+    fn reject_status(&mut self, job: &Job, status: StatusCode) -> AttemptFailure {
+        tracing::warn!(
+            event = "status_invalid",
+            id = %job.call.id,
+            backend = %self.to.id,
+            status = status.as_u16(),
+        );
+        self.record_failure();
+        AttemptFailure::Unknown
+    }
+
     /// Records what a response states about the backend server's further requests.
     ///
     /// A response to another request on this connection counts too: it comes from the same process.
@@ -516,10 +546,16 @@
         true
     }
 
+    /// Returns whether the end of the connection can't be the end of the response: without a frame, one
+    /// whose connection was reset, or that ends before the request has been sent, has broken off.
+    pub fn is_cut(&self) -> bool {
+        !self.is_framed && self.connection.as_ref().is_some_and(Connection::is_cut)
+    }
+
     /// Returns whether the end of the connection may be the end of a stream: without a frame, one
     /// that has no event yet has broken off.
     pub fn may_end_stream(&self) -> bool {
-        self.is_framed || self.events > 0
+        (self.is_framed || self.events > 0) && !self.is_cut()
     }
 
     /// Returns whether no other backend server may ever be sent the request.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,7 +21,7 @@
     time::{Instant, timeout},
 };
 
-use self::socket::Socket;
+use self::socket::{Socket, SocketState};
 use crate::backend::Entry;
 
 /// Longest time to establish a connection; TCP retransmits a lost packet only after a second.
@@ -59,8 +59,13 @@
     #[error("closed before the request")]
     NotSent,
     /// The request may have arrived.
-    #[error("{0}")]
-    Broken(hyper::Error),
+    #[error("{error}")]
+    Broken {
+        /// Why there is no response.
+        error: hyper::Error,
+        /// The first bytes that arrived, if they are those of no response.
+        start: Option<String>,
+    },
 }
 
 /// Guard that counts a connection as open, also while it is being established, until it is dropped.
@@ -87,6 +92,7 @@
     driver: JoinHandle<()>,
     /// Whether bytes arrived that belong to no response.
     has_surplus: Rc<Cell<bool>>,
+    socket: Rc<SocketState>,
     _slot: OpenSlot,
     idle_since: Instant,
     max_idle_time: Duration,
@@ -112,6 +118,12 @@
         self.sender.is_ready() && self.idle_since.elapsed() < max_idle.min(self.max_idle_time)
     }
 
+    /// Returns whether the end of the connection isn't that of a response, as the connection was reset
+    /// or a part of the request is still to be sent.
+    pub fn is_cut(&self) -> bool {
+        self.socket.is_cut()
+    }
+
     /// Sends a request and returns the head of the response.
     ///
     /// # Errors
@@ -125,10 +137,15 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            match error.take_message() {
-                Some(_) => SendError::NotSent,
-                None => SendError::Broken(error.into_error()),
+        self.socket.begin_request();
+        let sent = self.sender.try_send_request(request).await;
+        self.socket.finish_head();
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => {
+                let error = error.into_error();
+                let start = error.is_parse().then(|| self.socket.start());
+                SendError::Broken { error, start }
             }
         })
     }
@@ -180,11 +197,12 @@
         }
         let slot = OpenSlot::new(open);
         let result = timeout(CONNECT_TIMEOUT, connect(to)).await.map_err(|_| ConnectError::Silent);
-        let Opened { sender, driver, has_surplus } = result.and_then(|result| result)?;
+        let Opened { sender, driver, has_surplus, socket } = result.and_then(|result| result)?;
         Ok(Connection {
             sender,
             driver,
             has_surplus,
+            socket,
             _slot: slot,
             idle_since: Instant::now(),
             max_idle_time: MAX_IDLE_TIME,
@@ -247,12 +265,14 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     has_surplus: Rc<Cell<bool>>,
+    socket: Rc<SocketState>,
 }
 
 async fn connect(to: &Entry) -> Result<Opened, ConnectError> {
     let stream = TcpStream::connect(to.address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(Socket::new(stream)).await?;
+    let socket = Rc::new(SocketState::default());
+    let (sender, connection) = http1::handshake(Socket::new(stream, socket.clone())).await?;
     let peer = to.id.clone();
     let has_surplus = Rc::new(Cell::new(false));
     let surplus = has_surplus.clone();
@@ -262,7 +282,7 @@
             tracing::debug!(event = "backend_connection_broken", backend = %peer, %error);
         }
     });
-    Ok(Opened { sender, driver, has_surplus })
+    Ok(Opened { sender, driver, has_surplus, socket })
 }
 
 /// Returns whether a connection ended since bytes arrived that belong to no response. The HTTP
