Log the time to a stream's first event and its longest pause

Operators could see how long a request took, but not how long a caller waited for the first event or between two events; a customer's streams paused longer than their routes allow without a trace in logs or metrics. The line request has first_ms and max_gap_ms, and laburnum_stream_gaps_exceeded counts streams with a pause above Route::max_gap. The wait for the first event isn't a pause. Times are taken where events are recorded for charging, so that only events that are passed on count.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod service;
 pub mod stream_end;
 mod subscription;
+pub mod timing;
 pub mod unread;
 pub mod witness;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     connections_closed: Counter<u64>,
+    gaps_exceeded: Counter<u64>,
     duration: Histogram<f64>,
     held: Gauge<u64>,
     reserved: Gauge<u64>,
@@ -65,6 +66,10 @@
                 .u64_counter("laburnum_connections_closed")
                 .with_description("Callers' connections that this host closed, by reason")
                 .build(),
+            gaps_exceeded: meter
+                .u64_counter("laburnum_stream_gaps_exceeded")
+                .with_description("Streams with a pause between events above their route's bound")
+                .build(),
             duration: meter
                 .f64_histogram("laburnum_request_seconds")
                 .with_description("Time from a request's head to the end of its answer")
@@ -105,6 +110,11 @@
         self.duration.record(elapsed.as_secs_f64(), &[outcome, route]);
     }
 
+    /// Counts a stream with a pause between events that was longer than its route allows.
+    pub fn gap_exceeded(&self, route: &str) {
+        self.gaps_exceeded.add(1, &[KeyValue::new("route", route.to_owned())]);
+    }
+
     /// Counts a request that was not admitted.
     pub fn refused(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -45,6 +45,7 @@
     relay::Relay,
     request::{Call, LATE, Prompt, Refusal, head_bytes},
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
+    timing::Timing,
     unread::Bounds,
 };
 
@@ -128,6 +129,8 @@
     pub prompt_charge: Option<PromptCharge>,
     /// Quarantined part of its prompt that it is to try.
     pub trial: Option<Arc<str>>,
+    /// When the events of its stream arrived.
+    pub timing: Cell<Timing>,
     /// Whether its end has been logged.
     pub logged: Cell<bool>,
 }
@@ -180,6 +183,13 @@
         }
     }
 
+    /// Records that events of its stream arrived.
+    pub fn record_event_time(&self) {
+        let mut timing = self.timing.get();
+        timing.record(self.arrived.elapsed());
+        self.timing.set(timing);
+    }
+
     /// Records the id of the last event that was passed on.
     pub fn record_last_event(&self, id: Option<u64>) {
         if let Some(charge) = &self.prompt_charge {
@@ -262,6 +272,10 @@
         let tried = self.tried.borrow();
         let elapsed = self.arrived.elapsed();
         self.node.metrics.ended(outcome, &self.route.name, elapsed);
+        let timing = self.timing.get();
+        if timing.exceeds(self.route.max_gap) {
+            self.node.metrics.gap_exceeded(&self.route.name);
+        }
         tracing::info!(
             event = "request",
             id = %self.call.id,
@@ -273,6 +287,8 @@
             backend = tried.last().map(|id| &**id),
             sends = tried.len(),
             events,
+            first_ms = timing.first().map(|time| time.as_millis() as u64),
+            max_gap_ms = timing.max_gap().map(|gap| gap.as_millis() as u64),
             input = self.call.prompt.as_ref().map(|prompt| prompt.input),
             resume_after = self.call.resume_after,
             paid = self.prompt_charge.as_ref().map(|charge| charge.is_paid),
@@ -482,6 +498,7 @@
         reservation: RefCell::new(reservation),
         prompt_charge,
         trial,
+        timing: Cell::default(),
         logged: Cell::new(false),
     };
     Ok(job)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -292,6 +292,7 @@
     fn record_events(&mut self, count: u64) {
         if count > 0 {
             self.progress_at = Instant::now();
+            self.job.record_event_time();
             if let Some(attempt) = &mut self.attempt {
                 attempt.record_events(count);
             }
