--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -44,6 +44,8 @@
     pub authentic: bool,
     /// Load of the backend server.
     pub load: Option<Load>,
+    /// How long work takes now on its machine, in percent of the usual time.
+    pub work_percent: Option<f64>,
     /// How long the backend server keeps an idle connection open.
     pub keep_alive: Option<Duration>,
     /// Whether the backend server states that it is leaving.
