Place requests by the measured speed of engines

Hosts used one constant for the speed of all engines. A third of the engines of one deployment are slower by 1.3 for good and don't report it, and a quarter of the responses report a machine that is slower for a moment, so that prompts waited at slow engines while others had room.

pace::Pace combines both: a report fades within half a second, as it changes many times per second. The shortest time between two events of a stream is the time of an engine's step, whatever else runs there; compared with the median of the service's engines it shows a slow one. A lower quartile over samples of 250 ms is robust against long prompts and delayed events; a change by a factor of 3 within three samples counts at once. Placement multiplies the predicted time of prefill and of running requests; the median is recalculated at most every 250 ms. The line placed states the slowness and its age.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
     crash::{BrokenRequest, RISK_TIME},
     dialect::{Dispatch, LimitStatement, Reply},
     node::Node,
+    pace::Cadence,
     placement::{Decision, Estimate, Excluded, Requirements},
     pool::{ConnectError, Connection, SendError},
     proxy::Job,
@@ -116,6 +117,8 @@
     /// Number of events that arrived, and when the first one did.
     events: u64,
     first_event_at: Option<Instant>,
+    /// Times between the events.
+    cadence: Cadence,
     /// Whether the time for which the request was at risk has been recorded.
     is_exposure_recorded: bool,
     /// Whether a response has begun.
@@ -220,6 +223,7 @@
             sent_at: Instant::now(),
             events: 0,
             first_event_at: None,
+            cadence: Cadence::default(),
             is_exposure_recorded: false,
             has_begun: false,
             is_framed: true,
@@ -416,6 +420,9 @@
             && let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id)
         {
             backend.record_load(self.node.now(), load);
+            if let Some(percent) = reply.work_percent {
+                backend.pace.record_report(self.node.now(), percent);
+            }
         }
         if let Some(connection) = &mut self.connection {
             connection.set_keep_alive(reply.keep_alive);
@@ -491,6 +498,9 @@
         self.events += count;
         let first_event_at = *self.first_event_at.get_or_insert_with(Instant::now);
         self.finish_prefill();
+        if let Some(backend) = self.node.backends.borrow_mut().get_mut(&self.to.id) {
+            backend.pace.record_events(self.node.now(), &mut self.cadence, count);
+        }
         if first_event_at.elapsed() >= RISK_TIME && self.record_exposure() {
             self.node.quarantine.borrow_mut().record_outlived(self.node.now(), &self.parts);
         }
@@ -621,6 +631,10 @@
         report_age_ms = estimate
             .and_then(|estimate| estimate.report_age)
             .map(|age| age.as_millis() as u64),
+        slowness = estimate.map(|estimate| (estimate.slowness * 100.0).round() / 100.0),
+        pace_age_ms = estimate
+            .and_then(|estimate| estimate.pace_age)
+            .map(|age| age.as_millis() as u64),
         left_ms = job.time_left().as_millis() as u64,
     );
 }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -5,7 +5,7 @@
 
 use coordination::locate::hash;
 
-use crate::{limit::Limit, request::Prompt};
+use crate::{limit::Limit, pace::Pace, request::Prompt};
 
 /// Age from which a backend server's own report of its load is ignored.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -101,6 +101,8 @@
     pub hash: u64,
     /// Limit on the requests of all hosts together.
     pub limit: Limit,
+    /// How fast it works.
+    pub pace: Pace,
     running: u32,
     /// Prompt tokens of this host's requests whose first event hasn't arrived.
     pending_prefill: u64,
@@ -129,6 +131,7 @@
             hash: hash(entry.id.as_bytes()),
             entry,
             limit: Limit::default(),
+            pace: Pace::default(),
             running: 0,
             pending_prefill: 0,
             last_report: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! the others), [`retry_budget`] (limit on retries), [`overload`] (whether this host can take a
 //! request at all), [`idle`] (how long a caller's connection stays open), [`drain`] (which requests
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
-//! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
+//! requests a backend server takes from all hosts together), [`pace`] (how fast a backend server works),
+//! [`credit`] (whether a resumed stream's
 //! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
 //! [`freshness`] (how far a configuration counts after a restore of the table), [`backend`] and
 //! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
@@ -40,6 +41,7 @@
 pub mod metrics;
 pub mod node;
 pub mod overload;
+pub mod pace;
 pub mod panics;
 pub mod peer;
 pub mod placement;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,6 +10,7 @@
 //! preferably in this host's zone.
 
 mod limited;
+mod usual_gap;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -156,6 +157,10 @@
     pub load: Load,
     /// Age of its last load report.
     pub report_age: Option<Duration>,
+    /// How long work takes there, as a multiple of the usual time.
+    pub slowness: f64,
+    /// Age of the newest report or event by which that is known.
+    pub pace_age: Option<Duration>,
 }
 
 /// Reachability of the backend servers in an availability zone.
@@ -185,6 +190,8 @@
     fleet: Fleet,
     /// Until when refused callers of a service were told to wait, while its limits are used up.
     limited_until: HashMap<Arc<str>, Duration>,
+    /// When the usual speed of a service's backend servers was last calculated.
+    pace_updated_at: HashMap<Arc<str>, Duration>,
     rng: StdRng,
 }
 
@@ -197,6 +204,7 @@
             zones: HashMap::new(),
             fleet: Fleet::new(host),
             limited_until: HashMap::new(),
+            pace_updated_at: HashMap::new(),
             rng,
         }
     }
@@ -353,6 +361,7 @@
     /// Chooses a backend server for a request, or refuses the request.
     pub fn place(&mut self, now: Duration, requirements: &Requirements<'_>) -> Decision {
         self.refresh_permits(now, requirements.service);
+        self.refresh_pace(now, requirements.service);
         let is_candidate_for = |backend: &&Backend| {
             is_candidate(backend, now, requirements.service, requirements.tried)
         };
@@ -374,10 +383,12 @@
             let is_suspect_zone = zone.is_some_and(|zone| zone.is_suspect(now));
             let health_penalty_ms = health_penalty_ms(now, backend)
                 + if is_suspect_zone { SUSPECT_ZONE_PENALTY_MS } else { 0.0 };
+            let slowness = backend.pace.slowness(now);
+            let load = backend.load(now);
             let latency =
-                predicted_latency_ms(backend.load(now), backend, requirements, expected_prefill);
+                predicted_latency_ms(load, backend, requirements, expected_prefill, slowness);
             let prefill_cost =
-                expected_prefill as f64 / PREFILL_TOKENS_PER_MS * PREFILL_COST_FACTOR;
+                expected_prefill as f64 / PREFILL_TOKENS_PER_MS * slowness * PREFILL_COST_FACTOR;
             let cost = health_penalty_ms + cost(latency, requirements) + prefill_cost + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, latency, health_penalty_ms, prefill_tokens, backend));
@@ -396,6 +407,8 @@
             penalty_ms,
             load: backend.load(now),
             report_age: backend.report_age(now),
+            slowness: backend.pace.slowness(now),
+            pace_age: backend.pace.age(now),
         };
         // The penalty is left out: that a backend server may be faulty is no proof that it is late.
         let latency = Duration::from_secs_f64(latency_ms / 1000.0);
@@ -509,12 +522,14 @@
     backend.failure_rate(now) * FAILURE_PENALTY_MS + silent
 }
 
-/// Returns the predicted time in milliseconds until a backend server responds.
+/// Returns the predicted time in milliseconds until a backend server responds; `slowness` is how long
+/// work takes there as a multiple of the usual time.
 fn predicted_latency_ms(
     load: Load,
     backend: &Backend,
     requirements: &Requirements<'_>,
     prefill_tokens: u64,
+    slowness: f64,
 ) -> f64 {
     let slots = f64::from(backend.entry.slots.max(1));
     let mut latency = 0.0;
@@ -524,11 +539,11 @@
     let running = f64::from(load.running);
     match requirements.prompt {
         Some(_) => {
-            latency +=
+            let prefill_ms =
                 (backend.pending_prefill_tokens() + prefill_tokens) as f64 / PREFILL_TOKENS_PER_MS;
-            latency += running * BATCH_DELAY_MS;
+            latency += (prefill_ms + running * BATCH_DELAY_MS) * slowness;
         }
-        None => latency += running / slots * SERVICE_TIME_MS,
+        None => latency += running / slots * SERVICE_TIME_MS * slowness,
     }
     if load.waiting > 0 || running >= slots {
         latency += QUEUE_DELAY_MS.0 + QUEUE_DELAY_MS.1 * f64::from(load.waiting);
