Tell engines that are busy with long prompts from slow ones

Slow steps now have to last for 750 ms without a usual one, and for half as long again as the longest such time of the last 30 s that a usual step ended. The lasting speed is the lower quartile of samples of 2 s each, since a busy engine has a clean step seldom. What has expired is no longer used, so that a late event after a long time without streams proves nothing.

--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -5,6 +5,7 @@
 //! the older it is. In addition, the shortest time between two events of a stream shows how long a
 //! step of a model engine takes: the queue and the prompts of other requests only lengthen it.
 //! Engines that are slower for good are found by comparing this time with that of the other engines.
+//! An engine that has no step as short as before for most of a second has become slow.
 //!
 //! This suits engines that work on all running requests in each step and send an event per step to
 //! each stream. A step takes a little longer with more requests; small differences are ignored.
@@ -40,24 +41,38 @@
 const GAP: (Duration, Duration) = (Duration::from_millis(1), Duration::from_secs(10));
 
 /// Time for which the shortest gap is kept as one sample.
-const SAMPLE_TIME: Duration = Duration::from_millis(250);
+const SAMPLE_TIME: Duration = Duration::from_secs(2);
 
 /// Number of kept samples, and the age at which they are dropped.
-const SAMPLES: (usize, Duration) = (12, Duration::from_secs(20));
+const SAMPLES: (usize, Duration) = (12, Duration::from_secs(30));
 
-/// Number of the newest samples, among them the unfinished one, in which a sudden change is looked
-/// for: more than half a second, within which a single long prompt is processed, and less than the
-/// second within which a change has to be detected.
-const RECENT_SAMPLES: u64 = 3;
-
-/// Factor by which recent gaps must differ from the earlier ones to replace them at once.
+/// Factor by which gaps must differ from the earlier ones to be a sudden change.
 const SUDDEN_CHANGE: u32 = 3;
 
-/// Consecutive gaps that are needed, so that one late event proves nothing.
-const MIN_ROUNDS: u32 = 2;
+/// Time within streams, and consecutive gaps, that are needed for an estimate. Prompts of other
+/// requests rarely lengthen all steps for this time, and a sudden change has to be detected within a
+/// second.
+const MIN_OBSERVED: (Duration, u32) = (Duration::from_millis(750), 3);
+
+/// Time for which a disturbance is remembered, and the time in percent of it that is needed for a
+/// sudden change. Where long prompts follow each other all the time, an engine may have no usual step
+/// for a second; hosts that took this for a slow machine sent the prompts elsewhere, and away from the
+/// cached parts.
+const DISTURBANCE_TIME: Duration = Duration::from_secs(30);
+const DISTURBANCE_PERCENT: u32 = 150;
+
+/// Longest time that is needed for a sudden change.
+const MAX_SLOW_TIME: Duration = Duration::from_secs(4);
+
+/// Multiple of the needed time from which a time without usual steps was no disturbance but a slow
+/// machine that has recovered.
+const MAX_DISTURBANCE: u32 = 4;
 
-/// Time after which few gaps count as well, at engines with hardly any streams.
-const MAX_UNCHANGED_TIME: Duration = Duration::from_secs(3);
+/// Consecutive gaps that show that an engine is as fast as before.
+const MIN_FAST_GAPS: u32 = 2;
+
+/// Time without gaps after which slow ones are no longer added to those before.
+const MAX_INTERRUPTION: Duration = Duration::from_secs(1);
 
 /// Events that arrive within this time of each other were delayed on their way and count as one.
 const BURST_TIME: Duration = Duration::from_millis(2);
@@ -68,8 +83,29 @@
     /// Number of the period since the time zero.
     period: u64,
     shortest: Duration,
-    /// Gaps of which none began before the end of the last one.
-    rounds: u32,
+}
+
+/// Consecutive gaps: what was observed of an engine, without counting the time twice if several
+/// streams run there.
+#[derive(Debug, Clone, Copy)]
+struct Observed {
+    shortest: Duration,
+    time: Duration,
+    gaps: u32,
+}
+
+impl Observed {
+    const NOTHING: Self = Self { shortest: Duration::MAX, time: Duration::ZERO, gaps: 0 };
+
+    fn add(&mut self, gap: Duration, time: Duration, is_consecutive: bool) {
+        self.shortest = self.shortest.min(gap);
+        self.time = self.time.saturating_add(time);
+        self.gaps = self.gaps.saturating_add(u32::from(is_consecutive));
+    }
+
+    fn suffices(&self, min_time: Duration) -> bool {
+        self.time >= min_time && self.gaps >= MIN_OBSERVED.1
+    }
 }
 
 /// A report of how long work takes.
@@ -86,15 +122,21 @@
     report: Option<Report>,
     /// Measured multiple of the usual time; 1.0 if it isn't known.
     measured: f64,
-    /// Estimated shortest time between events.
+    /// Estimated shortest time between events, and when the last gap ended.
     gap: Option<Duration>,
-    /// When the last gap ended, and when the estimate last changed.
     gap_at: Duration,
-    estimated_at: Duration,
     /// Estimated shortest time between events of the service's engines.
     usual_gap: Option<Duration>,
-    /// End of the last gap that was counted as a round.
-    round_end: Duration,
+    /// End of the last gap that was counted as a consecutive one.
+    consecutive_end: Duration,
+    /// All that was observed.
+    total: Observed,
+    /// What was observed since the last gap that was about as short as before.
+    slow: Observed,
+    /// Longest time without a gap as short as before that a short one ended, and when that was.
+    disturbance: Option<(Duration, Duration)>,
+    /// Consecutive gaps that are much shorter than before.
+    fast_gaps: u32,
     /// Samples with at least one gap, oldest first.
     samples: VecDeque<Sample>,
 }
@@ -106,9 +148,12 @@
             measured: 1.0,
             gap: None,
             gap_at: Duration::ZERO,
-            estimated_at: Duration::ZERO,
             usual_gap: None,
-            round_end: Duration::ZERO,
+            consecutive_end: Duration::ZERO,
+            total: Observed::NOTHING,
+            slow: Observed::NOTHING,
+            disturbance: None,
+            fast_gaps: 0,
             samples: VecDeque::new(),
         }
     }
@@ -137,31 +182,99 @@
         if gap < GAP.0 || gap > GAP.1 {
             return;
         }
-        let period = period(now);
         // Streams share the steps, so that gaps of other streams at the same time prove nothing new.
-        let is_round = now.saturating_sub(gap / 2) >= self.round_end;
-        if is_round {
-            self.round_end = now;
+        let time = now.saturating_sub(self.consecutive_end).min(gap);
+        let is_consecutive = time >= gap / 2;
+        if is_consecutive {
+            self.consecutive_end = now;
         }
-        match self.samples.back_mut() {
-            Some(sample) if sample.period >= period => {
-                sample.shortest = sample.shortest.min(gap);
-                sample.rounds += u32::from(is_round);
+        self.remove_expired(now);
+        self.total.add(gap, time, is_consecutive);
+        self.record_change(now, gap, time, is_consecutive);
+        self.add_sample(now, gap);
+        self.gap_at = now;
+        if self.total.suffices(MIN_OBSERVED.0) {
+            let is_slow = self.slow.suffices(self.min_slow_time(now));
+            self.gap = if is_slow { Some(self.slow.shortest) } else { self.base() };
+        }
+        self.update_measured(now);
+    }
+
+    /// Records whether a gap differs much from those before.
+    fn record_change(
+        &mut self,
+        now: Duration,
+        gap: Duration,
+        time: Duration,
+        is_consecutive: bool,
+    ) {
+        let Some(base) = self.base() else { return };
+        let pause = now.saturating_sub(gap).saturating_sub(self.gap_at);
+        let min_slow_time = self.min_slow_time(now);
+        let is_slow = self.slow.suffices(min_slow_time);
+        let max_pause = if is_slow { SAMPLES.1 } else { MAX_INTERRUPTION };
+        if gap < base * SUDDEN_CHANGE {
+            let is_longest = self.disturbance.is_none_or(|(longest, at)| {
+                self.slow.time >= longest || now.saturating_sub(at) >= DISTURBANCE_TIME
+            });
+            if is_longest && self.slow.time < min_slow_time * MAX_DISTURBANCE {
+                self.disturbance = Some((self.slow.time, now));
             }
+            self.slow = Observed::NOTHING;
+        } else if pause > max_pause {
+            self.slow = Observed::NOTHING;
+        }
+        if gap >= base * SUDDEN_CHANGE {
+            self.slow.add(gap, time, is_consecutive);
+        }
+        if gap > base / SUDDEN_CHANGE {
+            self.fast_gaps = 0;
+        } else {
+            self.fast_gaps += u32::from(is_consecutive);
+        }
+        if self.fast_gaps >= MIN_FAST_GAPS {
+            self.samples.clear();
+        }
+    }
+
+    /// Returns the time without a gap as short as before after which an engine counts as slow.
+    fn min_slow_time(&self, now: Duration) -> Duration {
+        let is_recent = |(_, at): &(Duration, Duration)| now.saturating_sub(*at) < DISTURBANCE_TIME;
+        let longest = self.disturbance.filter(is_recent).map_or(Duration::ZERO, |(time, _)| time);
+        (longest * DISTURBANCE_PERCENT / 100).clamp(MIN_OBSERVED.0, MAX_SLOW_TIME)
+    }
+
+    /// Removes what was observed too long ago.
+    fn remove_expired(&mut self, now: Duration) {
+        let oldest = period(now.saturating_sub(SAMPLES.1));
+        self.samples.retain(|sample| sample.period >= oldest);
+        if self.samples.is_empty() {
+            (self.total, self.slow) = (Observed::NOTHING, Observed::NOTHING);
+        }
+    }
+
+    fn add_sample(&mut self, now: Duration, gap: Duration) {
+        let newest = period(now);
+        match self.samples.back_mut() {
+            Some(sample) if sample.period >= newest => sample.shortest = sample.shortest.min(gap),
             _ => {
                 if self.samples.len() == SAMPLES.0 {
                     self.samples.pop_front();
                 }
-                let rounds = u32::from(is_round);
-                self.samples.push_back(Sample { period, shortest: gap, rounds });
+                self.samples.push_back(Sample { period: newest, shortest: gap });
             }
         }
-        while self.samples.front().is_some_and(|own| own.period < oldest_period(now)) {
-            self.samples.pop_front();
+    }
+
+    /// Returns the lower quartile of the samples: long prompts lengthen most of them at a busy engine,
+    /// and a few may be too short because events before them were delayed on their way.
+    fn base(&self) -> Option<Duration> {
+        let mut sorted = [Duration::MAX; SAMPLES.0];
+        for (place, sample) in sorted.iter_mut().zip(&self.samples) {
+            *place = sample.shortest;
         }
-        self.gap_at = now;
-        self.update_gap(now);
-        self.update_measured(now);
+        sorted.sort_unstable();
+        (!self.samples.is_empty()).then(|| sorted[self.samples.len() / 4])
     }
 
     /// Sets the usual time between events of the service's engines and recalculates how slow this
@@ -199,33 +312,6 @@
         report_age.into_iter().chain(gap_age).min()
     }
 
-    /// Estimates the shortest time between events anew.
-    fn update_gap(&mut self, now: Duration) {
-        let first_recent = period(now).saturating_sub(RECENT_SAMPLES - 1);
-        let recent = self.samples.iter().filter(|sample| sample.period >= first_recent);
-        let (rounds, recent) = recent.fold((0, Duration::MAX), |(rounds, shortest), sample| {
-            (rounds + sample.rounds, shortest.min(sample.shortest))
-        });
-        let has_proof = rounds >= MIN_ROUNDS;
-        let is_unchanged_for_long = now.saturating_sub(self.estimated_at) >= MAX_UNCHANGED_TIME;
-        let all_rounds: u32 = self.samples.iter().map(|sample| sample.rounds).sum();
-        if !has_proof && (all_rounds < MIN_ROUNDS || !is_unchanged_for_long) {
-            return;
-        }
-        let mut sorted = [Duration::MAX; SAMPLES.0];
-        for (place, sample) in sorted.iter_mut().zip(&self.samples) {
-            *place = sample.shortest;
-        }
-        let sorted = &mut sorted[..self.samples.len()];
-        sorted.sort_unstable();
-        // The lower quartile: long prompts lengthen most samples at a busy engine, and a few may be
-        // too short because events before them were delayed on their way.
-        let Some(&usual) = sorted.get(sorted.len() / 4) else { return };
-        let is_sudden = recent >= usual * SUDDEN_CHANGE || recent <= usual / SUDDEN_CHANGE;
-        self.gap = Some(if has_proof && is_sudden { recent } else { usual });
-        self.estimated_at = now;
-    }
-
     /// Compares the estimate with the usual time.
     fn update_measured(&mut self, now: Duration) {
         let (Some(gap), Some(usual_gap)) = (self.gap, self.usual_gap) else {
@@ -256,11 +342,6 @@
     u64::try_from(now.as_millis() / SAMPLE_TIME.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns the number of the oldest sample that is kept.
-fn oldest_period(now: Duration) -> u64 {
-    period(now.saturating_sub(SAMPLES.1))
-}
-
 /// Returns the usual time between events of engines: their median, the lower one of two.
 pub fn usual_gap(gaps: &mut [Duration]) -> Option<Duration> {
     let middle = gaps.len().checked_sub(1)? / 2;
@@ -307,7 +388,7 @@
         self.newest_gap = Some(gap);
         let previous = self.previous_gap?;
         let is_usual = usual_gap.is_some_and(|usual| gap >= usual.mul_f64(1.0 - TOLERANCE));
-        let follows_prompt = is_usual && previous >= gap * 2;
+        let follows_prompt = is_usual && previous / 2 >= gap;
         Some(if follows_prompt { gap } else { gap.max(previous) })
     }
 }
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -141,6 +141,28 @@
     }
 }
 
+/// Guards against a late event that is believed because what was known before has expired.
+#[test]
+fn late_event_after_a_long_time_without_streams_proves_nothing() {
+    for pause in [ms(20_000), ms(29_000), ms(31_000), ms(60_000)] {
+        let mut stream = Stream::new(START);
+        stream.run(USUAL_GAP, ms(5000));
+        stream.cadence = Cadence::default();
+        for gap in [pause, ms(400), ms(400), USUAL_GAP, USUAL_GAP] {
+            assert_eq!(stream.advance(gap), 1.0, "{pause:?}");
+        }
+    }
+}
+
+/// Guards against an overflow at times that no clock shows.
+#[test]
+fn cadence_bears_any_time() {
+    let mut cadence = Cadence::default();
+    for now in [START, Duration::ZERO, Duration::MAX, START, Duration::MAX, Duration::MAX] {
+        cadence.record(now, u32::MAX, Some(Duration::MAX));
+    }
+}
+
 /// Guards against an engine that gets requests for long after it has become slow, and against one
 /// that is avoided for long after it has recovered.
 #[test_case(5.0, 20; "five times slower, short steps")]
