Require even steps of an engine that is taken for slow

Steps of a slow machine are about equally long, while prompts lengthen them by different times, so 60 % of the gaps must now be within 1.2 times the shortest.

--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -5,7 +5,8 @@
 //! the older it is. In addition, the shortest time between two events of a stream shows how long a
 //! step of a model engine takes: the queue and the prompts of other requests only lengthen it.
 //! Engines that are slower for good are found by comparing this time with that of the other engines.
-//! An engine that has no step as short as before for most of a second has become slow.
+//! An engine whose steps are all much longer than before for most of a second, and even, has become
+//! slow; prompts lengthen steps by different times.
 //!
 //! This suits engines that work on all running requests in each step and send an event per step to
 //! each stream. A step takes a little longer with more requests; small differences are ignored.
@@ -68,6 +69,10 @@
 /// machine that has recovered.
 const MAX_DISTURBANCE: u32 = 4;
 
+/// Factor up to which gaps are about as long as the shortest one, and the least percentage of them at
+/// a slow machine.
+const EVEN_GAPS: (f64, u32) = (1.2, 60);
+
 /// Consecutive gaps that show that an engine is as fast as before.
 const MIN_FAST_GAPS: u32 = 2;
 
@@ -92,15 +97,31 @@
     shortest: Duration,
     time: Duration,
     gaps: u32,
+    /// Gaps that are about as long as the shortest one.
+    even_gaps: u32,
 }
 
 impl Observed {
-    const NOTHING: Self = Self { shortest: Duration::MAX, time: Duration::ZERO, gaps: 0 };
+    /// Its shortest gap is longer than any that is recorded, and can be multiplied.
+    const NOTHING: Self =
+        Self { shortest: Duration::from_secs(3600), time: Duration::ZERO, gaps: 0, even_gaps: 0 };
 
     fn add(&mut self, gap: Duration, time: Duration, is_consecutive: bool) {
-        self.shortest = self.shortest.min(gap);
         self.time = self.time.saturating_add(time);
-        self.gaps = self.gaps.saturating_add(u32::from(is_consecutive));
+        if is_consecutive {
+            if gap < self.shortest.mul_f64(1.0 / EVEN_GAPS.0) {
+                self.even_gaps = 0;
+            }
+            self.gaps = self.gaps.saturating_add(1);
+            self.even_gaps += u32::from(gap <= self.shortest.mul_f64(EVEN_GAPS.0));
+        }
+        self.shortest = self.shortest.min(gap);
+    }
+
+    /// Returns whether most gaps are as long as the shortest one. Those of a slow machine are; prompts
+    /// lengthen steps by different times.
+    fn is_even(&self) -> bool {
+        u64::from(self.even_gaps) * 100 >= u64::from(self.gaps) * u64::from(EVEN_GAPS.1)
     }
 
     fn suffices(&self, min_time: Duration) -> bool {
@@ -194,7 +215,7 @@
         self.add_sample(now, gap);
         self.gap_at = now;
         if self.total.suffices(MIN_OBSERVED.0) {
-            let is_slow = self.slow.suffices(self.min_slow_time(now));
+            let is_slow = self.slow.suffices(self.min_slow_time(now)) && self.slow.is_even();
             self.gap = if is_slow { Some(self.slow.shortest) } else { self.base() };
         }
         self.update_measured(now);
@@ -211,7 +232,7 @@
         let Some(base) = self.base() else { return };
         let pause = now.saturating_sub(gap).saturating_sub(self.gap_at);
         let min_slow_time = self.min_slow_time(now);
-        let is_slow = self.slow.suffices(min_slow_time);
+        let is_slow = self.slow.suffices(min_slow_time) && self.slow.is_even();
         let max_pause = if is_slow { SAMPLES.1 } else { MAX_INTERRUPTION };
         if gap < base * SUDDEN_CHANGE {
             let is_longest = self.disturbance.is_none_or(|(longest, at)| {
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -141,6 +141,38 @@
     }
 }
 
+/// Guards against an engine that is busy with prompts in all steps and is taken for a slow machine, and
+/// against one that is slow and isn't noticed since some prompts are processed there.
+#[test]
+fn even_steps_tell_a_slow_machine_from_long_prompts() {
+    struct Case {
+        name: &'static str,
+        steps_ms: &'static [u64],
+        is_slow: bool,
+    }
+    let cases = [
+        Case {
+            name: "prompts in all steps",
+            steps_ms: &[110, 240, 150, 400, 190, 310, 120],
+            is_slow: false,
+        },
+        Case {
+            name: "slow, and a prompt in one of four steps",
+            steps_ms: &[150, 150, 150, 550],
+            is_slow: true,
+        },
+    ];
+    for case in cases {
+        let mut stream = Stream::new(START);
+        stream.run(USUAL_GAP, ms(5000));
+        for &step_ms in case.steps_ms.iter().cycle().take(12) {
+            stream.advance(ms(step_ms));
+        }
+        let slowness = stream.slowness_after(ms(0));
+        assert_eq!(slowness > 3.0, case.is_slow, "{}: {slowness}", case.name);
+    }
+}
+
 /// Guards against a late event that is believed because what was known before has expired.
 #[test]
 fn late_event_after_a_long_time_without_streams_proves_nothing() {
