--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod limited;
 mod separation;
+mod usual_gap;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -184,6 +185,10 @@
     pub report_age: Option<Duration>,
     /// Engines that the prompt prefers, if those of the service are divided.
     pub group: Option<Group>,
+    /// How long work takes there, as a multiple of the usual time.
+    pub slowness: f64,
+    /// Age of the newest report or event by which that is known.
+    pub pace_age: Option<Duration>,
 }
 
 /// Reachability of the backend servers in an availability zone.
@@ -221,6 +226,8 @@
     /// What cold backend servers accept, by their service.
     cold_starts: HashMap<Arc<str>, ColdStart>,
     cold_bound: ColdBound,
+    /// When the usual speed of a service's backend servers was last calculated.
+    pace_updated_at: HashMap<Arc<str>, Duration>,
     rng: StdRng,
 }
 
@@ -237,6 +244,7 @@
             separation: Separation::default(),
             cold_starts: HashMap::new(),
             cold_bound: ColdBound::default(),
+            pace_updated_at: HashMap::new(),
             rng,
         }
     }
@@ -443,6 +451,7 @@
     /// Chooses a backend server for a request, or refuses the request.
     pub fn place(&mut self, now: Duration, requirements: &Requirements<'_>) -> Decision {
         self.refresh_permits(now, requirements.service);
+        self.refresh_pace(now, requirements.service);
         let is_candidate_for = |backend: &&Backend| {
             !self.evacuated.contains_key(&backend.entry.zone)
                 && is_candidate(backend, now, requirements.service, requirements.tried)
@@ -470,10 +479,12 @@
             let is_suspect_zone = zone.is_some_and(|zone| zone.is_suspect(now));
             let health_penalty_ms = health_penalty_ms(now, backend)
                 + if is_suspect_zone { SUSPECT_ZONE_PENALTY_MS } else { 0.0 };
+            let slowness = backend.pace.slowness(now);
+            let load = backend.load(now);
             let latency =
-                predicted_latency_ms(backend.load(now), backend, requirements, expected_prefill);
+                predicted_latency_ms(load, backend, requirements, expected_prefill, slowness);
             let prefill_cost =
-                expected_prefill as f64 / PREFILL_TOKENS_PER_MS * PREFILL_COST_FACTOR;
+                expected_prefill as f64 / PREFILL_TOKENS_PER_MS * slowness * PREFILL_COST_FACTOR;
             let outside_ms =
                 group.filter(|_| is_outside(backend)).map_or(0.0, |own| own.outside_ms);
             let cost = health_penalty_ms
@@ -501,6 +512,8 @@
             load: backend.load(now),
             report_age: backend.report_age(now),
             group,
+            slowness: backend.pace.slowness(now),
+            pace_age: backend.pace.age(now),
         };
         // The penalty is left out: that a backend server may be faulty is no proof that it is late.
         let latency = Duration::from_secs_f64(latency_ms / 1000.0);
@@ -649,12 +662,14 @@
     }
 }
 
-/// Returns the predicted time in milliseconds until a backend server responds.
+/// Returns the predicted time in milliseconds until a backend server responds; `slowness` is how long
+/// work takes there as a multiple of the usual time.
 fn predicted_latency_ms(
     load: Load,
     backend: &Backend,
     requirements: &Requirements<'_>,
     prefill_tokens: u64,
+    slowness: f64,
 ) -> f64 {
     let slots = f64::from(backend.entry.slots.max(1));
     let mut latency = 0.0;
@@ -664,11 +679,11 @@
     let running = f64::from(load.running);
     match requirements.prompt {
         Some(_) => {
-            latency +=
+            let prefill_ms =
                 (backend.pending_prefill_tokens() + prefill_tokens) as f64 / PREFILL_TOKENS_PER_MS;
-            latency += running * BATCH_DELAY_MS;
+            latency += (prefill_ms + running * BATCH_DELAY_MS) * slowness;
         }
-        None => latency += running / slots * SERVICE_TIME_MS,
+        None => latency += running / slots * SERVICE_TIME_MS * slowness,
     }
     if load.waiting > 0 || running >= slots {
         latency += QUEUE_DELAY_MS.0 + QUEUE_DELAY_MS.1 * f64::from(load.waiting);
