--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -45,8 +45,8 @@
 /// Time from a request to its response.
 const RESPONSE_MS: u64 = 30;
 
-/// Cold rate and cold time of the service if its backend servers may be cold.
-pub const COLD_START: ColdStart = ColdStart { per_s: 9.9, time: Duration::from_secs(3) };
+/// Time for which backend servers are cold after a start.
+const COLD_TIME: Duration = Duration::from_secs(3);
 
 /// Interval at which backend servers write their entries.
 const ENTRY_INTERVAL_MS: u64 = 1200;
@@ -170,15 +170,24 @@
     refused: usize,
     /// Backend servers if they may be cold; none otherwise.
     servers: Vec<Server>,
+    /// What they accept while they are cold.
+    cold_start: ColdStart,
     /// Times at which callers were served and refused.
     outcomes: Vec<(u64, bool)>,
 }
 
 impl Simulation {
     /// Creates hosts of a service whose backend servers may be cold; none of them is at first.
-    pub fn with_cold_servers(seed: u64, hosts: usize, demand_per_s: f64, servers: usize) -> Self {
+    pub fn with_cold_servers(
+        seed: u64,
+        hosts: usize,
+        demand_per_s: f64,
+        servers: usize,
+        cold_per_s: f64,
+    ) -> Self {
         let limits = vec![f64::INFINITY; servers].leak();
         let mut simulation = Self::new(seed, 0, Load { demand_per_s, limits });
+        simulation.cold_start = ColdStart { per_s: cold_per_s, time: COLD_TIME };
         simulation.servers = (0..servers as u64)
             .map(|number| Server {
                 started_ms: 1,
@@ -204,6 +213,7 @@
             arrivals: vec![Vec::new(); load.limits.len()],
             refused: 0,
             servers: Vec::new(),
+            cold_start: ColdStart { per_s: f64::INFINITY, time: COLD_TIME },
             outcomes: Vec::new(),
         };
         (0..hosts).for_each(|_| simulation.add_host());
@@ -356,7 +366,7 @@
         if self.servers.is_empty() {
             host.backends.replace(Duration::ZERO, entries(self.limits.len()), false);
         } else {
-            host.backends.set_cold_starts(ColdBound::default(), [("s".into(), COLD_START)]);
+            host.backends.set_cold_starts(ColdBound::default(), [("s".into(), self.cold_start)]);
             host.entries.fill(None);
             host.learns_ms.fill(None);
         }
@@ -540,7 +550,7 @@
 impl Server {
     /// Makes it cold at a time.
     fn chill(&mut self, at_ms: u64) {
-        let until_ms = at_ms + COLD_START.time.as_millis() as u64;
+        let until_ms = at_ms + COLD_TIME.as_millis() as u64;
         self.cold_until_ms = until_ms;
         match self.cold_times.last_mut() {
             Some(last) if at_ms <= last.end => last.end = until_ms,
