Learn the speed of engines only where they state how long work takes

A service without the figure is served as before. The load tests now state the usual time where an engine doesn't vary, so that they test the same estimates.

--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -310,6 +310,11 @@
         self.gap.filter(|_| now.saturating_sub(self.gap_at) < SAMPLES.1)
     }
 
+    /// Returns whether the engine has ever stated how long work takes.
+    pub fn has_report(&self) -> bool {
+        self.report.is_some()
+    }
+
     /// Returns how long work takes as a multiple of the usual time; 1.0 if nothing is known.
     pub fn slowness(&self, now: Duration) -> f64 {
         let Some(report) = self.report else { return self.measured };
--- a/crates/gateway/src/placement/usual_gap.rs
+++ b/crates/gateway/src/placement/usual_gap.rs
@@ -11,6 +11,9 @@
 
 impl Backends {
     /// Recalculates the usual time between events of a service's engines, at most once per interval.
+    ///
+    /// There is none unless an engine has stated how long work takes. Others have their machines for
+    /// themselves, and those that are busy with long prompts must not be taken for slow.
     pub(super) fn refresh_pace(&mut self, now: Duration, service: &str) {
         match self.pace_updated_at.get_mut(service) {
             Some(at) if now.saturating_sub(*at) < UPDATE_INTERVAL => return,
@@ -20,7 +23,9 @@
             }
         }
         let of_service = || self.backends.values().filter(|own| *own.entry.service == *service);
-        let mut gaps: Vec<_> = of_service().filter_map(|own| own.pace.event_gap(now)).collect();
+        let states_work_time = of_service().any(|own| own.pace.has_report());
+        let gaps = of_service().filter_map(|own| own.pace.event_gap(now));
+        let mut gaps: Vec<_> = gaps.filter(|_| states_work_time).collect();
         let usual_gap = usual_gap(&mut gaps);
         let of_service = self.backends.values_mut().filter(|own| *own.entry.service == *service);
         of_service.for_each(|own| own.pace.set_usual_gap(now, usual_gap));
--- a/crates/gateway/tests/pace_load.rs
+++ b/crates/gateway/tests/pace_load.rs
@@ -235,8 +235,10 @@
         let running = engine.running.len() as u32 + 1;
         let waiting = running.saturating_sub(SLOTS);
         backend.record_load(now, Load { running: running - waiting, waiting });
-        if is_measured && case.varies {
-            backend.pace.record_report(now, engine.current.0 * 100.0);
+        if is_measured {
+            // One that doesn't vary states the usual time.
+            let stated = if case.varies { engine.current.0 } else { 1.0 };
+            backend.pace.record_report(now, stated * 100.0);
         }
     }
     firsts.sort_unstable();
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -467,6 +467,30 @@
     }
 }
 
+/// Engines that are busy with long prompts were avoided as slow, and their prompts read twice.
+#[test]
+fn events_tell_of_slow_engines_only_where_engines_state_how_long_work_takes() {
+    for states_work_time in [false, true] {
+        let mut backends = new_backends(3, [entry("e0", "a", 16), entry("e1", "a", 16)]);
+        for tenth in 0..80 {
+            let now = SECOND + tenth * SECOND / 10;
+            for (id, gap) in [("e0", 40), ("e1", 60)] {
+                let backend = backends.get_mut(id).expect("listed");
+                backend.pace.record_event_gap(now, Duration::from_millis(gap));
+            }
+        }
+        let now = 9 * SECOND;
+        if states_work_time {
+            backends.get_mut("e0").expect("listed").pace.record_report(now, 100.0);
+        }
+        let prompt = session(1);
+        placed(&mut backends, now, &requirements(Some(&prompt), &[]));
+        let slowness = |id| backends.get_mut(id).expect("listed").pace.slowness(now);
+        let is_known = ["e0", "e1"].map(slowness) != [1.0, 1.0];
+        assert_eq!(is_known, states_work_time);
+    }
+}
+
 #[test]
 fn callers_of_resting_backend_servers_are_spread_over_some_time() {
     let mut backends = new_backends(3, vec![entry("p0", "a", 6)]);
