--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -386,6 +386,24 @@
     assert_eq!(directory.mode(moment), Mode::Direct);
 }
 
+/// Subscribers learned of an evacuation only from the next beat that was due anyway.
+#[test]
+fn change_of_evacuations_is_published_at_once() {
+    for offset in 0..10 {
+        let mut fleet = Fleet::new(50, 20);
+        fleet.run(5_000 + offset * 110);
+        for zones in [BTreeSet::from(["a".into()]), BTreeSet::new()] {
+            fleet.platform.evacuated = zones;
+            let mut waited_ms = 0;
+            while !fleet.all_know() {
+                fleet.step();
+                waited_ms += STEP_MS;
+                assert!(waited_ms <= 700, "at offset {offset}");
+            }
+        }
+    }
+}
+
 /// Beats of publishers of an earlier version were left out, or ended evacuations.
 #[test]
 fn beat_without_evacuations_says_nothing_about_them() {
