Weigh what the prompt cache saves against the wait

A host took the preferred engine of a prompt to have all shared parts cached, also when nobody had sent the prompt for long, and any other engine for 12 s, whatever its memory. The first request of a session therefore waited at a busy engine for nothing.

Where a service states KvCapacityTokens, a host now estimates how long an engine keeps a part from its own traffic times the number of hosts, and how likely another host has sent the prompt within that time. A lack of room beside the running requests counts as wait. The line placed states the saving, the wait and the alternative; two counters state tokens expected to be cached and read again. Without a stated capacity the choice is computed as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use self::permit::PermitGuard;
 use crate::{
     backend::{Entry, HealthSignal},
+    cache::Memory,
     catalog::RetryPolicy,
     crash::{BrokenRequest, RISK_TIME},
     dialect::{Dispatch, LimitStatement, Reply},
@@ -24,6 +25,7 @@
     placement::{Decision, Estimate, Excluded, Requirements},
     pool::{ConnectError, Connection, SendError},
     proxy::Job,
+    request::Prompt,
     retry_state::AttemptFailure,
 };
 
@@ -106,6 +108,8 @@
     max_connections: usize,
     /// Prompt tokens that count as waiting for prefill until the first event.
     prefill_tokens: u64,
+    /// Input and output tokens of the prompt, if there is one.
+    prompt_tokens: Option<u64>,
     /// Names of the shared parts of the prompt.
     parts: Vec<Arc<str>>,
     permit: PermitGuard,
@@ -145,6 +149,7 @@
                 service: &job.service.name,
                 zone: &node.settings.zone,
                 prompt: job.call.prompt.as_ref(),
+                memory: job.service.engine.and_then(|own| Memory::new(own, node.hosts())),
                 tried: &tried,
                 target_latency: job.route.target_latency,
                 time_left: job.time_left(),
@@ -153,11 +158,11 @@
         };
         let (to, prefill_tokens) = match decision {
             Decision::Send { to, prefill_tokens, estimate, excluded } => {
-                log_placement(job, Some(&to.id), prefill_tokens, Some(estimate), excluded, None);
+                log_placement(job, Some(&to.id), prefill_tokens, Some(&estimate), excluded, None);
                 (to, prefill_tokens)
             }
             Decision::Refuse { retry_after, estimate, excluded } => {
-                log_placement(job, None, 0, estimate, excluded, Some(retry_after));
+                log_placement(job, None, 0, estimate.as_ref(), excluded, Some(retry_after));
                 return Err(StartError::Rejected(retry_after));
             }
         };
@@ -207,12 +212,16 @@
         if let Some(backend) = node.backends.borrow_mut().get_mut(&to.id) {
             backend.start_request(node.now(), job.call.prompt.as_ref(), prefill_tokens);
         }
+        if let Some(prompt) = &job.call.prompt {
+            record_prompt(&node, job, prompt, prefill_tokens, is_retry);
+        }
         let parts = job.call.prompt.iter().flat_map(|prompt| &prompt.shared);
         Ok(Self {
             node,
             to,
             max_connections,
             prefill_tokens,
+            prompt_tokens: job.call.prompt.as_ref().map(Prompt::max_charge),
             parts: parts.map(|part| part.name.clone()).collect(),
             permit,
             connection: Some(connection),
@@ -590,19 +599,36 @@
     fn drop(&mut self) {
         self.finish_prefill();
         self.record_exposure();
-        self.node.backends.borrow_mut().finish_request(self.node.now(), &self.to.id, self.health);
+        let mut backends = self.node.backends.borrow_mut();
+        if let Some(tokens) = self.prompt_tokens {
+            let is_whole = self.health == HealthSignal::Healthy;
+            let elapsed = is_whole.then(|| self.sent_at.elapsed());
+            backends.finish_prompt(&self.to.id, tokens, elapsed);
+        }
+        backends.finish_request(self.node.now(), &self.to.id, self.health);
     }
 }
 
+/// Records a prompt that is sent, and counts the tokens that are expected to be cached and those
+/// that are read again although this host has sent them before.
+fn record_prompt(node: &Node, job: &Job, prompt: &Prompt, prefill_tokens: u64, is_retry: bool) {
+    let service = &job.service.name;
+    let known = node.backends.borrow_mut().record_prompt(node.now(), service, prompt, is_retry);
+    let cached = prompt.input.saturating_sub(prefill_tokens);
+    node.metrics.prompt_sent(service, cached, known.saturating_sub(cached));
+}
+
 /// Logs which backend server was chosen and why, or that none was.
 fn log_placement(
     job: &Job,
     to: Option<&str>,
     prefill_tokens: u64,
-    estimate: Option<Estimate>,
+    estimate: Option<&Estimate>,
     excluded: Excluded,
     retry_after: Option<Duration>,
 ) {
+    let chosen = estimate.map(|estimate| &estimate.chosen);
+    let alternative = estimate.and_then(|estimate| estimate.alternative.as_ref());
     tracing::info!(
         event = "placed",
         id = %job.call.id,
@@ -621,6 +647,16 @@
         report_age_ms = estimate
             .and_then(|estimate| estimate.report_age)
             .map(|age| age.as_millis() as u64),
+        saved = chosen.map(|chosen| chosen.saved_tokens),
+        wait_ms = chosen.map(|chosen| chosen.wait_ms as u64),
+        room_wait_ms = chosen.map(|chosen| chosen.room_wait_ms as u64),
+        retention_ms = chosen.map(|chosen| chosen.retention.as_millis() as u64),
+        sent_age_ms = chosen
+            .and_then(|chosen| chosen.sent_age)
+            .map(|age| age.as_millis() as u64),
+        alternative = alternative.map(|other| &*other.id),
+        alternative_saved = alternative.map(|other| other.saved_tokens),
+        alternative_wait_ms = alternative.map(|other| other.wait_ms as u64),
         left_ms = job.time_left().as_millis() as u64,
     );
 }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,11 +1,15 @@
 //! State that this host keeps of one backend server: its load, its health and the prompt parts that
 //! it probably has cached.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use coordination::locate::hash;
 
-use crate::{limit::Limit, request::Prompt};
+use crate::{
+    cache::{Cache, FIXED_RETENTION},
+    limit::Limit,
+    request::Prompt,
+};
 
 /// Age from which a backend server's own report of its load is ignored.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -26,12 +30,6 @@
 /// Time in which the failure rate falls to about a third while no attempt ends.
 const FAILURE_RATE_DECAY: Duration = Duration::from_secs(4);
 
-/// Time for which a model engine is assumed to keep a prompt part in its cache.
-const CACHE_TTL: Duration = Duration::from_secs(12);
-
-/// Number of remembered prompt parts at which expired ones are removed.
-const MAX_CACHED_PARTS: usize = 1024;
-
 /// Entry of a backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -101,6 +99,8 @@
     pub hash: u64,
     /// Limit on the requests of all hosts together.
     pub limit: Limit,
+    /// Memory of a model engine.
+    pub cache: Cache,
     running: u32,
     /// Prompt tokens of this host's requests whose first event hasn't arrived.
     pending_prefill: u64,
@@ -118,8 +118,6 @@
     trial_requests: Option<u32>,
     recorded_failure_rate: f64,
     failure_rate_at: Duration,
-    /// When each prompt part was last sent, by its prefix hash.
-    cached_parts: HashMap<u64, Duration>,
 }
 
 impl Backend {
@@ -129,6 +127,7 @@
             hash: hash(entry.id.as_bytes()),
             entry,
             limit: Limit::default(),
+            cache: Cache::default(),
             running: 0,
             pending_prefill: 0,
             last_report: None,
@@ -141,7 +140,6 @@
             trial_requests: None,
             recorded_failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
-            cached_parts: HashMap::new(),
         }
     }
 
@@ -170,10 +168,7 @@
         }
         let Some(prompt) = prompt else { return };
         self.pending_prefill += prefill_tokens;
-        if self.cached_parts.len() >= MAX_CACHED_PARTS {
-            self.cached_parts.retain(|_, at| now.saturating_sub(*at) < CACHE_TTL);
-        }
-        self.cached_parts.extend(prompt.shared.iter().map(|part| (part.prefix_hash, now)));
+        self.cache.record_sent(now, prompt);
     }
 
     /// Records that it has processed the prompt of a request that started with `prefill_tokens`.
@@ -309,16 +304,15 @@
         self.last_report.map(|(_, at, _)| now.saturating_sub(at))
     }
 
-    /// Returns the tokens of a prompt that it is not assumed to have cached.
+    /// Returns the number of other hosts' requests that run there, if its last report is recent.
+    pub fn running_of_others(&self, now: Duration) -> Option<u32> {
+        let age = self.report_age(now)?;
+        (age < LOAD_REPORT_MAX_AGE).then(|| self.load(now).running.saturating_sub(self.running))
+    }
+
+    /// Returns the tokens of a prompt that it is not assumed to have cached, if it keeps parts for
+    /// the fixed time.
     pub fn uncached_tokens(&self, now: Duration, prompt: &Prompt) -> u64 {
-        let mut uncached = prompt.input;
-        for part in &prompt.shared {
-            let sent_at = self.cached_parts.get(&part.prefix_hash);
-            if sent_at.is_none_or(|at| now.saturating_sub(*at) >= CACHE_TTL) {
-                break;
-            }
-            uncached = uncached.saturating_sub(part.tokens);
-        }
-        uncached
+        prompt.input - self.cache.expected_cached(now, prompt, FIXED_RETENTION)
     }
 }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -81,6 +81,10 @@
 pub struct Engine {
     /// Maximum number of output tokens in one event of a stream.
     pub event_tokens: u64,
+    /// Tokens that it holds, of running requests and cached parts of prompts together, if stated.
+    pub capacity_tokens: Option<u64>,
+    /// Maximum number of requests that it runs at the same time, if stated.
+    pub slots: Option<u32>,
 }
 
 /// A service that backend servers provide.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! request at all), [`idle`] (how long a caller's connection stays open), [`drain`] (which requests
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`credit`] (whether a resumed stream's
-//! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
+//! prompt was charged before), [`cache`] (which parts of prompts an engine has cached, and whether it has
+//! room), [`witness`] (whether a process went on that couldn't renew its row),
 //! [`freshness`] (how far a configuration counts after a restore of the table), [`backend`] and
 //! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
 //! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
@@ -18,6 +19,7 @@
 pub mod backend;
 pub mod body;
 pub mod budgets;
+pub mod cache;
 pub mod catalog;
 mod config_copy;
 pub mod connection;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     refusals: Counter<u64>,
     connections_closed: Counter<u64>,
     duration: Histogram<f64>,
+    prompt_tokens_cached: Counter<u64>,
+    prompt_tokens_read_again: Counter<u64>,
     held: Gauge<u64>,
     reserved: Gauge<u64>,
     active: Gauge<u64>,
@@ -70,6 +72,19 @@
                 .with_description("Time from a request's head to the end of its answer")
                 .with_boundaries(LATENCY_BUCKETS_S.to_vec())
                 .build(),
+            prompt_tokens_cached: meter
+                .u64_counter("laburnum_prompt_tokens_expected_cached")
+                .with_description(
+                    "Tokens of prompts sent that the engine was expected to have cached",
+                )
+                .build(),
+            prompt_tokens_read_again: meter
+                .u64_counter("laburnum_prompt_tokens_read_again")
+                .with_description(
+                    "Tokens of prompts sent that this host had sent before and that the engine was \
+                     expected to read again",
+                )
+                .build(),
             held: gauge("laburnum_held_tokens", "Tokens that this host may spend"),
             reserved: gauge("laburnum_reserved_tokens", "Tokens set aside for requests"),
             active: gauge("laburnum_active_requests", "Requests under way"),
@@ -115,6 +130,14 @@
         self.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts the tokens of a prompt that is sent: those that the engine is expected to have cached,
+    /// and those that it reads although this host has sent them before.
+    pub fn prompt_sent(&self, service: &str, cached: u64, read_again: u64) {
+        let service = [KeyValue::new("service", service.to_owned())];
+        self.prompt_tokens_cached.add(cached, &service);
+        self.prompt_tokens_read_again.add(read_again, &service);
+    }
+
     fn record_limits(&self, backends: &Backends) {
         for backend in backends.limited() {
             let id = [KeyValue::new("backend", backend.entry.id.to_string())];
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,6 +10,7 @@
 //! preferably in this host's zone.
 
 mod limited;
+mod saving;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -20,9 +21,11 @@
 use coordination::locate::mix64;
 use rand::{RngExt, rngs::StdRng};
 
-pub use self::limited::Limited;
+use self::saving::Prefill;
+pub use self::{limited::Limited, saving::Alternative};
 use crate::{
     backend::{Backend, Entry, HealthSignal, Load},
+    cache::{Memory, Traffic},
     limit::Fleet,
     request::Prompt,
 };
@@ -99,6 +102,8 @@
     pub zone: &'a str,
     /// Prompt, if the request is a generation.
     pub prompt: Option<&'a Prompt>,
+    /// Memory of the service's engines, if their capacity is stated.
+    pub memory: Option<Memory>,
     /// Ids of the backend servers that were tried before.
     pub tried: &'a [Arc<str>],
     /// Time within which the response, or the first event of a stream, should arrive.
@@ -144,7 +149,7 @@
 }
 
 /// Estimate for a backend server, and the facts behind it.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Estimate {
     /// Number of backend servers that could be chosen.
     pub candidates: usize,
@@ -156,6 +161,10 @@
     pub load: Load,
     /// Age of its last load report.
     pub report_age: Option<Duration>,
+    /// What is saved there, and the wait.
+    pub chosen: Alternative,
+    /// The same of the backend server that would have been chosen next.
+    pub alternative: Option<Alternative>,
 }
 
 /// Reachability of the backend servers in an availability zone.
@@ -185,6 +194,8 @@
     fleet: Fleet,
     /// Until when refused callers of a service were told to wait, while its limits are used up.
     limited_until: HashMap<Arc<str>, Duration>,
+    /// What this host sent to the engines of each service.
+    traffic: HashMap<Arc<str>, Traffic>,
     rng: StdRng,
 }
 
@@ -197,6 +208,7 @@
             zones: HashMap::new(),
             fleet: Fleet::new(host),
             limited_until: HashMap::new(),
+            traffic: HashMap::new(),
             rng,
         }
     }
@@ -363,27 +375,35 @@
         let preferred = PreferredEngines::find(
             candidates.iter().map(|backend| (weight(backend), backend.hash)),
         );
-        let mut best: Option<(f64, f64, f64, u64, &Backend)> = None;
+        let demand = self.demand(now, requirements, candidates.len());
+        let mut best: Option<(f64, f64, f64, Prefill, &Backend)> = None;
+        let mut next: Option<(f64, Prefill, &Backend)> = None;
         for &backend in &candidates {
-            let prefill_tokens =
-                estimate_prefill(now, backend, requirements.prompt, preferred.first);
-            let expected_prefill =
-                prefill_tokens.min(preferred.max_prefill_tokens(backend, requirements.prompt));
+            let prefill = Prefill::estimate(now, backend, requirements, preferred, demand.as_ref());
             let jitter = self.rng.random_range(0.0..JITTER_MS);
             let zone = self.zones.get(&backend.entry.zone);
             let is_suspect_zone = zone.is_some_and(|zone| zone.is_suspect(now));
             let health_penalty_ms = health_penalty_ms(now, backend)
                 + if is_suspect_zone { SUSPECT_ZONE_PENALTY_MS } else { 0.0 };
-            let latency =
-                predicted_latency_ms(backend.load(now), backend, requirements, expected_prefill);
-            let prefill_cost =
-                expected_prefill as f64 / PREFILL_TOKENS_PER_MS * PREFILL_COST_FACTOR;
-            let cost = health_penalty_ms + cost(latency, requirements) + prefill_cost + jitter;
+            let latency = predicted_latency_ms(
+                backend.load(now),
+                backend,
+                requirements,
+                prefill.expected_tokens,
+            );
+            let prefill_cost = prefill.caused_tokens / PREFILL_TOKENS_PER_MS * PREFILL_COST_FACTOR;
+            let cost = health_penalty_ms
+                + cost(latency + prefill.room_wait_ms, requirements)
+                + prefill_cost
+                + jitter;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, latency, health_penalty_ms, prefill_tokens, backend));
+                next = best.map(|(cost, _, _, prefill, backend)| (cost, prefill, backend));
+                best = Some((cost, latency, health_penalty_ms, prefill, backend));
+            } else if next.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                next = Some((cost, prefill, backend));
             }
         }
-        let Some((_, latency_ms, penalty_ms, prefill_tokens, backend)) = best else {
+        let Some((_, latency_ms, penalty_ms, prefill, backend)) = best else {
             let rest = self.rest_of(now, requirements);
             let limit = self.limited_retry_after(now, requirements.service);
             let earliest = rest.into_iter().chain(limit).min();
@@ -396,13 +416,18 @@
             penalty_ms,
             load: backend.load(now),
             report_age: backend.report_age(now),
+            chosen: Alternative::new(now, backend, requirements, prefill),
+            alternative: next
+                .map(|(_, prefill, backend)| Alternative::new(now, backend, requirements, prefill)),
         };
         // The penalty is left out: that a backend server may be faulty is no proof that it is late.
+        // So is the wait for room, which follows from usual sizes of requests.
         let latency = Duration::from_secs_f64(latency_ms / 1000.0);
         if latency > requirements.time_left {
             let retry_after = (latency / 2).min(MAX_RETRY_AFTER);
             return Decision::Refuse { retry_after, estimate: Some(estimate), excluded };
         }
+        let prefill_tokens = prefill.tokens;
         Decision::Send { to: backend.entry.clone(), prefill_tokens, estimate, excluded }
     }
 
@@ -476,33 +501,19 @@
         Self { first, second }
     }
 
-    /// Returns an upper bound of the prompt tokens that a backend server is expected to process.
-    fn max_prefill_tokens(&self, backend: &Backend, prompt: Option<&Prompt>) -> u64 {
-        match prompt {
-            Some(prompt) if self.second == Some(backend.hash) => {
-                let cached = prompt.shared_tokens() * SECOND_CACHED_PERCENT / 100;
-                prompt.input.saturating_sub(cached)
-            }
-            _ => u64::MAX,
+    /// Returns the tokens of a prompt that a backend server has cached if other hosts sent it.
+    fn agreed_tokens(&self, backend: &Backend, prompt: &Prompt) -> u64 {
+        let hash = Some(backend.hash);
+        if self.first == hash {
+            prompt.shared_tokens()
+        } else if self.second == hash {
+            prompt.shared_tokens() * SECOND_CACHED_PERCENT / 100
+        } else {
+            0
         }
     }
 }
 
-/// Returns the prompt tokens that a backend server has to process; the preferred engine of a prompt
-/// is taken to have its shared parts cached.
-fn estimate_prefill(
-    now: Duration,
-    backend: &Backend,
-    prompt: Option<&Prompt>,
-    preferred: Option<u64>,
-) -> u64 {
-    let Some(prompt) = prompt else { return 0 };
-    if preferred == Some(backend.hash) {
-        return prompt.input.saturating_sub(prompt.shared_tokens());
-    }
-    backend.uncached_tokens(now, prompt)
-}
-
 /// Returns the delay in milliseconds that is expected since the backend server may be faulty.
 fn health_penalty_ms(now: Duration, backend: &Backend) -> f64 {
     let silent = if backend.is_silent(now) { SILENCE_PENALTY_MS } else { 0.0 };
@@ -514,7 +525,7 @@
     load: Load,
     backend: &Backend,
     requirements: &Requirements<'_>,
-    prefill_tokens: u64,
+    prefill_tokens: f64,
 ) -> f64 {
     let slots = f64::from(backend.entry.slots.max(1));
     let mut latency = 0.0;
@@ -525,15 +536,21 @@
     match requirements.prompt {
         Some(_) => {
             latency +=
-                (backend.pending_prefill_tokens() + prefill_tokens) as f64 / PREFILL_TOKENS_PER_MS;
+                (backend.pending_prefill_tokens() as f64 + prefill_tokens) / PREFILL_TOKENS_PER_MS;
             latency += running * BATCH_DELAY_MS;
         }
         None => latency += running / slots * SERVICE_TIME_MS,
     }
-    if load.waiting > 0 || running >= slots {
-        latency += QUEUE_DELAY_MS.0 + QUEUE_DELAY_MS.1 * f64::from(load.waiting);
+    latency + queue_delay_ms(load, backend)
+}
+
+/// Returns the delay in milliseconds that is expected from requests that wait for a slot.
+fn queue_delay_ms(load: Load, backend: &Backend) -> f64 {
+    if load.waiting > 0 || load.running >= backend.entry.slots.max(1) {
+        QUEUE_DELAY_MS.0 + QUEUE_DELAY_MS.1 * f64::from(load.waiting)
+    } else {
+        0.0
     }
-    latency
 }
 
 /// Returns the cost of a latency in milliseconds; it is low while the latency is well within the
--- /dev/null
+++ b/crates/gateway/src/placement/saving.rs
@@ -0,0 +1,188 @@
+//! What the cache of a model engine saves a prompt, against the wait there.
+//!
+//! All hosts agree on the preferred engine of a prompt, but a host doesn't know what the others sent
+//! there. Where the capacity of the engines is stated, the preferred engine counts as having the
+//! prompt cached with the probability that another host has sent it within the retention time.
+//! Otherwise it always counts as having it cached.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Backends, PreferredEngines, Requirements, predicted_latency_ms, queue_delay_ms};
+use crate::{
+    backend::Backend,
+    cache::{Demand, FIXED_RETENTION, Traffic},
+    request::Prompt,
+};
+
+/// A backend server that can be chosen: what is saved there, and the wait.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Alternative {
+    /// Id of the backend server.
+    pub id: Arc<str>,
+    /// Tokens of the prompt that are expected to be cached.
+    pub saved_tokens: u64,
+    /// Time for which the request is expected to wait before its prefill, in milliseconds.
+    pub wait_ms: f64,
+    /// Part of the wait for which the memory is expected to have no room, in milliseconds.
+    pub room_wait_ms: f64,
+    /// Time for which it is expected to keep a part.
+    pub retention: Duration,
+    /// How long ago this host last sent the shared parts there.
+    pub sent_age: Option<Duration>,
+}
+
+impl Alternative {
+    /// Describes a backend server for which the prefill was estimated.
+    pub(super) fn new(
+        now: Duration,
+        backend: &Backend,
+        requirements: &Requirements<'_>,
+        prefill: Prefill,
+    ) -> Self {
+        let wait_ms = predicted_latency_ms(backend.load(now), backend, requirements, 0.0);
+        let input = requirements.prompt.map_or(0, |prompt| prompt.input);
+        Self {
+            id: backend.entry.id.clone(),
+            saved_tokens: input.saturating_sub(prefill.expected_tokens as u64),
+            wait_ms: wait_ms + prefill.room_wait_ms,
+            room_wait_ms: prefill.room_wait_ms,
+            retention: prefill.retention,
+            sent_age: requirements.prompt.and_then(|prompt| backend.cache.sent_age(now, prompt)),
+        }
+    }
+}
+
+/// Prefill of a prompt at one backend server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Prefill {
+    /// Tokens that count as waiting for prefill once the prompt is sent.
+    pub(super) tokens: u64,
+    /// Tokens for whose prefill this request waits.
+    pub(super) expected_tokens: f64,
+    /// Tokens whose prefill delays other requests, now or when the prompt is sent next.
+    pub(super) caused_tokens: f64,
+    /// Time in milliseconds until the memory has room, beyond the delay by a queue.
+    pub(super) room_wait_ms: f64,
+    /// Time for which a part is expected to be kept.
+    retention: Duration,
+}
+
+impl Prefill {
+    /// Estimates the prefill of a request's prompt at a backend server.
+    pub(super) fn estimate(
+        now: Duration,
+        backend: &Backend,
+        requirements: &Requirements<'_>,
+        preferred: PreferredEngines,
+        demand: Option<&Demand>,
+    ) -> Self {
+        match (requirements.prompt, demand) {
+            (None, _) => Self::with_tokens(0, 0),
+            (Some(prompt), None) => Self::of_fixed_time(now, backend, prompt, preferred),
+            (Some(prompt), Some(demand)) => {
+                Self::of_demand(now, backend, prompt, preferred, demand)
+            }
+        }
+    }
+
+    fn with_tokens(tokens: u64, expected: u64) -> Self {
+        Self {
+            tokens,
+            expected_tokens: expected as f64,
+            caused_tokens: expected as f64,
+            room_wait_ms: 0.0,
+            retention: FIXED_RETENTION,
+        }
+    }
+
+    /// The preferred engine is taken to have the shared parts cached.
+    fn of_fixed_time(
+        now: Duration,
+        backend: &Backend,
+        prompt: &Prompt,
+        preferred: PreferredEngines,
+    ) -> Self {
+        let agreed = prompt.input.saturating_sub(preferred.agreed_tokens(backend, prompt));
+        if preferred.first == Some(backend.hash) {
+            return Self::with_tokens(agreed, agreed);
+        }
+        let tokens = backend.uncached_tokens(now, prompt);
+        Self::with_tokens(tokens, tokens.min(agreed))
+    }
+
+    fn of_demand(
+        now: Duration,
+        backend: &Backend,
+        prompt: &Prompt,
+        preferred: PreferredEngines,
+        demand: &Demand,
+    ) -> Self {
+        let others = backend.running_of_others(now);
+        let retention = backend.cache.retention(others, demand);
+        let known = backend.cache.expected_cached(now, prompt, retention) as f64;
+        let agreed = preferred.agreed_tokens(backend, prompt).min(prompt.input) as f64;
+        let agreement = if agreed > 0.0 { demand.agreement(retention) } else { 0.0 };
+        // A prompt that goes elsewhere is read once more in any case: now, if another host sent it
+        // before, or else when another host sends it to the preferred engine.
+        let ever = 1.0 - (1.0 - agreement) * (1.0 - agreement);
+        let cached = known.max(agreed * agreement);
+        let room_wait = backend.cache.room(prompt, cached as u64, others, demand);
+        let queue_delay_ms = queue_delay_ms(backend.load(now), backend);
+        let input = prompt.input as f64;
+        Self {
+            tokens: prompt.input.saturating_sub(cached as u64),
+            expected_tokens: input - cached,
+            caused_tokens: input - known.max(agreed * ever),
+            // A queue that the engine reports is the same wait.
+            room_wait_ms: (room_wait.as_secs_f64() * 1000.0 - queue_delay_ms).max(0.0),
+            retention,
+        }
+    }
+}
+
+impl Backends {
+    /// Returns what all hosts are expected to send to each of a number of engines; `None` if their
+    /// capacity isn't stated, or the request has no prompt.
+    pub(super) fn demand(
+        &self,
+        now: Duration,
+        requirements: &Requirements<'_>,
+        engines: usize,
+    ) -> Option<Demand> {
+        let memory = requirements.memory.filter(|_| requirements.prompt.is_some())?;
+        match self.traffic.get(requirements.service) {
+            Some(traffic) => Some(traffic.demand(now, memory, engines)),
+            None => Some(Traffic::default().demand(now, memory, engines)),
+        }
+    }
+
+    /// Records a prompt that is sent to a service, and returns the tokens of its shared parts that
+    /// this host has sent before.
+    pub fn record_prompt(
+        &mut self,
+        now: Duration,
+        service: &Arc<str>,
+        prompt: &Prompt,
+        is_retry: bool,
+    ) -> u64 {
+        let traffic = match self.traffic.get_mut(service) {
+            Some(traffic) => traffic,
+            None => self.traffic.entry(service.clone()).or_default(),
+        };
+        match is_retry {
+            true => traffic.record_repeat(now, prompt),
+            false => traffic.record_sent(now, prompt),
+        }
+    }
+
+    /// Records the end of a request with a prompt of a number of input and output tokens; `elapsed`
+    /// is its time if it got a whole response.
+    pub fn finish_prompt(&mut self, id: &str, tokens: u64, elapsed: Option<Duration>) {
+        let Some(backend) = self.backends.get_mut(id) else { return };
+        backend.cache.record_end(tokens);
+        let traffic = self.traffic.get_mut(&backend.entry.service);
+        if let (Some(traffic), Some(elapsed)) = (traffic, elapsed) {
+            traffic.record_end(elapsed);
+        }
+    }
+}
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -334,6 +334,7 @@
         service: "s",
         zone: "a",
         prompt: None,
+        memory: None,
         tried: &[],
         target_latency: at(1000),
         time_left: at(5000),
--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -306,6 +306,7 @@
             service: "s",
             zone: "a",
             prompt: None,
+            memory: None,
             tried: &[],
             target_latency: Duration::from_secs(1),
             time_left: Duration::from_secs(5),
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -40,6 +40,7 @@
         service: "s",
         zone: "a",
         prompt,
+        memory: None,
         tried,
         target_latency: SECOND,
         time_left: 15 * SECOND,
