Play sessions before a modelled engine memory

Tests of the time for which parts are kept and of the room for a prompt, and loads of sessions from many hosts with plenty of memory and with little. They guard against callers that wait longer than with the fixed time, and against engines that read more prompts again than they can.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -613,7 +613,8 @@
 /// that are read again although this host has sent them before.
 fn record_prompt(node: &Node, job: &Job, prompt: &Prompt, prefill_tokens: u64, is_retry: bool) {
     let service = &job.service.name;
-    let known = node.backends.borrow_mut().record_prompt(node.now(), service, prompt, is_retry);
+    let mut backends = node.backends.borrow_mut();
+    let known = backends.record_prompt(node.now(), service, prompt, prefill_tokens, is_retry);
     let cached = prompt.input.saturating_sub(prefill_tokens);
     node.metrics.prompt_sent(service, cached, known.saturating_sub(cached));
 }
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -113,8 +113,9 @@
 pub struct Traffic {
     first_sent_at: Option<Duration>,
     last_sent_at: Duration,
-    /// Number of prompts, and tokens of their shared parts and of their ends, weighted by age.
-    recent: [f64; 3],
+    /// Number of prompts, tokens of their shared parts and of their ends, and tokens that aren't
+    /// expected to be cached, weighted by age.
+    recent: [f64; 4],
     /// Repeats of the last shared parts.
     sessions: Repeats,
     /// Repeats of the ends.
@@ -128,16 +129,16 @@
 }
 
 impl Traffic {
-    /// Records a prompt that is sent for the first time, and returns the tokens of its shared parts
-    /// that this host has sent before.
-    pub fn record_sent(&mut self, now: Duration, prompt: &Prompt) -> u64 {
+    /// Records a prompt that is sent for the first time, of which `prefill_tokens` aren't expected to
+    /// be cached, and returns the tokens of its shared parts that this host has sent before.
+    pub fn record_sent(&mut self, now: Duration, prompt: &Prompt, prefill_tokens: u64) -> u64 {
         self.first_sent_at.get_or_insert(now);
         let decay = self.decay(now);
         self.last_sent_at = now;
         let end_tokens = prompt.end.as_ref().map_or(0, |end| end.tokens);
-        let sent = [1.0, prompt.shared_tokens() as f64, end_tokens as f64];
+        let sent = [1, prompt.shared_tokens(), end_tokens, prefill_tokens];
         for (sum, sent) in self.recent.iter_mut().zip(sent) {
-            *sum = *sum * decay + sent;
+            *sum = *sum * decay + sent as f64;
         }
         let (count, sum) = self.sizes;
         self.sizes = (averaged(count, 1.0), averaged(sum, prompt.max_charge() as f64));
@@ -186,7 +187,8 @@
             true => decay * memory.hosts as f64 / engines.max(1) as f64 / observed_s,
             false => 0.0,
         };
-        let [prompts_per_s, shared_per_s, ends_per_s] = self.recent.map(|sum| sum * scale);
+        let [prompts_per_s, shared_per_s, ends_per_s, prefill_per_s] =
+            self.recent.map(|sum| sum * scale);
         let sessions = self.sessions.by_any(memory.hosts, 0.0);
         let ends = self.ends.by_any(memory.hosts, 0.0);
         let mut incoming = [0.0; AGES_S.len()];
@@ -208,6 +210,7 @@
             usual_tokens: mean(self.sizes),
             usual_s,
             usual_running: prompts_per_s * usual_s,
+            prefill_per_s,
         }
     }
 }
@@ -226,36 +229,46 @@
     usual_s: f64,
     /// Number of requests that run at one engine.
     usual_running: f64,
+    /// Tokens that one engine reads per second.
+    prefill_per_s: f64,
 }
 
 impl Demand {
     /// Returns the probability that another host has sent a prompt within an age.
     pub fn agreement(&self, age: Duration) -> f64 {
-        let age_s = age.as_secs_f64();
-        let (mut former_s, mut former) = (0.0, 0.0);
-        for (bound_s, likely) in AGES_S.into_iter().zip(self.agreement) {
-            if age_s <= bound_s {
-                return former + (likely - former) * (age_s - former_s) / (bound_s - former_s);
-            }
-            (former_s, former) = (bound_s, likely);
-        }
-        former
+        interpolate(&AGES_S, &self.agreement, age.as_secs_f64())
+    }
+
+    /// Returns the share of its time for which an engine reads prompts that processes a number of
+    /// tokens per millisecond; 0 if the rate of tokens is unknown.
+    pub fn utilization(&self, tokens_per_ms: f64) -> f64 {
+        self.prefill_per_s / 1000.0 / tokens_per_ms
     }
 
-    /// Returns the time in which the parts that come in fill a number of tokens.
-    fn time_to_fill(&self, tokens: f64) -> Duration {
-        let Some(incoming) = self.incoming else { return FIXED_RETENTION };
-        let (mut former_s, mut former) = (0.0, 0.0);
-        for (bound_s, sum) in AGES_S.into_iter().zip(incoming) {
-            if tokens <= sum {
-                let share = if sum > former { (tokens - former) / (sum - former) } else { 0.0 };
-                let time = Duration::from_secs_f64(former_s + (bound_s - former_s) * share);
-                return time.max(MIN_RETENTION);
-            }
-            (former_s, former) = (bound_s, sum);
+    /// Returns how long a part is kept from its send on in an engine that has a number of tokens left
+    /// beside the running requests.
+    ///
+    /// A part stays while its request runs. Afterwards it is kept until the parts that came in
+    /// before the running requests fill what these leave.
+    fn retention(&self, left_tokens: f64) -> Duration {
+        let Some(incoming) = &self.incoming else { return FIXED_RETENTION };
+        let running_tokens = interpolate(&AGES_S, incoming, self.usual_s);
+        let retention_s = interpolate(incoming, &AGES_S, running_tokens + left_tokens);
+        Duration::from_secs_f64(retention_s).max(MIN_RETENTION)
+    }
+}
+
+/// Returns the value at `x` of the curve from the origin through points with rising `xs`; it is the
+/// last one's after the last point.
+fn interpolate(xs: &[f64; AGES_S.len()], ys: &[f64; AGES_S.len()], x: f64) -> f64 {
+    let (mut former_x, mut former_y) = (0.0, 0.0);
+    for (&next_x, &next_y) in xs.iter().zip(ys) {
+        if x < next_x {
+            return former_y + (next_y - former_y) * (x - former_x) / (next_x - former_x);
         }
-        Duration::from_secs_f64(former_s)
+        (former_x, former_y) = (next_x, next_y);
     }
+    former_y
 }
 
 /// What this host knows of the memory of one model engine.
@@ -303,7 +316,7 @@
     /// hosts' requests among these, if it is known.
     pub fn retention(&self, others: Option<u32>, demand: &Demand) -> Duration {
         let capacity = demand.memory.tokens as f64;
-        demand.time_to_fill((capacity - self.occupied(others, demand)).max(0.0))
+        demand.retention((capacity - self.occupied(others, demand)).max(0.0))
     }
 
     /// Returns the time after which a prompt, of which `cached` tokens are kept already, is expected
--- a/crates/gateway/src/placement/saving.rs
+++ b/crates/gateway/src/placement/saving.rs
@@ -3,17 +3,29 @@
 //! All hosts agree on the preferred engine of a prompt, but a host doesn't know what the others sent
 //! there. Where the capacity of the engines is stated, the preferred engine counts as having the
 //! prompt cached with the probability that another host has sent it within the retention time.
-//! Otherwise it always counts as having it cached.
+//! Otherwise it always counts as having it cached. The delay that prefill causes to others counts
+//! more where engines spend most of their time on it, as each prompt that is read again then delays
+//! all that follow.
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Backends, PreferredEngines, Requirements, predicted_latency_ms, queue_delay_ms};
+use super::{
+    Backends, PREFILL_COST_FACTOR, PREFILL_TOKENS_PER_MS, PreferredEngines, Requirements,
+    predicted_latency_ms, queue_delay_ms,
+};
 use crate::{
     backend::Backend,
     cache::{Demand, FIXED_RETENTION, Traffic},
     request::Prompt,
 };
 
+/// Greatest utilization of an engine that is reckoned with; the estimate may exceed 1.
+const MAX_UTILIZATION: f64 = 0.99;
+
+/// Greatest weight of a token's prefill. In simulations, 4 kept prompts at busy engines for too long
+/// when memory sufficed, and 2 read too much again when the engines were overloaded.
+const MAX_PREFILL_WEIGHT: f64 = 3.0;
+
 /// A backend server that can be chosen: what is saved there, and the wait.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Alternative {
@@ -122,9 +134,6 @@
         let known = backend.cache.expected_cached(now, prompt, retention) as f64;
         let agreed = preferred.agreed_tokens(backend, prompt).min(prompt.input) as f64;
         let agreement = if agreed > 0.0 { demand.agreement(retention) } else { 0.0 };
-        // A prompt that goes elsewhere is read once more in any case: now, if another host sent it
-        // before, or else when another host sends it to the preferred engine.
-        let ever = 1.0 - (1.0 - agreement) * (1.0 - agreement);
         let cached = known.max(agreed * agreement);
         let room_wait = backend.cache.room(prompt, cached as u64, others, demand);
         let queue_delay_ms = queue_delay_ms(backend.load(now), backend);
@@ -132,7 +141,9 @@
         Self {
             tokens: prompt.input.saturating_sub(cached as u64),
             expected_tokens: input - cached,
-            caused_tokens: input - known.max(agreed * ever),
+            // A prompt that goes elsewhere is read once more in any case: now, if another host sent
+            // it before, or else when the next host sends it to the preferred engine.
+            caused_tokens: (input - known.max(agreed)) * prefill_weight(demand),
             // A queue that the engine reports is the same wait.
             room_wait_ms: (room_wait.as_secs_f64() * 1000.0 - queue_delay_ms).max(0.0),
             retention,
@@ -140,6 +151,15 @@
     }
 }
 
+/// Returns the cost of a token's prefill to other requests, as a multiple of the usual one.
+///
+/// In an engine that is busy for a share of its time, the work that is in the queue at a random time
+/// grows by the share over the rest of its time.
+fn prefill_weight(demand: &Demand) -> f64 {
+    let busy = demand.utilization(PREFILL_TOKENS_PER_MS).min(MAX_UTILIZATION);
+    (busy / (1.0 - busy) / PREFILL_COST_FACTOR).clamp(1.0, MAX_PREFILL_WEIGHT)
+}
+
 impl Backends {
     /// Returns what all hosts are expected to send to each of a number of engines; `None` if their
     /// capacity isn't stated, or the request has no prompt.
@@ -156,13 +176,14 @@
         }
     }
 
-    /// Records a prompt that is sent to a service, and returns the tokens of its shared parts that
-    /// this host has sent before.
+    /// Records a prompt that is sent to a service, of which `prefill_tokens` aren't expected to be
+    /// cached, and returns the tokens of its shared parts that this host has sent before.
     pub fn record_prompt(
         &mut self,
         now: Duration,
         service: &Arc<str>,
         prompt: &Prompt,
+        prefill_tokens: u64,
         is_retry: bool,
     ) -> u64 {
         let traffic = match self.traffic.get_mut(service) {
@@ -171,7 +192,7 @@
         };
         match is_retry {
             true => traffic.record_repeat(now, prompt),
-            false => traffic.record_sent(now, prompt),
+            false => traffic.record_sent(now, prompt, prefill_tokens),
         }
     }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -4,6 +4,7 @@
 
 use gateway::{
     backend::{Entry, HealthSignal, Load},
+    cache::Memory,
     placement::{Backends, Decision, Requirements},
     request::Prompt,
 };
@@ -79,6 +80,119 @@
     }
 }
 
+/// Requirements of a request where the capacity of the engines is stated, at one of 90 hosts.
+fn with_memory<'a>(prompt: &'a Prompt, tokens: u64) -> Requirements<'a> {
+    let memory = Memory { tokens, slots: Some(64), hosts: 90 };
+    Requirements { memory: Some(memory), ..requirements(Some(prompt), &[]) }
+}
+
+/// Sends prompts one after the other, 200 ms apart, and returns the time after the last.
+fn send_all(backends: &mut Backends, prompts: impl Iterator<Item = Prompt>) -> Duration {
+    let mut now = SECOND;
+    for prompt in prompts {
+        let (id, prefill_tokens) =
+            placed(backends, now, &with_memory(&prompt, 561_478)).expect("an engine");
+        backends.get_mut(&id).expect("listed").start_request(now, Some(&prompt), prefill_tokens);
+        backends.record_prompt(now, &"s".into(), &prompt, prefill_tokens, false);
+        backends.get_mut(&id).expect("listed").finish_prefill(prefill_tokens);
+        backends.record_activity(now, &id);
+        backends.finish_prompt(&id, prompt.max_charge(), Some(SECOND));
+        backends.finish_request(now, &id, HealthSignal::Healthy);
+        now += Duration::from_millis(200);
+    }
+    now
+}
+
+struct WaitCase {
+    name: &'static str,
+    /// Sessions of the prompts that the host sends before.
+    sent: fn(u64) -> u64,
+    /// Tokens that wait for prefill at the preferred engine.
+    waiting_tokens: u64,
+    stays: bool,
+}
+
+// The shared parts are 5,400 tokens, whose prefill takes 108 ms and delays others.
+#[test]
+fn preferred_engine_is_left_when_its_wait_is_worth_more_than_the_prefill_it_saves() {
+    let repeated: fn(u64) -> u64 = |number| number % 40;
+    let unique: fn(u64) -> u64 = |number| number;
+    let cases = [
+        WaitCase { name: "no wait", sent: repeated, waiting_tokens: 0, stays: true },
+        WaitCase { name: "a short wait", sent: repeated, waiting_tokens: 5_000, stays: true },
+        WaitCase { name: "a wait of 300 ms", sent: repeated, waiting_tokens: 15_000, stays: true },
+        WaitCase { name: "a long wait", sent: repeated, waiting_tokens: 50_000, stays: false },
+        WaitCase { name: "never sent, no wait", sent: unique, waiting_tokens: 0, stays: true },
+        WaitCase { name: "never sent", sent: unique, waiting_tokens: 5_000, stays: true },
+        // The fixed time takes the prompt to be cached and waits up to 500 ms.
+        WaitCase { name: "never sent, 440 ms", sent: unique, waiting_tokens: 22_000, stays: false },
+    ];
+    for case in cases {
+        let mut backends = new_backends(1, engines());
+        let now = send_all(&mut backends, (0..300).map(|number| session((case.sent)(number))));
+        let prompt = session(1_000);
+        let requirements = with_memory(&prompt, 561_478);
+        let (preferred, _) = placed(&mut backends, now, &requirements).expect("an engine");
+        let backend = backends.get_mut(&preferred).expect("listed");
+        backend.start_request(now, Some(&session(2_000)), case.waiting_tokens);
+        let (id, _) = placed(&mut backends, now, &requirements).expect("an engine");
+        assert_eq!(id == preferred, case.stays, "{}", case.name);
+    }
+}
+
+#[test]
+fn prompt_leaves_an_engine_without_room_for_it() {
+    let prompt = session(1);
+    let mut backends = new_backends(1, engines());
+    // The usual time of a request is one second.
+    let now = send_all(&mut backends, (0..100).map(|number| session(number % 5)));
+    let requirements = with_memory(&prompt, 40_000);
+    let (preferred, _) = placed(&mut backends, now, &requirements).expect("an engine");
+    let backend = backends.get_mut(&preferred).expect("listed");
+    for number in 0..3 {
+        backend.start_request(now, Some(&session(2_000 + number)), 0);
+    }
+    let estimate = |backends: &mut Backends, requirements| match backends.place(now, requirements) {
+        Decision::Send { estimate, .. } => estimate,
+        Decision::Refuse { .. } => panic!("refused"),
+    };
+    let narrow = estimate(&mut backends, &requirements);
+    let wide = estimate(&mut backends, &with_memory(&prompt, 561_478));
+    let of_preferred = |estimate: gateway::placement::Estimate| {
+        let both = [Some(estimate.chosen), estimate.alternative];
+        both.into_iter().flatten().find(|own| own.id == preferred)
+    };
+    let wide = of_preferred(wide).expect("chosen with room");
+    assert_eq!(wide.room_wait_ms, 0.0);
+    if let Some(narrow) = of_preferred(narrow) {
+        assert!(narrow.room_wait_ms > 0.0 && narrow.wait_ms > wide.wait_ms, "{narrow:?}");
+    }
+}
+
+#[test]
+fn placement_states_what_was_saved_the_wait_and_the_alternative() {
+    for memory in [None, with_memory(&session(1), 561_478).memory] {
+        let mut backends = new_backends(1, engines());
+        let prompt = session(1);
+        let requirements = Requirements { memory, ..requirements(Some(&prompt), &[]) };
+        let (preferred, prefill_tokens) =
+            placed(&mut backends, SECOND, &requirements).expect("an engine");
+        let backend = backends.get_mut(&preferred).expect("listed");
+        backend.start_request(SECOND, Some(&prompt), prefill_tokens);
+        let Decision::Send { to, estimate, .. } = backends.place(2 * SECOND, &requirements) else {
+            panic!("refused");
+        };
+        assert_eq!((&to.id, &estimate.chosen.id), (&preferred, &preferred));
+        assert_eq!(estimate.chosen.saved_tokens, 5_400);
+        assert_eq!(estimate.chosen.sent_age, Some(SECOND));
+        assert!(estimate.chosen.wait_ms >= prefill_tokens as f64 / 50.0, "{estimate:?}");
+        let alternative = estimate.alternative.expect("eleven others");
+        assert_ne!(alternative.id, preferred);
+        assert_eq!(alternative.sent_age, None);
+        assert!(alternative.wait_ms < estimate.chosen.wait_ms, "{alternative:?}");
+    }
+}
+
 #[test]
 fn sessions_spread_over_all_engines() {
     let mut backends = new_backends(1, engines());
