--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,11 +1,16 @@
 //! State that this host keeps of one backend server: its load, its health and the prompt parts that
 //! it probably has cached.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use coordination::locate::hash;
 
-use crate::{limit::Limit, pace::Pace, request::Prompt};
+use crate::{
+    cache::{Cache, FIXED_RETENTION},
+    limit::Limit,
+    pace::Pace,
+    request::Prompt,
+};
 
 /// Age from which a backend server's own report of its load is ignored.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -26,12 +31,6 @@
 /// Time in which the failure rate falls to about a third while no attempt ends.
 const FAILURE_RATE_DECAY: Duration = Duration::from_secs(4);
 
-/// Time for which a model engine is assumed to keep a prompt part in its cache.
-const CACHE_TTL: Duration = Duration::from_secs(12);
-
-/// Number of remembered prompt parts at which expired ones are removed.
-const MAX_CACHED_PARTS: usize = 1024;
-
 /// Least difference in milliseconds by which the end of a cold time is moved to an earlier time.
 const MIN_COLD_DECREASE_MS: u64 = 1000;
 
@@ -120,6 +119,8 @@
     pub limit: Limit,
     /// How fast it works.
     pub pace: Pace,
+    /// Memory of a model engine.
+    pub cache: Cache,
     running: u32,
     /// Prompt tokens of this host's requests whose first event hasn't arrived.
     pending_prefill: u64,
@@ -137,8 +138,6 @@
     trial_requests: Option<u32>,
     recorded_failure_rate: f64,
     failure_rate_at: Duration,
-    /// When each prompt part was last sent, by its prefix hash.
-    cached_parts: HashMap<u64, Duration>,
 }
 
 impl Backend {
@@ -149,6 +148,7 @@
             entry,
             limit: Limit::default(),
             pace: Pace::default(),
+            cache: Cache::default(),
             running: 0,
             pending_prefill: 0,
             last_report: None,
@@ -161,7 +161,6 @@
             trial_requests: None,
             recorded_failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
-            cached_parts: HashMap::new(),
         }
     }
 
@@ -190,10 +189,7 @@
         }
         let Some(prompt) = prompt else { return };
         self.pending_prefill += prefill_tokens;
-        if self.cached_parts.len() >= MAX_CACHED_PARTS {
-            self.cached_parts.retain(|_, at| now.saturating_sub(*at) < CACHE_TTL);
-        }
-        self.cached_parts.extend(prompt.shared.iter().map(|part| (part.prefix_hash, now)));
+        self.cache.record_sent(now, prompt);
     }
 
     /// Records that it has processed the prompt of a request that started with `prefill_tokens`.
@@ -329,16 +325,16 @@
         self.last_report.map(|(_, at, _)| now.saturating_sub(at))
     }
 
-    /// Returns the tokens of a prompt that it is not assumed to have cached.
+    /// Returns the number of other hosts' requests in its load, if its last report is recent.
+    pub fn running_of_others(&self, now: Duration, load: Load) -> Option<u32> {
+        let (_, at, _) = self.last_report?;
+        let is_recent = now.saturating_sub(at) < LOAD_REPORT_MAX_AGE;
+        is_recent.then(|| load.running.saturating_sub(self.running))
+    }
+
+    /// Returns the tokens of a prompt that it is not assumed to have cached, if it keeps parts for
+    /// the fixed time.
     pub fn uncached_tokens(&self, now: Duration, prompt: &Prompt) -> u64 {
-        let mut uncached = prompt.input;
-        for part in &prompt.shared {
-            let sent_at = self.cached_parts.get(&part.prefix_hash);
-            if sent_at.is_none_or(|at| now.saturating_sub(*at) >= CACHE_TTL) {
-                break;
-            }
-            uncached = uncached.saturating_sub(part.tokens);
-        }
-        uncached
+        prompt.input - self.cache.expected_cached(now, prompt, || FIXED_RETENTION)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,10 +7,10 @@
 //! request at all), [`idle`] (how long a caller's connection stays open), [`drain`] (which requests
 //! it takes while it stops), [`quarantine`] (prompts that aren't sent, since they end backend servers), [`limit`] (how many
 //! requests a backend server takes from all hosts together), [`pace`] (how fast a backend server works),
-//! [`credit`] (whether a resumed stream's
-//! prompt was charged before), [`witness`] (whether a process went on that couldn't renew its row),
-//! [`freshness`] (how far a configuration counts after a restore of the table), [`evacuation`]
-//! (which zones get no requests), [`backend`] and
+//! [`cache`] (which parts of prompts an engine has cached, and whether it has room), [`credit`] (whether
+//! a resumed stream's prompt was charged before), [`witness`] (whether a process went on that couldn't
+//! renew its row), [`freshness`] (how far a configuration counts after a restore of the table),
+//! [`evacuation`] (which zones get no requests), [`backend`] and
 //! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
 //! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
 //! believed).
@@ -20,6 +20,7 @@
 pub mod backend;
 pub mod body;
 pub mod budgets;
+pub mod cache;
 pub mod catalog;
 mod config_copy;
 pub mod connection;
--- a/crates/gateway/tests/limit/cold.rs
+++ b/crates/gateway/tests/limit/cold.rs
@@ -238,6 +238,7 @@
         service: "s",
         zone: "a",
         prompt: None,
+        memory: None,
         tried: &[],
         target_latency: at(1000),
         time_left: at(5000),
--- a/crates/gateway/tests/limit/simulation.rs
+++ b/crates/gateway/tests/limit/simulation.rs
@@ -517,6 +517,7 @@
                 service: "s",
                 zone: "a",
                 prompt: None,
+                memory: None,
                 tried: &tried,
                 target_latency: Duration::from_secs(1),
                 time_left: Duration::from_secs(5),
--- a/crates/gateway/tests/pace_load.rs
+++ b/crates/gateway/tests/pace_load.rs
@@ -208,6 +208,7 @@
             service: "s",
             zone: "a",
             prompt: Some(&prompt),
+            memory: None,
             tried: &[],
             target_latency: Duration::from_secs(1),
             time_left: Duration::from_secs(15),
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -2,8 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use coordination::locate::mix64;
 use gateway::{
     backend::{Entry, HealthSignal, Load},
+    cache::Memory,
     placement::{Backends, Decision, Excluded, Requirements},
     request::Prompt,
 };
@@ -41,6 +43,7 @@
         service: "s",
         zone: "a",
         prompt,
+        memory: None,
         tried,
         target_latency: SECOND,
         time_left: 15 * SECOND,
@@ -82,6 +85,163 @@
     }
 }
 
+/// Requirements of a request where the capacity of the engines is stated, at one of 90 hosts.
+fn with_memory<'a>(prompt: &'a Prompt, tokens: u64) -> Requirements<'a> {
+    let memory = Memory { tokens, slots: Some(64), hosts: 90 };
+    Requirements { memory: Some(memory), ..requirements(Some(prompt), &[]) }
+}
+
+/// Sends prompts one after the other, 3 s apart, whose requests take 6 s, and returns the time after
+/// the last. At 90 hosts, these are 2.5 prompts per second at each engine.
+fn send_all(backends: &mut Backends, prompts: impl Iterator<Item = Prompt>) -> Duration {
+    let mut now = SECOND;
+    for prompt in prompts {
+        let (id, prefill_tokens) =
+            placed(backends, now, &with_memory(&prompt, 561_478)).expect("an engine");
+        backends.get_mut(&id).expect("listed").start_request(now, Some(&prompt), prefill_tokens);
+        backends.record_prompt(now, &"s".into(), &prompt, prefill_tokens, false);
+        backends.get_mut(&id).expect("listed").finish_prefill(prefill_tokens);
+        backends.record_activity(now, &id);
+        backends.finish_prompt(&id, prompt.max_charge(), Some(6 * SECOND));
+        backends.finish_request(now, &id, HealthSignal::Healthy);
+        now += 3 * SECOND;
+    }
+    now
+}
+
+struct WaitCase {
+    name: &'static str,
+    /// Sessions of the prompts that the host sends before.
+    sent: fn(u64) -> u64,
+    /// Tokens that wait for prefill at the preferred engine.
+    waiting_tokens: u64,
+    stays: bool,
+    /// Whether it stays if the preferred engine is always taken to have the prompt cached.
+    stays_with_fixed_time: bool,
+}
+
+// The shared parts are 5,400 tokens, whose prefill takes 108 ms and delays others.
+#[test]
+fn preferred_engine_is_left_when_its_wait_is_worth_more_than_the_prefill_it_saves() {
+    let repeated: fn(u64) -> u64 = |number| mix64(number) % 20;
+    let unique: fn(u64) -> u64 = |number| number;
+    let cases = [
+        WaitCase {
+            name: "no wait",
+            sent: repeated,
+            waiting_tokens: 0,
+            stays: true,
+            stays_with_fixed_time: true,
+        },
+        WaitCase {
+            name: "100 ms",
+            sent: repeated,
+            waiting_tokens: 5_000,
+            stays: true,
+            stays_with_fixed_time: true,
+        },
+        WaitCase {
+            name: "220 ms",
+            sent: repeated,
+            waiting_tokens: 11_000,
+            stays: true,
+            stays_with_fixed_time: true,
+        },
+        WaitCase {
+            name: "300 ms",
+            sent: repeated,
+            waiting_tokens: 15_000,
+            stays: false,
+            stays_with_fixed_time: false,
+        },
+        WaitCase {
+            name: "never sent, no wait",
+            sent: unique,
+            waiting_tokens: 0,
+            stays: true,
+            stays_with_fixed_time: true,
+        },
+        WaitCase {
+            name: "never sent, 100 ms",
+            sent: unique,
+            waiting_tokens: 5_000,
+            stays: true,
+            stays_with_fixed_time: true,
+        },
+        WaitCase {
+            name: "never sent, 240 ms",
+            sent: unique,
+            waiting_tokens: 12_000,
+            stays: false,
+            stays_with_fixed_time: true,
+        },
+    ];
+    for case in cases {
+        let mut backends = new_backends(1, engines());
+        let now = send_all(&mut backends, (0..300).map(|number| session((case.sent)(number))));
+        let prompt = session(1_000);
+        let requirements = with_memory(&prompt, 561_478);
+        let (preferred, _) = placed(&mut backends, now, &requirements).expect("an engine");
+        let backend = backends.get_mut(&preferred).expect("listed");
+        backend.start_request(now, Some(&session(2_000)), case.waiting_tokens);
+        let (id, _) = placed(&mut backends, now, &requirements).expect("an engine");
+        assert_eq!(id == preferred, case.stays, "{}", case.name);
+        let fixed_time = Requirements { memory: None, ..requirements };
+        let (id, _) = placed(&mut backends, now, &fixed_time).expect("an engine");
+        assert_eq!(id == preferred, case.stays_with_fixed_time, "{}, fixed time", case.name);
+    }
+}
+
+#[test]
+fn prompt_leaves_an_engine_without_room_for_it() {
+    let prompt = session(1);
+    let mut backends = new_backends(1, engines());
+    let now = send_all(&mut backends, (0..300).map(|number| session(mix64(number) % 20)));
+    // Reports of load keep the usual number of other requests out of the estimate.
+    for number in 0..ENGINES {
+        let backend = backends.get_mut(&format!("e{number}")).expect("listed");
+        backend.record_load(now, Load { running: 0, waiting: 0 });
+    }
+    let (preferred, _) =
+        placed(&mut backends, now, &with_memory(&prompt, 40_000)).expect("an engine");
+    for number in 0..3 {
+        let backend = backends.get_mut(&preferred).expect("listed");
+        backend.start_request(now, Some(&session(2_000 + number)), 0);
+    }
+    let (id, _) = placed(&mut backends, now, &with_memory(&prompt, 561_478)).expect("an engine");
+    assert_eq!(id, preferred, "three requests leave room");
+    let (id, _) = placed(&mut backends, now, &with_memory(&prompt, 40_000)).expect("an engine");
+    assert_ne!(id, preferred, "three requests fill the memory");
+    backends.finish_prompt(&preferred, session(2_000).max_charge(), None);
+    let (id, _) = placed(&mut backends, now, &with_memory(&prompt, 40_000)).expect("an engine");
+    assert_eq!(id, preferred, "one of them has ended");
+}
+
+#[test]
+fn placement_states_what_was_saved_the_wait_and_the_alternative() {
+    for memory in [None, with_memory(&session(1), 561_478).memory] {
+        let mut backends = new_backends(1, engines());
+        let prompt = session(1);
+        let requirements = Requirements { memory, ..requirements(Some(&prompt), &[]) };
+        let (preferred, prefill_tokens) =
+            placed(&mut backends, SECOND, &requirements).expect("an engine");
+        let backend = backends.get_mut(&preferred).expect("listed");
+        backend.start_request(SECOND, Some(&prompt), prefill_tokens);
+        backends.record_activity(2 * SECOND, &preferred);
+        let Decision::Send { to, estimate, .. } = backends.place(2 * SECOND, &requirements) else {
+            panic!("refused");
+        };
+        assert_eq!((&to.id, &estimate.chosen.id), (&preferred, &preferred));
+        assert_eq!(estimate.chosen.saved_tokens, 5_400);
+        assert_eq!(estimate.chosen.sent_age, Some(SECOND));
+        assert!(estimate.chosen.wait_ms >= prefill_tokens as f64 / 50.0, "{estimate:?}");
+        let alternative = estimate.alternative.expect("eleven others");
+        assert_ne!(alternative.id, preferred);
+        assert_eq!(alternative.sent_age, None);
+        assert!(alternative.wait_ms < estimate.chosen.wait_ms, "{alternative:?}");
+    }
+}
+
 #[test]
 fn sessions_spread_over_all_engines() {
     let mut backends = new_backends(1, engines());
--- a/crates/gateway/tests/placement_time.rs
+++ b/crates/gateway/tests/placement_time.rs
@@ -64,6 +64,7 @@
         service: "s",
         zone: "a",
         prompt: Some(&prompt),
+        memory: None,
         tried: &[],
         target_latency: Duration::from_secs(1),
         time_left: Duration::from_secs(15),
--- a/crates/gateway/tests/separation.rs
+++ b/crates/gateway/tests/separation.rs
@@ -46,6 +46,7 @@
         service: "s",
         zone: "a",
         prompt: Some(prompt),
+        memory: None,
         tried: &[],
         target_latency: Duration::from_millis(800),
         time_left: Duration::from_secs(12),
