Let no copy of an evacuation undo the removal of its row

After a restore of the store, hosts record an evacuation that the restored table lacks in a row of the system's own, for hosts that start meanwhile. When the operator wrote the evacuation again and removed it within the 10 s after the restore, that row still named the zone. Each host took it over with its next read, at most a second later. So the evacuation that had just ended was in force again until 10 s after the restore, and callers were refused where all other zones were evacuated too.

A host now remembers which rows it has read in the current era. If one of them is missing, it was removed in this era and not lost by the restore, so that the copy doesn't count for its zone. Nothing changes for zones whose rows weren't read in this era.

The new case "a copy of a row that was written again and removed" failed before with the zone still evacuated. A second case checks that rows of the earlier era don't count.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -60,6 +60,8 @@
     failed_at: Option<Duration>,
     /// When this process first saw the listing's era.
     era_seen_at: Duration,
+    /// Zones whose rows were read in that era.
+    listed: BTreeSet<Arc<str>>,
     /// Zones that were evacuated before the table was restored and that the listing lacks.
     kept: BTreeSet<Arc<str>>,
     /// Era and zones of the system's own row, as it was read last.
@@ -121,15 +123,18 @@
         if let Some(listing) = &self.listing {
             if former.as_ref().is_none_or(|former| former.era != listing.era) {
                 self.era_seen_at = at;
+                self.listed.clear();
                 self.kept.extend(former.into_iter().flat_map(|former| former.zones));
             }
+            self.listed.extend(listing.zones.iter().cloned());
             self.kept.retain(|zone| !listing.zones.contains(zone));
         }
         self.listed_at = self.listed_at.max(at);
         true
     }
 
-    /// Records the zones that the system's own row of an era holds.
+    /// Records the zones that the system's own row of an era holds. Of those whose rows were read in
+    /// this era, a row that is missing was removed.
     pub fn record_copy(
         &mut self,
         now: Duration,
@@ -138,9 +143,8 @@
         zones: BTreeSet<Arc<str>>,
     ) {
         let is_settled = self.is_settled(now, since_restore);
-        if let Some(listing) = self.listing.as_ref().filter(|own| own.era == era && !is_settled) {
-            let missing = zones.iter().filter(|zone| !listing.zones.contains(*zone));
-            self.kept.extend(missing.cloned());
+        if self.listing.as_ref().is_some_and(|own| own.era == era) && !is_settled {
+            self.kept.extend(zones.difference(&self.listed).cloned());
         }
         self.copy = Some((era, zones));
     }
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -65,6 +65,8 @@
 #[test_case(Some(10), &[Read(11, (2, 5), &[]), Copied(12, 1, &["a"])] => zones(&[]); "a copy of an earlier era")]
 #[test_case(Some(10), &[Read(19, (2, 5), &[]), Copied(20, 2, &["a"])] => zones(&[]); "a copy that is left over")]
 #[test_case(Some(10), &[Read(11, (2, 5), &[]), Copied(12, 2, &["a"]), Read(20, (2, 9), &[])] => zones(&[]); "a copy that the operator did not write again")]
+#[test_case(Some(10), &[KEEPING[0], KEEPING[1], Copied(11, 2, &["a"]), Read(13, (2, 6), &["a"]), Read(15, (2, 7), &[]), Copied(16, 2, &["a"])] => zones(&[]); "a copy of a row that was written again and removed")]
+#[test_case(Some(10), &[Read(11, (2, 5), &["a"]), Read(12, (3, 1), &[]), Copied(13, 3, &["a"])] => zones(&["a"]); "a copy of a row of the earlier era")]
 fn zone_is_evacuated_by_the_latest_rows(
     restored: Option<u64>,
     events: &[Event],
