Use no permit in a cold time that was taken out before it

A request takes a permit when it is placed and then waits for a connection, 0.3 s at the most and again that long if a kept connection turns out to be closed. If its backend server became cold meanwhile, the permit of the former limit was still used: the permits start anew, but not those that are taken out. Where nothing was sent, such a permit was also put back into the new ones. A backend server that states 500 requests per second and becomes cold could so get 150 requests of all hosts beyond its cold rate, and crash. The same holds for a permit that expires during the wait.

Permits that were issued before the last restart are now dropped when they are put back, and before a request is sent its permit is put back and taken out again. One that is still valid is the first to be taken; otherwise the request takes another one or goes elsewhere, as nothing has been sent.

--- a/crates/gateway/src/attempt/permit.rs
+++ b/crates/gateway/src/attempt/permit.rs
@@ -29,11 +29,14 @@
         Self { node, to, permit: None, is_sent: false }
     }
 
-    /// Takes a permit out if the backend server is limited and there is none yet.
+    /// Takes a permit out if the backend server is limited. One that was taken before is kept only if
+    /// it is still valid, as it may have expired or a cold time may have begun meanwhile.
     pub fn take(&mut self) -> Result<(), Limited> {
-        if self.permit.is_none() {
-            self.permit = self.node.backends.borrow_mut().take_permit(self.node.now(), &self.to)?;
+        let mut backends = self.node.backends.borrow_mut();
+        if let Some(permit) = self.permit.take() {
+            backends.put_back_permit(&self.to, permit);
         }
+        self.permit = backends.take_permit(self.node.now(), &self.to)?;
         Ok(())
     }
 
--- a/crates/gateway/src/limit/permits.rs
+++ b/crates/gateway/src/limit/permits.rs
@@ -28,6 +28,8 @@
     held: VecDeque<Permit>,
     /// Time up to which permits were considered.
     through_ms: u64,
+    /// Time of the last restart; permits from before it are invalid.
+    restarted_ms: u64,
     usage: Usage,
 }
 
@@ -45,6 +47,7 @@
     pub fn restart(&mut self, through_ms: u64) {
         self.held.clear();
         self.through_ms = through_ms;
+        self.restarted_ms = through_ms;
     }
 
     /// Returns how many were issued and used.
@@ -92,9 +95,11 @@
         permit
     }
 
-    /// Puts a permit back.
+    /// Puts a permit back unless a restart has made it invalid meanwhile.
     pub fn put_back(&mut self, permit: Permit) {
-        self.held.push_front(permit);
+        if permit.issued_ms > self.restarted_ms {
+            self.held.push_front(permit);
+        }
         self.usage.used = self.usage.used.saturating_sub(1);
     }
 
--- a/crates/gateway/tests/limit/cold.rs
+++ b/crates/gateway/tests/limit/cold.rs
@@ -6,7 +6,7 @@
     backend::Entry,
     catalog::ColdStart,
     limit::{ColdBasis, ColdBound, Limit},
-    placement::{Backends, Decision, Requirements},
+    placement::{Backends, Decision, Limited, Requirements},
 };
 use rand::{SeedableRng as _, rngs::StdRng};
 
@@ -184,6 +184,25 @@
     }
 }
 
+/// Requests that wait for a connection while a cold time begins would be sent under permits of the
+/// higher rate, all hosts together more than a cold backend server takes.
+#[test]
+fn permit_from_before_a_cold_time_is_not_used_in_it() {
+    let mut backends = backends([entry(1)]);
+    backends.record_limit(at(4000), "s0", at(3900), Some(500.0));
+    let permit = backends.take_permit(at(4900), "s0").expect("a permit").expect("limited");
+    let cold = Entry { cold_until_ms: 8000, sequence: 2, ..entry(1) };
+    backends.replace(at(5000), vec![cold], false);
+    backends.put_back_permit("s0", permit);
+    assert_eq!(backends.take_permit(at(5000), "s0"), Err(Limited));
+    let permit = backends.take_permit(at(5600), "s0").expect("a permit").expect("limited");
+    let permits = std::iter::from_fn(|| backends.take_permit(at(5600), "s0").ok().flatten());
+    let count = 1 + permits.count();
+    assert!((2..=7).contains(&count), "{count}");
+    backends.put_back_permit("s0", permit);
+    assert_eq!(backends.take_permit(at(5600), "s0"), Ok(Some(permit)), "it is still valid");
+}
+
 /// A host that doesn't know the platform's clock holds no permits, and must not take the cold time
 /// for over.
 #[test]
