Tell hosts that start of evacuations that have just ended

When the evacuation of a zone ends, hosts take its backend servers for cold for 3 s, as their entries may not state this yet. A host learned the end only if it had known the evacuation. A host that was paused during the whole evacuation didn't learn its end either.

The publisher now names in its beat the zones whose evacuations ended within the last 3 s, by the platform's clock, and hosts that don't know the end, or only an earlier one, assume the zone cold since then. Until the publisher has seen the end, its beat still names the evacuation; a host that hasn't seen an end in this zone and reads no row takes that for an end. Hosts of earlier versions skip the field.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -113,6 +113,9 @@
     pub resigned: bool,
     /// Evacuated zones as the publisher has read them; `None` if it is of a version that doesn't.
     pub evacuated: Option<Listing>,
+    /// Zones whose evacuations have just ended, and when the publisher learned that, by the platform's
+    /// clock in milliseconds.
+    pub ended: BTreeMap<Arc<str>, u64>,
 }
 
 /// What a host has read itself.
@@ -130,6 +133,9 @@
     pub read_ms: u64,
     /// Evacuated zones.
     pub evacuated: Option<Listing>,
+    /// Zones whose evacuations have just ended, and when this host learned that, by the platform's
+    /// clock in milliseconds.
+    pub ended: BTreeMap<Arc<str>, u64>,
 }
 
 /// Time by which the age of the directory is judged.
@@ -291,6 +297,13 @@
         self.beat.as_ref()?.evacuated.as_ref()
     }
 
+    /// Returns the zones whose evacuations had just ended when the publisher wrote its beat, and when
+    /// it learned that, by the platform's clock in milliseconds.
+    pub fn ended(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let ended = self.beat.iter().flat_map(|beat| &beat.ended);
+        ended.map(|(zone, ended_ms)| (zone, *ended_ms))
+    }
+
     /// Returns the entries of all backend servers.
     pub fn backends(&self) -> Vec<Entry> {
         self.backends.values().flatten().cloned().collect()
@@ -381,6 +394,7 @@
             config_unreadable: own.config_unreadable,
             resigned: false,
             evacuated: own.evacuated.clone(),
+            ended: own.ended.clone(),
         };
         let rows: Vec<_> = changed.into_iter().take(MAX_WRITES).collect();
         self.beat_written_ms = platform_ms;
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -27,6 +27,7 @@
 mod sharing;
 mod statement;
 
+pub(crate) use self::cold::ASSUMED_TIME;
 pub use self::{
     cold::{Cold, ColdBasis, ColdBound},
     fleet::Fleet,
--- a/crates/gateway/src/limit/cold.rs
+++ b/crates/gateway/src/limit/cold.rs
@@ -8,7 +8,7 @@
 
 /// Time for which backend servers are assumed to be cold while their entries may not state it yet:
 /// entries lag by up to 2 s, and hosts read them up to 1 s later.
-const ASSUMED_TIME: Duration = Duration::from_millis(3000);
+pub(crate) const ASSUMED_TIME: Duration = Duration::from_millis(3000);
 
 /// Part of a second in which permits from before that second are used: their validity, and the
 /// difference between the hosts' readings of the platform's clock.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -390,6 +390,7 @@
             config_unreadable: reads.catalog_unreadable,
             read_ms: reads.catalog_ms.min(reads.backends_ms),
             evacuated: self.evacuations.borrow().listing().cloned(),
+            ended: self.backends.borrow().ended_evacuations(self.now()),
         }
     }
 
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -75,9 +75,21 @@
     let directory = node.directory.borrow();
     let listing = directory.evacuated().filter(|own| own.era == source.era()).cloned();
     if let (Some(listing), Some(age)) = (listing, directory.age(node.moment(source))) {
-        let read_at = node.now().saturating_sub(age);
+        let now = node.now();
+        let read_at = now.saturating_sub(age);
+        let published = listing.zones.clone();
         node.evacuations.borrow_mut().record_published(read_at, listing);
         node.apply_evacuations(Origin::Directory);
+        let mut backends = node.backends.borrow_mut();
+        if let Some(clock_ms) = source.clock_ms() {
+            backends.fleet_mut().set_clock(now, clock_ms);
+        }
+        for (zone, ended_ms) in directory.ended() {
+            backends.record_ended_evacuation(now, zone, ended_ms);
+        }
+        for zone in published.difference(&node.evacuations.borrow().zones()) {
+            backends.record_former_evacuation(now, zone);
+        }
     }
 }
 
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -192,6 +192,7 @@
                     config_unreadable: false,
                     read_ms: self.now_ms,
                     evacuated: host.evacuations.listing().cloned(),
+                    ..OwnView::default()
                 });
             }
             let Some(own) = &host.own else { continue };
@@ -403,6 +404,10 @@
     directory.apply(&Changes { rows: vec![beat(current)], through: 2 }, false);
     let zones = BTreeSet::from(["a".into()]);
     assert_eq!(directory.evacuated(), Some(&Listing { era: 1, through: 7, zones }));
+    assert_eq!(directory.ended().count(), 0);
+    let ended = r#"{"publisher":"h-2","evacuated":{"era":1,"through":8},"ended":{"a":9000}}"#;
+    directory.apply(&Changes { rows: vec![beat(ended)], through: 3 }, false);
+    assert_eq!(directory.ended().collect::<Vec<_>>(), [(&Arc::from("a"), 9000)]);
 }
 
 /// Hosts of versions that know no cold time wrote rows without its end, and read such rows only.
--- a/crates/gateway/tests/limit/cold.rs
+++ b/crates/gateway/tests/limit/cold.rs
@@ -301,6 +301,70 @@
     }
 }
 
+/// A host that started, or was paused, while an evacuation ended doesn't see its end.
+#[test]
+fn end_of_an_evacuation_that_another_host_saw_counts() {
+    struct Case {
+        name: &'static str,
+        /// When this host assumed the zone to be cold itself.
+        own: Option<u64>,
+        /// When the other one learned the end.
+        ended: u64,
+        /// When this host learns of that.
+        now: u64,
+        /// Until when the backend servers count as cold; `None` if they don't.
+        until: Option<u64>,
+    }
+    let cases = [
+        Case { name: "unknown", own: None, ended: 9000, now: 9800, until: Some(12_000) },
+        Case { name: "long ago", own: None, ended: 6000, now: 9000, until: None },
+        Case {
+            name: "learned sooner",
+            own: Some(8700),
+            ended: 9000,
+            now: 9800,
+            until: Some(11_700),
+        },
+        Case {
+            name: "an earlier one",
+            own: Some(5000),
+            ended: 9000,
+            now: 9800,
+            until: Some(12_000),
+        },
+        Case {
+            name: "learned later",
+            own: Some(9500),
+            ended: 9000,
+            now: 9800,
+            until: Some(12_500),
+        },
+    ];
+    for case in cases {
+        let mut backends = backends([entry(1)]);
+        if let Some(own) = case.own {
+            backends.assume_cold(at(own), "a");
+        }
+        let is_cold = |backends: &Backends, now: u64| backends.cold(at(now)).count() > 0;
+        for now in [case.now, case.now + 100] {
+            backends.record_ended_evacuation(at(now), "a", case.ended);
+        }
+        let until = (case.now..20_000).find(|now| !is_cold(&backends, *now));
+        assert_eq!(until.filter(|until| *until > case.now), case.until, "{}", case.name);
+    }
+}
+
+/// The publisher's beat may still name an evacuation that ended before a host started.
+#[test]
+fn former_evacuation_of_a_host_that_started_may_have_just_ended() {
+    let mut started = backends([entry(1)]);
+    started.record_former_evacuation(at(5000), "a");
+    started.record_former_evacuation(at(7000), "a");
+    assert_eq!((started.cold(at(7999)).count(), started.cold(at(8000)).count()), (1, 0));
+    assert_eq!(started.ended_evacuations(at(7999)), [("a".into(), 5000)].into());
+    assert_eq!(started.ended_evacuations(at(8000)), [].into());
+}
+
 /// An entry is rewritten all the time with another rest of the same cold time.
 #[test]
 fn end_of_a_cold_time_moves_only_for_news() {
