--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -14,9 +14,14 @@
 pub use self::report::{Evacuation, Report};
 use crate::freshness::{HOLD_TIME, SETTLING_READ_INTERVAL, SETTLING_TIME, START_READ_INTERVAL};
 
-/// Longest time that a read takes to fail, unless the process was paused meanwhile; also the age up to
-/// which what was read is never outdated.
-const MAX_READ_TIME: Duration = Duration::from_secs(5);
+/// Age up to which what was read is never outdated, and up to which a read that failed shows that the
+/// platform is unavailable.
+const MAX_READ_AGE: Duration = Duration::from_secs(5);
+
+/// Longest time that a read takes to fail, unless the process was paused meanwhile. Calls time out
+/// after 3.6 s at the most; hosts read every 1.25 s or more often, so that with this limit a pause that
+/// ends a read hides no more than 5 s.
+const MAX_READ_TIME: Duration = Duration::from_millis(3700);
 
 /// Evacuated zones as one read of the operator's rows found them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +65,8 @@
     failed_at: Option<Duration>,
     /// When this process first saw the listing's era.
     era_seen_at: Duration,
+    /// Zones whose rows were read in that era.
+    listed: BTreeSet<Arc<str>>,
     /// Zones that were evacuated before the table was restored and that the listing lacks.
     kept: BTreeSet<Arc<str>>,
     /// Era and zones of the system's own row, as it was read last.
@@ -107,8 +114,8 @@
     pub fn is_outdated(&self, now: Duration, evacuate_time: Duration) -> bool {
         let is_older = |at: Duration, age: Duration| now.saturating_sub(at) > age;
         self.listing.is_some()
-            && is_older(self.listed_at, evacuate_time.max(MAX_READ_TIME))
-            && self.failed_at.is_none_or(|at| is_older(at, MAX_READ_TIME))
+            && is_older(self.listed_at, evacuate_time.max(MAX_READ_AGE))
+            && self.failed_at.is_none_or(|at| is_older(at, MAX_READ_AGE))
     }
 
     /// Takes a listing over unless it was read earlier than the known one; returns whether it was
@@ -121,15 +128,18 @@
         if let Some(listing) = &self.listing {
             if former.as_ref().is_none_or(|former| former.era != listing.era) {
                 self.era_seen_at = at;
+                self.listed.clear();
                 self.kept.extend(former.into_iter().flat_map(|former| former.zones));
             }
+            self.listed.extend(listing.zones.iter().cloned());
             self.kept.retain(|zone| !listing.zones.contains(zone));
         }
         self.listed_at = self.listed_at.max(at);
         true
     }
 
-    /// Records the zones that the system's own row of an era holds.
+    /// Records the zones that the system's own row of an era holds. Of those whose rows were read in
+    /// this era, a row that is missing was removed.
     pub fn record_copy(
         &mut self,
         now: Duration,
@@ -138,9 +148,8 @@
         zones: BTreeSet<Arc<str>>,
     ) {
         let is_settled = self.is_settled(now, since_restore);
-        if let Some(listing) = self.listing.as_ref().filter(|own| own.era == era && !is_settled) {
-            let missing = zones.iter().filter(|zone| !listing.zones.contains(*zone));
-            self.kept.extend(missing.cloned());
+        if self.listing.as_ref().is_some_and(|own| own.era == era) && !is_settled {
+            self.kept.extend(zones.difference(&self.listed).cloned());
         }
         self.copy = Some((era, zones));
     }
