--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -7,7 +7,7 @@
 //! elsewhere only if the preferred engine's queue costs more than another prefill, and then mostly
 //! to a second preferred engine, on which the hosts agree too. This suits a load of many sessions
 //! with long shared prompts. For plain services the least loaded backend server is chosen,
-//! preferably in this host's zone. Where long prompts are kept apart ([`separation`]), others prefer
+//! preferably in this host's zone. Where long prompts are kept apart ([`Group`]), others prefer
 //! engines to which a connection is open: many hosts with few requests each would otherwise open one
 //! for nearly every request.
 
