--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -491,7 +491,6 @@
             let health_penalty_ms = health_penalty_ms(now, backend)
                 + if is_suspect_zone { SUSPECT_ZONE_PENALTY_MS } else { 0.0 };
             let slowness = backend.pace.slowness(now);
-            let load = backend.load(now);
             let latency = predicted_latency_ms(
                 load,
                 backend,
