Keep a silent exchange until another one has brought an event of its stream

Cause: `Relay::resume` gave the silent exchange up as soon as another backend server's head had arrived, or after 0.25 s without one. A head doesn't show that the other one has anything to add. Where it had nothing, its end was a claim that a third one had to confirm, `MaxAttempts` allowed none, and the exchange that would have brought the end was gone.

Ruled out: the deadline (15 s), the grace (8 s), the retry budget (streams are cut where it is not used up), the confirmation of ends, which is right to ask for one.

Both exchanges are read now for as long as two backend servers may work on one stream, and the first event or end of a whole stream decides. The end of a body without an event leaves the former exchange as it is. After that time the former one is still given up, as before; if the other one doesn't finish the stream and no further one may be asked, the one that was given up is asked once more. That counts against the retry budget, not against `MaxAttempts`, which bounds backend servers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -149,26 +149,21 @@
     ///
     /// Returns an error if the request can't be sent; nothing was written then.
     pub async fn start(job: &Job, resume_after: Option<u64>) -> Result<Self, StartError> {
-        let node = job.node.clone();
+        let node = &job.node;
         node.wait_for_evacuations().await;
         let now = node.now();
         if let Some(part) = job.quarantined_part() {
             return Err(StartError::Quarantined(part));
         }
-        let max_idle = if job.route.retry_policy.allows_retry() {
-            Duration::MAX
-        } else {
-            UNRETRYABLE_MAX_IDLE
-        };
         let decision = {
-            let tried = job.tried.borrow();
-            let connected = job.call.prompt.as_ref().map(|_| node.pool.connected(max_idle));
+            let history = job.history.borrow();
+            let connected = job.call.prompt.as_ref().map(|_| node.pool.connected(max_idle(job)));
             let requirements = Requirements {
                 service: &job.service.name,
                 zone: &node.settings.zone,
                 prompt: job.call.prompt.as_ref(),
                 memory: job.service.engine.and_then(|own| Memory::new(own, node.hosts())),
-                tried: &tried,
+                tried: history.ids(),
                 target_latency: job.route.target_latency,
                 time_left: job.time_left(),
                 priority: job.route.priority,
@@ -179,16 +174,60 @@
             };
             node.backends.borrow_mut().place(now, &requirements)
         };
-        let (to, prefill_tokens) = match decision {
+        match decision {
             Decision::Send { to, prefill_tokens, estimate, excluded } => {
                 log_placement(job, Some(&to.id), prefill_tokens, Some(&estimate), excluded, None);
-                (to, prefill_tokens)
+                Self::connect(job, to, prefill_tokens, resume_after).await
             }
             Decision::Refuse { retry_after, estimate, excluded } => {
                 log_placement(job, None, 0, estimate.as_ref(), excluded, Some(retry_after));
-                return Err(StartError::Rejected(retry_after));
+                Err(StartError::Rejected(retry_after))
             }
-        };
+        }
+    }
+
+    /// Connects to a backend server that the request was sent to before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request can't be sent; nothing was written then.
+    pub async fn start_again(
+        job: &Job,
+        id: &str,
+        resume_after: Option<u64>,
+    ) -> Result<Self, StartError> {
+        let node = &job.node;
+        node.wait_for_evacuations().await;
+        if let Some(part) = job.quarantined_part() {
+            return Err(StartError::Quarantined(part));
+        }
+        let now = node.now();
+        let known = node.backends.borrow_mut().get_mut(id).map(|backend| {
+            let prompt = job.call.prompt.as_ref();
+            let tokens = prompt.map_or(0, |prompt| backend.uncached_tokens(now, prompt));
+            (backend.entry.clone(), tokens)
+        });
+        let (to, prefill_tokens) = known.ok_or(StartError::Unreachable)?;
+        tracing::info!(
+            event = "asked_again",
+            id = %job.call.id,
+            backend = id,
+            after = resume_after,
+            left_ms = job.time_left().as_millis() as u64,
+        );
+        Self::connect(job, to, prefill_tokens, resume_after).await
+    }
+
+    /// Connects to a backend server, within the retry budget and its own limit.
+    async fn connect(
+        job: &Job,
+        to: Entry,
+        prefill_tokens: u64,
+        resume_after: Option<u64>,
+    ) -> Result<Self, StartError> {
+        let node = job.node.clone();
+        let now = node.now();
+        let max_idle = max_idle(job);
         // A stream that resumes at another backend server counts as a retry, too.
         let is_retry = job.retry_state.borrow().is_retry() || resume_after != job.call.resume_after;
         if is_retry
@@ -201,7 +240,7 @@
             );
             return Err(StartError::Rejected(BUDGET_SPENT_RETRY_AFTER));
         }
-        job.tried.borrow_mut().push(to.id.clone());
+        job.history.borrow_mut().push(to.id.clone());
         let mut permit = PermitGuard::new(node.clone(), to.id.clone());
         if permit.take().is_err() {
             return Err(StartError::Unreachable);
@@ -283,7 +322,8 @@
         }
         let node = &job.node;
         let now = node.now();
-        if !node.backends.borrow_mut().has_other(now, &job.service.name, &job.tried.borrow()) {
+        if !node.backends.borrow_mut().has_other(now, &job.service.name, job.history.borrow().ids())
+        {
             return false;
         }
         let budget_left =
@@ -666,6 +706,11 @@
     }
 }
 
+/// Returns how long a connection may have been idle on which a request is sent.
+fn max_idle(job: &Job) -> Duration {
+    if job.route.retry_policy.allows_retry() { Duration::MAX } else { UNRETRYABLE_MAX_IDLE }
+}
+
 /// Records a prompt that is sent, and counts the tokens that are expected to be cached and those
 /// that are read again although this host has sent them before.
 fn record_prompt(node: &Node, job: &Job, prompt: &Prompt, prefill_tokens: u64, is_retry: bool) {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -135,7 +135,7 @@
 }
 
 /// Holds the bytes of an event back until its end has arrived.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Splitter {
     /// Bytes from the start of the event that isn't whole.
     partial: BytesMut,
@@ -174,7 +174,7 @@
 }
 
 /// An event that is held back.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Held {
     id: u64,
     bytes: Bytes,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,8 @@
 //! renew its row), [`freshness`] (how far a configuration counts after a restore of the table),
 //! [`evacuation`] (which zones get no requests), [`backend`] and
 //! [`placement`] (where a request goes, or that it is refused), [`retry_state`] (whether a request
-//! may be sent again and what its caller is told), [`stream_end`] (whether the end of a stream is
-//! believed).
+//! may be sent again and what its caller is told), [`history`] (which backend servers may be asked once
+//! more), [`stream_end`] (whether the end of a stream is believed).
 
 pub mod account;
 pub mod attempt;
@@ -35,6 +35,7 @@
 mod evacuation_copy;
 pub mod events;
 pub mod freshness;
+pub mod history;
 pub mod idle;
 pub mod lender;
 mod lifecycle;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -39,6 +39,7 @@
     credit::prompt_digest,
     drain,
     freshness::Freshness,
+    history::History,
     node::{Node, Phase},
     panics,
     peer::Peers,
@@ -121,8 +122,8 @@
     pub version: u64,
     /// Attempts so far, and whether another may follow.
     pub retry_state: RefCell<RetryState>,
-    /// Ids of the backend servers that were tried, in order.
-    pub tried: RefCell<Vec<Arc<str>>>,
+    /// Backend servers that it was sent to.
+    pub history: RefCell<History>,
     /// Tokens reserved for it, if it uses a prepaid budget.
     pub reservation: RefCell<Option<Reservation>>,
     /// Charge for its prompt, if it uses a prepaid budget and may be resumed.
@@ -269,7 +270,7 @@
         {
             reservation.set_progress(Progress::Answered);
         }
-        let tried = self.tried.borrow();
+        let history = self.history.borrow();
         let elapsed = self.arrived.elapsed();
         self.node.metrics.ended(outcome, &self.route.name, elapsed);
         let timing = self.timing.get();
@@ -284,8 +285,8 @@
             workspace = self.workspace.as_ref().map(|workspace| &*workspace.name),
             outcome,
             status,
-            backend = tried.last().map(|id| &**id),
-            sends = tried.len(),
+            backend = history.ids().last().map(|id| &**id),
+            sends = history.ids().len(),
             events,
             first_ms = timing.first().map(|time| time.as_millis() as u64),
             max_gap_ms = timing.max_gap().map(|gap| gap.as_millis() as u64),
@@ -495,7 +496,7 @@
         arrived,
         version: catalog.version(),
         retry_state: RefCell::new(retry_state),
-        tried: RefCell::default(),
+        history: RefCell::default(),
         reservation: RefCell::new(reservation),
         prompt_charge,
         trial,
@@ -699,7 +700,7 @@
         tracing::info!(
             event = "send_ended",
             id = %job.call.id,
-            backend = job.tried.borrow().last().map(|id| &**id),
+            backend = job.history.borrow().ids().last().map(|id| &**id),
             ending = ?failure,
             again = can_retry,
             left_ms = job.time_left().as_millis() as u64,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,27 +1,29 @@
 //! Passes the rest of a response on; a resumable stream continues at another backend server if it
 //! is interrupted.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+mod handover;
+
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt as _;
-use hyper::{HeaderMap, body::Incoming, header::CONTENT_TYPE, http::response};
+use hyper::{HeaderMap, header::CONTENT_TYPE, http::response};
 use tokio::{
     task::yield_now,
     time::{Instant, timeout},
 };
 
 use crate::{
-    attempt::{Attempt, MAX_STREAM_OVERLAP, StartError},
+    attempt::Attempt,
     body::Truncated,
     catalog::RetryPolicy,
-    events::{Fault, Rejected, Splitter},
+    events::{Fault, Splitter},
     proxy::{ANSWERED, CALLER_LEFT, Job},
     request::LATE,
-    retry_state::AttemptFailure,
     stream_end::{Claim, End, Verdict},
 };
+use handover::Handover;
 
 /// Time without data, in percent of the route's longest gap, after which a stream is resumed at
 /// another backend server.
@@ -37,9 +39,6 @@
 /// Tokens in an event if the service doesn't say.
 const DEFAULT_EVENT_TOKENS: u64 = 1;
 
-/// Media type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// Result of reading from a response.
 enum ReadResult {
     Bytes(Bytes),
@@ -53,7 +52,7 @@
 /// A response that is being passed on; cancelled when dropped.
 #[derive(Debug)]
 pub struct Relay {
-    job: Job,
+    job: Rc<Job>,
     attempt: Option<Attempt>,
     /// Media type that the response states; one that resumes it states the same or that of events.
     media_type: Option<String>,
@@ -81,7 +80,7 @@
             splitter.with_fields(dialect.event_fields()).with_ids(dialect.numbers_events());
         Self {
             is_success: head.status.is_success(),
-            job,
+            job: Rc::new(job),
             attempt: Some(attempt),
             media_type: media_type(&head.headers),
             splitter,
@@ -114,15 +113,18 @@
                 ReadResult::Stalled(cause) => (cause, true),
                 ReadResult::Interrupted(cause) => (cause, false),
             };
-            if !self.resume(cause, may_go_on).await {
-                if self.believes_claim() {
-                    return self.complete().map(Ok);
+            match self.resume(cause, may_go_on).await {
+                Handover::GoesOn(bytes) if bytes.is_empty() => {}
+                Handover::GoesOn(bytes) => return Some(Ok(bytes)),
+                Handover::Complete => return self.complete().map(Ok),
+                Handover::Failed if self.believes_claim() => return self.complete().map(Ok),
+                Handover::Failed => {
+                    self.job.note_charge(cause).await;
+                    // What was passed on is written before the connection breaks off.
+                    yield_now().await;
+                    self.finish(cause);
+                    return Some(Err(Truncated));
                 }
-                self.job.note_charge(cause).await;
-                // What was passed on is written before the connection breaks off.
-                yield_now().await;
-                self.finish(cause);
-                return Some(Err(Truncated));
             }
         }
         None
@@ -163,7 +165,7 @@
         let stall_timeout = self.stall_timeout();
         let first_event_timeout = self.job.route.target_latency * FIRST_EVENT_TIMEOUT_PERCENT / 100;
         let stall_limit = match self.events {
-            _ if !self.can_resume() => Duration::MAX,
+            _ if !self.can_switch() => Duration::MAX,
             0 => first_event_timeout.max(stall_timeout),
             _ => stall_timeout,
         };
@@ -174,7 +176,9 @@
         let is_stalled = self.has_events() && self.progress_at.elapsed() > stall_limit;
         let fault = match self.splitter.rejected() {
             Some(rejected) => {
-                self.log_rejected(rejected);
+                if let Some(attempt) = &self.attempt {
+                    log_rejected(&self.job, attempt.backend(), &self.splitter);
+                }
                 Some(ReadResult::Interrupted(rejected.fault.name()))
             }
             None => is_stalled.then_some(ReadResult::Stalled("no_progress")),
@@ -247,12 +251,24 @@
 
     /// Processes the end of the body of a stream.
     fn process_end(&mut self) -> ReadResult {
-        let Some(attempt) = &mut self.attempt else { return ReadResult::Interrupted("broken_off") };
+        let Some(mut attempt) = self.attempt.take() else {
+            return ReadResult::Interrupted("broken_off");
+        };
+        let may_end = self.splitter.may_end();
+        let events = attempt.events() + u64::from(self.splitter.holds_event());
+        let result = self.judge_end(&mut attempt, events, may_end);
+        self.attempt = Some(attempt);
+        result
+    }
+
+    /// Judges the end of a body whose backend server has sent so many events of the stream; `may_end`
+    /// states whether no event is missing as far as its bytes tell.
+    fn judge_end(&mut self, attempt: &mut Attempt, events: u64, may_end: bool) -> ReadResult {
         let end = End {
             backend: attempt.backend().clone(),
-            events: attempt.events() + u64::from(self.splitter.holds_event()),
+            events,
             after: self.splitter.last_id(),
-            may_end: self.splitter.may_end() && attempt.may_end_stream(),
+            may_end: may_end && attempt.may_end_stream(),
             has_surplus: attempt.record_surplus(&self.job),
             is_only: attempt.is_only(&self.job),
         };
@@ -317,12 +333,16 @@
         self.job.route.streamed && self.is_success
     }
 
-    fn can_resume(&self) -> bool {
+    /// Returns whether a backend server may go on with the stream that hasn't been asked before.
+    fn can_switch(&self) -> bool {
+        self.is_resumable() && self.job.retry_state.borrow().can_retry()
+    }
+
+    fn is_resumable(&self) -> bool {
         self.has_events()
             && self.job.route.retry_policy == RetryPolicy::Resumable
             // What has been passed on can't be taken back.
             && self.splitter.fault() != Some(Fault::Contradicted)
-            && self.job.retry_state.borrow().can_retry()
     }
 
     /// Returns the time without an event after which another backend server is tried.
@@ -330,66 +350,6 @@
         self.job.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * STALL_TIMEOUT_PERCENT / 100
     }
 
-    /// Resumes the stream at another backend server; returns whether the stream goes on. An attempt
-    /// that may go on is kept until another backend server has taken the stream over.
-    async fn resume(&mut self, cause: &'static str, may_go_on: bool) -> bool {
-        if !self.can_resume() || self.job.time_left().is_zero() {
-            return false;
-        }
-        let mut former = self.attempt.take();
-        let from = former.as_ref().map(|attempt| attempt.backend().clone());
-        if !may_go_on {
-            former = None;
-        }
-        let mut can_retry =
-            self.job.retry_state.borrow_mut().finish_attempt(AttemptFailure::Unknown);
-        let mut was_sent = false;
-        while can_retry && !self.job.time_left().is_zero() {
-            let failure = match self.start_next_attempt(&mut former).await {
-                Ok(attempt) => {
-                    self.log_resumed(cause, from.as_ref(), &attempt);
-                    self.splitter.discard();
-                    self.attempt = Some(attempt);
-                    self.progress_at = Instant::now();
-                    return true;
-                }
-                Err(Some(failure)) => failure,
-                Err(None) => break,
-            };
-            was_sent |= failure != AttemptFailure::NotSent;
-            can_retry = self.job.retry_state.borrow_mut().finish_attempt(failure);
-        }
-        let Some(former) = former else { return false };
-        if !was_sent {
-            self.job.retry_state.borrow_mut().continue_attempt();
-        }
-        tracing::info!(
-            event = "stream_kept",
-            id = %self.job.call.id,
-            cause,
-            backend = %former.backend(),
-            left_ms = self.job.time_left().as_millis() as u64,
-        );
-        self.attempt = Some(former);
-        self.progress_at = Instant::now();
-        self.retry_at = self.progress_at + self.stall_timeout();
-        true
-    }
-
-    fn log_rejected(&self, rejected: &Rejected) {
-        tracing::warn!(
-            event = "event_rejected",
-            id = %self.job.call.id,
-            backend = self.attempt.as_ref().map(|attempt| &**attempt.backend()),
-            fault = rejected.fault.name(),
-            events = self.events,
-            after = self.splitter.last_id(),
-            event_id = rejected.id,
-            bytes = rejected.length,
-            excerpt = %rejected.excerpt.escape_ascii(),
-        );
-    }
-
     fn log_end(&self, end: &End, verdict: Verdict) {
         let name = match verdict {
             Verdict::Complete | Verdict::BrokenOff => return,
@@ -407,64 +367,21 @@
             left_ms = self.job.time_left().as_millis() as u64,
         );
     }
+}
 
-    fn log_resumed(&self, cause: &str, from: Option<&Arc<str>>, to: &Attempt) {
-        tracing::info!(
-            event = "stream_resumed",
-            id = %self.job.call.id,
-            cause,
-            from = from.map(|id| &**id),
-            to = %to.backend(),
-            after = self.splitter.last_id(),
-            left_ms = self.job.time_left().as_millis() as u64,
-        );
-    }
-
-    /// Sends the rest of the stream's request to another backend server. `former` is dropped if that
-    /// takes long, so that two of them don't go on with the stream.
-    async fn start_next_attempt(
-        &self,
-        former: &mut Option<Attempt>,
-    ) -> Result<Attempt, Option<AttemptFailure>> {
-        let after = self.splitter.last_id();
-        let mut attempt = match Attempt::start(&self.job, after).await {
-            Ok(attempt) => attempt,
-            Err(StartError::Unreachable) => return Err(Some(AttemptFailure::NotSent)),
-            Err(StartError::Rejected(_) | StartError::Quarantined(_)) => return Err(None),
-        };
-        let backend = attempt.backend().clone();
-        let response = {
-            let sending = attempt.send_request(&self.job, after);
-            let mut sending = pin!(Attempt::wait_for(&self.job, &backend, None, sending));
-            match timeout(MAX_STREAM_OVERLAP, &mut sending).await {
-                Ok(response) => response,
-                Err(_) => {
-                    *former = None;
-                    sending.await
-                }
-            }
-        };
-        let Some(response) = response else {
-            attempt.record_failure();
-            return Err(Some(AttemptFailure::Unknown));
-        };
-        let (head, body): (_, Incoming) = response.map_err(Some)?.into_parts();
-        let media = media_type(&head.headers);
-        let is_stream = media.as_deref() == Some(EVENT_STREAM) || media == self.media_type;
-        if !head.status.is_success() || !is_stream {
-            tracing::warn!(
-                event = "stream_not_resumed",
-                id = %self.job.call.id,
-                backend = %attempt.backend(),
-                status = head.status.as_u16(),
-                media_type = media,
-            );
-            attempt.record_failure();
-            return Err(Some(AttemptFailure::Failed));
-        }
-        attempt.set_body(body);
-        Ok(attempt)
-    }
+/// Logs the bytes that a backend server sent in place of an event, if it did.
+fn log_rejected(job: &Job, backend: &str, splitter: &Splitter) {
+    let Some(rejected) = splitter.rejected() else { return };
+    tracing::warn!(
+        event = "event_rejected",
+        id = %job.call.id,
+        backend,
+        fault = rejected.fault.name(),
+        after = splitter.last_id(),
+        event_id = rejected.id,
+        bytes = rejected.length,
+        excerpt = %rejected.excerpt.escape_ascii(),
+    );
 }
 
 /// Returns the media type of a body, without parameters and in lowercase.
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -79,7 +79,7 @@
         self.in_flight = true;
     }
 
-    /// Records that an attempt which was finished goes on, as no other one was sent in its place.
+    /// Records that an attempt which was finished goes on, as no other one has taken its place.
     pub fn continue_attempt(&mut self) {
         self.in_flight = true;
         self.attempts = self.attempts.saturating_sub(1);
--- a/crates/gateway/tests/retry_state.rs
+++ b/crates/gateway/tests/retry_state.rs
@@ -92,3 +92,19 @@
     assert!(!state.finish_attempt(AttemptFailure::NotRun));
     assert_eq!(state.status(), ExecutionStatus::Unknown);
 }
+
+/// An attempt that goes on after the one that was to replace it was given up leaves the others to be
+/// made.
+#[test]
+fn attempt_that_is_given_up_for_a_former_one_counts_once() {
+    let mut state = RetryState::new(true, 3, 4);
+    state.begin_attempt();
+    assert!(state.finish_attempt(AttemptFailure::Unknown));
+    state.begin_attempt();
+    assert!(state.finish_attempt(AttemptFailure::Unknown));
+    state.continue_attempt();
+    assert!(state.can_retry(), "the third one");
+    assert!(state.finish_attempt(AttemptFailure::Unknown));
+    state.begin_attempt();
+    assert!(!state.finish_attempt(AttemptFailure::Unknown));
+}
