Ask a backend server again that was given up before its response began

What callers saw: a stream that may be resumed ended with 502, or broke off before its first event, although the backend server that got it first was only silent for 1.3 s before its head.

`wait_for_response` gives the silent exchange up once the next one's head has arrived, or after 0.25 s. If the next one fails after that, `MaxAttempts` allows no other, and nothing is left.

Evidence: stream_pause, a pause before the head by what the next backend server does: 2 of 5 cases failed before (it breaks off after its head, it closes without a response), with two attempts at first.

Ruled out: the deadline, and requests that may run more than once without being streams, whose silent exchange is kept without a limit.

An exchange that is given up is noted, so that its backend server is asked once more where no other may be, here or by the relay. A request that may run once is never given up, so that none of its backend servers is noted.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -670,42 +670,59 @@
 }
 
 /// Sends a request to one backend server after the other, as long as retries are allowed. The
-/// exchange with one that is only silent is kept, and counts if no other one takes the request.
+/// exchange with one that is only silent is kept, and counts if no other one takes the request; if it
+/// had to be given up, its backend server is asked once more then.
 async fn run_attempts(job: &Job) -> Result<UpstreamResponse, Refusal> {
     let mut retry_after = UNREADY_RETRY_AFTER;
     let mut silent: Option<Exchange<'_>> = None;
+    let mut can_retry = true;
+    let mut again: Option<Arc<str>> = None;
     let refusal = loop {
-        let failure = match Attempt::start(job, job.call.resume_after).await {
+        let after = job.call.resume_after;
+        let started = match again.take() {
+            Some(id) => Attempt::start_again(job, &id, after).await,
+            None => Attempt::start(job, after).await,
+        };
+        let failure = match started {
             Ok(attempt) => {
                 job.record_sent();
                 match wait_for_response(job, Exchange::new(job, attempt), &mut silent).await {
-                    Ok(response) => return Ok(response),
-                    Err(failure) => failure,
+                    Ok(response) => {
+                        abandon(job, silent);
+                        return Ok(response);
+                    }
+                    Err(failure) => Some(failure),
                 }
             }
             Err(StartError::Rejected(next_retry_after)) => {
                 retry_after = next_retry_after;
-                break None;
+                None
             }
             Err(StartError::Quarantined(part)) => {
                 let status = job.retry_state.borrow().status();
                 break Some(Refusal::Quarantined { part, status });
             }
-            Err(StartError::Unreachable) => AttemptFailure::NotSent,
+            Err(StartError::Unreachable) => Some(AttemptFailure::NotSent),
         };
-        let can_retry = job.retry_state.borrow_mut().finish_attempt(failure);
+        can_retry &=
+            failure.is_some_and(|failure| job.retry_state.borrow_mut().finish_attempt(failure));
         if job.retry_state.borrow().status() == ExecutionStatus::NotRun {
             job.clear_used();
         }
-        tracing::info!(
-            event = "send_ended",
-            id = %job.call.id,
-            backend = job.history.borrow().ids().last().map(|id| &**id),
-            ending = ?failure,
-            again = can_retry,
-            left_ms = job.time_left().as_millis() as u64,
-        );
-        if !can_retry {
+        if !can_retry && silent.is_none() {
+            again = job.history.borrow_mut().take_abandoned();
+        }
+        if let Some(failure) = failure {
+            tracing::info!(
+                event = "send_ended",
+                id = %job.call.id,
+                backend = job.history.borrow().ids().last().map(|id| &**id),
+                ending = ?failure,
+                again = can_retry || again.is_some(),
+                left_ms = job.time_left().as_millis() as u64,
+            );
+        }
+        if !can_retry && again.is_none() {
             break None;
         }
     };
@@ -726,6 +743,18 @@
     }))
 }
 
+/// Gives up an exchange that may still be going on, if there is one.
+fn abandon(job: &Job, exchange: Option<Exchange<'_>>) {
+    let Some(exchange) = exchange else { return };
+    tracing::info!(
+        event = "exchange_abandoned",
+        id = %job.call.id,
+        backend = %exchange.backend,
+        left_ms = job.time_left().as_millis() as u64,
+    );
+    job.history.borrow_mut().record_abandoned(exchange.backend);
+}
+
 /// A request that was sent to a backend server, and its response that is awaited.
 struct Exchange<'a> {
     backend: Arc<str>,
@@ -764,12 +793,15 @@
                 earlier = &mut former.response => {
                     *silent = None;
                     match earlier {
-                        Ok(response) => Some(Some(Ok(response))),
+                        Ok(response) => {
+                            job.history.borrow_mut().record_abandoned(exchange.backend.clone());
+                            Some(Some(Ok(response)))
+                        }
                         Err(_) => None,
                     }
                 }
                 () = sleep(max_overlap) => {
-                    *silent = None;
+                    abandon(job, silent.take());
                     None
                 }
             },
@@ -785,7 +817,10 @@
     }
     let node = &job.node;
     node.backends.borrow_mut().record_health(node.now(), &exchange.backend, HealthSignal::Failed);
-    silent.get_or_insert(exchange);
+    match silent {
+        Some(_) => abandon(job, Some(exchange)),
+        None => *silent = Some(exchange),
+    }
     Err(AttemptFailure::Unknown)
 }
 
