Read what arrived during a pause of the host before asking another backend server

What callers saw: after a pause of their host, streams whose events and end had arrived meanwhile were sent to another backend server, and could end without their end.

Cause: the host judged silence by its clock before it read its sockets. The relay compared the time since the last event with its limit before each read, and the timers of a process that was stopped expire in the same turn of the event loop in which its sockets become readable.

Evidence: paused_host_reads_what_arrived_before_it_asks_another_backend_server, six requests while the host is stopped for 1.3 s.

Ruled out: silence of the stand-ins, which write all the while.

Before a backend server counts as silent, what has arrived is read for 5 ms: timers of that length expire in a later turn than the sockets that were readable before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -74,6 +74,10 @@
 const STATUSES_WITHOUT_CONTENT: [StatusCode; 2] =
     [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT];
 
+/// Time in which bytes that have arrived are read before a backend server counts as silent: after a
+/// pause of this process its timers expire before it has read its sockets.
+pub const READ_GRACE: Duration = Duration::from_millis(5);
+
 /// Interval at which an attempt is checked for being abandoned.
 const ABANDON_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -349,10 +353,10 @@
             if let Ok(part) = timeout(poll_interval, &mut part).await {
                 return Some(part);
             }
-            if job.time_left().is_zero()
-                || Self::can_abandon(job, backend, started.elapsed(), response_timeout)
-            {
-                return None;
+            let is_over = job.time_left().is_zero()
+                || Self::can_abandon(job, backend, started.elapsed(), response_timeout);
+            if is_over {
+                return timeout(READ_GRACE, &mut part).await.ok();
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    attempt::Attempt,
+    attempt::{Attempt, READ_GRACE},
     body::Truncated,
     catalog::RetryPolicy,
     events::{Fault, Splitter},
@@ -61,6 +61,8 @@
     events: u64,
     /// When the last event arrived, or when its backend server began to respond.
     progress_at: Instant,
+    /// Whether the backend server had made no progress for too long before the last read.
+    is_stalled: bool,
     /// Time before which no other backend server is tried, after none took the stream.
     retry_at: Instant,
     /// Last claim that nothing is left of the stream.
@@ -86,6 +88,7 @@
             splitter,
             events: 0,
             progress_at: Instant::now(),
+            is_stalled: false,
             retry_at: Instant::now(),
             claim: None,
             ended: false,
@@ -174,6 +177,7 @@
             return self.interrupt_late();
         }
         let is_stalled = self.has_events() && self.progress_at.elapsed() > stall_limit;
+        let was_stalled = std::mem::replace(&mut self.is_stalled, is_stalled);
         let fault = match self.splitter.rejected() {
             Some(rejected) => {
                 if let Some(attempt) = &self.attempt {
@@ -181,7 +185,7 @@
                 }
                 Some(ReadResult::Interrupted(rejected.fault.name()))
             }
-            None => is_stalled.then_some(ReadResult::Stalled("no_progress")),
+            None => (is_stalled && was_stalled).then_some(ReadResult::Stalled("no_progress")),
         };
         if let Some(fault) = fault {
             if let Some(attempt) = &mut self.attempt {
@@ -195,11 +199,11 @@
         let Some(body) = attempt.body() else { return ReadResult::Interrupted("broken_off") };
         // While no other backend server takes the stream, silence is no reason to look for one.
         let patience = self.retry_at.saturating_duration_since(Instant::now());
-        let frame = match patience.is_zero() {
+        let wait = if is_stalled { READ_GRACE } else { patience };
+        let frame = match wait.is_zero() {
             true => Attempt::wait_for(&self.job, &backend, Some(stall_limit), body.frame()).await,
             false => {
-                let wait = patience.min(self.job.time_left());
-                let Ok(frame) = timeout(wait, body.frame()).await else {
+                let Ok(frame) = timeout(wait.min(self.job.time_left()), body.frame()).await else {
                     return ReadResult::Bytes(Bytes::new());
                 };
                 Some(frame)
