Hold that a pause of an engine costs no answer of the daemon

A stream there has one exchange at a time; one that is silent for 10 s is closed, and the same engine is asked for the rest before any other. The stand-in for an engine has a fault that pauses.

--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -3,7 +3,11 @@
 #[allow(dead_code)]
 mod fleet;
 
-use std::{sync::mpsc, thread};
+use std::{
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use fleet::{
     Fleet, Plan,
@@ -15,6 +19,7 @@
     caller::{Caller, Reply},
     control,
 };
+use test_case::test_case;
 
 /// Sends a request from a thread; returns once its first token came.
 fn start(
@@ -201,6 +206,27 @@
     wait_spent(&fleet, 42);
 }
 
+/// Guards against an engine that is given up while it only pauses.
+#[test_case(0; "before the first token")]
+#[test_case(5; "between tokens")]
+#[test_case(40; "before the end")]
+fn an_engine_that_pauses_beside_a_stop_costs_no_answer(after: u64) {
+    let fleet = Fleet::open(Plan::default());
+    for engine in 0..fleet.engines.len() {
+        fleet
+            .fail_engine(engine, &json!({"kind": "pause", "after": after, "ms": 1300, "count": 1}));
+    }
+    let begun = Instant::now();
+    let caller = fleet.caller("host-a");
+    let call = thread::spawn(move || call(&caller, "review", None, &prompt("A review", 40)));
+    thread::sleep(Duration::from_millis(700));
+    fleet.signal("host-a", Signal::TERM);
+    let reply = call.join().expect("thread");
+    assert!(reply.whole(), "{reply:?}");
+    assert_eq!(reply.tokens.len(), 40, "{reply:?}");
+    assert!(begun.elapsed() >= Duration::from_millis(1300), "no engine paused");
+}
+
 #[test]
 fn an_idle_host_stops_with_and_without_the_platform() {
     let mut fleet = Fleet::open(Plan::default());
--- a/crates/standin/src/engine/reader.rs
+++ b/crates/standin/src/engine/reader.rs
@@ -1,8 +1,10 @@
 //! Sends a stream to one reader, line by line.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::sleep};
 
 use super::stream::{Ask, Progress, State, Watch, token};
 use crate::{fault::Fault, http::Piece};
@@ -16,6 +18,8 @@
     None,
     /// Sends nothing further and keeps the connection open.
     Stall,
+    /// Sends nothing for a time, and then goes on.
+    Pause,
     /// Closes the connection in the middle of the answer.
     Cut,
     /// Sends lines that carry another request's id.
@@ -192,7 +196,7 @@
         send(sender, Piece::Data(json_line(&end))).await
     }
 
-    /// Stalls or cuts the answer where the fault asks for it.
+    /// Stalls, pauses or cuts the answer where the fault asks for it.
     async fn interrupt(&self, sender: &mpsc::Sender<Piece>) -> Result<(), Over> {
         if self.sent < self.fault.after {
             return Ok(());
@@ -202,6 +206,10 @@
                 sender.closed().await;
                 Err(Over)
             }
+            Kind::Pause if self.sent == self.fault.after => {
+                sleep(Duration::from_millis(self.fault.ms)).await;
+                Ok(())
+            }
             Kind::Cut => {
                 send(sender, Piece::Cut).await?;
                 Err(Over)
