Let hosts that know of an earlier era say whether the fleet is new

The store had turned two hosts of a new fleet away, and came back from a copy older than the first grants; one of the two founded the fleet again.

Cause: a host with FirstStart that finds no row `fleet/era` took the fleet for new, unless it had itself read the row of an earlier era. That the store's era had risen, also by the answers that turned it away, counted for nothing, and neither did hosts that had seen the earlier era but came a moment later.

Ruled out: late transactions of the earlier era, which the markers of each era refuse.

The first era that the platform states to a process, in whatever answer, is kept; a later one proves a restore. Where a process has seen only one era, and not the table's first, it lets others record it for 3 s. What remains is a fleet whose hosts were all silent to the store before the restore, or are gone: it is founded after that time. Withheld tokens after such a restore are as docs/PLATFORM.md tells.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -167,6 +167,10 @@
     /// table is restored from an older copy; revisions of different eras can't be compared.
     fn era(&self) -> u64;
 
+    /// Returns the era that the first answer to this process has stated, or the current one if none
+    /// has stated any.
+    fn first_era(&self) -> u64;
+
     /// Returns the rows under a prefix of one or two segments that changed after a revision, or all
     /// of them. Waits up to `wait` for a change. Returns `None` if the history of changes no longer
     /// reaches back to the revision.
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -11,7 +11,7 @@
     table::{Op, Outcome, Row, Txn},
 };
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     account::{COPY_MAX_AGE, Loss},
@@ -36,9 +36,54 @@
 /// transactions that were committed late.
 const FOUNDING_END_TIME: Duration = FOUNDING_TIME.saturating_add(COPY_MAX_AGE);
 
+/// Time for which a process that starts together with the fleet leaves the record of an era to those
+/// that have seen an earlier one.
+const FOUNDING_DELAY: Duration = Duration::from_secs(3);
+
+/// Number of the first era of a platform's table; 0 stands for a platform that states none.
+const FIRST_ERA: u64 = 1;
+
 /// Time over which the hosts' attempts to complete the row are spread.
 const COMPLETION_SPREAD: Duration = Duration::from_secs(5);
 
+/// What a process can tell of an era whose start isn't recorded in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unrecorded {
+    /// The fleet is being founded.
+    Founding,
+    /// The table was restored from a copy that is older than the record.
+    Restored,
+    /// Other hosts may know better.
+    Undecided,
+}
+
+/// What a process knows of an era beside the table.
+#[derive(Debug, Clone, Copy)]
+pub struct Knowledge {
+    /// Number of the era.
+    pub era: u64,
+    /// The first era that an answer of the platform has stated to this process, also one by which it
+    /// was turned away.
+    pub first_era: u64,
+    /// Whether the process starts together with the fleet.
+    pub is_first_start: bool,
+    /// Time since it saw the era.
+    pub waited: Duration,
+}
+
+impl Knowledge {
+    /// Returns what the process can tell if the start of the era isn't recorded.
+    pub fn judge_unrecorded(&self) -> Unrecorded {
+        if self.first_era < self.era || !self.is_first_start {
+            return Unrecorded::Restored;
+        }
+        if self.era > FIRST_ERA && self.waited < FOUNDING_DELAY {
+            return Unrecorded::Undecided;
+        }
+        Unrecorded::Founding
+    }
+}
+
 /// Row that records the start of an era, in milliseconds of the platform's clock.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -55,17 +100,18 @@
 }
 
 impl EraStart {
-    /// Returns the row of an era that begins with the `recorded` one in the table. Without any,
-    /// unless the fleet starts for the first time, the row was lost, so that the fleet had only just
-    /// been founded.
-    pub fn begin(recorded: Option<Self>, era: u64, now_ms: u64, first_start: bool) -> Self {
-        let founded_ms = match recorded {
-            Some(start) => start.founded_ms,
-            None if first_start => now_ms,
-            None => now_ms.saturating_sub(1),
+    /// Returns the row of an era that begins with the `recorded` one in the table; `None` if other
+    /// hosts may know better. Where the table was restored without any, the fleet had only just been
+    /// founded.
+    pub fn begin(recorded: Option<Self>, now_ms: u64, knowledge: &Knowledge) -> Option<Self> {
+        let founded_ms = match (recorded, knowledge.judge_unrecorded()) {
+            (Some(start), _) => start.founded_ms,
+            (None, Unrecorded::Founding) => now_ms,
+            (None, Unrecorded::Restored) => now_ms.saturating_sub(1),
+            (None, Unrecorded::Undecided) => return None,
         };
         let is_complete = recorded.is_some_and(|start| start.is_complete);
-        Self { era, since_ms: now_ms, founded_ms, is_complete }
+        Some(Self { era: knowledge.era, since_ms: now_ms, founded_ms, is_complete })
     }
 
     /// Returns whether the row can be marked as complete: no budget from the foundation gets its row
@@ -101,15 +147,18 @@
 /// Keeps track of the start of the current era forever.
 pub async fn track(node: Rc<Node>, source: Rc<impl Source>) {
     let delay_ms = hash(node.settings.host.as_bytes()) % COMPLETION_SPREAD.as_millis() as u64;
+    let mut seen = (source.era(), Instant::now());
     loop {
         let known = node.era_start.get();
         let current = known.filter(|start| start.era == source.era());
         let now_ms = source.clock_ms().unwrap_or_default().saturating_sub(delay_ms);
         match current {
             None => {
-                // A process that has seen an earlier era knows that the fleet isn't new.
-                let first_start = node.settings.first_start && known.is_none();
-                if let Some(start) = read_or_record(&*source, first_start).await {
+                if seen.0 != source.era() {
+                    seen = (source.era(), Instant::now());
+                }
+                let (is_first_start, waited) = (node.settings.first_start, seen.1.elapsed());
+                if let Some(start) = read_or_record(&*source, is_first_start, waited).await {
                     node.era_start.set(Some(start));
                     node.budgets.resume();
                 }
@@ -154,20 +203,34 @@
     Some((row, recorded))
 }
 
-/// Reads when the current era began, or records that it begins now; `None` if the platform doesn't
-/// answer or the row can't be read.
-pub async fn read_or_record(source: &impl Source, first_start: bool) -> Option<EraStart> {
+/// Reads when the current era began, or records that it begins now, where this process saw it a time
+/// `waited` ago; `None` if the platform doesn't answer, the row can't be read or other hosts
+/// may know better.
+pub async fn read_or_record(
+    source: &impl Source,
+    is_first_start: bool,
+    waited: Duration,
+) -> Option<EraStart> {
     let (row, recorded) = read(source).await?;
     let (era, now_ms) = (source.era(), source.clock_ms()?);
     if let Some(start) = recorded.filter(|start| start.era >= era) {
         return Some(start);
     }
-    let start = EraStart::begin(recorded, era, now_ms, first_start);
+    let knowledge = Knowledge { era, first_era: source.first_era(), is_first_start, waited };
+    let start = EraStart::begin(recorded, now_ms, &knowledge)?;
     let mut txn = Txn::default();
     txn.put(&row, &start);
     match source.table(&Op::Commit(txn)).await {
         Outcome::Committed(_) => {
-            tracing::info!(event = "era_recorded", era, former = recorded.map(|own| own.era));
+            tracing::info!(
+                event = "era_recorded",
+                era,
+                former = recorded.map(|own| own.era),
+                first_era = knowledge.first_era,
+                is_first_start,
+                waited_ms = waited.as_millis() as u64,
+                founding = start.is_founding(now_ms),
+            );
             Some(start)
         }
         // Another host recorded it at the same time.
--- a/crates/gateway/tests/account/simulation.rs
+++ b/crates/gateway/tests/account/simulation.rs
@@ -9,7 +9,7 @@
 use coordination::table::{Outcome, Row, Txn};
 use gateway::{
     account::{Account, Environment, Loss, Progress, ReserveResult, Step},
-    era::EraStart,
+    era::{EraStart, Knowledge},
     witness::Notes,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -199,10 +199,16 @@
             let recorded = self.table.rows.get(ERA_ROW);
             let recorded: Option<EraStart> =
                 recorded.map(|(text, _)| serde_json::from_str(text).expect("a start"));
-            let first_start = process.first_start && process.era_start.is_none();
-            let start = recorded.filter(|start| start.era >= era);
-            let start =
-                start.unwrap_or_else(|| EraStart::begin(recorded, era, now_ms, first_start));
+            let knowledge = Knowledge {
+                era,
+                first_era: process.era_start.map_or(era, |start| start.era),
+                is_first_start: process.first_start,
+                waited: Duration::MAX,
+            };
+            let start = recorded
+                .filter(|start| start.era >= era)
+                .or_else(|| EraStart::begin(recorded, now_ms, &knowledge))
+                .expect("decided, as it has waited");
             self.table.write_era_start(&start);
             process.era_start = Some(start);
         }
--- a/crates/gateway/tests/era.rs
+++ b/crates/gateway/tests/era.rs
@@ -8,7 +8,7 @@
     account::Loss,
     backend::Entry,
     dialect::{Changes, Read, Source, Unavailable, Update},
-    era::{self, EraStart},
+    era::{self, EraStart, Knowledge, Unrecorded},
 };
 use test_case::test_case;
 
@@ -16,6 +16,8 @@
 struct Platform {
     now_ms: u64,
     era: u64,
+    /// Era that the first answer stated.
+    first_era: u64,
     row: RefCell<Option<EraStart>>,
     /// Whether another host writes the row between a read and a write.
     is_contended: bool,
@@ -42,6 +44,10 @@
         self.era
     }
 
+    fn first_era(&self) -> u64 {
+        self.first_era
+    }
+
     async fn changes(
         &self,
         _: &str,
@@ -87,6 +93,7 @@
     let platform = Platform {
         now_ms: case.now_ms,
         era: case.recorded.era,
+        first_era: case.recorded.era,
         row: RefCell::new(Some(case.recorded)),
         is_contended: case.is_contended,
     };
@@ -110,9 +117,23 @@
 #[test_case(Return { recorded: Some(LATER), noticed_ms: 90_000, loss: Loss::Any }; "the copy is from shortly after another return")]
 fn lost_rows_follow_from_the_copy_and_not_from_when_it_is_noticed(case: Return) {
     let row = RefCell::new(case.recorded);
-    let platform = Platform { now_ms: case.noticed_ms, era: 3, row, is_contended: false };
-    let recorded = era::read_or_record(&platform, false).now_or_never().expect("no wait");
+    let now_ms = case.noticed_ms;
+    let platform = Platform { now_ms, era: 3, first_era: 3, row, is_contended: false };
+    let recorded = era::read_or_record(&platform, false, Duration::ZERO);
+    let recorded = recorded.now_or_never().expect("no wait");
     let start = recorded.expect("a start");
     assert_eq!(start.lost_rows(case.noticed_ms), case.loss);
     assert!(!start.is_founding(case.noticed_ms));
 }
+
+/// A process that had been turned away in an earlier era took a restored table for that of a fleet
+/// which was being founded.
+#[test_case(Knowledge { era: 1, first_era: 1, is_first_start: true, waited: Duration::ZERO }, Unrecorded::Founding; "the first era of the platform")]
+#[test_case(Knowledge { era: 0, first_era: 0, is_first_start: true, waited: Duration::ZERO }, Unrecorded::Founding; "a platform without eras")]
+#[test_case(Knowledge { era: 2, first_era: 1, is_first_start: true, waited: Duration::from_secs(60) }, Unrecorded::Restored; "a process that has seen an earlier era")]
+#[test_case(Knowledge { era: 2, first_era: 2, is_first_start: true, waited: Duration::ZERO }, Unrecorded::Undecided; "a process that hasn't, at once")]
+#[test_case(Knowledge { era: 2, first_era: 2, is_first_start: true, waited: Duration::from_secs(3) }, Unrecorded::Founding; "a process that hasn't, as no other one records the era")]
+#[test_case(Knowledge { era: 2, first_era: 2, is_first_start: false, waited: Duration::from_secs(3) }, Unrecorded::Restored; "a process of a fleet that has started before")]
+fn era_without_a_record_is_judged(knowledge: Knowledge, judged: Unrecorded) {
+    assert_eq!(knowledge.judge_unrecorded(), judged);
+}
