Withhold no more of a restored budget than it had

Cause: `Budget::restore` withheld everything between what the copy shows as granted and its ceiling. The ceiling is a promise of what won't be exceeded, at first four times the amount, and has nothing to do with how much the budget has. Raises filled that gap before they could be used.

Ruled out: withholding by the amount in force alone. A raise that came just before the restore would be granted twice.

The row states the highest amount by which hosts granted. Withheld is at most what the copy leaves of that; what lies beyond it up to the ceiling is withheld only of raises within a minute of the restore, as they may have come before it.

--- a/crates/gateway/src/account/budget.rs
+++ b/crates/gateway/src/account/budget.rs
@@ -45,6 +45,12 @@
     pub next: u64,
 }
 
+impl Ceiling {
+    fn max(self) -> u64 {
+        self.current.max(self.next)
+    }
+}
+
 /// Row of a budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -56,6 +62,11 @@
     pub withheld: u64,
     /// Limit on `totals.granted`; absent in rows of earlier versions, which didn't limit it.
     pub ceiling: Option<Ceiling>,
+    /// Highest prepaid amount that hosts granted by; absent in rows of earlier versions.
+    pub amount: Option<u64>,
+    /// Further tokens that may have been granted before the table was restored, if the amount had been
+    /// raised by then.
+    pub unproven: u64,
 }
 
 impl Budget {
@@ -70,7 +81,8 @@
             Loss::Any => prepaid,
         };
         let ceiling = Some(Ceiling { current, next });
-        Self { totals: Escrow::default(), withheld, ceiling }
+        let amount = Some(prepaid);
+        Self { totals: Escrow::default(), withheld, ceiling, amount, unproven: 0 }
     }
 
     /// Returns the tokens that are granted to no host and not withheld.
@@ -82,7 +94,7 @@
     /// ceiling.
     pub fn grantable(&self, prepaid: u64, is_mature: bool) -> u64 {
         let limit = match self.ceiling {
-            Some(ceiling) if is_mature => ceiling.current.max(ceiling.next),
+            Some(ceiling) if is_mature => ceiling.max(),
             Some(ceiling) => ceiling.current,
             None => u64::MAX,
         };
@@ -93,13 +105,36 @@
     /// been granted since, and grants nothing until a new ceiling has become old enough.
     pub fn restore(&mut self, prepaid: u64) {
         let granted = self.totals.granted;
-        self.withheld += match self.ceiling {
-            Some(ceiling) => ceiling.current.max(ceiling.next).saturating_sub(granted),
+        let by_ceiling = match self.ceiling {
+            Some(ceiling) => ceiling.max().saturating_sub(granted),
             None => self.remaining(prepaid),
         };
+        let by_amount = self.amount.map_or(u64::MAX, |amount| self.remaining(amount));
+        self.withheld += by_ceiling.min(by_amount);
+        self.unproven += by_ceiling.saturating_sub(by_amount);
         self.ceiling = Some(Ceiling { current: granted, next: granted });
     }
 
+    /// Returns whether the prepaid amount is above the one that hosts granted by.
+    pub fn is_raised(&self, prepaid: u64) -> bool {
+        self.amount.is_some_and(|amount| amount < prepaid)
+    }
+
+    /// Records a raise of the prepaid amount. What may have been granted of it is withheld if it
+    /// `may_precede_restore`.
+    pub fn record_raise(&mut self, prepaid: u64, may_precede_restore: bool) {
+        let amount = self.amount.get_or_insert(prepaid);
+        let raise = prepaid.saturating_sub(*amount);
+        *amount += raise;
+        if !may_precede_restore {
+            self.unproven = 0;
+            return;
+        }
+        let withheld = raise.min(self.unproven);
+        self.withheld += withheld;
+        self.unproven -= withheld;
+    }
+
     /// Returns the headroom that grants need, for hosts that together use `rate` tokens per second.
     fn headroom(prepaid: u64, rate: f64) -> u64 {
         let by_rate = (rate * HEADROOM_TIME.as_secs_f64()) as u64;
@@ -110,8 +145,7 @@
     /// after a restore.
     pub fn is_ceiling_excessive(&self, prepaid: u64, rate: f64) -> bool {
         let max = MAX_HEADROOM_FACTOR * Self::headroom(prepaid, rate);
-        let limit = |ceiling: Ceiling| ceiling.current.max(ceiling.next);
-        self.ceiling.is_some_and(|own| limit(own) > self.totals.granted.saturating_add(max))
+        self.ceiling.is_some_and(|own| own.max() > self.totals.granted.saturating_add(max))
     }
 
     /// Returns whether the ceiling leaves so little room that it has to be raised before grants need
@@ -129,7 +163,7 @@
         let is_excessive = self.is_ceiling_excessive(prepaid, rate);
         let ceiling = self.ceiling.get_or_insert_with(Ceiling::default);
         if is_mature {
-            ceiling.current = ceiling.current.max(ceiling.next);
+            ceiling.current = ceiling.max();
         }
         if is_excessive && may_lower {
             ceiling.current = ceiling.current.min(wanted);
--- a/crates/gateway/src/account/plan.rs
+++ b/crates/gateway/src/account/plan.rs
@@ -5,7 +5,7 @@
 use coordination::table::Txn;
 
 use super::{
-    Account, Allocation, Budget, Environment, LEFTOVER_DELAY, Marker, Pending, Relaxed, Step,
+    Account, Allocation, Budget, Environment, LEFTOVER_DELAY, Loss, Marker, Pending, Relaxed, Step,
     allocation::SpendLimit,
 };
 
@@ -310,7 +310,7 @@
             now >= self.ceiling_mature_at && self.budget.is_ceiling_low(self.prepaid, rate);
         let is_excessive =
             self.may_lower_ceiling(now) && self.budget.is_ceiling_excessive(self.prepaid, rate);
-        is_low || is_excessive
+        is_low || is_excessive || self.budget.is_raised(self.prepaid)
     }
 
     /// Returns the rate of use by all hosts in tokens per second, as far as this one can tell.
@@ -339,6 +339,7 @@
         if !is_new {
             let rate = self.fleet_rate(now, environment);
             budget.adjust_ceiling(self.prepaid, rate, is_mature, self.may_lower_ceiling(now));
+            budget.record_raise(self.prepaid, environment.lost_rows != Loss::None);
         }
         budget
     }
--- a/crates/gateway/tests/account/restored.rs
+++ b/crates/gateway/tests/account/restored.rs
@@ -69,6 +69,119 @@
     assert!(share > 0.3, "{share} of the prepaid amount was used on average");
 }
 
+/// Plays a history in which the prepaid amount is raised, and hosts learn of that at different times;
+/// returns what was used and the first amount.
+fn play_with_raises(seed: u64) -> (u64, u64) {
+    let prepaid = PREPAID_AMOUNTS[seed as usize % PREPAID_AMOUNTS.len()];
+    let mut simulation = Simulation::new(seed, HOSTS, prepaid);
+    let mut raised_at_ms = Vec::new();
+    for _ in 0..2500 {
+        simulation.step();
+        match simulation.rng.random_range(0..1200) {
+            0..3 if raised_at_ms.len() < 3 => {
+                raised_at_ms.push(simulation.now_ms);
+                simulation.prepaid += prepaid;
+            }
+            3 => {
+                let age_ms = simulation.rng.random_range(0..COPY_MAX_AGE_MS);
+                simulation.table.restore(simulation.now_ms, age_ms);
+            }
+            4 => {
+                // The processes that start now find the amount of the copy at first.
+                let age_ms = simulation.rng.random_range(0..COPY_MAX_AGE_MS);
+                kill_all(&mut simulation);
+                let copied_at_ms = simulation.now_ms.saturating_sub(age_ms);
+                let raises = raised_at_ms.iter().filter(|at| **at <= copied_at_ms).count() as u64;
+                for process in &mut simulation.processes {
+                    process.account.set_prepaid(prepaid * (1 + raises));
+                }
+                simulation.table.restore(simulation.now_ms, age_ms);
+            }
+            5..60 => {
+                let host = simulation.rng.random_range(0..HOSTS);
+                simulation.processes[host].account.set_prepaid(simulation.prepaid);
+            }
+            _ => {}
+        }
+        let (used, paid) = (simulation.used, simulation.prepaid);
+        assert!(used <= paid, "seed {seed}: {used} used of {paid}");
+    }
+    (simulation.used, prepaid)
+}
+
+#[test]
+fn long_random_histories_with_restores_and_raises_never_exceed_the_prepaid_amount() {
+    let mut shares = 0.0;
+    for seed in 0..HISTORIES {
+        let (used, prepaid) = play_with_raises(seed);
+        shares += used as f64 / prepaid as f64;
+    }
+    // If hardly anything were used, the check of each step would prove nothing.
+    let share = shares / HISTORIES as f64;
+    assert!(share > 0.3, "{share} of the first amount was used on average");
+}
+
+/// Lets all hosts serve requests for a time, without any fault.
+fn serve(simulation: &mut Simulation, time_ms: u64) {
+    let end_ms = simulation.now_ms + time_ms;
+    while simulation.now_ms < end_ms {
+        for host in 0..HOSTS {
+            simulation.transact(host, true);
+            simulation.request(host);
+        }
+        simulation.now_ms += 50;
+    }
+}
+
+fn raise(simulation: &mut Simulation, tokens: u64) {
+    simulation.prepaid += tokens;
+    for process in &mut simulation.processes {
+        process.account.set_prepaid(simulation.prepaid);
+    }
+}
+
+/// A raise a minute after a restore was withheld as if it had been granted before, so that the budget stayed
+/// empty.
+#[test]
+fn raise_after_a_restore_can_be_used() {
+    for seed in 0..20 {
+        let mut simulation = Simulation::new(seed, HOSTS, PREPAID);
+        run(&mut simulation, 400);
+        kill_all(&mut simulation);
+        simulation.table.restore(simulation.now_ms, 4_600);
+        serve(&mut simulation, 61_000);
+        let before = simulation.used;
+        raise(&mut simulation, PREPAID);
+        serve(&mut simulation, 60_000);
+        let used = simulation.used - before;
+        assert!(used >= PREPAID / 2, "seed {seed}: {used} of a raise by {PREPAID} could be used");
+    }
+}
+
+/// Guards against a raise whose first part is granted a second time, after all who know of it were
+/// killed and the table was restored from a copy without it.
+#[test]
+fn raise_before_a_restore_is_granted_once() {
+    for (seed, time_ms) in (0..20).flat_map(|seed| [500, 2_000, 6_000, 9_000].map(|ms| (seed, ms)))
+    {
+        let mut simulation = Simulation::new(seed, HOSTS, PREPAID);
+        serve(&mut simulation, 40_000);
+        simulation.table.copy(simulation.now_ms);
+        raise(&mut simulation, PREPAID);
+        serve(&mut simulation, time_ms);
+        simulation.table.restore(simulation.now_ms, time_ms);
+        kill_all(&mut simulation);
+        for process in &mut simulation.processes {
+            process.account.set_prepaid(PREPAID);
+        }
+        serve(&mut simulation, 2_000);
+        raise(&mut simulation, 0);
+        serve(&mut simulation, 40_000);
+        let (used, paid) = (simulation.used, simulation.prepaid);
+        assert!(used <= paid, "seed {seed}, {time_ms} ms: {used} used of {paid}");
+    }
+}
+
 fn kill_all(simulation: &mut Simulation) {
     for host in 0..HOSTS {
         simulation.processes[host] = simulation.start(host);
