Found a fleet that was killed before it had reached the store

The hosts had been killed once while the store wasn't up yet.

Cause: without the row `fleet/era`, a process with FirstStart = false concluded that the table had been restored from a copy older than the foundation. A restored table has a later era; this one was in its first and had lost nothing.

Ruled out: late transactions of the killed processes; they have the missing rows as conditions, so that only one of two founders is committed.

In the first era, 1 or none stated, a missing record means that the fleet is new, whoever finds it. That eras are counted from 1 isn't said by the platform's pages; a platform that counts from 0 and is restored once, to before the foundation, would look new to processes that all started since.

--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -74,13 +74,18 @@
 impl Knowledge {
     /// Returns what the process can tell if the start of the era isn't recorded.
     pub fn judge_unrecorded(&self) -> Unrecorded {
-        if self.first_era < self.era || !self.is_first_start {
+        if self.first_era < self.era {
             return Unrecorded::Restored;
         }
-        if self.era > FIRST_ERA && self.waited < FOUNDING_DELAY {
-            return Unrecorded::Undecided;
+        // A table that was never restored has lost nothing, so that no host has recorded the era yet.
+        if self.era <= FIRST_ERA {
+            return Unrecorded::Founding;
+        }
+        match self.is_first_start {
+            false => Unrecorded::Restored,
+            true if self.waited < FOUNDING_DELAY => Unrecorded::Undecided,
+            true => Unrecorded::Founding,
         }
-        Unrecorded::Founding
     }
 }
 
--- a/crates/gateway/tests/era.rs
+++ b/crates/gateway/tests/era.rs
@@ -127,13 +127,17 @@
 }
 
 /// A process that had been turned away in an earlier era took a restored table for that of a fleet
-/// which was being founded.
+/// which was being founded, and one that was killed before the fleet was founded took a new table for
+/// a restored one.
 #[test_case(Knowledge { era: 1, first_era: 1, is_first_start: true, waited: Duration::ZERO }, Unrecorded::Founding; "the first era of the platform")]
 #[test_case(Knowledge { era: 0, first_era: 0, is_first_start: true, waited: Duration::ZERO }, Unrecorded::Founding; "a platform without eras")]
 #[test_case(Knowledge { era: 2, first_era: 1, is_first_start: true, waited: Duration::from_secs(60) }, Unrecorded::Restored; "a process that has seen an earlier era")]
 #[test_case(Knowledge { era: 2, first_era: 2, is_first_start: true, waited: Duration::ZERO }, Unrecorded::Undecided; "a process that hasn't, at once")]
 #[test_case(Knowledge { era: 2, first_era: 2, is_first_start: true, waited: Duration::from_secs(3) }, Unrecorded::Founding; "a process that hasn't, as no other one records the era")]
 #[test_case(Knowledge { era: 2, first_era: 2, is_first_start: false, waited: Duration::from_secs(3) }, Unrecorded::Restored; "a process of a fleet that has started before")]
+#[test_case(Knowledge { era: 1, first_era: 1, is_first_start: false, waited: Duration::ZERO }, Unrecorded::Founding; "a restarted process and a table that was never restored")]
+#[test_case(Knowledge { era: 0, first_era: 0, is_first_start: false, waited: Duration::ZERO }, Unrecorded::Founding; "a restarted process and a platform without eras")]
+#[test_case(Knowledge { era: 1, first_era: 0, is_first_start: false, waited: Duration::ZERO }, Unrecorded::Restored; "a restarted process that has seen the era rise")]
 fn era_without_a_record_is_judged(knowledge: Knowledge, judged: Unrecorded) {
     assert_eq!(knowledge.judge_unrecorded(), judged);
 }
