Bound the memory that bodies of requests take

Cause: nothing bounded the bytes of bodies. Requests in progress are bounded by the link, until the head of the response, and a body was held until its stream had ended, also where it couldn't be sent again.

Ruled out: responses, which are passed on as they arrive.

A body is released once a response has begun that no other backend server could continue. Bodies may take 40 % of the memory that the settings state; what finds no room is refused at once as not run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -438,9 +438,9 @@
             workspace: job.workspace.as_ref().map(|workspace| &*workspace.name),
             priority: job.priority(),
             resume_after,
-            body_bytes: job.body.len(),
+            body_bytes: job.body.bytes().len(),
         };
-        let mut request = Request::new(Full::new(job.body.clone()));
+        let mut request = Request::new(Full::new(job.body.bytes().clone()));
         *request.method_mut() = job.head.method.clone();
         *request.headers_mut() = self.node.dialect.forwarded_headers(&job.head, &dispatch);
         let target = job.head.uri.path_and_query().cloned();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,6 +66,7 @@
 mod subscription;
 pub mod timing;
 pub mod unread;
+pub mod upload;
 pub mod witness;
 
 pub use crate::lifecycle::run;
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -4,8 +4,8 @@
 //! one small host far more than its link carries. Each accepted request then makes all others late,
 //! and connections use up the memory. So the number of requests that wait for the first part of
 //! their response is limited by the host's link, and the number of callers' connections by its
-//! memory and descriptors. What exceeds that is refused at once; the caller's next connection leads
-//! to another host. While it refuses requests the host closes its callers' connections, and if it
+//! memory and descriptors. Bodies of requests may take a part of the memory. What exceeds that is
+//! refused at once; the caller's next connection leads to another host. While it refuses requests the host closes its callers' connections, and if it
 //! goes on it reports that it isn't ready. This suits a load that other hosts have room for.
 
 use std::time::Duration;
@@ -33,6 +33,9 @@
 /// Part of the memory that callers' connections may take, in percent.
 const CONNECTION_MEMORY_PERCENT: u64 = 45;
 
+/// Part of the memory that bodies of requests may take, in percent.
+const BODY_MEMORY_PERCENT: u64 = 40;
+
 /// Part of the descriptors that callers' connections may take, in percent; the others are for
 /// connections to backend servers and hosts.
 const CONNECTION_DESCRIPTORS_PERCENT: u64 = 45;
@@ -59,6 +62,11 @@
         ((self.link_mbps * PENDING_PER_MBPS) as usize).max(MIN_PENDING)
     }
 
+    /// Returns how many bytes of requests' bodies may be held.
+    pub fn max_body_bytes(&self) -> u64 {
+        self.memory_bytes / 100 * BODY_MEMORY_PERCENT
+    }
+
     /// Returns how many connections callers may have.
     pub fn max_connections(&self) -> usize {
         let by_memory = self.memory_bytes / CONNECTION_BYTES * CONNECTION_MEMORY_PERCENT / 100;
@@ -73,6 +81,8 @@
     capacity: Capacity,
     pending: usize,
     connections: usize,
+    /// Bytes of requests' bodies that are held.
+    body_bytes: u64,
     /// Refused bodies whose rest is being read.
     discards: usize,
     refused_at: Option<Duration>,
@@ -89,6 +99,7 @@
             capacity,
             pending: 0,
             connections: 0,
+            body_bytes: 0,
             discards: 0,
             refused_at: None,
             since: Duration::ZERO,
@@ -142,6 +153,27 @@
         self.discards -= 1;
     }
 
+    /// Returns whether further bytes of a body can be held, and counts them if so.
+    pub fn try_hold_body(&mut self, bytes: u64) -> bool {
+        let total = self.body_bytes.saturating_add(bytes);
+        // An idle host has room for one body of any size, as no other host would have more.
+        let has_room = self.body_bytes == 0 || total <= self.capacity.max_body_bytes();
+        if has_room {
+            self.body_bytes = total;
+        }
+        has_room
+    }
+
+    /// Records that bytes of a body aren't held any more.
+    pub fn release_body(&mut self, bytes: u64) {
+        self.body_bytes -= bytes;
+    }
+
+    /// Returns the bytes of bodies that are held.
+    pub fn body_bytes(&self) -> u64 {
+        self.body_bytes
+    }
+
     /// Counts a caller's connection.
     pub fn open_connection(&mut self) {
         self.connections += 1;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use coordination::locate::hash;
 use futures_util::future::LocalBoxFuture;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::{
     Request, Response, Version,
     body::{Body as _, Incoming},
@@ -48,6 +48,7 @@
     retry_state::{AttemptFailure, ExecutionStatus, RetryState},
     timing::Timing,
     unread::Bounds,
+    upload::Upload,
 };
 
 /// Time after which a caller may retry if this host isn't ready or can't read the platform.
@@ -106,8 +107,8 @@
     pub head: request::Parts,
     /// Parsed head of the request.
     pub call: Call,
-    /// Body of the request.
-    pub body: Bytes,
+    /// Body of the request, as long as it may be sent again.
+    pub body: Upload,
     /// Route of the request.
     pub route: Rc<Route>,
     /// Service that serves the request.
@@ -427,6 +428,7 @@
                 host = %call.host,
                 pending = node.overload.borrow().load().0,
                 connections = node.overload.borrow().load().1,
+                body_bytes = node.overload.borrow().body_bytes(),
                 config = node.catalog().map(|catalog| catalog.version()),
                 config_freshness = ?node.catalog_freshness(),
                 config_age_ms = node.catalog_age().map(|age| age.as_millis() as u64),
@@ -453,24 +455,12 @@
     let service = route.service(hash(call.id.as_bytes()));
     let service = service.and_then(|name| catalog.service(name));
     let service = service.ok_or(Refusal::NotRun(UNREADY_RETRY_AFTER))?.clone();
-    let limits = catalog.limits();
-    if body.size_hint().lower() > limits.max_body_bytes as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let read =
-        timeout(limits.read_timeout, Limited::new(body, limits.max_body_bytes).collect()).await;
-    let body = match read {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::BodyTooLarge);
-        }
-        Ok(Err(_)) => return Err(Refusal::Malformed),
-        Err(_) => return Err(Refusal::BodyTooSlow),
-    };
+    let body = Upload::read(node, body, catalog.limits(), OVERLOAD_RETRY_AFTER).await?;
     let trial = check_quarantine(node, call)?;
     let deadline = arrived + max_wait;
     node.with_retry_budget(&service.name, |budget| budget.record_request(node.now()));
-    let prompt_charge = prompt_charge(node, call, &head, &body, &route, workspace.as_deref()).await;
+    let prompt_charge =
+        prompt_charge(node, call, &head, body.bytes(), &route, workspace.as_deref()).await;
     let is_paid = prompt_charge.as_ref().is_some_and(|charge| charge.is_paid);
     let reserved = reserve(node, call, &route, workspace.as_deref(), is_paid, deadline).await;
     let reservation = reserved.inspect_err(|_| {
@@ -618,7 +608,7 @@
 }
 
 /// Sends a request until it is answered, and passes the response on.
-async fn forward(job: Job, pending: Option<PendingRequest>) -> Response<Body> {
+async fn forward(mut job: Job, pending: Option<PendingRequest>) -> Response<Body> {
     let response = tokio::select! {
         response = timeout_at(job.deadline, run_attempts(&job)) => Some(response),
         () = job.node.wait_for_end() => None,
@@ -655,6 +645,10 @@
             }
             job.node.dialect.remove_private_headers(&mut head.headers);
             let id = job.call.id.clone();
+            let may_resume = job.route.streamed && head.status.is_success();
+            if !may_resume || job.route.retry_policy != RetryPolicy::Resumable {
+                job.body.release();
+            }
             let relay = Relay::new(job, *attempt, &head);
             let body =
                 Body::Streaming(Box::pin(panics::catch_stream(id, relay.into_stream(start))));
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -141,3 +141,17 @@
     overload.end_discard();
     assert!(overload.can_discard(Duration::ZERO));
 }
+
+/// Bodies of requests exceeded the memory of a host.
+#[test]
+fn bodies_are_held_only_up_to_a_part_of_the_memory() {
+    let mut overload = Overload::new(Capacity { memory_bytes: 10_000_000, ..SMALL });
+    let held = (0..10).filter(|_| overload.try_hold_body(1_000_000)).count();
+    assert_eq!((held, overload.body_bytes()), (4, 4_000_000));
+    overload.release_body(1_000_000);
+    assert!(!overload.try_hold_body(1_000_001));
+    assert!(overload.try_hold_body(1_000_000));
+    overload.release_body(4_000_000);
+    assert!(overload.try_hold_body(20_000_000), "an idle host");
+    assert!(!overload.try_hold_body(1));
+}
