Accept requests without a body while one body fills the memory for them

An idle host takes one body of any size. While it held one that exceeds the whole part of the memory, requests without a body were refused, too (read in a review of the change, not seen). They need none of that memory. The case stands in bodies_are_held_only_up_to_a_part_of_the_memory.

--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -157,7 +157,8 @@
     pub fn try_hold_body(&mut self, bytes: u64) -> bool {
         let total = self.body_bytes.saturating_add(bytes);
         // An idle host has room for one body of any size, as no other host would have more.
-        let has_room = self.body_bytes == 0 || total <= self.capacity.max_body_bytes();
+        let has_room =
+            bytes == 0 || self.body_bytes == 0 || total <= self.capacity.max_body_bytes();
         if has_room {
             self.body_bytes = total;
         }
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -154,4 +154,5 @@
     overload.release_body(4_000_000);
     assert!(overload.try_hold_body(20_000_000), "an idle host");
     assert!(!overload.try_hold_body(1));
+    assert!(overload.try_hold_body(0), "a request without a body");
 }
