--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -5,8 +5,9 @@
 //! and connections use up the memory. So the number of requests that wait for the first part of
 //! their response is limited by the host's link, and the number of callers' connections by its
 //! memory and descriptors. Bodies of requests may take a part of the memory. What exceeds that is
-//! refused at once; the caller's next connection leads to another host. While it refuses requests the host closes its callers' connections, and if it
-//! goes on it reports that it isn't ready. This suits a load that other hosts have room for.
+//! refused at once; the caller's next connection leads to another host. While it refuses requests for
+//! their number the host closes its callers' connections, and if it goes on it reports that it isn't
+//! ready. This suits a load that other hosts have room for.
 
 use std::time::Duration;
 
