--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -435,6 +435,8 @@
                     tracing::info!(
                         event = "directory_published",
                         former = self.publisher(),
+                        former_read_ms = self.beat.as_ref().map(|beat| beat.read_ms),
+                        read_ms = pending.beat.read_ms,
                         rows = pending.rows.len(),
                     );
                 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -141,6 +141,8 @@
     pub peers: Peers,
     /// Copy of the platform's lists that one host keeps for all.
     pub directory: RefCell<Directory>,
+    /// Mode that was logged last.
+    logged_mode: Cell<Option<Mode>>,
     /// Notified when the directory has changed.
     pub directory_changed: Notify,
     /// Whether the rows that hosts share in the table of the directory have been read, or couldn't
@@ -240,6 +242,7 @@
             notes: RefCell::default(),
             started_ms: Cell::new(None),
             directory: RefCell::new(directory),
+            logged_mode: Cell::default(),
             directory_changed: Notify::new(),
             has_shared_rows: Cell::new(false),
             own_reads: RefCell::default(),
@@ -366,9 +369,20 @@
         Moment { now: self.now(), platform_ms: source.latest_clock_ms(), era: source.era() }
     }
 
-    /// Returns where this host gets the platform's lists from.
+    /// Returns where this host gets the platform's lists from, and logs a change of it.
     pub fn mode(&self, source: &impl Source) -> Mode {
-        self.directory.borrow().mode(self.moment(source))
+        let (directory, moment) = (self.directory.borrow(), self.moment(source));
+        let mode = directory.mode(moment);
+        if self.logged_mode.replace(Some(mode)) != Some(mode) {
+            tracing::info!(
+                event = "directory_mode",
+                ?mode,
+                publisher = directory.publisher(),
+                age_ms = directory.age(moment).map(|age| age.as_millis() as u64),
+                config = directory.config_version(),
+            );
+        }
+        mode
     }
 
     /// Returns whether the fleet is being founded, and which rows of budgets may be missing in the
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -121,6 +121,8 @@
     pub arrived: Instant,
     /// Version of the configuration by which it is served.
     pub version: u64,
+    /// How long ago that was the platform's newest for certain when the request was admitted.
+    pub config_age: Option<Duration>,
     /// Attempts so far, and whether another may follow.
     pub retry_state: RefCell<RetryState>,
     /// Backend servers that it was sent to.
@@ -298,6 +300,7 @@
             ms = elapsed.as_millis() as u64,
             left_ms = self.time_left().as_millis() as u64,
             config = self.version,
+            config_age_ms = self.config_age.map(|age| age.as_millis() as u64),
         );
     }
 }
@@ -485,6 +488,7 @@
         deadline,
         arrived,
         version: catalog.version(),
+        config_age: node.catalog_age(),
         retry_state: RefCell::new(retry_state),
         history: RefCell::default(),
         reservation: RefCell::new(reservation),
