Wait for changes of the operator's rows at each host of a large fleet

What callers saw: in a fleet with a publisher, hosts on narrow links handled requests by the old configuration until twice the time had passed that it takes to receive the new one, and more.

Cause: a change went through four calls to the store in a row. The publisher read the document, wrote its beat, the subscribers read the beat, and only then the document. While the publisher received it, its beat also got too old, so that all hosts turned to their own reads at 0.6 ConfigMs.

A subscriber's read of the configuration waits for a change now. The publisher shows that nothing was missed, and where its news is newer or old, a host reads at once, unless the response it waits for is arriving. The sleep after a subscriber's own read, in which a further version went unnoticed, is gone.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -147,12 +147,17 @@
 
 /// Access to the platform's configuration, list of backend servers and table.
 pub trait Source: 'static {
-    /// Reads the configuration if it is newer than `current_version`.
+    /// Reads the configuration if it is newer than `current_version`. Waits up to `wait` for a change
+    /// of the operator's rows if they have been read before.
     fn catalog(
         &self,
         current_version: Option<u64>,
+        wait: Duration,
     ) -> impl Future<Output = Result<Read<Update>, Unavailable>>;
 
+    /// Returns whether the response to a read of the configuration is being received.
+    fn is_catalog_arriving(&self) -> bool;
+
     /// Reads the entries of all backend servers that can be used.
     fn backends(&self) -> impl Future<Output = Result<Read<Vec<Entry>>, Unavailable>>;
 
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -1,6 +1,6 @@
 //! Polls the platform for the configuration and the list of backend servers.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use tokio::time::{Instant, sleep};
 
@@ -24,6 +24,12 @@
 /// Interval at which a subscriber checks whether it still is one.
 const SUBSCRIBER_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Longest time for which a subscriber waits for a change of the configuration.
+const CHANGE_WAIT: Duration = Duration::from_secs(5);
+
+/// Minimum time between two such waits.
+const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval at which it is looked for whether the platform's table has been restored.
 const ERA_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -63,15 +69,16 @@
     loop {
         let current_version = node.catalog().map(|catalog| catalog.version());
         let mode = node.mode(&*source);
-        // What the publisher of a restored table knows may be older than what this host knows.
-        let read_in = node.own_reads.borrow().catalog_era;
-        let is_read = read_in == Some(source.era());
-        if mode == Mode::Subscribe && is_read && is_catalog_published(&node, &*source) {
-            wait_for_change(&node, SUBSCRIBER_INTERVAL).await;
-            continue;
-        }
         let (read_ms, started) = (source.clock_ms(), node.now());
-        let read = reachability.record(source.catalog(current_version).await);
+        let follows = follows_changes(&node, &*source);
+        let read = if follows {
+            let read = source.catalog(current_version, CHANGE_WAIT);
+            let Some(read) = unless_outdated(&node, &*source, read).await else { continue };
+            read
+        } else {
+            source.catalog(current_version, Duration::ZERO).await
+        };
+        let read = reachability.record(read);
         if read.is_none() {
             node.record_evacuations_unread(started);
         }
@@ -81,6 +88,7 @@
         } else {
             RETRY_INTERVAL
         };
+        let is_read = read.is_some();
         if let Some(Read { value: update, sent_at }) = read {
             let era = source.era();
             record_operator_version(&node, era, &update);
@@ -99,10 +107,45 @@
             own_reads.catalog_ms = read_ms.unwrap_or_default();
             own_reads.catalog_unreadable = update.is_unreadable;
         }
+        let interval = if is_read && follows_changes(&node, &*source) {
+            // A platform might not wait.
+            MIN_CHANGE_INTERVAL.saturating_sub(node.now() - started)
+        } else {
+            interval
+        };
         sleep_within_era(&*source, interval).await;
     }
 }
 
+/// Returns whether this host need not read the configuration at an interval, as the publisher shows
+/// that it is the newest, and waits for the next one itself. The publisher may receive a long one
+/// late, or be lost in between.
+fn follows_changes(node: &Node, source: &impl Source) -> bool {
+    // What the publisher of a restored table knows may be older than what this host knows.
+    let is_read = node.own_reads.borrow().catalog_era == Some(source.era());
+    node.mode(source) == Mode::Subscribe && is_read && is_catalog_published(node, source)
+}
+
+/// Awaits a read that waits for a change; `None` if the host has to read at once and nothing of the
+/// response has arrived.
+async fn unless_outdated<T>(
+    node: &Node,
+    source: &impl Source,
+    read: impl Future<Output = T>,
+) -> Option<T> {
+    let mut read = pin!(read);
+    loop {
+        tokio::select! {
+            biased;
+            read = &mut read => return Some(read),
+            () = wait_for_change(node, SUBSCRIBER_INTERVAL) => {}
+        }
+        if !follows_changes(node, source) && !source.is_catalog_arriving() {
+            return None;
+        }
+    }
+}
+
 /// Records the version of the operator's configuration that a read found, if it has changed.
 fn record_operator_version(node: &Node, era: u64, update: &Update) {
     let mut own_reads = node.own_reads.borrow_mut();
--- a/crates/gateway/tests/era.rs
+++ b/crates/gateway/tests/era.rs
@@ -24,7 +24,11 @@
 }
 
 impl Source for Platform {
-    async fn catalog(&self, _: Option<u64>) -> Result<Read<Update>, Unavailable> {
+    async fn catalog(&self, _: Option<u64>, _: Duration) -> Result<Read<Update>, Unavailable> {
+        unreachable!("only the table is used")
+    }
+
+    fn is_catalog_arriving(&self) -> bool {
         unreachable!("only the table is used")
     }
 
