Tell the age of the directory's entries from that of the configuration

What callers saw: while the publisher of a large fleet received a long configuration, all hosts read the entries of all backend servers themselves, and the publisher was replaced, though nobody was gone. A host that takes over keeps entries that were removed just before for 2 s.

Cause: the beat stated one age for all that the publisher reads, that of the oldest read. A read of the configuration that goes on for 1.3 s made the entries look 1.3 s old, from which on other hosts take over.

`entries_read_ms` in the beat; absent in beats of earlier versions, where the oldest read counts as before, and earlier versions go on reading `read_ms`. `directory_published` names the publisher before, not itself.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -103,8 +103,12 @@
     pub publisher: Arc<str>,
     /// Era of the platform's table in which it was written.
     pub era: u64,
-    /// The platform's clock in milliseconds before the entries were read.
+    /// The platform's clock in milliseconds before the oldest of the entries and the configuration was
+    /// read.
     pub read_ms: u64,
+    /// The same for the entries alone, as a long configuration takes long to be received; `None` if it
+    /// is of a version that doesn't tell them apart.
+    pub entries_read_ms: Option<u64>,
     /// Newest version of the configuration at that time.
     pub config_version: u64,
     /// A newer one can't be parsed.
@@ -131,6 +135,8 @@
     pub config_unreadable: bool,
     /// The platform's clock in milliseconds before the oldest of these was read.
     pub read_ms: u64,
+    /// The same for the entries of the backend servers.
+    pub entries_read_ms: u64,
     /// Evacuated zones.
     pub evacuated: Option<Listing>,
     /// Zones whose evacuations have just ended, and when this host learned that, by the platform's
@@ -182,6 +188,8 @@
 #[derive(Debug)]
 struct Pending {
     beat: Beat,
+    /// Beat that it replaces.
+    former: Option<Beat>,
     rows: Vec<(Arc<str>, Option<Arc<str>>)>,
 }
 
@@ -314,10 +322,26 @@
         self.hosts.values().flatten().cloned().collect()
     }
 
-    /// Returns how old the directory's content is; `None` if there is none that can be used.
+    /// Returns how old the entries are; `None` if there are none that can be used.
     pub fn age(&self, at: Moment) -> Option<Duration> {
+        self.age_of(at, |beat| beat.entries_read_ms.unwrap_or(beat.read_ms))
+    }
+
+    /// Returns how old the version of the configuration and the evacuations are; `None` if there are
+    /// none that can be used.
+    pub fn config_age(&self, at: Moment) -> Option<Duration> {
+        self.age_of(at, |beat| beat.read_ms)
+    }
+
+    /// Returns whether the version of the configuration is so old that a host reads the configuration
+    /// itself.
+    pub fn is_config_outdated(&self, at: Moment) -> bool {
+        self.config_age(at).is_none_or(|age| age >= self.timing.direct_age())
+    }
+
+    fn age_of(&self, at: Moment, read_ms: impl Fn(&Beat) -> u64) -> Option<Duration> {
         let beat = self.beat.as_ref().filter(|beat| beat.era == at.era)?;
-        let age = Duration::from_millis(at.platform_ms?.saturating_sub(beat.read_ms));
+        let age = Duration::from_millis(at.platform_ms?.saturating_sub(read_ms(beat)));
         (age < MAX_AGE).then_some(age)
     }
 
@@ -361,11 +385,12 @@
     /// Returns the transaction by which this host becomes the publisher or stays it, if one is due.
     pub fn plan(&mut self, at: Moment, own: &OwnView) -> Option<Txn> {
         let platform_ms = at.platform_ms?;
-        let read_age = Duration::from_millis(platform_ms.saturating_sub(own.read_ms));
+        let age = |read_ms: u64| Duration::from_millis(platform_ms.saturating_sub(read_ms));
         let is_current = !own.backends.is_empty()
             && own.config_version > 0
             && own.hosts.len() > MAX_UNPUBLISHED_HOSTS
-            && read_age < self.timing.suspect_age();
+            && age(own.entries_read_ms) < self.timing.suspect_age()
+            && age(own.read_ms) < self.timing.apply;
         let may_try = self.is_publisher || self.age(at).is_none() || self.is_turn(at);
         if !is_current || !may_try || self.pending.is_some() {
             return None;
@@ -384,12 +409,18 @@
         }
         let is_complete = changed.len() <= MAX_WRITES;
         self.is_partial = !is_complete;
-        let former_read_ms = self.beat.as_ref().map_or(0, |beat| beat.read_ms);
+        let former = self.beat.clone().unwrap_or_default();
+        let entries_read_ms = if is_complete {
+            own.entries_read_ms
+        } else {
+            former.entries_read_ms.unwrap_or(former.read_ms)
+        };
         let beat = Beat {
             publisher: self.process.clone(),
             era: at.era,
             // Rows that are still to be written keep the directory as old as it was.
-            read_ms: if is_complete { own.read_ms } else { former_read_ms },
+            read_ms: if is_complete { own.read_ms } else { former.read_ms },
+            entries_read_ms: Some(entries_read_ms),
             config_version: own.config_version,
             config_unreadable: own.config_unreadable,
             resigned: false,
@@ -422,7 +453,7 @@
         let writes =
             rows.iter().map(|(key, value)| Write { key: key.clone(), value: value.clone() });
         txn.writes.extend(writes);
-        self.pending = Some(Pending { beat, rows });
+        self.pending = Some(Pending { beat, former: self.beat.clone(), rows });
         txn
     }
 
@@ -434,8 +465,8 @@
                 if !self.is_publisher {
                     tracing::info!(
                         event = "directory_published",
-                        former = self.publisher(),
-                        former_read_ms = self.beat.as_ref().map(|beat| beat.read_ms),
+                        former = pending.former.as_ref().map(|beat| &*beat.publisher),
+                        former_read_ms = pending.former.as_ref().map(|beat| beat.read_ms),
                         read_ms = pending.beat.read_ms,
                         rows = pending.rows.len(),
                     );
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -403,6 +403,7 @@
             config_version: self.catalog().map_or(0, |catalog| catalog.version()),
             config_unreadable: reads.catalog_unreadable,
             read_ms: reads.catalog_ms.min(reads.backends_ms),
+            entries_read_ms: reads.backends_ms,
             evacuated: self.evacuations.borrow().listing().cloned(),
             ended: self.backends.borrow().ended_evacuations(self.now()),
         }
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -197,12 +197,15 @@
     if node.evacuations.borrow().is_read_due(node.now(), since_restore) {
         return false;
     }
-    let directory = node.directory.borrow();
+    let (directory, moment) = (node.directory.borrow(), node.moment(source));
     // A publisher of an earlier version doesn't publish the evacuations.
-    if catalog.version() < directory.config_version() || directory.evacuated().is_none() {
+    if catalog.version() < directory.config_version()
+        || directory.evacuated().is_none()
+        || directory.is_config_outdated(moment)
+    {
         return false;
     }
-    if let Some(age) = directory.age(node.moment(source))
+    if let Some(age) = directory.config_age(moment)
         && !directory.is_config_unreadable()
     {
         node.confirm_catalog(age);
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -74,7 +74,7 @@
 fn apply_evacuations(node: &Node, source: &impl Source) {
     let directory = node.directory.borrow();
     let listing = directory.evacuated().filter(|own| own.era == source.era()).cloned();
-    if let (Some(listing), Some(age)) = (listing, directory.age(node.moment(source))) {
+    if let (Some(listing), Some(age)) = (listing, directory.config_age(node.moment(source))) {
         let now = node.now();
         let read_at = now.saturating_sub(age);
         let published = listing.zones.clone();
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -11,11 +11,12 @@
 use gateway::{
     backend::Entry,
     dialect::Changes,
-    directory::{Directory, Mode, Moment, OwnView, Timing},
+    directory::{Beat, Directory, Mode, Moment, OwnView, Timing},
     evacuation::{Evacuations, Listing},
     lender::Site,
     peer::PeerInfo,
 };
+use test_case::test_case;
 
 const APPLY: Duration = Duration::from_secs(4);
 
@@ -191,6 +192,7 @@
                     config_version: self.platform.config_version,
                     config_unreadable: false,
                     read_ms: self.now_ms,
+                    entries_read_ms: self.now_ms,
                     evacuated: host.evacuations.listing().cloned(),
                     ..OwnView::default()
                 });
@@ -406,6 +408,26 @@
     }
 }
 
+/// A publisher that received a long configuration was taken for dead, and each host read all entries.
+#[test_case(Some(9_000), Some(1_000); "entries that were read later")]
+#[test_case(None, Some(3_000); "beat of an earlier version")]
+fn entries_are_not_as_old_as_a_long_configuration(
+    entries_read_ms: Option<u64>,
+    age_ms: Option<u64>,
+) {
+    let mut directory = Directory::new("h-1".into(), Timing::new(APPLY), 999, false);
+    let beat = Beat { era: 1, read_ms: 7_000, entries_read_ms, ..Beat::default() };
+    let value = serde_json::to_string(&beat).expect("JSON");
+    let row = Row { key: "directory/all/beat".into(), value: Some(value.into()), revision: 1 };
+    directory.apply(&Changes { rows: vec![row], through: 1 }, true);
+    let moment = Moment { now: Duration::from_secs(60), platform_ms: Some(10_000), era: 1 };
+    assert_eq!(directory.age(moment), age_ms.map(Duration::from_millis));
+    assert_eq!(directory.config_age(moment), Some(Duration::from_millis(3_000)));
+    assert!(directory.is_config_outdated(moment));
+    let is_subscriber = directory.mode(moment) == Mode::Subscribe;
+    assert_eq!(is_subscriber, entries_read_ms.is_some());
+}
+
 /// Beats of publishers of an earlier version were left out, or ended evacuations.
 #[test]
 fn beat_without_evacuations_says_nothing_about_them() {
