Tell an outage of the platform from a time without own reads of the list

What callers saw: requests reached backend servers later than the bound after their entries had been removed, where the publisher of a large fleet was lost, or turned away by the store, in the same moment.

Cause: a host that reads the list of backend servers again after long keeps entries that are missing for 2 s, since they may have lapsed in an outage of the store. A host that takes over from the publisher had subscribed meanwhile, and took that time for an outage. Class: the time since this host's own last read stands for something that other answers show to be otherwise.

Each answer of the store counts now, by the store's own clock, which is exact where the times of the send and of the arrival left a doubt: a list that was read late is no outage any more.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -168,6 +168,9 @@
     /// Returns an upper bound of the same clock, by which the age of what was read is judged.
     fn latest_clock_ms(&self) -> Option<u64>;
 
+    /// Returns the platform's monotonic clock in milliseconds when it gave its newest answer.
+    fn answered_ms(&self) -> Option<u64>;
+
     /// Returns the era of the platform's table, by its newest answer. It rises each time that the
     /// table is restored from an older copy; revisions of different eras can't be compared.
     fn era(&self) -> u64;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,6 +34,7 @@
     placement::Backends,
     pool::Pool,
     quarantine::Quarantine,
+    relisting::Relisting,
     retry_budget::{RetryBudget, RetryLimit},
     witness::Notes,
 };
@@ -148,6 +149,8 @@
     /// Whether the rows that hosts share in the table of the directory have been read, or couldn't
     /// be read in time.
     has_shared_rows: Cell<bool>,
+    /// Whether entries may be missing from the list of backend servers.
+    pub relisting: RefCell<Relisting>,
     /// What this host has read of the platform's lists itself.
     pub own_reads: RefCell<OwnReads>,
     /// Zones whose backend servers get no requests.
@@ -221,6 +224,7 @@
     /// Creates a host that hasn't read anything from the platform yet.
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, metrics: Metrics) -> Self {
         let rng = StdRng::seed_from_u64(settings.seed);
+        let relisting = Relisting::new(settings.relist_grace);
         let timing = Timing::new(settings.apply_time);
         let directory =
             Directory::new(settings.process.clone(), timing, settings.seed, settings.first_start);
@@ -245,6 +249,7 @@
             logged_mode: Cell::default(),
             directory_changed: Notify::new(),
             has_shared_rows: Cell::new(false),
+            relisting: RefCell::new(relisting),
             own_reads: RefCell::default(),
             evacuations: RefCell::default(),
             evacuations_read: Notify::new(),
@@ -369,6 +374,14 @@
         Moment { now: self.now(), platform_ms: source.latest_clock_ms(), era: source.era() }
     }
 
+    /// Records that the platform has answered a call.
+    pub fn record_answer(&self, source: &impl Source) {
+        let now = Instant::now();
+        // A platform that states no clock was there when its answer arrived.
+        let answered_ms = source.answered_ms().unwrap_or(self.now().as_millis() as u64);
+        self.relisting.borrow_mut().record_answer(source.era(), answered_ms, now);
+    }
+
     /// Returns where this host gets the platform's lists from, and logs a change of it.
     pub fn mode(&self, source: &impl Source) -> Mode {
         let (directory, moment) = (self.directory.borrow(), self.moment(source));
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -10,7 +10,6 @@
     directory::Mode,
     evacuation::{self, Listing},
     node::{Node, Origin},
-    relisting::Relisting,
     subscription::wait_for_change,
 };
 
@@ -225,7 +224,6 @@
 /// Polls the list of backend servers forever.
 pub async fn backends(node: Rc<Node>, source: Rc<impl Source>) {
     let reachability = Reachability { what: "backend servers", reached: Cell::new(true) };
-    let mut relisting = Relisting::new(node.settings.relist_grace);
     loop {
         let mode = node.mode(&*source);
         if mode == Mode::Subscribe {
@@ -241,7 +239,8 @@
         let read = reachability.record(source.backends().await);
         let interval = if read.is_some() { poll_interval(&node, mode) } else { RETRY_INTERVAL };
         if let Some(Read { value: entries, sent_at }) = read {
-            let keep = relisting.record(sent_at, Instant::now(), source.era());
+            node.record_answer(&*source);
+            let keep = node.relisting.borrow().keeps_missing(sent_at);
             apply_backends(&node, entries, keep);
             node.own_reads.borrow_mut().backends_ms = read_ms.unwrap_or_default();
         }
--- a/crates/gateway/src/relisting.rs
+++ b/crates/gateway/src/relisting.rs
@@ -4,35 +4,41 @@
 
 use tokio::time::Instant;
 
-/// Time between two reads after which entries may have expired at the platform.
+/// Time without any answer of the platform after which entries may have expired there.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1500);
 
 /// Finds out after an outage whether entries may still be missing from the list.
+///
+/// Any answer shows that the platform was there, so that a host that has not read the list for long
+/// tells an outage from a time in which it only relied on others for the list.
 #[derive(Debug)]
 pub struct Relisting {
     grace: Duration,
-    last_sent_at: Option<Instant>,
-    era: u64,
+    /// Era and the platform's clock in milliseconds of the newest answer.
+    answered: Option<(u64, u64)>,
     until: Option<Instant>,
 }
 
 impl Relisting {
-    /// Creates the state before the first read; entries are back in the list `grace` after an outage.
+    /// Creates the state before the first answer; entries are back in the list `grace` after an
+    /// outage.
     pub fn new(grace: Duration) -> Self {
-        Self { grace, last_sent_at: None, era: 0, until: None }
+        Self { grace, answered: None, until: None }
     }
 
-    /// Records a read of the list by the times of its send and its response; returns whether entries
-    /// that it lacks are to be kept.
-    pub fn record(&mut self, sent_at: Instant, received_at: Instant, era: u64) -> bool {
-        // The list may have been read at any time between the two.
-        let was_out = self.last_sent_at.is_some_and(|last| received_at - last > OUTAGE_THRESHOLD);
-        let is_restored = self.last_sent_at.is_some() && era != self.era;
-        if was_out || is_restored {
+    /// Records the newest answer of the platform by the era and its clock when it was given;
+    /// `received_at` is when this host found out.
+    pub fn record_answer(&mut self, era: u64, answered_ms: u64, received_at: Instant) {
+        let former = self.answered.replace((era, answered_ms));
+        let Some((former_era, former_ms)) = former else { return };
+        let silence = Duration::from_millis(answered_ms.saturating_sub(former_ms));
+        if era != former_era || silence > OUTAGE_THRESHOLD {
             self.until = Some(received_at + self.grace);
         }
-        self.last_sent_at = Some(sent_at);
-        self.era = era;
+    }
+
+    /// Returns whether entries that a list lacks are to be kept; the read of it was sent at a time.
+    pub fn keeps_missing(&self, sent_at: Instant) -> bool {
         self.until.is_some_and(|until| sent_at < until)
     }
 }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -42,6 +42,9 @@
         let read = source.changes(DIRECTORY_TABLE, after, wait).await;
         let is_subscriber = node.mode(&*source) == Mode::Subscribe;
         is_reachable = read.is_ok();
+        if is_reachable {
+            node.record_answer(&*source);
+        }
         if is_subscriber {
             node.budgets.set_platform_reachable(is_reachable);
         }
--- a/crates/gateway/tests/era.rs
+++ b/crates/gateway/tests/era.rs
@@ -44,6 +44,10 @@
         Some(self.now_ms)
     }
 
+    fn answered_ms(&self) -> Option<u64> {
+        Some(self.now_ms)
+    }
+
     fn era(&self) -> u64 {
         self.era
     }
