Split the poll of the configuration from what its result does

A wait for a change that is lost says nothing about whether the store can be reached, as other calls are answered meanwhile: it no longer stops the use of budgets for the moment until the next read. Beside that nothing changes; the loop has one path for a read that failed.

--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -81,41 +81,46 @@
         if read.is_none() {
             node.record_evacuations_unread(started);
         }
-        node.budgets.set_platform_reachable(read.is_some());
-        let interval = if read.is_some() && current_version.is_some() {
-            poll_interval(&node, mode)
-        } else {
-            RETRY_INTERVAL
-        };
-        let is_read = read.is_some();
-        if let Some(Read { value: update, sent_at }) = read {
-            let era = source.era();
-            record_operator_version(&node, era, &update);
-            // Before what was read counts as the newest.
-            let since_restore = node.track_restore(&*source);
-            record_evacuations(&node, sent_at, since_restore, update.evacuated);
-            node.check_evacuations(&*source);
-            if let Some(catalog) = update.changed {
-                wait_for_copy(&node, &*source).await;
-                node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
-            }
-            if !update.is_unreadable {
-                node.confirm_catalog(sent_at.elapsed());
-            }
-            let mut own_reads = node.own_reads.borrow_mut();
-            own_reads.catalog_ms = read_ms.unwrap_or_default();
-            own_reads.catalog_unreadable = update.is_unreadable;
+        // A wait may be lost while other calls are answered.
+        if read.is_some() || !follows {
+            node.budgets.set_platform_reachable(read.is_some());
         }
-        let interval = if is_read && follows_changes(&node, &*source) {
+        let Some(Read { value: update, sent_at }) = read else {
+            sleep_within_era(&*source, RETRY_INTERVAL).await;
+            continue;
+        };
+        apply_update(&node, &*source, update, sent_at).await;
+        node.own_reads.borrow_mut().catalog_ms = read_ms.unwrap_or_default();
+        let interval = if follows_changes(&node, &*source) {
             // A platform might not wait.
             MIN_CHANGE_INTERVAL.saturating_sub(node.now() - started)
+        } else if current_version.is_some() {
+            poll_interval(&node, mode)
         } else {
-            interval
+            RETRY_INTERVAL
         };
         sleep_within_era(&*source, interval).await;
     }
 }
 
+/// Puts in force what a read of the configuration found that was sent at a time.
+async fn apply_update(node: &Node, source: &impl Source, update: Update, sent_at: Instant) {
+    let era = source.era();
+    record_operator_version(node, era, &update);
+    // Before what was read counts as the newest.
+    let since_restore = node.track_restore(source);
+    record_evacuations(node, sent_at, since_restore, update.evacuated);
+    node.check_evacuations(source);
+    if let Some(catalog) = update.changed {
+        wait_for_copy(node, source).await;
+        node.put_in_force(*catalog, Origin::Operator, era, sent_at.elapsed());
+    }
+    if !update.is_unreadable {
+        node.confirm_catalog(sent_at.elapsed());
+    }
+    node.own_reads.borrow_mut().catalog_unreadable = update.is_unreadable;
+}
+
 /// Returns whether this host need not read the configuration at an interval, as the publisher shows
 /// that it is the newest, and waits for the next one itself. The publisher may receive a long one
 /// late, or be lost in between.
