Keep missing entries where the list alone could not be read

The answers to other calls then hid the outage, and entries that had lapsed in it would have been dropped at once, all of them.

A read of the list that fails, or takes long, shows such an outage as before, also to a host that begins to ask only in the middle of it. What no longer counts is the time in which a host relied on the directory and asked for nothing. Three cases of the unit test fail without it ("an outage of the list alone", and two like it); the case of a late list is again judged as before.

--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -236,16 +236,18 @@
             // Before the publisher has written it, the directory is empty.
             if !entries.is_empty() {
                 apply_backends(&node, entries, false);
+                record_published_list(&node, &*source);
             }
             wait_for_change(&node, SUBSCRIBER_INTERVAL).await;
             continue;
         }
         let read_ms = source.clock_ms();
+        node.relisting.borrow_mut().record_question(Instant::now());
         let read = reachability.record(source.backends().await);
         let interval = if read.is_some() { poll_interval(&node, mode) } else { RETRY_INTERVAL };
         if let Some(Read { value: entries, sent_at }) = read {
             node.record_answer(&*source);
-            let keep = node.relisting.borrow().keeps_missing(sent_at);
+            let keep = node.relisting.borrow_mut().record_list(sent_at, Instant::now());
             apply_backends(&node, entries, keep);
             node.own_reads.borrow_mut().backends_ms = read_ms.unwrap_or_default();
         }
@@ -253,6 +255,14 @@
     }
 }
 
+/// Records when the list of backend servers was as the directory shows it.
+fn record_published_list(node: &Node, source: &impl Source) {
+    let age = node.directory.borrow().age(node.moment(source));
+    if let Some(known_at) = age.and_then(|age| Instant::now().checked_sub(age)) {
+        node.relisting.borrow_mut().record_published(known_at);
+    }
+}
+
 /// Applies a list of backend servers.
 fn apply_backends(node: &Node, entries: Vec<Entry>, keep: bool) {
     let listed = entries.len();
--- a/crates/gateway/src/relisting.rs
+++ b/crates/gateway/src/relisting.rs
@@ -4,18 +4,26 @@
 
 use tokio::time::Instant;
 
-/// Time without any answer of the platform after which entries may have expired there.
+/// Time without answers of the platform after which entries may have expired there.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1500);
 
+/// Time within which the list is read unless the platform fails to serve it.
+const PROMPT_TIME: Duration = Duration::from_millis(500);
+
 /// Finds out after an outage whether entries may still be missing from the list.
 ///
-/// Any answer shows that the platform was there, so that a host that has not read the list for long
-/// tells an outage from a time in which it only relied on others for the list.
+/// An outage shows by a time without any answer of the platform, or by reads of the list that fail or
+/// take long while other calls are answered. A host that has relied on the directory for long has not
+/// read the list either, but that shows no outage.
 #[derive(Debug)]
 pub struct Relisting {
     grace: Duration,
     /// Era and the platform's clock in milliseconds of the newest answer.
     answered: Option<(u64, u64)>,
+    /// When the list was as this host knows it.
+    known_at: Option<Instant>,
+    /// When this host first asked for the list since then.
+    asked_at: Option<Instant>,
     until: Option<Instant>,
 }
 
@@ -23,7 +31,7 @@
     /// Creates the state before the first answer; entries are back in the list `grace` after an
     /// outage.
     pub fn new(grace: Duration) -> Self {
-        Self { grace, answered: None, until: None }
+        Self { grace, answered: None, known_at: None, asked_at: None, until: None }
     }
 
     /// Records the newest answer of the platform by the era and its clock when it was given;
@@ -37,8 +45,27 @@
         }
     }
 
-    /// Returns whether entries that a list lacks are to be kept; the read of it was sent at a time.
-    pub fn keeps_missing(&self, sent_at: Instant) -> bool {
+    /// Records that the directory shows the list as it was at a time.
+    pub fn record_published(&mut self, known_at: Instant) {
+        self.known_at = Some(known_at);
+        self.asked_at = None;
+    }
+
+    /// Records that this host asks for the list.
+    pub fn record_question(&mut self, at: Instant) {
+        self.asked_at.get_or_insert(at);
+    }
+
+    /// Records a list by the times of the send that was answered and of the response; returns whether
+    /// entries that it lacks are to be kept.
+    pub fn record_list(&mut self, sent_at: Instant, received_at: Instant) -> bool {
+        let asked_at = self.asked_at.take().unwrap_or(sent_at);
+        let known_at = self.known_at.replace(sent_at);
+        // The list may have been read at any time between the send and the response.
+        let is_old = known_at.is_some_and(|at| received_at - at > OUTAGE_THRESHOLD);
+        if is_old && received_at - asked_at > PROMPT_TIME {
+            self.until = Some(received_at + self.grace);
+        }
         self.until.is_some_and(|until| sent_at < until)
     }
 }
