Wait for the settlement of a request before the next host gets it in the test of the timeline

Cause: the test expected an order that no message carries. A host ends the answer and records the settlement after it, in the same batch; the caller may reach the next host in between. The budget is settled before the answer ends, so that no promise is broken; only the entry of the timeline is later.

The test asserts the same order, and the end of the answer besides; each request is sent once the former one is settled and its millisecond is over.

--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -9,6 +9,7 @@
     credential::Hash,
     timeline::{self, Event, Merged, Query, Report, Step},
 };
+use daemon::driver::wall_ms;
 use fleet::{Fleet, KEY_BYTE, Plan, THREE, TOKEN};
 use serde_json::{Value, json};
 use standin::{
@@ -47,6 +48,16 @@
     wire::client::timeline(address, TOKEN, &Query::all(), TIMEOUT).expect("timeline")
 }
 
+/// Waits until a host has settled a request and its stamp is over. A host ends an answer before it
+/// records the settlement, so that the caller may be at the next host sooner.
+fn wait_past_settlement(fleet: &Fleet, host: &str) {
+    let settled = |event: &Event| event.step == Step::Settled;
+    let stamp = || events(fleet, host).into_iter().find(settled).map(|event| event.stamp);
+    fleet.wait(&format!("{host} has settled a request"), || {
+        stamp().is_some_and(|stamp| stamp.wall_ms < wall_ms())
+    });
+}
+
 /// Merges the timelines of all hosts at their addresses.
 fn merged(addresses: &[(&str, std::net::SocketAddr)]) -> Merged {
     let ask = |address| wire::client::timeline(address, TOKEN, &Query::all(), TIMEOUT).ok();
@@ -111,10 +122,8 @@
     let fleet = Fleet::open(Plan::default());
     for (host, _) in THREE {
         assert!(draft(&fleet, host, TOKEN, Some("k")).whole());
+        wait_past_settlement(&fleet, host);
     }
-    fleet.wait("the request is settled", || {
-        events(&fleet, "host-a").iter().any(|event| event.step == Step::Settled)
-    });
     let Merged { events, missing } = merged(&addresses(&fleet));
     assert!(missing.is_empty(), "{missing:?}");
     let accepted = |event: &&Event| event.step == Step::Accepted && event.request.is_some();
@@ -133,6 +142,7 @@
         place("host-a", Step::Reserved),
         place("host-a", Step::Dispatched),
         place("host-a", Step::FirstToken),
+        place("host-a", Step::Answered),
         place("host-a", Step::Settled),
         place("host-b", Step::Accepted),
         place("host-c", Step::Accepted),
