--- a/crates/gateway/src/relisting.rs
+++ b/crates/gateway/src/relisting.rs
@@ -41,7 +41,7 @@
         let Some((former_era, former_ms)) = former else { return };
         let silence = Duration::from_millis(answered_ms.saturating_sub(former_ms));
         if era != former_era || silence > OUTAGE_THRESHOLD {
-            self.until = Some(received_at + self.grace);
+            self.record_outage(received_at, "no answers", silence);
         }
     }
 
@@ -64,8 +64,13 @@
         // The list may have been read at any time between the send and the response.
         let is_old = known_at.is_some_and(|at| received_at - at > OUTAGE_THRESHOLD);
         if is_old && received_at - asked_at > PROMPT_TIME {
-            self.until = Some(received_at + self.grace);
+            self.record_outage(received_at, "list unread", received_at - asked_at);
         }
         self.until.is_some_and(|until| sent_at < until)
     }
+
+    fn record_outage(&mut self, ended_at: Instant, sign: &'static str, time: Duration) {
+        tracing::info!(event = "list_outage", sign, ms = time.as_millis() as u64);
+        self.until = Some(ended_at + self.grace);
+    }
 }
