--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,4 +69,4 @@
 pub mod upload;
 pub mod witness;
 
-pub use crate::lifecycle::run;
+pub use crate::lifecycle::{run, spawn_services};
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -89,8 +89,8 @@
     Ok(())
 }
 
-/// Spawns the services that read and write the platform's table.
-fn spawn_services(node: &Rc<Node>, source: &Rc<impl Source>) {
+/// Spawns the services that read and write the platform's table, on the current local set.
+pub fn spawn_services(node: &Rc<Node>, source: &Rc<impl Source>) {
     macro_rules! spawn {
         ($name:literal, $run:path) => {{
             let (node, source) = (node.clone(), source.clone());
