Count the interval between reads of the configuration from their begin

What callers got: where versions of a long configuration follow each other, hosts handled requests by a version older than ConfigMs, without any fault.

Cause: after a read that had received a document, a host waited for its whole interval of reads (ConfigMs / 4, at the publisher ConfigMs / 10) before the next one, also where the publisher showed a newer version.

A read that takes longer than the interval is followed by the next one at once; the next wait for changes begins 100 ms after the former one, as before.

--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -26,8 +26,8 @@
 /// Longest time for which a subscriber waits for a change of the configuration.
 const CHANGE_WAIT: Duration = Duration::from_secs(5);
 
-/// Minimum time between two such waits.
-const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum time from one read of the configuration to the next.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Interval at which it is looked for whether the platform's table has been restored.
 const ERA_INTERVAL: Duration = Duration::from_millis(250);
@@ -91,14 +91,16 @@
         };
         apply_update(&node, &*source, update, sent_at).await;
         node.own_reads.borrow_mut().catalog_ms = read_ms.unwrap_or_default();
-        let interval = if follows_changes(&node, &*source) {
+        let interval = if current_version.is_none() {
+            RETRY_INTERVAL
+        } else if follows_changes(&node, &*source) {
             // A platform might not wait.
-            MIN_CHANGE_INTERVAL.saturating_sub(node.now() - started)
-        } else if current_version.is_some() {
-            poll_interval(&node, mode)
+            MIN_READ_INTERVAL
         } else {
-            RETRY_INTERVAL
+            poll_interval(&node, mode).max(MIN_READ_INTERVAL)
         };
+        // Counts from the begin of the read, as a long configuration takes long to be received.
+        let interval = interval.saturating_sub(node.now() - started);
         sleep_within_era(&*source, interval).await;
     }
 }
