Let others replace the publisher before a host that keeps entries

What callers got: requests went to a backend server that had left for longer than DrainMs, at hosts that had been in touch all the while.

Cause: a host that the store had turned away for 1.5 s or more takes that for an outage of the store, and keeps the entries that the list lacks for 2 s. Where it became the publisher meanwhile, it kept them for the whole fleet. It often did, as it reads the entries itself already when the publisher is suspected.

Weighed and not done: to end the keeping where the directory shows that another host has read the list meanwhile; it would also end it for entries that lapsed before that read.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -144,7 +144,7 @@
     pub ended: BTreeMap<Arc<str>, u64>,
 }
 
-/// Time by which the age of the directory is judged.
+/// Time by which the age of the directory is judged, and what a host knows of itself then.
 #[derive(Debug, Clone, Copy)]
 pub struct Moment {
     /// Time since the start of the process.
@@ -153,6 +153,8 @@
     pub platform_ms: Option<u64>,
     /// Era of the platform's table.
     pub era: u64,
+    /// Whether this host keeps entries that the list lacks, after an outage that it saw.
+    pub keeps_entries: bool,
 }
 
 /// Where a host gets the lists from.
@@ -377,8 +379,14 @@
         let Some(age) = self.age(at) else { return false };
         let spread = self.timing.takeover_spread().mul_f64(self.turn);
         let is_resigned = self.beat.as_ref().is_some_and(|beat| beat.resigned);
+        // An outage that only this host saw is none of the platform, so that others go first.
+        let begins_at = match (at.keeps_entries, is_resigned) {
+            (true, _) => self.timing.direct_age(),
+            (false, true) => Duration::ZERO,
+            (false, false) => self.timing.suspect_age(),
+        };
         // The age at the start of a process says nothing about when its turn began.
-        let waited = if is_resigned { age } else { age.saturating_sub(self.timing.suspect_age()) };
+        let waited = age.saturating_sub(begins_at);
         !waited.is_zero() && waited.min(at.now) >= spread
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -371,7 +371,12 @@
 
     /// Returns the current time by all clocks.
     pub fn moment(&self, source: &impl Source) -> Moment {
-        Moment { now: self.now(), platform_ms: source.latest_clock_ms(), era: source.era() }
+        Moment {
+            now: self.now(),
+            platform_ms: source.latest_clock_ms(),
+            era: source.era(),
+            keeps_entries: self.relisting.borrow().keeps_entries(Instant::now()),
+        }
     }
 
     /// Records that the platform has answered a call.
--- a/crates/gateway/src/relisting.rs
+++ b/crates/gateway/src/relisting.rs
@@ -66,7 +66,12 @@
         if is_old && received_at - asked_at > PROMPT_TIME {
             self.record_outage(received_at, "list unread", received_at - asked_at);
         }
-        self.until.is_some_and(|until| sent_at < until)
+        self.keeps_entries(sent_at)
+    }
+
+    /// Returns whether entries that the list lacks are kept at a time.
+    pub fn keeps_entries(&self, at: Instant) -> bool {
+        self.until.is_some_and(|until| at < until)
     }
 
     fn record_outage(&mut self, ended_at: Instant, sign: &'static str, time: Duration) {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -111,6 +111,12 @@
     PeerInfo { address: format!("127.0.0.1:{}", 1000 + number).parse().expect("one"), site }
 }
 
+/// Returns a time of the platform's clock at a process that has long run.
+fn moment_at(platform_ms: u64) -> Moment {
+    let now = Duration::from_secs(60);
+    Moment { now, platform_ms: Some(platform_ms), era: 1, keeps_entries: false }
+}
+
 impl Fleet {
     fn new(hosts: usize, backends: u64) -> Self {
         let platform = Platform {
@@ -149,6 +155,7 @@
             now: Duration::from_millis(self.now_ms - host.started_ms),
             platform_ms: Some(self.now_ms),
             era: self.platform.era,
+            keeps_entries: false,
         }
     }
 
@@ -386,7 +393,7 @@
     let rows = vec![row("b01", "[[1]]"), row("h01", "{"), row("beat", "[]"), row("b02", "[]")];
     directory.apply(&Changes { rows, through: 1 }, true);
     assert!(directory.backends().is_empty() && directory.hosts().is_empty());
-    let moment = Moment { now: 9 * APPLY, platform_ms: Some(9_000), era: 1 };
+    let moment = moment_at(9_000);
     assert_eq!(directory.mode(moment), Mode::Direct);
 }
 
@@ -420,7 +427,7 @@
     let value = serde_json::to_string(&beat).expect("JSON");
     let row = Row { key: "directory/all/beat".into(), value: Some(value.into()), revision: 1 };
     directory.apply(&Changes { rows: vec![row], through: 1 }, true);
-    let moment = Moment { now: Duration::from_secs(60), platform_ms: Some(10_000), era: 1 };
+    let moment = moment_at(10_000);
     assert_eq!(directory.age(moment), age_ms.map(Duration::from_millis));
     assert_eq!(directory.config_age(moment), Some(Duration::from_millis(3_000)));
     assert!(directory.is_config_outdated(moment));
@@ -428,6 +435,24 @@
     assert_eq!(is_subscriber, entries_read_ms.is_some());
 }
 
+/// A host that had been turned away published what it kept on that account.
+#[test_case(1_500, false, Mode::Subscribe; "publisher that is not suspected")]
+#[test_case(2_350, false, Mode::Direct; "publisher that is suspected")]
+#[test_case(2_350, true, Mode::Subscribe; "publisher that is suspected, at a host that keeps entries")]
+#[test_case(2_950, true, Mode::Direct; "publisher that no other host has replaced")]
+fn host_that_keeps_entries_leaves_the_place_of_the_publisher_to_others(
+    age_ms: u64,
+    keeps_entries: bool,
+    mode: Mode,
+) {
+    let mut directory = Directory::new("h-1".into(), Timing::new(APPLY), 999, false);
+    let beat = Beat { era: 1, read_ms: 10_000 - age_ms, ..Beat::default() };
+    let value = serde_json::to_string(&beat).expect("JSON");
+    let row = Row { key: "directory/all/beat".into(), value: Some(value.into()), revision: 1 };
+    directory.apply(&Changes { rows: vec![row], through: 1 }, true);
+    assert_eq!(directory.mode(Moment { keeps_entries, ..moment_at(10_000) }), mode);
+}
+
 /// Beats of publishers of an earlier version were left out, or ended evacuations.
 #[test]
 fn beat_without_evacuations_says_nothing_about_them() {
