Publish the directory only from rows that are known up to its beat

What callers got: requests went to a backend server that had left, at all hosts that rely on the directory, for as long as its publisher hadn't read the directory itself.

Cause: a host that doesn't know the beat, as its process has just started or another host has published since, learns it from the transaction that is refused, and became the publisher with the next one. It compared its list with the rows that it knew then, which lacked those that it had never read, or that others had written since; what had left meanwhile stayed in them, while the new beat vouched for them. Class: what one read knows is taken for what the table holds.

Each transaction that writes rows of the directory writes its beat, on the condition that the beat is unchanged. So rows that are known up to the beat's revision are all rows.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -19,7 +19,7 @@
 
 use coordination::{
     locate::hash,
-    table::{Outcome, Row, Txn, Write},
+    table::{Outcome, Revision, Row, Txn, Write},
 };
 use serde::{Deserialize, Serialize};
 
@@ -203,6 +203,8 @@
     /// Position of this host among those that try to become the publisher, from 0 to 1.
     turn: f64,
     first_start: bool,
+    /// Era of the platform's table, and the revision up to which all rows are known.
+    position: Option<(u64, Revision)>,
     rows: BTreeMap<Arc<str>, Arc<str>>,
     beat_row: Row,
     beat: Option<Beat>,
@@ -227,6 +229,7 @@
             timing,
             turn: (seed % 1000) as f64 / 1000.0,
             first_start,
+            position: None,
             rows: BTreeMap::new(),
             beat_row: Row { key: beat_key.into(), value: None, revision: 0 },
             beat: None,
@@ -240,9 +243,11 @@
         }
     }
 
-    /// Applies rows that were read; `whole` tells that these are all rows.
-    pub fn apply(&mut self, changes: &Changes, whole: bool) {
-        if whole {
+    /// Applies rows that were read; `whole_in` is the era of the platform's table in which these are
+    /// all rows.
+    pub fn apply(&mut self, changes: &Changes, whole_in: Option<u64>) {
+        if let Some(era) = whole_in {
+            self.position = Some((era, changes.through));
             self.rows.clear();
             self.backends.clear();
             self.hosts.clear();
@@ -255,6 +260,7 @@
         for row in changes.rows.iter().filter(is_listed) {
             self.apply_row(row);
         }
+        self.record_position(changes.through);
         let is_own = self.beat.as_ref().is_some_and(|beat| beat.publisher == self.process);
         if self.is_publisher && !is_own {
             tracing::info!(event = "directory_left", publisher = self.publisher());
@@ -262,6 +268,12 @@
         }
     }
 
+    fn record_position(&mut self, revision: Revision) {
+        if let Some((_, through)) = &mut self.position {
+            *through = revision.max(*through);
+        }
+    }
+
     fn apply_row(&mut self, row: &Row) {
         if row.key == self.beat_row.key {
             if row.revision < self.beat_row.revision {
@@ -394,7 +406,12 @@
     pub fn plan(&mut self, at: Moment, own: &OwnView) -> Option<Txn> {
         let platform_ms = at.platform_ms?;
         let age = |read_ms: u64| Duration::from_millis(platform_ms.saturating_sub(read_ms));
-        let is_current = !own.backends.is_empty()
+        // Rows that it doesn't know would be left as they are; each writer of rows writes the beat.
+        let knows_rows = self
+            .position
+            .is_some_and(|(era, through)| era == at.era && through >= self.beat_row.revision);
+        let is_current = knows_rows
+            && !own.backends.is_empty()
             && own.config_version > 0
             && own.hosts.len() > MAX_UNPUBLISHED_HOSTS
             && age(own.entries_read_ms) < self.timing.suspect_age()
@@ -486,10 +503,11 @@
                 let value = serde_json::to_string(&pending.beat).ok().map(Arc::from);
                 let beat_row = Row { value, revision: *revision, ..self.beat_row.clone() };
                 self.apply_row(&beat_row);
+                self.record_position(*revision);
             }
             Outcome::Conflict(rows) => {
                 // An own transaction whose answer was lost may have been committed.
-                self.apply(&Changes { rows: rows.clone(), through: 0 }, false);
+                self.apply(&Changes { rows: rows.clone(), through: 0 }, None);
             }
             // The next transaction finds out whether this one was committed.
             _ => {}
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -53,7 +53,8 @@
             Ok(Some(_)) if after.is_some() && source.era() != era => position = None,
             Ok(Some(changes)) => {
                 position = Some((source.era(), changes.through));
-                node.directory.borrow_mut().apply(&changes, after.is_none());
+                let whole_in = after.is_none().then(|| source.era());
+                node.directory.borrow_mut().apply(&changes, whole_in);
                 apply_evacuations(&node, &*source);
                 apply_to_quarantine(&node, source.clock_ms(), &changes, after.is_none());
                 apply_to_limits(&node, source.clock_ms(), &changes, after.is_none());
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -174,7 +174,8 @@
             let after = host.position.filter(|(era, _)| *era == moment.era).map(|at| at.1);
             let changes = self.platform.changes(after);
             host.position = Some((moment.era, changes.through));
-            host.directory.apply(&changes, after.is_none());
+            let whole_in = after.is_none().then_some(self.platform.era);
+            host.directory.apply(&changes, whole_in);
             if let Some(listing) = host.directory.evacuated().filter(|own| own.era == moment.era) {
                 host.evacuations.record_published(moment.now, listing.clone());
             }
@@ -391,7 +392,7 @@
         revision: 1,
     };
     let rows = vec![row("b01", "[[1]]"), row("h01", "{"), row("beat", "[]"), row("b02", "[]")];
-    directory.apply(&Changes { rows, through: 1 }, true);
+    directory.apply(&Changes { rows, through: 1 }, Some(1));
     assert!(directory.backends().is_empty() && directory.hosts().is_empty());
     let moment = moment_at(9_000);
     assert_eq!(directory.mode(moment), Mode::Direct);
@@ -426,7 +427,7 @@
     let beat = Beat { era: 1, read_ms: 7_000, entries_read_ms, ..Beat::default() };
     let value = serde_json::to_string(&beat).expect("JSON");
     let row = Row { key: "directory/all/beat".into(), value: Some(value.into()), revision: 1 };
-    directory.apply(&Changes { rows: vec![row], through: 1 }, true);
+    directory.apply(&Changes { rows: vec![row], through: 1 }, Some(1));
     let moment = moment_at(10_000);
     assert_eq!(directory.age(moment), age_ms.map(Duration::from_millis));
     assert_eq!(directory.config_age(moment), Some(Duration::from_millis(3_000)));
@@ -449,10 +450,54 @@
     let beat = Beat { era: 1, read_ms: 10_000 - age_ms, ..Beat::default() };
     let value = serde_json::to_string(&beat).expect("JSON");
     let row = Row { key: "directory/all/beat".into(), value: Some(value.into()), revision: 1 };
-    directory.apply(&Changes { rows: vec![row], through: 1 }, true);
+    directory.apply(&Changes { rows: vec![row], through: 1 }, Some(1));
     assert_eq!(directory.mode(Moment { keeps_entries, ..moment_at(10_000) }), mode);
 }
 
+/// A host became the publisher before it had read the rows of the directory, and left those of backend
+/// servers that had gone.
+#[test_case(false; "host that has just started")]
+#[test_case(true; "host that has read them before the former publisher changed them")]
+fn publisher_leaves_no_row_that_it_has_not_read(has_read_before: bool) {
+    let mut platform = Platform { era: 1, config_version: 1, ..Platform::default() };
+    let plan = |platform: &mut Platform, directory: &mut Directory, backends: u64, at_ms: u64| {
+        let own = OwnView {
+            backends: (0..backends).map(backend).collect(),
+            hosts: (0..20).map(peer).collect(),
+            config_version: 1,
+            read_ms: at_ms,
+            entries_read_ms: at_ms,
+            ..OwnView::default()
+        };
+        if let Some(txn) = directory.plan(moment_at(at_ms), &own) {
+            directory.finish(&platform.commit(&txn));
+        }
+    };
+    let open = |name: &str| Directory::new(name.into(), Timing::new(APPLY), 0, false);
+    let (mut former, mut next) = (open("h-1"), open("h-2"));
+    former.apply(&platform.changes(None), Some(1));
+    plan(&mut platform, &mut former, 1, 10_000);
+    if has_read_before {
+        next.apply(&platform.changes(None), Some(1));
+    }
+    plan(&mut platform, &mut former, 2, 11_000);
+    // The first transaction is refused, and tells the current beat.
+    for at_ms in [13_900, 14_000, 14_100] {
+        plan(&mut platform, &mut next, 1, at_ms);
+    }
+    let published = |platform: &mut Platform| {
+        let mut reader = open("h-3");
+        reader.apply(&platform.changes(None), Some(1));
+        let ids: Vec<_> = reader.backends().iter().map(|entry| entry.id.clone()).collect();
+        (reader.publisher().map(str::to_owned), ids.len())
+    };
+    assert_eq!(published(&mut platform), (Some("h-1".into()), 2));
+    let whole_in = (!has_read_before).then_some(1);
+    next.apply(&platform.changes(None), whole_in);
+    plan(&mut platform, &mut next, 1, 14_200);
+    assert_eq!(published(&mut platform), (Some("h-2".into()), 1));
+}
+
 /// Beats of publishers of an earlier version were left out, or ended evacuations.
 #[test]
 fn beat_without_evacuations_says_nothing_about_them() {
@@ -463,15 +508,15 @@
         revision: 1,
     };
     let former = r#"{"publisher":"h-2","era":1,"read_ms":8000,"config_version":3}"#;
-    directory.apply(&Changes { rows: vec![beat(former)], through: 1 }, true);
+    directory.apply(&Changes { rows: vec![beat(former)], through: 1 }, Some(1));
     assert_eq!((directory.config_version(), directory.evacuated()), (3, None));
     let current = r#"{"publisher":"h-2","evacuated":{"era":1,"through":7,"zones":["a"]}}"#;
-    directory.apply(&Changes { rows: vec![beat(current)], through: 2 }, false);
+    directory.apply(&Changes { rows: vec![beat(current)], through: 2 }, None);
     let zones = BTreeSet::from(["a".into()]);
     assert_eq!(directory.evacuated(), Some(&Listing { era: 1, through: 7, zones }));
     assert_eq!(directory.ended().count(), 0);
     let ended = r#"{"publisher":"h-2","evacuated":{"era":1,"through":8},"ended":{"a":9000}}"#;
-    directory.apply(&Changes { rows: vec![beat(ended)], through: 3 }, false);
+    directory.apply(&Changes { rows: vec![beat(ended)], through: 3 }, None);
     assert_eq!(directory.ended().collect::<Vec<_>>(), [(&Arc::from("a"), 9000)]);
 }
 
@@ -505,7 +550,7 @@
         let mut directory = Directory::new("h-1".into(), Timing::new(APPLY), 0, false);
         let key = "directory/all/b01".into();
         let row = Row { key, value: Some(case.row.into()), revision: 1 };
-        directory.apply(&Changes { rows: vec![row], through: 1 }, true);
+        directory.apply(&Changes { rows: vec![row], through: 1 }, Some(1));
         let entries = directory.backends();
         let found = entries.first().map(|entry| entry.cold_until_ms);
         assert_eq!(found, case.until, "{}", case.name);
